--- /dev/null
+++ b/source/process/daemon/build_version.cc
@@ -0,0 +1,7 @@
+#include "process/daemon/build_version.h"
+
+namespace marjoramsill {
+
+std::string_view BuildVersion() { return MARJORAMSILL_VERSION; }
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/types/random_source.h
@@ -0,0 +1,14 @@
+#ifndef MARJORAMSILL_TYPES_RANDOM_SOURCE_H_
+#define MARJORAMSILL_TYPES_RANDOM_SOURCE_H_
+
+#include <cstdint>
+#include <functional>
+
+namespace marjoramsill {
+
+/// Returns 64 uniformly distributed bits. Seeded in tests and benchmarks.
+using random_source = std::function<std::uint64_t()>;
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_TYPES_RANDOM_SOURCE_H_
--- /dev/null
+++ b/source/types/steady_time.h
@@ -0,0 +1,22 @@
+#ifndef MARJORAMSILL_TYPES_STEADY_TIME_H_
+#define MARJORAMSILL_TYPES_STEADY_TIME_H_
+
+#include <chrono>
+
+namespace marjoramsill {
+
+/// Clock of all deadlines and leases. It has no now(): decision code is given
+/// the time, so that it runs the same in virtual time.
+struct steady_timeline {
+  using duration = std::chrono::microseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<steady_timeline>;
+  static constexpr bool is_steady = true;
+};
+
+using steady_time = steady_timeline::time_point;
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_TYPES_STEADY_TIME_H_
--- /dev/null
+++ b/source/types/strong_number.h
@@ -0,0 +1,41 @@
+#ifndef MARJORAMSILL_TYPES_STRONG_NUMBER_H_
+#define MARJORAMSILL_TYPES_STRONG_NUMBER_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace marjoramsill {
+
+/// A 64-bit unsigned number that cannot be mixed up with another kind of
+/// number. Arithmetic is explicit through value().
+template <class Tag>
+class strong_number {
+ public:
+  constexpr strong_number() = default;
+  constexpr explicit strong_number(std::uint64_t value) : value_(value) {}
+
+  constexpr std::uint64_t value() const { return value_; }
+  constexpr strong_number Next() const { return strong_number(value_ + 1); }
+
+  friend constexpr bool operator==(const strong_number&,
+                                   const strong_number&) = default;
+  friend constexpr auto operator<=>(const strong_number&,
+                                    const strong_number&) = default;
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
+}  // namespace marjoramsill
+
+template <class Tag>
+struct std::hash<marjoramsill::strong_number<Tag>> {
+  std::size_t operator()(
+      const marjoramsill::strong_number<Tag>& number) const noexcept {
+    return std::hash<std::uint64_t>()(number.value());
+  }
+};
+
+#endif  // MARJORAMSILL_TYPES_STRONG_NUMBER_H_
