connection: add the adapters to callers, endpoints and other VMs

Cause: the decision code needs sockets around it. Change: HTTP/1.1 server on RESTinio with bounds and notice of disconnects, endpoint client on a libcurl multi handle that uses a fresh connection for calls that are not repeatable, HTTP/2 sessions between VMs on nghttp2 with optional mutual TLS, problem answers (RFC 9457), and a fake endpoint for trials.

--- /dev/null
+++ b/examples/fake_endpoint/fake_model.cc
@@ -0,0 +1,67 @@
+#include "fake_endpoint/fake_model.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace marjoramsill {
+namespace {
+
+constexpr std::uint32_t kDefaultWords = 16;
+
+std::uint32_t CountWords(const std::string& text) {
+  std::uint32_t words = 0;
+  bool in_word = false;
+  for (const char c : text) {
+    const bool space = c == ' ' || c == '\n';
+    if (!space && !in_word) ++words;
+    in_word = !space;
+  }
+  return words;
+}
+
+}  // namespace
+
+fake_completion PlanCompletion(const nlohmann::json& request) {
+  nlohmann::json messages = request.value("messages", nlohmann::json::array());
+  fake_completion plan;
+  const std::uint32_t wanted = request.value("max_tokens", kDefaultWords);
+  if (request.value("continue_final_message", false) && !messages.empty()) {
+    plan.first_word = CountWords(messages.back().value("content", ""));
+    messages.erase(messages.size() - 1);
+  }
+  const std::string prompt = messages.dump();
+  plan.prompt_hash = XXH3_64bits(prompt.data(), prompt.size());
+  for (const auto& message : messages) {
+    plan.prompt_words += CountWords(message.value("content", ""));
+  }
+  plan.words = wanted > plan.first_word ? wanted - plan.first_word : 0;
+  return plan;
+}
+
+std::string CompletionWord(std::uint64_t prompt_hash, std::uint32_t position) {
+  const std::uint64_t seeded =
+      XXH3_64bits_withSeed(&position, sizeof(position), prompt_hash);
+  return "w" + std::to_string(seeded % 100'000) + " ";
+}
+
+std::uint32_t fake_prefix_cache::Use(const std::string& chat,
+                                     std::uint32_t prompt_words) {
+  std::uint32_t cached = 0;
+  const auto found = entries_.find(chat);
+  if (found != entries_.end()) {
+    cached = std::min(found->second->words, prompt_words);
+    order_.erase(found->second);
+    entries_.erase(found);
+  }
+  order_.push_front({chat, prompt_words});
+  entries_[chat] = order_.begin();
+  if (order_.size() > capacity_) {
+    entries_.erase(order_.back().chat);
+    order_.pop_back();
+  }
+  return cached;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/connection/endpoint_call.h
@@ -0,0 +1,35 @@
+#ifndef MARJORAMSILL_CONNECTION_ENDPOINT_CALL_H_
+#define MARJORAMSILL_CONNECTION_ENDPOINT_CALL_H_
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "connection/endpoint_call_end.h"
+#include "request/http_field.h"
+
+namespace marjoramsill {
+
+/// One HTTP request to an endpoint with the hooks for its answer. The hooks
+/// run on the client's thread, in this order: on_headers at most once, on_data
+/// any number of times, on_end exactly once unless the call is cancelled.
+struct endpoint_call {
+  std::string method = "POST";
+  std::string url;
+  http_field_list fields;
+  std::string body;
+  std::chrono::milliseconds connect_timeout{500};
+  std::chrono::milliseconds total_timeout{60'000};
+  /// Uses a connection of its own. libcurl sends a request again by itself
+  /// when a reused connection turns out dead, which a call that is not
+  /// repeatable must not suffer.
+  bool fresh_connection = false;
+
+  std::function<void(int status, const http_field_list& fields)> on_headers;
+  std::function<void(std::string data)> on_data;
+  std::function<void(endpoint_call_end end)> on_end;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_ENDPOINT_CALL_H_
--- /dev/null
+++ b/source/connection/http2_session.cc
@@ -0,0 +1,296 @@
+#include "connection/http2_session.h"
+
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <cstring>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "connection/byte_stream.h"
+
+namespace marjoramsill {
+namespace {
+
+// The largest message is one chunk of a policy document or of a snapshot.
+constexpr std::size_t kMaxMessageBytes = 8UL * 1024 * 1024;
+constexpr std::size_t kMaxPathBytes = 256;
+// Larger than all but snapshot messages, so that window updates are rare.
+constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
+constexpr std::uint32_t kMaxStreams = 1'000;
+constexpr std::string_view kPathPrefix = "/peer/";
+
+nghttp2_nv Field(std::string_view name, std::string_view value) {
+  // nghttp2 copies names and values unless told otherwise.
+  return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
+          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())),
+          name.size(), value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+}  // namespace
+
+/// Functions that nghttp2 calls; `user` is the http2_session.
+struct http2_callbacks {
+  static int OnHeader(nghttp2_session* /*session*/, const nghttp2_frame* frame,
+                      const std::uint8_t* name, std::size_t name_length,
+                      const std::uint8_t* value, std::size_t value_length,
+                      std::uint8_t /*flags*/, void* user) {
+    auto& self = *static_cast<http2_session*>(user);
+    const std::string_view field(reinterpret_cast<const char*>(name),
+                                 name_length);
+    const std::string_view text(reinterpret_cast<const char*>(value),
+                                value_length);
+    if (field == ":path") {
+      if (text.size() > kMaxPathBytes) return Reset();
+      self.streams_[frame->hd.stream_id].path = std::string(text);
+    } else if (field == ":status") {
+      self.streams_[frame->hd.stream_id].answered_with_success = text == "200";
+    }
+    return 0;
+  }
+
+  static int OnData(nghttp2_session* /*session*/, std::uint8_t /*flags*/,
+                    std::int32_t stream_id, const std::uint8_t* data,
+                    std::size_t length, void* user) {
+    auto& self = *static_cast<http2_session*>(user);
+    const auto found = self.streams_.find(stream_id);
+    if (found == self.streams_.end()) return 0;
+    std::string& received = found->second.received;
+    if (received.size() + length > kMaxMessageBytes) {
+      return NGHTTP2_ERR_CALLBACK_FAILURE;
+    }
+    received.append(reinterpret_cast<const char*>(data), length);
+    return 0;
+  }
+
+  static int OnFrame(nghttp2_session* /*session*/, const nghttp2_frame* frame,
+                     void* user) {
+    const bool carries_message =
+        frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    if (carries_message && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+      static_cast<http2_session*>(user)->OnMessageComplete(frame->hd.stream_id);
+    }
+    return 0;
+  }
+
+  static int OnStreamClose(nghttp2_session* /*session*/, std::int32_t stream_id,
+                           std::uint32_t /*code*/, void* user) {
+    static_cast<http2_session*>(user)->OnStreamClosed(stream_id);
+    return 0;
+  }
+
+  static ssize_t ReadOutgoing(nghttp2_session* /*session*/,
+                              std::int32_t stream_id, std::uint8_t* buffer,
+                              std::size_t length, std::uint32_t* flags,
+                              nghttp2_data_source* /*source*/, void* user) {
+    auto& self = *static_cast<http2_session*>(user);
+    const auto found = self.streams_.find(stream_id);
+    if (found == self.streams_.end()) return Reset();
+    auto& stream = found->second;
+    const std::size_t left = stream.outgoing.size() - stream.outgoing_offset;
+    const std::size_t count = std::min(length, left);
+    std::memcpy(buffer, stream.outgoing.data() + stream.outgoing_offset, count);
+    stream.outgoing_offset += count;
+    if (count == left) *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return static_cast<ssize_t>(count);
+  }
+
+ private:
+  static int Reset() { return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE; }
+};
+
+http2_session::http2_session(role side, std::unique_ptr<byte_stream> stream,
+                             message_handler handle,
+                             std::function<void()> on_closed)
+    : role_(side),
+      stream_(std::move(stream)),
+      handle_(std::move(handle)),
+      on_closed_(std::move(on_closed)) {
+  CreateSession();
+}
+
+http2_session::~http2_session() { nghttp2_session_del(session_); }
+
+void http2_session::CreateSession() {
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks,
+                                                   http2_callbacks::OnHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+      callbacks, http2_callbacks::OnData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(
+      callbacks, http2_callbacks::OnFrame);
+  nghttp2_session_callbacks_set_on_stream_close_callback(
+      callbacks, http2_callbacks::OnStreamClose);
+  if (role_ == role::kClient) {
+    nghttp2_session_client_new(&session_, callbacks, this);
+  } else {
+    nghttp2_session_server_new(&session_, callbacks, this);
+  }
+  nghttp2_session_callbacks_del(callbacks);
+}
+
+void http2_session::Start() {
+  const std::array<nghttp2_settings_entry, 2> settings = {{
+      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
+      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kWindowBytes},
+  }};
+  nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(),
+                          settings.size());
+  nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0,
+                                        kWindowBytes);
+  Read();
+  Write();
+}
+
+void http2_session::Send(const vm_message& message, answer_handler done) {
+  if (closed_) {
+    done(failure(peer_error::kUnreachable));
+    return;
+  }
+  const std::string path = std::string(kPathPrefix) + message.kind;
+  const std::array<nghttp2_nv, 4> fields = {
+      Field(":method", "POST"), Field(":scheme", "http"),
+      Field(":authority", "peer"), Field(":path", path)};
+  nghttp2_data_provider provider{};
+  provider.read_callback = http2_callbacks::ReadOutgoing;
+  const std::int32_t stream_id = nghttp2_submit_request(
+      session_, nullptr, fields.data(), fields.size(), &provider, nullptr);
+  if (stream_id < 0) {
+    done(failure(peer_error::kUnreachable));
+    // Stream ids are used up; a new connection starts again.
+    Close();
+    return;
+  }
+  stream_state& stream = streams_[stream_id];
+  stream.outgoing = message.body;
+  stream.done = std::move(done);
+  Write();
+}
+
+void http2_session::Answer(std::int32_t stream_id, std::string body) {
+  const auto found = streams_.find(stream_id);
+  if (closed_ || found == streams_.end()) return;
+  found->second.outgoing = std::move(body);
+  const std::array<nghttp2_nv, 1> fields = {Field(":status", "200")};
+  nghttp2_data_provider provider{};
+  provider.read_callback = http2_callbacks::ReadOutgoing;
+  nghttp2_submit_response(session_, stream_id, fields.data(), fields.size(),
+                          &provider);
+  Write();
+}
+
+void http2_session::OnMessageComplete(std::int32_t stream_id) {
+  const auto found = streams_.find(stream_id);
+  if (found == streams_.end()) return;
+  stream_state& stream = found->second;
+  if (role_ == role::kClient) {
+    answer_handler done = std::move(stream.done);
+    stream.done = nullptr;
+    if (!done) return;
+    if (stream.answered_with_success) {
+      done(std::move(stream.received));
+    } else {
+      done(failure(peer_error::kRefused));
+    }
+    return;
+  }
+  if (!stream.path.starts_with(kPathPrefix)) {
+    const std::array<nghttp2_nv, 1> fields = {Field(":status", "404")};
+    nghttp2_submit_response(session_, stream_id, fields.data(), fields.size(),
+                            nullptr);
+    return;
+  }
+  vm_message message{stream.path.substr(kPathPrefix.size()),
+                     std::move(stream.received)};
+  handle_(std::move(message),
+          [weak = weak_from_this(), stream_id](std::string body) {
+            if (const auto self = weak.lock()) {
+              self->Answer(stream_id, std::move(body));
+            }
+          });
+}
+
+void http2_session::OnStreamClosed(std::int32_t stream_id) {
+  const auto found = streams_.find(stream_id);
+  if (found == streams_.end()) return;
+  answer_handler done = std::move(found->second.done);
+  streams_.erase(found);
+  if (done) done(failure(peer_error::kConnectionLost));
+}
+
+void http2_session::Read() {
+  stream_->AsyncRead(
+      asio::buffer(input_),
+      [self = shared_from_this()](std::error_code error, std::size_t count) {
+        if (error || self->closed_) {
+          self->Close();
+          return;
+        }
+        self->received_bytes_ += count;
+        self->in_nghttp2_ = true;
+        const ssize_t used = nghttp2_session_mem_recv(
+            self->session_, self->input_.data(), count);
+        self->in_nghttp2_ = false;
+        if (used < 0) {
+          self->Close();
+          return;
+        }
+        self->Write();
+        if (!self->closed_) self->Read();
+      });
+}
+
+void http2_session::Write() {
+  // nghttp2 may not be asked for output from inside its own callbacks; the
+  // caller of nghttp2 writes afterwards.
+  if (writing_ || closed_ || in_nghttp2_) return;
+  output_.clear();
+  constexpr std::size_t kMaxWriteBytes = 64UL * 1024;
+  while (output_.size() < kMaxWriteBytes) {
+    const std::uint8_t* data = nullptr;
+    in_nghttp2_ = true;
+    const ssize_t count = nghttp2_session_mem_send(session_, &data);
+    in_nghttp2_ = false;
+    if (count < 0) {
+      Close();
+      return;
+    }
+    if (count == 0) break;
+    output_.append(reinterpret_cast<const char*>(data),
+                   static_cast<std::size_t>(count));
+  }
+  if (output_.empty()) {
+    const bool ended = nghttp2_session_want_read(session_) == 0 &&
+                       nghttp2_session_want_write(session_) == 0;
+    if (ended) Close();
+    return;
+  }
+  writing_ = true;
+  stream_->AsyncWrite(
+      asio::buffer(output_),
+      [self = shared_from_this()](std::error_code error, std::size_t count) {
+        self->writing_ = false;
+        self->sent_bytes_ += count;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->Write();
+      });
+}
+
+void http2_session::Close() {
+  if (closed_) return;
+  closed_ = true;
+  stream_->Close();
+  auto streams = std::move(streams_);
+  streams_.clear();
+  for (auto& [id, stream] : streams) {
+    if (stream.done) stream.done(failure(peer_error::kConnectionLost));
+  }
+  if (on_closed_) on_closed_();
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/connection/http2_session.h
@@ -0,0 +1,87 @@
+#ifndef MARJORAMSILL_CONNECTION_HTTP2_SESSION_H_
+#define MARJORAMSILL_CONNECTION_HTTP2_SESSION_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "connection/peer_error.h"
+#include "connection/vm_message.h"
+#include "types/result.h"
+
+struct nghttp2_session;
+
+namespace marjoramsill {
+
+class byte_stream;
+
+/// One HTTP/2 connection between two VMs (nghttp2). One message is one stream.
+/// Used on the peer I/O thread only; owned by std::shared_ptr, which the reads
+/// and writes in progress hold.
+class http2_session : public std::enable_shared_from_this<http2_session> {
+ public:
+  enum class role { kClient, kServer };
+  using reply = std::function<void(std::string body)>;
+  using message_handler = std::function<void(vm_message, reply)>;
+  using answer_handler = std::function<void(result<std::string, peer_error>)>;
+
+  /// The handler is used by a server session only. `on_closed` runs once.
+  http2_session(role side, std::unique_ptr<byte_stream> stream,
+                message_handler handle, std::function<void()> on_closed);
+  ~http2_session();
+  http2_session(const http2_session&) = delete;
+  http2_session& operator=(const http2_session&) = delete;
+
+  void Start();
+  /// Client: sends a message. The handler runs exactly once.
+  void Send(const vm_message& message, answer_handler done);
+  /// Server: answers the message of a stream; ignored when it has ended.
+  void Answer(std::int32_t stream_id, std::string body);
+  void Close();
+
+  bool is_closed() const { return closed_; }
+  /// Bytes of HTTP/2 frames, before TLS.
+  std::uint64_t sent_bytes() const { return sent_bytes_; }
+  std::uint64_t received_bytes() const { return received_bytes_; }
+
+ private:
+  friend struct http2_callbacks;
+
+  /// State of one stream, which is one message and its answer.
+  struct stream_state {
+    std::string path;
+    std::string received;
+    std::string outgoing;
+    std::size_t outgoing_offset = 0;
+    bool answered_with_success = false;
+    answer_handler done;
+  };
+
+  void CreateSession();
+  void Read();
+  void Write();
+  void OnMessageComplete(std::int32_t stream_id);
+  void OnStreamClosed(std::int32_t stream_id);
+
+  const role role_;
+  std::unique_ptr<byte_stream> stream_;
+  message_handler handle_;
+  std::function<void()> on_closed_;
+  nghttp2_session* session_ = nullptr;
+  std::unordered_map<std::int32_t, stream_state> streams_;
+  std::array<std::uint8_t, 16UL * 1024> input_{};
+  std::string output_;
+  bool writing_ = false;
+  bool in_nghttp2_ = false;
+  bool closed_ = false;
+  std::uint64_t sent_bytes_ = 0;
+  std::uint64_t received_bytes_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_HTTP2_SESSION_H_
--- /dev/null
+++ b/source/connection/peer_transport.h
@@ -0,0 +1,52 @@
+#ifndef MARJORAMSILL_CONNECTION_PEER_TRANSPORT_H_
+#define MARJORAMSILL_CONNECTION_PEER_TRANSPORT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "connection/http_server.h"
+#include "connection/peer_error.h"
+#include "connection/peer_transport_settings.h"
+#include "connection/vm_message.h"
+#include "types/result.h"
+
+namespace marjoramsill {
+
+/// Messages between VMs over HTTP/2, on one I/O thread. All functions may be
+/// called from any thread. The message handler runs on the I/O thread and must
+/// not block; its reply may be called later from any thread.
+class peer_transport {
+ public:
+  using reply = std::function<void(std::string body)>;
+  using message_handler = std::function<void(vm_message, reply)>;
+  using answer_handler = std::function<void(result<std::string, peer_error>)>;
+
+  peer_transport(const peer_transport_settings& settings,
+                 message_handler handle);
+  ~peer_transport();
+  peer_transport(const peer_transport&) = delete;
+  peer_transport& operator=(const peer_transport&) = delete;
+
+  result<void, listen_error> Listen();
+  /// The handler runs exactly once, on the I/O thread.
+  void Send(const socket_address& remote, vm_message message,
+            std::chrono::milliseconds timeout, answer_handler done);
+  /// Runs a task on the I/O thread after a time.
+  void RunAfter(std::chrono::milliseconds delay, std::function<void()> task);
+  /// Closes all connections and ends the I/O thread.
+  void Stop();
+
+  /// Message bytes sent since start, with answers, before HTTP/2 framing.
+  std::uint64_t sent_bytes() const;
+
+ private:
+  class implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_PEER_TRANSPORT_H_
--- /dev/null
+++ b/source/request/caller_request.h
@@ -0,0 +1,23 @@
+#ifndef MARJORAMSILL_REQUEST_CALLER_REQUEST_H_
+#define MARJORAMSILL_REQUEST_CALLER_REQUEST_H_
+
+#include <string>
+
+#include "request/http_field.h"
+
+namespace marjoramsill {
+
+/// An HTTP request as a caller, an endpoint or an operator sent it.
+struct caller_request {
+  std::string method;
+  /// Path without query, not decoded.
+  std::string path;
+  /// Query without the question mark.
+  std::string query;
+  http_field_list fields;
+  std::string body;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_REQUEST_CALLER_REQUEST_H_
--- /dev/null
+++ b/source/request/problem.cc
@@ -0,0 +1,107 @@
+#include "request/problem.h"
+
+#include <array>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+
+namespace marjoramsill {
+namespace {
+
+struct problem_entry {
+  problem_kind kind;
+  std::string_view name;
+  int status;
+  std::string_view title;
+};
+
+constexpr std::array kProblems = {
+    problem_entry{problem_kind::kMalformedRequest, "malformed-request", 400,
+                  "The request is not well formed"},
+    problem_entry{problem_kind::kUnknownField, "unknown-field", 400,
+                  "The request has a field that is not known"},
+    problem_entry{problem_kind::kBodyTooLarge, "body-too-large", 413,
+                  "The request body is too large"},
+    problem_entry{problem_kind::kUnknownWorkspace, "unknown-workspace", 403,
+                  "The workspace is not in the policy"},
+    problem_entry{problem_kind::kRankNotAllowed, "rank-not-allowed", 403,
+                  "The workspace may not use this rank"},
+    problem_entry{problem_kind::kInvalidHeader, "invalid-header", 400,
+                  "A request header has an invalid value"},
+    problem_entry{problem_kind::kUnknownModel, "unknown-model", 404,
+                  "The model or service is not in the policy"},
+    problem_entry{problem_kind::kNotFound, "not-found", 404,
+                  "There is nothing at this path"},
+    problem_entry{problem_kind::kMissingIdempotencyKey,
+                  "missing-idempotency-key", 400,
+                  "This call needs an Idempotency-Key"},
+    problem_entry{problem_kind::kKeyReused, "key-reused", 422,
+                  "The Idempotency-Key belongs to another request"},
+    problem_entry{problem_kind::kInProgress, "in-progress", 409,
+                  "The first call with this key is in progress"},
+    problem_entry{problem_kind::kOutcomeUnknown, "outcome-unknown", 409,
+                  "The outcome is unknown and the call is not repeated"},
+    problem_entry{problem_kind::kResponseNotStored, "response-not-stored", 409,
+                  "The call has run; its response was too large to store"},
+    problem_entry{problem_kind::kLimitExceeded, "limit-exceeded", 429,
+                  "The workspace is at its limit"},
+    problem_entry{problem_kind::kOverloaded, "overloaded", 503,
+                  "The fleet is at capacity for this rank"},
+    problem_entry{problem_kind::kDeadlineExceeded, "deadline-exceeded", 504,
+                  "The deadline cannot be met"},
+    problem_entry{problem_kind::kNoEndpoint, "no-endpoint", 503,
+                  "No endpoint can take the request"},
+    problem_entry{problem_kind::kControlUnavailable, "control-unavailable", 503,
+                  "The claim group cannot be reached"},
+    problem_entry{problem_kind::kEndpointFailed, "endpoint-failed", 502,
+                  "The endpoint failed"},
+    problem_entry{problem_kind::kNotReady, "not-ready", 503,
+                  "This VM has no policy yet"},
+};
+
+const problem_entry& Entry(problem_kind kind) {
+  return kProblems.at(static_cast<std::size_t>(kind));
+}
+
+constexpr bool TableFollowsEnum() {
+  for (std::size_t i = 0; i < kProblems.size(); ++i) {
+    if (static_cast<std::size_t>(kProblems[i].kind) != i) return false;
+  }
+  return true;
+}
+static_assert(TableFollowsEnum(), "Entry() indexes the table by kind");
+
+}  // namespace
+
+std::string_view ProblemName(problem_kind kind) { return Entry(kind).name; }
+
+int ProblemStatus(problem_kind kind) { return Entry(kind).status; }
+
+std::string_view RunStateName(run_state run) {
+  switch (run) {
+    case run_state::kNotRun:
+      return "not run";
+    case run_state::kOutcomeUnknown:
+      return "outcome unknown";
+    case run_state::kRun:
+      return "run";
+  }
+  return "outcome unknown";
+}
+
+std::string ProblemJson(const problem& value) {
+  const problem_entry& entry = Entry(value.kind);
+  nlohmann::ordered_json body;
+  body["type"] = "urn:marjoramsill:problem:" + std::string(entry.name);
+  body["title"] = entry.title;
+  body["status"] = entry.status;
+  body["detail"] = value.detail;
+  body["run"] = RunStateName(value.run);
+  if (value.retry_after) {
+    body["retry_after_ms"] = value.retry_after->count();
+  }
+  // Details may quote caller input; invalid UTF-8 must not throw here.
+  return body.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/request/problem.h
@@ -0,0 +1,57 @@
+#ifndef MARJORAMSILL_REQUEST_PROBLEM_H_
+#define MARJORAMSILL_REQUEST_PROBLEM_H_
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace marjoramsill {
+
+/// Kind of a final refusal or failure; each has one name and one HTTP status.
+enum class problem_kind {
+  kMalformedRequest,
+  kUnknownField,
+  kBodyTooLarge,
+  kUnknownWorkspace,
+  kRankNotAllowed,
+  kInvalidHeader,
+  kUnknownModel,
+  kNotFound,
+  kMissingIdempotencyKey,
+  kKeyReused,
+  kInProgress,
+  kOutcomeUnknown,
+  kResponseNotStored,
+  kLimitExceeded,
+  kOverloaded,
+  kDeadlineExceeded,
+  kNoEndpoint,
+  kControlUnavailable,
+  kEndpointFailed,
+  kNotReady,
+};
+
+/// What is known about the execution of the request.
+enum class run_state { kNotRun, kOutcomeUnknown, kRun };
+
+/// A problem answer (RFC 9457) to a caller.
+struct problem {
+  problem_kind kind = problem_kind::kMalformedRequest;
+  run_state run = run_state::kNotRun;
+  /// One sentence that names the field and what is allowed.
+  std::string detail;
+  /// When the caller may come back; jitter is already applied.
+  std::optional<std::chrono::milliseconds> retry_after;
+};
+
+std::string_view ProblemName(problem_kind kind);
+int ProblemStatus(problem_kind kind);
+std::string_view RunStateName(run_state run);
+
+/// Body of the answer with media type application/problem+json.
+std::string ProblemJson(const problem& value);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_REQUEST_PROBLEM_H_
