version: parse sections against a typed schema

yaml-cpp's loader expands aliases and keeps one of two equal keys, so the tree is built from its events, which rejects aliases, anchors, tags, duplicate keys, control bytes, more than 8 levels and more than 16 KiB. Errors name section, line, field, what was found and what is allowed.

--- a/source/version/snapshot_builder.h
+++ b/source/version/snapshot_builder.h
@@ -31,7 +31,7 @@
                                                bool workspaces_complete) const;
 
  private:
-  void Remove(std::string_view kind, std::string_view name);
+  result<void, section_error> Remove(const section_name& section);
   void MergeEndpoints();
 
   policy_snapshot draft_;
--- /dev/null
+++ b/source/version/yaml_reader.h
@@ -0,0 +1,27 @@
+#ifndef MARJORAMSILL_VERSION_YAML_READER_H_
+#define MARJORAMSILL_VERSION_YAML_READER_H_
+
+#include <cstddef>
+#include <string_view>
+
+#include "types/ids.h"
+#include "types/result.h"
+#include "version/section_error.h"
+#include "version/yaml_node.h"
+
+namespace marjoramsill {
+
+inline constexpr std::size_t kMaximumSectionBytes = 16 * 1024;
+inline constexpr int kMaximumYamlDepth = 8;
+
+/// Reads one YAML document whose top node is a map. Rejects what yaml-cpp
+/// accepts but policy does not: aliases, anchors, tags, duplicate keys, keys
+/// that are not scalars, a second document, bytes that are not plain UTF-8
+/// text, more than `kMaximumSectionBytes`, more than `kMaximumYamlDepth`
+/// nested levels.
+result<yaml_node, section_error> ReadYaml(const section_name& section,
+                                          std::string_view bytes);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_VERSION_YAML_READER_H_
