--- /dev/null
+++ b/source/process/claims/claim_decode_error.h
@@ -0,0 +1,31 @@
+#ifndef MARJORAMSILL_PROCESS_CLAIMS_CLAIM_DECODE_ERROR_H_
+#define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_DECODE_ERROR_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace marjoramsill {
+
+enum class claim_decode_fault : std::uint8_t {
+  /// Not well-formed msgpack, or truncated, or deeper or longer than allowed.
+  kMalformed,
+  kTrailingBytes,
+  kMissingField,
+  kWrongType,
+  kOutOfRange,
+  kUnsupportedVersion,
+};
+
+struct claim_decode_error {
+  claim_decode_fault fault = claim_decode_fault::kMalformed;
+  /// Position of the offending field in its array, counted over all fields
+  /// read so far; 0 if no field was reached.
+  std::size_t field = 0;
+};
+
+std::string_view ClaimDecodeFaultName(claim_decode_fault fault);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CLAIMS_CLAIM_DECODE_ERROR_H_
--- /dev/null
+++ b/source/process/claims/claim_reply.h
@@ -0,0 +1,58 @@
+#ifndef MARJORAMSILL_PROCESS_CLAIMS_CLAIM_REPLY_H_
+#define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_REPLY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "process/claims/claim_command.h"
+
+namespace marjoramsill {
+
+enum class claim_outcome : std::uint8_t {
+  /// kClaim: the owner holds the claim and may send the request once.
+  kGranted,
+  /// kFinish, kMarkUnknown, kRelease, kExpire: done, or done before.
+  kDone,
+  kInProgress,
+  kOutcomeUnknown,
+  kFinished,
+  /// The key was used with another request.
+  kKeyReused,
+  /// kClaim: this very claim was released before; it must not be acted on.
+  kClaimReleased,
+  /// kFinish, kMarkUnknown, kRelease: the record has another owner or a state
+  /// that the command may not change.
+  kNotOwner,
+  /// kLookUp, kFinish, kMarkUnknown: no record.
+  kAbsent,
+  /// kClaim: the group holds its greatest number of records.
+  kFull,
+};
+
+/// Answer of a claim group to one command. `kind`, `life` and `serial` repeat
+/// the command, so that a crossed reply is recognised.
+struct claim_reply {
+  claim_command_kind kind = claim_command_kind::kLookUp;
+  incarnation life;
+  std::uint64_t serial = 0;
+  claim_outcome outcome = claim_outcome::kAbsent;
+  /// kInProgress: time left until the owner's deadline.
+  std::chrono::milliseconds deadline_in{0};
+  /// kExpire: number of records removed.
+  std::uint32_t removed = 0;
+  /// kFinished only.
+  std::optional<stored_response> response;
+
+  friend bool operator==(const claim_reply&, const claim_reply&) = default;
+};
+
+std::string EncodeClaimReply(const claim_reply& reply);
+result<claim_reply, claim_decode_error> DecodeClaimReply(
+    std::string_view bytes);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CLAIMS_CLAIM_REPLY_H_
--- /dev/null
+++ b/source/process/claims/claim_table.h
@@ -0,0 +1,87 @@
+#ifndef MARJORAMSILL_PROCESS_CLAIMS_CLAIM_TABLE_H_
+#define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "process/claims/claim_reply.h"
+
+namespace marjoramsill {
+
+/// Equal on all members of a group; a change is a new format version.
+struct claim_table_limits {
+  std::size_t max_records = 1'000'000;
+  /// Sum of stored bodies. Beyond it only hashes are kept.
+  std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
+};
+
+/// Deterministic state machine of one claim group. The same commands in the
+/// same order give the same state and replies on every member. Not thread-safe;
+/// guarded by the lock of its group.
+class claim_table {
+ public:
+  explicit claim_table(claim_table_limits limits = {});
+
+  /// Decodes and applies one committed command. A command that does not decode
+  /// changes nothing.
+  result<claim_reply, claim_decode_error> Apply(std::string_view bytes);
+  claim_reply Apply(const claim_command& command);
+
+  /// Whole state as msgpack; equal states give equal bytes.
+  std::string Snapshot() const;
+  /// Replaces the state; on an error the state is unchanged.
+  result<void, claim_decode_error> Restore(std::string_view bytes);
+
+  std::size_t size() const { return records_.size(); }
+  std::uint64_t body_bytes() const { return body_bytes_; }
+  /// Latest time seen in any command.
+  claim_time time() const { return time_; }
+
+ private:
+  struct record {
+    content_hash request_hash;
+    claim_owner owner;
+    claim_time deadline;
+    claim_time expires;
+    claim_state state = claim_state::kClaimed;
+    std::unique_ptr<const stored_response> response;
+  };
+  struct expiry {
+    claim_time at;
+    const claim_key* key;
+    bool operator<(const expiry& other) const;
+  };
+  using record_map = std::unordered_map<claim_key, record>;
+  friend struct claim_snapshot_codec;
+
+  record* Find(const claim_key& key);
+  void Put(const claim_command& command, claim_state state);
+  void SetExpiry(const claim_key& key, record& entry, claim_time at);
+  void Erase(record_map::iterator position);
+  void Store(record& entry, const stored_response& response);
+  void ExpireLostOwner(record& entry, const claim_command& command);
+  void AnswerFrom(const record& entry, const content_hash& hash,
+                  claim_reply& reply) const;
+
+  void ApplyClaim(const claim_command& command, claim_reply& reply);
+  void ApplyFinish(const claim_command& command, claim_reply& reply);
+  void ApplyMarkUnknown(const claim_command& command, claim_reply& reply);
+  void ApplyRelease(const claim_command& command, claim_reply& reply);
+  void ApplyLookUp(const claim_command& command, claim_reply& reply);
+  void ApplyExpire(const claim_command& command, claim_reply& reply);
+
+  claim_table_limits limits_;
+  claim_time time_;
+  std::uint64_t body_bytes_ = 0;
+  record_map records_;
+  std::set<expiry> expiries_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CLAIMS_CLAIM_TABLE_H_
--- /dev/null
+++ b/source/request/attempt_plan.h
@@ -0,0 +1,107 @@
+#ifndef MARJORAMSILL_REQUEST_ATTEMPT_PLAN_H_
+#define MARJORAMSILL_REQUEST_ATTEMPT_PLAN_H_
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "request/body_collector.h"
+#include "request/call_action.h"
+#include "request/call_hooks.h"
+#include "request/stream_relay.h"
+
+namespace marjoramsill {
+
+struct attempt_settings {
+  bool streamed = false;
+  steady_time deadline;
+  /// Targets of the rank.
+  std::chrono::microseconds first_event_target = std::chrono::seconds(1);
+  std::chrono::microseconds between_events_target =
+      std::chrono::milliseconds(50);
+  std::size_t max_attempts = 4;
+  std::size_t max_body_bytes = body_collector::kDefaultMaxBytes;
+  std::chrono::seconds retry_after = std::chrono::seconds(1);
+};
+
+/// Longest wait for the first and for each further event of an attempt.
+struct attempt_timeouts {
+  std::chrono::microseconds first_event;
+  std::chrono::microseconds between_events;
+};
+
+/// Several times the rank's targets, and at most half of the remaining time, so
+/// that another attempt can still end before the deadline.
+attempt_timeouts DeriveAttemptTimeouts(const attempt_settings& settings,
+                                       std::chrono::microseconds remaining);
+
+/// One repeatable call (design 5.3): first attempt, retries, resumes and
+/// replays until a complete response was delivered or the caller was told of
+/// the failure. Guarded by the lock of the call's shard.
+class attempt_plan {
+ public:
+  attempt_plan(attempt_settings settings, call_hooks hooks);
+
+  call_actions Start(steady_time now);
+  /// True if the first byte of this attempt may be sent now.
+  bool ConfirmSend(const attempt_id& attempt, steady_time now);
+  call_actions OnHead(const attempt_id& attempt, const response_head& head,
+                      steady_time now);
+  call_actions OnData(const attempt_id& attempt, std::string_view bytes,
+                      steady_time now);
+  /// The message ended as its framing says.
+  call_actions OnEnd(const attempt_id& attempt, steady_time now);
+  /// Connection refused, lost or broken off.
+  call_actions OnFailure(const attempt_id& attempt, steady_time now);
+  call_actions OnTimer(steady_time now);
+  /// Cancels the engine's work.
+  call_actions OnCallerGone(steady_time now);
+
+  bool ended() const { return ended_; }
+
+ private:
+  struct next_attempt {
+    attempt_kind kind;
+    endpoint_id endpoint;
+  };
+
+  bool IsCurrent(const attempt_id& attempt) const;
+  bool InOrder(const response_head& head) const;
+  std::optional<next_attempt> ChooseNext() const;
+  void Launch(const next_attempt& next, steady_time now, call_actions& actions);
+  /// Starts another attempt if possible, else gives up.
+  void Recover(failure_kind reason, bool resumable, steady_time now,
+               call_actions& actions);
+  bool TryAnother(bool resumable, steady_time now, call_actions& actions);
+  void GiveUp(failure_kind reason, call_actions& actions);
+  void ArmTimer(std::chrono::microseconds wait, steady_time now,
+                call_actions& actions);
+  void DeliverEvents(std::string_view bytes, steady_time now,
+                     call_actions& actions);
+  void CancelCurrent(call_actions& actions);
+  void End(call_actions& actions);
+
+  attempt_settings settings_;
+  call_hooks hooks_;
+  bool ended_ = false;
+  /// A byte of any attempt may have been sent.
+  bool sent_ = false;
+  std::size_t attempts_ = 0;
+  attempt_id current_;
+  endpoint_id endpoint_;
+  attempt_kind kind_ = attempt_kind::kFirst;
+  /// Attempt that began the current engine stream; named when it is resumed.
+  attempt_id stream_root_;
+  bool resumable_ = false;
+  std::vector<endpoint_id> tried_;
+  std::optional<response_head> head_;
+  std::optional<body_collector> body_;
+  stream_relay relay_;
+  steady_time timeout_at_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_REQUEST_ATTEMPT_PLAN_H_
--- /dev/null
+++ b/source/request/retry_budget.h
@@ -0,0 +1,38 @@
+#ifndef MARJORAMSILL_REQUEST_RETRY_BUDGET_H_
+#define MARJORAMSILL_REQUEST_RETRY_BUDGET_H_
+
+#include <cstdint>
+
+namespace marjoramsill {
+
+/// Token bucket of one shard. Ten first attempts earn one extra attempt (retry,
+/// resume or replay). The bucket starts full with kRetryReserve extra attempts
+/// and holds no more than that, so that over any time
+///   extra <= first / 10 + kRetryReserve.
+/// Guarded by the lock of its shard.
+class retry_budget {
+ public:
+  static constexpr std::uint64_t kFirstPerExtra = 10;
+  /// Lets a shard with little traffic repeat its first few failures.
+  static constexpr std::uint64_t kRetryReserve = 10;
+
+  void CountFirstAttempt();
+  /// Takes one extra attempt; false if none is left.
+  bool TakeExtraAttempt();
+
+  std::uint64_t first_attempts() const { return first_; }
+  std::uint64_t extra_attempts() const { return extra_; }
+  std::uint64_t denied_attempts() const { return denied_; }
+  /// Extra attempts beyond a tenth of the first attempts.
+  std::uint64_t reserve_used() const;
+
+ private:
+  std::uint64_t credit_ = kFirstPerExtra * kRetryReserve;
+  std::uint64_t first_ = 0;
+  std::uint64_t extra_ = 0;
+  std::uint64_t denied_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_REQUEST_RETRY_BUDGET_H_
