--- /dev/null
+++ b/source/process/claims/claim_fields.h
@@ -0,0 +1,69 @@
+#ifndef MARJORAMSILL_PROCESS_CLAIMS_CLAIM_FIELDS_H_
+#define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_FIELDS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "process/claims/claim_decode_error.h"
+#include "process/claims/claim_types.h"
+#include "types/result.h"
+
+namespace marjoramsill {
+
+using claim_packer = msgpack::packer<msgpack::sbuffer>;
+
+/// First error of a decode, and the number of fields read before it.
+struct claim_decode_status {
+  std::size_t fields = 0;
+  std::optional<claim_decode_error> error;
+
+  void Fail(claim_decode_fault fault);
+};
+
+/// Reads the elements of one msgpack array in order. After an error every read
+/// returns an empty value, and the status keeps the first error. Elements after
+/// the last one read are ignored: they come from a newer version.
+class claim_field_reader {
+ public:
+  claim_field_reader(const msgpack::object& array, claim_decode_status& status);
+
+  std::uint64_t Number(std::uint64_t max);
+  std::string Text(std::size_t max_bytes);
+  std::string Bytes(std::size_t max_bytes);
+  bool Flag();
+  content_hash Hash();
+  claim_key Key();
+  claim_owner Owner();
+  /// Null for nil.
+  const msgpack::object* OptionalArray();
+  std::size_t size() const { return size_; }
+
+ private:
+  const msgpack::object* Next();
+
+  const msgpack::object* elements_ = nullptr;
+  std::size_t size_ = 0;
+  std::size_t next_ = 0;
+  claim_decode_status& status_;
+};
+
+/// Unpacks the msgpack array that starts at `offset` and moves `offset` behind
+/// it. Size and depth are bounded before memory is taken for them.
+result<msgpack::object_handle, claim_decode_error> UnpackClaimArray(
+    std::string_view bytes, std::size_t& offset);
+
+void PackHash(claim_packer& packer, const content_hash& hash);
+void PackKey(claim_packer& packer, const claim_key& key);
+void PackOwner(claim_packer& packer, const claim_owner& owner);
+/// Packs nil for null.
+void PackResponse(claim_packer& packer, const stored_response* response);
+std::optional<stored_response> ReadResponse(claim_field_reader& reader,
+                                            claim_decode_status& status);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CLAIMS_CLAIM_FIELDS_H_
--- /dev/null
+++ b/source/process/claims/claim_shard.cc
@@ -0,0 +1,11 @@
+#include "process/claims/claim_shard.h"
+
+#include <functional>
+
+namespace marjoramsill {
+
+std::size_t ClaimShardFor(const claim_key& key, std::size_t group_count) {
+  return std::hash<claim_key>()(key) % group_count;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/claims/claim_table.cc
@@ -0,0 +1,254 @@
+#include "process/claims/claim_table.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+// A released record only refuses late copies of the released claim, so it is
+// kept for longer than a message can be under way.
+constexpr std::chrono::milliseconds kReleasedRetention =
+    std::chrono::minutes(10);
+
+claim_time After(claim_time start, std::chrono::milliseconds wait) {
+  return claim_time(start.value() + static_cast<std::uint64_t>(wait.count()));
+}
+
+bool IsCopyOfReleased(const claim_owner& claim, const claim_owner& released) {
+  return claim.vm == released.vm && claim.life == released.life &&
+         claim.serial <= released.serial;
+}
+
+}  // namespace
+
+bool claim_table::expiry::operator<(const expiry& other) const {
+  return std::tie(at, *key) < std::tie(other.at, *other.key);
+}
+
+claim_table::claim_table(claim_table_limits limits) : limits_(limits) {}
+
+result<claim_reply, claim_decode_error> claim_table::Apply(
+    std::string_view bytes) {
+  const auto command = DecodeClaimCommand(bytes);
+  if (!command) return failure(command.error());
+  return Apply(command.value());
+}
+
+claim_reply claim_table::Apply(const claim_command& command) {
+  time_ = std::max(time_, command.time);
+  claim_reply reply;
+  reply.kind = command.kind;
+  reply.life = command.owner.life;
+  reply.serial = command.owner.serial;
+  switch (command.kind) {
+    case claim_command_kind::kClaim:
+      ApplyClaim(command, reply);
+      break;
+    case claim_command_kind::kFinish:
+      ApplyFinish(command, reply);
+      break;
+    case claim_command_kind::kMarkUnknown:
+      ApplyMarkUnknown(command, reply);
+      break;
+    case claim_command_kind::kRelease:
+      ApplyRelease(command, reply);
+      break;
+    case claim_command_kind::kLookUp:
+      ApplyLookUp(command, reply);
+      break;
+    case claim_command_kind::kExpire:
+      ApplyExpire(command, reply);
+      break;
+  }
+  return reply;
+}
+
+// An expired record counts as absent even before kExpire removes it, so that
+// replies do not depend on how often a leader expires.
+claim_table::record* claim_table::Find(const claim_key& key) {
+  const auto position = records_.find(key);
+  if (position == records_.end()) return nullptr;
+  if (position->second.expires <= time_) {
+    Erase(position);
+    return nullptr;
+  }
+  return &position->second;
+}
+
+void claim_table::SetExpiry(const claim_key& key, record& entry,
+                            claim_time at) {
+  expiries_.erase(expiry{entry.expires, &key});
+  entry.expires = at;
+  expiries_.insert(expiry{at, &key});
+}
+
+void claim_table::Erase(record_map::iterator position) {
+  record& entry = position->second;
+  expiries_.erase(expiry{entry.expires, &position->first});
+  if (entry.response) body_bytes_ -= entry.response->body.size();
+  records_.erase(position);
+}
+
+void claim_table::Put(const claim_command& command, claim_state state) {
+  const auto position = records_.try_emplace(command.key).first;
+  record& entry = position->second;
+  entry.request_hash = command.request_hash;
+  entry.owner = command.owner;
+  entry.state = state;
+  const auto allowed = std::clamp(
+      command.deadline_in, std::chrono::milliseconds(0), kMaxClaimDeadline);
+  entry.deadline = After(time_, allowed);
+  const claim_time expires = state == claim_state::kReleased
+                                 ? After(time_, kReleasedRetention)
+                                 : After(entry.deadline, command.retention);
+  SetExpiry(position->first, entry, expires);
+}
+
+void claim_table::Store(record& entry, const stored_response& response) {
+  auto stored = std::make_unique<stored_response>(response);
+  if (stored->body.size() > kMaxStoredBodyBytes ||
+      body_bytes_ + stored->body.size() > limits_.max_body_bytes) {
+    DropBody(*stored);
+  }
+  body_bytes_ += stored->body.size();
+  entry.response = std::move(stored);
+}
+
+void claim_table::AnswerFrom(const record& entry, const content_hash& hash,
+                             claim_reply& reply) const {
+  if (entry.state == claim_state::kReleased) {
+    reply.outcome = claim_outcome::kClaimReleased;
+  } else if (entry.request_hash != hash) {
+    reply.outcome = claim_outcome::kKeyReused;
+  } else if (entry.state == claim_state::kFinished) {
+    reply.outcome = claim_outcome::kFinished;
+    reply.response = *entry.response;
+  } else if (entry.state == claim_state::kClaimed && entry.deadline > time_) {
+    reply.outcome = claim_outcome::kInProgress;
+    reply.deadline_in = std::chrono::milliseconds(
+        static_cast<std::int64_t>(entry.deadline.value() - time_.value()));
+  } else {
+    reply.outcome = claim_outcome::kOutcomeUnknown;
+  }
+}
+
+// A newer incarnation of the owner proves that the owner has crashed; there is
+// no need to wait for its deadline.
+void claim_table::ExpireLostOwner(record& entry, const claim_command& command) {
+  if (entry.state == claim_state::kClaimed &&
+      entry.owner.vm == command.owner.vm &&
+      entry.owner.life < command.owner.life) {
+    entry.state = claim_state::kUnknown;
+  }
+}
+
+void claim_table::ApplyClaim(const claim_command& command, claim_reply& reply) {
+  record* entry = Find(command.key);
+  if (entry == nullptr) {
+    if (records_.size() >= limits_.max_records) {
+      reply.outcome = claim_outcome::kFull;
+      return;
+    }
+    Put(command, claim_state::kClaimed);
+    reply.outcome = claim_outcome::kGranted;
+    return;
+  }
+  if (entry->state == claim_state::kReleased) {
+    if (IsCopyOfReleased(command.owner, entry->owner)) {
+      reply.outcome = claim_outcome::kClaimReleased;
+      return;
+    }
+    Put(command, claim_state::kClaimed);
+    reply.outcome = claim_outcome::kGranted;
+    return;
+  }
+  if (entry->state == claim_state::kClaimed && entry->owner == command.owner &&
+      entry->request_hash == command.request_hash) {
+    reply.outcome = claim_outcome::kGranted;  // The first reply was lost.
+    return;
+  }
+  ExpireLostOwner(*entry, command);
+  AnswerFrom(*entry, command.request_hash, reply);
+}
+
+void claim_table::ApplyFinish(const claim_command& command,
+                              claim_reply& reply) {
+  record* entry = Find(command.key);
+  if (entry == nullptr) {
+    reply.outcome = claim_outcome::kAbsent;
+    return;
+  }
+  if (entry->owner != command.owner || entry->state == claim_state::kReleased) {
+    reply.outcome = claim_outcome::kNotOwner;
+    return;
+  }
+  reply.outcome = claim_outcome::kDone;
+  if (entry->state == claim_state::kFinished) return;
+  Store(*entry, command.response);
+  entry->state = claim_state::kFinished;
+  SetExpiry(records_.find(command.key)->first, *entry,
+            std::max(entry->expires, After(time_, command.retention)));
+}
+
+void claim_table::ApplyMarkUnknown(const claim_command& command,
+                                   claim_reply& reply) {
+  record* entry = Find(command.key);
+  if (entry == nullptr) {
+    reply.outcome = claim_outcome::kAbsent;
+    return;
+  }
+  if (entry->owner != command.owner || entry->state == claim_state::kReleased) {
+    reply.outcome = claim_outcome::kNotOwner;
+    return;
+  }
+  // A finished record stays finished: the command was overtaken.
+  if (entry->state == claim_state::kClaimed) {
+    entry->state = claim_state::kUnknown;
+  }
+  reply.outcome = claim_outcome::kDone;
+}
+
+void claim_table::ApplyRelease(const claim_command& command,
+                               claim_reply& reply) {
+  record* entry = Find(command.key);
+  reply.outcome = claim_outcome::kDone;
+  if (entry == nullptr) {
+    // The release overtook its claim: the record refuses the claim later. In a
+    // full table the claim would be refused anyway.
+    if (records_.size() < limits_.max_records) {
+      Put(command, claim_state::kReleased);
+    }
+    return;
+  }
+  if (entry->owner != command.owner || entry->state == claim_state::kFinished ||
+      entry->state == claim_state::kUnknown) {
+    reply.outcome = claim_outcome::kNotOwner;
+    return;
+  }
+  Put(command, claim_state::kReleased);
+}
+
+void claim_table::ApplyLookUp(const claim_command& command,
+                              claim_reply& reply) {
+  record* entry = Find(command.key);
+  if (entry == nullptr) {
+    reply.outcome = claim_outcome::kAbsent;
+    return;
+  }
+  ExpireLostOwner(*entry, command);
+  AnswerFrom(*entry, command.request_hash, reply);
+}
+
+void claim_table::ApplyExpire(const claim_command& command,
+                              claim_reply& reply) {
+  reply.outcome = claim_outcome::kDone;
+  while (reply.removed < command.limit && !expiries_.empty() &&
+         expiries_.begin()->at <= time_) {
+    Erase(records_.find(*expiries_.begin()->key));
+    ++reply.removed;
+  }
+}
+
+}  // namespace marjoramsill
--- a/source/process/claims/claim_types.h
+++ b/source/process/claims/claim_types.h
@@ -13,9 +13,9 @@
 
 namespace marjoramsill {
 
-/// Milliseconds since the Unix epoch on the clock of a claim group's leader.
-/// Steady clocks cannot be compared between leaders, hence wall time; the claim
-/// table never lets it go back.
+/// Milliseconds of a claim group's own time: the steady time that its leaders
+/// have counted, see claim_group_clock. No wall clock is involved, so a VM
+/// whose date is wrong cannot make claims expire.
 using claim_time = strong_number<struct claim_time_tag>;
 
 /// Bounds of every field of a claim; longer ones are refused by the decoders.
--- a/source/request/attempt_plan.h
+++ b/source/request/attempt_plan.h
@@ -23,7 +23,7 @@
       std::chrono::milliseconds(50);
   std::size_t max_attempts = 4;
   std::size_t max_body_bytes = body_collector::kDefaultMaxBytes;
-  std::chrono::seconds retry_after = std::chrono::seconds(1);
+  std::chrono::seconds retry_after = std::chrono::seconds(2);
 };
 
 /// Longest wait for the first and for each further event of an attempt.
@@ -68,18 +68,20 @@
   };
 
   bool IsCurrent(const attempt_id& attempt) const;
-  bool InOrder(const response_head& head) const;
-  std::optional<next_attempt> ChooseNext() const;
+  /// Endpoint and kind of the next attempt; nullopt if neither a retry nor a
+  /// resume nor a replay is possible.
+  std::optional<next_attempt> ChooseNext(bool prefer_resume) const;
+  bool TryAnother(bool prefer_resume, steady_time now, call_actions& actions);
   void Launch(const next_attempt& next, steady_time now, call_actions& actions);
   /// Starts another attempt if possible, else gives up.
-  void Recover(failure_kind reason, bool resumable, steady_time now,
+  void Recover(failure_kind reason, bool prefer_resume, steady_time now,
                call_actions& actions);
-  bool TryAnother(bool resumable, steady_time now, call_actions& actions);
   void GiveUp(failure_kind reason, call_actions& actions);
-  void ArmTimer(std::chrono::microseconds wait, steady_time now,
-                call_actions& actions);
+  bool IsStreamHead(const response_head& head) const;
   void DeliverEvents(std::string_view bytes, steady_time now,
                      call_actions& actions);
+  void ArmTimer(std::chrono::microseconds wait, steady_time now,
+                call_actions& actions);
   void CancelCurrent(call_actions& actions);
   void End(call_actions& actions);
 
@@ -94,12 +96,16 @@
   attempt_kind kind_ = attempt_kind::kFirst;
   /// Attempt that began the current engine stream; named when it is resumed.
   attempt_id stream_root_;
-  bool resumable_ = false;
+  /// relay_.events() when the current attempt started.
+  std::uint64_t events_at_launch_ = 0;
   std::vector<endpoint_id> tried_;
   std::optional<response_head> head_;
+  /// Set while a response is collected as a whole.
   std::optional<body_collector> body_;
   stream_relay relay_;
   steady_time timeout_at_;
+  /// Time of the last wake_at action.
+  steady_time armed_at_;
 };
 
 }  // namespace marjoramsill
--- /dev/null
+++ b/source/request/claim_flow.cc
@@ -0,0 +1,378 @@
+#include "request/claim_flow.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+// Headers that describe the stored body or where the result is found.
+constexpr std::array<std::string_view, 7> kStoredHeaders = {
+    "content-type", "content-language", "content-encoding", "location",
+    "etag",         "last-modified",    "cache-control"};
+
+bool IsStoredHeader(const std::string& name) {
+  std::string lower = name;
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return std::find(kStoredHeaders.begin(), kStoredHeaders.end(), lower) !=
+         kStoredHeaders.end();
+}
+
+}  // namespace
+
+stored_response MakeStoredResponse(const whole_response& response) {
+  stored_response stored;
+  stored.status = response.status;
+  for (const auto& field : response.headers) {
+    if (stored.headers.size() < kMaxStoredHeaders &&
+        field.second.size() <= kMaxStoredHeaderBytes &&
+        IsStoredHeader(field.first)) {
+      stored.headers.push_back(field);
+    }
+  }
+  stored.body_size = response.body.size();
+  stored.body_hash = HashContent(response.body);
+  if (response.body.size() <= kMaxStoredBodyBytes) {
+    stored.body = response.body;
+  } else {
+    DropBody(stored);
+  }
+  return stored;
+}
+
+claim_flow::claim_flow(claim_flow_settings settings, call_hooks hooks)
+    : settings_(std::move(settings)), hooks_(std::move(hooks)) {}
+
+call_actions claim_flow::Start(steady_time now) {
+  call_actions actions;
+  if (phase_ != phase::kNew) return actions;
+  phase_ = phase::kClaiming;
+  claim_deadline_ = std::min(now + settings_.claim_timeout,
+                             settings_.deadline - settings_.min_send_time);
+  if (claim_deadline_ <= now) {
+    AnswerFailure(failure_kind::kDeadlineExceeded, run_certainty::kNotRun,
+                  settings_.retry_after, actions);
+    End(actions);
+    return actions;
+  }
+  SendClaim(now, actions);
+  return actions;
+}
+
+claim_command claim_flow::Command(claim_command_kind kind) const {
+  claim_command command;
+  command.kind = kind;
+  command.key = settings_.key;
+  command.owner = settings_.owner;
+  command.request_hash = settings_.request_hash;
+  return command;
+}
+
+void claim_flow::SendClaim(steady_time now, call_actions& actions) {
+  claim_command command = Command(claim_command_kind::kClaim);
+  // Rounded up, so that the table never sees an earlier deadline than the flow.
+  command.deadline_in = std::min(
+      kMaxClaimDeadline,
+      std::chrono::ceil<std::chrono::milliseconds>(settings_.deadline - now));
+  actions.emplace_back(send_claim{std::move(command)});
+  claim_sent_ = true;
+  WakeAt(claim_deadline_, actions);
+}
+
+void claim_flow::WakeAt(steady_time at, call_actions& actions) {
+  wake_ = at;
+  actions.emplace_back(wake_at{at});
+}
+
+call_actions claim_flow::OnClaimUnavailable(steady_time now) {
+  call_actions actions;
+  if (phase_ == phase::kClaiming) {
+    claim_sent_ = false;
+    WakeAt(std::min(now + settings_.resend_pause, claim_deadline_), actions);
+  }
+  return actions;
+}
+
+call_actions claim_flow::OnClaimReply(const claim_reply& reply,
+                                      steady_time now) {
+  call_actions actions;
+  if (reply.life != settings_.owner.life ||
+      reply.serial != settings_.owner.serial) {
+    return actions;
+  }
+  if (phase_ == phase::kClaiming && reply.kind == claim_command_kind::kClaim) {
+    HandleClaimOutcome(reply, now, actions);
+  } else if (gave_up_ && reply.kind == claim_command_kind::kClaim &&
+             reply.outcome == claim_outcome::kGranted) {
+    // A late grant is not acted on. The release may have been lost.
+    actions.emplace_back(send_claim{Command(claim_command_kind::kRelease)});
+  } else if (phase_ == phase::kSettling && outcome_ &&
+             reply.kind == outcome_->kind) {
+    End(actions);
+  }
+  return actions;
+}
+
+void claim_flow::HandleClaimOutcome(const claim_reply& reply, steady_time now,
+                                    call_actions& actions) {
+  switch (reply.outcome) {
+    case claim_outcome::kGranted:
+      if (now >= claim_deadline_) {
+        GiveUpUnsent(failure_kind::kClaimUnavailable, now, actions);
+      } else {
+        phase_ = phase::kAttempting;
+        TryEndpoint(now, actions);
+      }
+      return;
+    case claim_outcome::kInProgress:
+      AnswerFailure(failure_kind::kInProgress, run_certainty::kOutcomeUnknown,
+                    settings_.retry_after, actions);
+      break;
+    case claim_outcome::kOutcomeUnknown:
+      AnswerFailure(failure_kind::kOutcomeUnknown,
+                    run_certainty::kOutcomeUnknown, std::chrono::seconds(0),
+                    actions);
+      break;
+    case claim_outcome::kFinished:
+      if (!reply.response) return;
+      AnswerStored(*reply.response, actions);
+      break;
+    case claim_outcome::kKeyReused:
+      AnswerFailure(failure_kind::kKeyReused, run_certainty::kNotRun,
+                    std::chrono::seconds(0), actions);
+      break;
+    case claim_outcome::kClaimReleased:
+      AnswerFailure(failure_kind::kClaimUnavailable, run_certainty::kNotRun,
+                    settings_.retry_after, actions);
+      break;
+    case claim_outcome::kFull:
+      AnswerFailure(failure_kind::kClaimsFull, run_certainty::kNotRun,
+                    settings_.retry_after, actions);
+      break;
+    case claim_outcome::kDone:
+    case claim_outcome::kNotOwner:
+    case claim_outcome::kAbsent:
+      return;  // No answer to a claim; the claim's timeout remains armed.
+  }
+  gave_up_ = true;  // A copy of the claim that is granted later is released.
+  End(actions);
+}
+
+void claim_flow::TryEndpoint(steady_time now, call_actions& actions) {
+  attempt_ = attempt_id();
+  if (now >= settings_.deadline) {
+    GiveUpUnsent(failure_kind::kDeadlineExceeded, now, actions);
+    return;
+  }
+  std::optional<endpoint_id> endpoint;
+  if (tried_.size() < settings_.max_endpoints) endpoint = hooks_.choose(tried_);
+  const bool first = tried_.empty();
+  if (!endpoint || (!first && !hooks_.budget->TakeExtraAttempt())) {
+    GiveUpUnsent(
+        first ? failure_kind::kNoEndpoint : failure_kind::kEndpointFailed, now,
+        actions);
+    return;
+  }
+  if (first) hooks_.budget->CountFirstAttempt();
+  tried_.push_back(*endpoint);
+  attempt_ = hooks_.next_attempt();
+  start_attempt start;
+  start.attempt = attempt_;
+  start.endpoint = *endpoint;
+  start.kind = first ? attempt_kind::kFirst : attempt_kind::kRetry;
+  start.deadline = settings_.deadline;
+  start.fresh_connection = true;
+  actions.emplace_back(std::move(start));
+  WakeAt(settings_.deadline, actions);
+}
+
+bool claim_flow::IsCurrent(const attempt_id& attempt) const {
+  return phase_ == phase::kAttempting && !attempt.empty() &&
+         attempt == attempt_;
+}
+
+bool claim_flow::ConfirmSend(const attempt_id& attempt, steady_time now) {
+  if (!IsCurrent(attempt) || sent_) return false;
+  if (now + settings_.min_send_time > settings_.deadline) return false;
+  sent_ = true;
+  return true;
+}
+
+call_actions claim_flow::OnHead(const attempt_id& attempt,
+                                const response_head& head, steady_time now) {
+  call_actions actions;
+  if (!IsCurrent(attempt) || !sent_ || body_) return actions;
+  // A body that ends with the connection could be truncated unnoticed.
+  if (head.echoed != attempt_ || head.status < 200 || head.status > 599 ||
+      head.framing == body_framing::kUntilClose) {
+    LoseResponse(failure_kind::kResponseLost, now, actions);
+  } else {
+    body_.emplace(head, settings_.max_body_bytes);
+  }
+  return actions;
+}
+
+call_actions claim_flow::OnData(const attempt_id& attempt,
+                                std::string_view bytes, steady_time now) {
+  call_actions actions;
+  if (!IsCurrent(attempt) || !body_) return actions;
+  const auto added = body_->Add(bytes);
+  if (!added) {
+    LoseResponse(added.error() == body_error::kTooLarge
+                     ? failure_kind::kResponseTooLarge
+                     : failure_kind::kResponseLost,
+                 now, actions);
+  }
+  return actions;
+}
+
+call_actions claim_flow::OnEnd(const attempt_id& attempt, steady_time now) {
+  call_actions actions;
+  if (!IsCurrent(attempt)) return actions;
+  if (!body_) return OnFailure(attempt, now);
+  auto response = body_->Finish();
+  if (!response) {
+    LoseResponse(failure_kind::kResponseLost, now, actions);
+    return actions;
+  }
+  attempt_ = attempt_id();
+  claim_command finish = Command(claim_command_kind::kFinish);
+  finish.response = MakeStoredResponse(response.value());
+  if (!std::exchange(answered_, true)) {
+    actions.emplace_back(deliver_whole{std::move(response.value())});
+  }
+  Settle(std::move(finish), now, actions);
+  return actions;
+}
+
+call_actions claim_flow::OnFailure(const attempt_id& attempt, steady_time now) {
+  call_actions actions;
+  if (!IsCurrent(attempt)) return actions;
+  attempt_ = attempt_id();  // Its connection is closed already.
+  if (sent_) {
+    LoseResponse(failure_kind::kResponseLost, now, actions);
+  } else {
+    // No byte was sent and the claim is still held: another endpoint may run
+    // the request without another round of the claim group.
+    TryEndpoint(now, actions);
+  }
+  return actions;
+}
+
+call_actions claim_flow::OnTimer(steady_time now) {
+  call_actions actions;
+  if (phase_ == phase::kNew || phase_ == phase::kEnded) return actions;
+  if (now < wake_) {
+    WakeAt(wake_, actions);
+    return actions;
+  }
+  if (phase_ == phase::kClaiming) {
+    if (now >= claim_deadline_) {
+      GiveUpUnsent(failure_kind::kClaimUnavailable, now, actions);
+    } else if (!claim_sent_) {
+      SendClaim(now, actions);
+    }
+  } else if (phase_ == phase::kAttempting) {
+    if (sent_) {
+      LoseResponse(failure_kind::kDeadlineExceeded, now, actions);
+    } else {
+      GiveUpUnsent(failure_kind::kDeadlineExceeded, now, actions);
+    }
+  } else if (now >= settle_deadline_) {
+    End(actions);
+  } else {
+    SendOutcome(now, actions);
+  }
+  return actions;
+}
+
+// A request that was sent goes on, so that its response is stored for a repeat.
+call_actions claim_flow::OnCallerGone(steady_time now) {
+  call_actions actions;
+  answered_ = true;
+  if (phase_ == phase::kNew) {
+    End(actions);
+  } else if (phase_ == phase::kClaiming ||
+             (phase_ == phase::kAttempting && !sent_)) {
+    GiveUpUnsent(failure_kind::kClaimUnavailable, now, actions);
+  }
+  return actions;
+}
+
+void claim_flow::CancelCurrent(call_actions& actions) {
+  if (attempt_.empty()) return;
+  actions.emplace_back(cancel_attempt{attempt_});
+  attempt_ = attempt_id();
+}
+
+void claim_flow::GiveUpUnsent(failure_kind kind, steady_time now,
+                              call_actions& actions) {
+  CancelCurrent(actions);
+  AnswerFailure(kind, run_certainty::kNotRun, settings_.retry_after, actions);
+  gave_up_ = true;
+  Settle(Command(claim_command_kind::kRelease), now, actions);
+}
+
+void claim_flow::LoseResponse(failure_kind kind, steady_time now,
+                              call_actions& actions) {
+  CancelCurrent(actions);
+  AnswerFailure(kind, run_certainty::kOutcomeUnknown, std::chrono::seconds(0),
+                actions);
+  Settle(Command(claim_command_kind::kMarkUnknown), now, actions);
+}
+
+void claim_flow::AnswerStored(const stored_response& response,
+                              call_actions& actions) {
+  if (std::exchange(answered_, true)) return;
+  if (response.body_kept) {
+    actions.emplace_back(deliver_whole{
+        whole_response{response.status, response.headers, response.body}});
+    return;
+  }
+  final_failure answer;
+  answer.kind = failure_kind::kResponseNotStored;
+  answer.run = run_certainty::kRun;
+  answer.stored_status = response.status;
+  answer.stored_body_size = response.body_size;
+  answer.stored_body_hash = response.body_hash;
+  actions.emplace_back(deliver_failure{answer});
+}
+
+void claim_flow::AnswerFailure(failure_kind kind, run_certainty run,
+                               std::chrono::seconds retry_after,
+                               call_actions& actions) {
+  if (std::exchange(answered_, true)) return;
+  final_failure answer;
+  answer.kind = kind;
+  answer.run = run;
+  if (retry_after.count() > 0) {
+    answer.retry_after = JitteredRetryAfter(retry_after, hooks_.random);
+  }
+  actions.emplace_back(deliver_failure{answer});
+}
+
+void claim_flow::Settle(claim_command command, steady_time now,
+                        call_actions& actions) {
+  phase_ = phase::kSettling;
+  body_.reset();
+  outcome_ = std::move(command);
+  settle_deadline_ = now + settings_.settle_timeout;
+  settle_pause_ = settings_.resend_pause;
+  SendOutcome(now, actions);
+}
+
+void claim_flow::SendOutcome(steady_time now, call_actions& actions) {
+  actions.emplace_back(send_claim{*outcome_});
+  WakeAt(std::min(now + settle_pause_, settle_deadline_), actions);
+  settle_pause_ *= 2;
+}
+
+void claim_flow::End(call_actions& actions) {
+  phase_ = phase::kEnded;
+  actions.emplace_back(end_call{});
+}
+
+}  // namespace marjoramsill
--- a/source/request/claim_flow.h
+++ b/source/request/claim_flow.h
@@ -21,7 +21,8 @@
   steady_time deadline;
   /// A grant that takes longer is not acted on. Covers one election (1-2 s).
   std::chrono::microseconds claim_timeout = std::chrono::seconds(3);
-  /// Pause before a claim or an outcome is sent again.
+  /// Pause before a claim is sent again, and before the outcome is sent again
+  /// for the first time; later pauses double.
   std::chrono::microseconds resend_pause = std::chrono::milliseconds(250);
   /// Least time to the deadline at which the request is still sent.
   std::chrono::microseconds min_send_time = std::chrono::milliseconds(10);
@@ -29,7 +30,7 @@
   std::chrono::microseconds settle_timeout = std::chrono::seconds(10);
   std::size_t max_endpoints = 3;
   std::size_t max_body_bytes = body_collector::kDefaultMaxBytes;
-  std::chrono::seconds retry_after = std::chrono::seconds(1);
+  std::chrono::seconds retry_after = std::chrono::seconds(2);
 };
 
 /// One non-repeatable call (design 5.4). No byte is sent before the claim is
@@ -67,8 +68,8 @@
   void SendClaim(steady_time now, call_actions& actions);
   void HandleClaimOutcome(const claim_reply& reply, steady_time now,
                           call_actions& actions);
-  void HandleSettleReply(const claim_reply& reply, steady_time now,
-                         call_actions& actions);
+  void WakeAt(steady_time at, call_actions& actions);
+  void CancelCurrent(call_actions& actions);
   void TryEndpoint(steady_time now, call_actions& actions);
   void GiveUpUnsent(failure_kind kind, steady_time now, call_actions& actions);
   void LoseResponse(failure_kind kind, steady_time now, call_actions& actions);
@@ -83,6 +84,11 @@
   call_hooks hooks_;
   phase phase_ = phase::kNew;
   steady_time claim_deadline_;
+  steady_time wake_;
+  /// A claim command is under way.
+  bool claim_sent_ = false;
+  /// The claim was or is to be released: a grant is not acted on.
+  bool gave_up_ = false;
   bool answered_ = false;
   /// ConfirmSend() returned true.
   bool sent_ = false;
@@ -92,6 +98,7 @@
   /// Finish, release or mark-unknown command that awaits its reply.
   std::optional<claim_command> outcome_;
   steady_time settle_deadline_;
+  std::chrono::microseconds settle_pause_{0};
 };
 
 /// Response as stored for repeats: the headers that describe the body, and the
--- a/source/request/stream_relay.h
+++ b/source/request/stream_relay.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,9 +62,8 @@
   bool done_ = false;
   bool can_replay_ = true;
   std::string text_;
-  /// Members `id` and `created` of the first event; replays keep them.
-  std::string id_;
-  std::int64_t created_ = 0;
+  /// JSON object with `id` and `created` of the first event; replays keep them.
+  std::string identity_;
 };
 
 }  // namespace marjoramsill
