request: classify requests and parse the settings file

Cause: a request needs its workspace, rank, pool, deadline and key before any decision, and a process needs its addresses. Change: classifier with problem answers that say "not run", settings parsed by the section field reader so that errors name file, line, field and what is allowed.

--- /dev/null
+++ b/source/process/daemon/settings.h
@@ -0,0 +1,59 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_SETTINGS_H_
+#define MARJORAMSILL_PROCESS_DAEMON_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "connection/socket_address.h"
+#include "connection/tls_settings.h"
+#include "types/ids.h"
+#include "types/result.h"
+#include "version/section_error.h"
+
+namespace marjoramsill {
+
+/// Another VM of the fleet.
+struct fleet_vm {
+  vm_id id;
+  failure_domain_id domain;
+  /// Address of its peer listener.
+  socket_address peers;
+  /// Votes in the replicated groups when the fleet is started the first time.
+  bool voter = false;
+};
+
+/// Settings of one process, read from a YAML file.
+struct settings {
+  vm_id vm;
+  failure_domain_id failure_domain;
+  socket_address callers;
+  socket_address control;
+  socket_address peers;
+  /// Empty on a VM without a disk.
+  std::string data_folder;
+  /// All VMs of the fleet, the own one among them.
+  std::vector<fleet_vm> fleet;
+  std::optional<tls_settings> tls;
+  /// Ed25519 public key that owns the section teams/root, as base64.
+  std::string root_key;
+  /// Replicated groups that hold claims; equal on all VMs.
+  std::size_t claim_groups = 4;
+  std::size_t io_threads = 2;
+  std::size_t max_connections = 10'000;
+  std::size_t max_body_bytes = 4UL * 1024 * 1024;
+  /// Time for the platform's load balancer to notice that the VM is not ready.
+  std::chrono::milliseconds settle{2'000};
+  std::string log_level = "info";
+};
+
+/// Parses and checks a settings file. In the error the section is the file's
+/// name.
+result<settings, section_error> ParseSettings(const std::string& file,
+                                              std::string_view text);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_SETTINGS_H_
--- a/source/request/problem.cc
+++ b/source/request/problem.cc
@@ -17,8 +17,6 @@
 constexpr std::array kProblems = {
     problem_entry{problem_kind::kMalformedRequest, "malformed-request", 400,
                   "The request is not well formed"},
-    problem_entry{problem_kind::kUnknownField, "unknown-field", 400,
-                  "The request has a field that is not known"},
     problem_entry{problem_kind::kBodyTooLarge, "body-too-large", 413,
                   "The request body is too large"},
     problem_entry{problem_kind::kUnknownWorkspace, "unknown-workspace", 403,
@@ -42,6 +40,10 @@
                   "The outcome is unknown and the call is not repeated"},
     problem_entry{problem_kind::kResponseNotStored, "response-not-stored", 409,
                   "The call has run; its response was too large to store"},
+    problem_entry{problem_kind::kResponseLost, "response-lost", 502,
+                  "The call was sent once and its response was lost"},
+    problem_entry{problem_kind::kResponseTooLarge, "response-too-large", 502,
+                  "The response is larger than the buffer"},
     problem_entry{problem_kind::kLimitExceeded, "limit-exceeded", 429,
                   "The workspace is at its limit"},
     problem_entry{problem_kind::kOverloaded, "overloaded", 503,
@@ -70,24 +72,48 @@
 }
 static_assert(TableFollowsEnum(), "Entry() indexes the table by kind");
 
+problem_kind KindOf(failure_kind kind) {
+  switch (kind) {
+    case failure_kind::kClaimUnavailable:
+      return problem_kind::kControlUnavailable;
+    case failure_kind::kClaimsFull:
+      return problem_kind::kOverloaded;
+    case failure_kind::kInProgress:
+      return problem_kind::kInProgress;
+    case failure_kind::kOutcomeUnknown:
+      return problem_kind::kOutcomeUnknown;
+    case failure_kind::kKeyReused:
+      return problem_kind::kKeyReused;
+    case failure_kind::kResponseNotStored:
+      return problem_kind::kResponseNotStored;
+    case failure_kind::kNoEndpoint:
+      return problem_kind::kNoEndpoint;
+    case failure_kind::kEndpointFailed:
+      return problem_kind::kEndpointFailed;
+    case failure_kind::kResponseLost:
+      return problem_kind::kResponseLost;
+    case failure_kind::kDeadlineExceeded:
+      return problem_kind::kDeadlineExceeded;
+    case failure_kind::kResponseTooLarge:
+      return problem_kind::kResponseTooLarge;
+  }
+  return problem_kind::kEndpointFailed;
+}
+
+std::string DetailOf(const final_failure& failure) {
+  if (failure.kind == failure_kind::kResponseNotStored) {
+    return "status " + std::to_string(failure.stored_status) + ", body of " +
+           std::to_string(failure.stored_body_size) + " bytes";
+  }
+  return std::string(Entry(KindOf(failure.kind)).title);
+}
+
 }  // namespace
 
 std::string_view ProblemName(problem_kind kind) { return Entry(kind).name; }
 
 int ProblemStatus(problem_kind kind) { return Entry(kind).status; }
 
-std::string_view RunStateName(run_state run) {
-  switch (run) {
-    case run_state::kNotRun:
-      return "not run";
-    case run_state::kOutcomeUnknown:
-      return "outcome unknown";
-    case run_state::kRun:
-      return "run";
-  }
-  return "outcome unknown";
-}
-
 std::string ProblemJson(const problem& value) {
   const problem_entry& entry = Entry(value.kind);
   nlohmann::ordered_json body;
@@ -95,7 +121,7 @@
   body["title"] = entry.title;
   body["status"] = entry.status;
   body["detail"] = value.detail;
-  body["run"] = RunStateName(value.run);
+  body["run"] = RunCertaintyName(value.run);
   if (value.retry_after) {
     body["retry_after_ms"] = value.retry_after->count();
   }
@@ -104,4 +130,13 @@
                    nlohmann::ordered_json::error_handler_t::replace);
 }
 
+problem ProblemOf(const final_failure& failure) {
+  problem answer;
+  answer.kind = KindOf(failure.kind);
+  answer.run = failure.run;
+  answer.detail = DetailOf(failure);
+  if (failure.retry_after.count() > 0) answer.retry_after = failure.retry_after;
+  return answer;
+}
+
 }  // namespace marjoramsill
--- a/source/request/problem.h
+++ b/source/request/problem.h
@@ -6,12 +6,13 @@
 #include <string>
 #include <string_view>
 
+#include "request/final_answer.h"
+
 namespace marjoramsill {
 
 /// Kind of a final refusal or failure; each has one name and one HTTP status.
 enum class problem_kind {
   kMalformedRequest,
-  kUnknownField,
   kBodyTooLarge,
   kUnknownWorkspace,
   kRankNotAllowed,
@@ -23,6 +24,8 @@
   kInProgress,
   kOutcomeUnknown,
   kResponseNotStored,
+  kResponseLost,
+  kResponseTooLarge,
   kLimitExceeded,
   kOverloaded,
   kDeadlineExceeded,
@@ -32,13 +35,10 @@
   kNotReady,
 };
 
-/// What is known about the execution of the request.
-enum class run_state { kNotRun, kOutcomeUnknown, kRun };
-
 /// A problem answer (RFC 9457) to a caller.
 struct problem {
   problem_kind kind = problem_kind::kMalformedRequest;
-  run_state run = run_state::kNotRun;
+  run_certainty run = run_certainty::kNotRun;
   /// One sentence that names the field and what is allowed.
   std::string detail;
   /// When the caller may come back; jitter is already applied.
@@ -47,7 +47,9 @@
 
 std::string_view ProblemName(problem_kind kind);
 int ProblemStatus(problem_kind kind);
-std::string_view RunStateName(run_state run);
+
+/// The problem that tells a caller of a failed call.
+problem ProblemOf(const final_failure& failure);
 
 /// Body of the answer with media type application/problem+json.
 std::string ProblemJson(const problem& value);
