--- a/source/process/claims/claim_command.cc
+++ b/source/process/claims/claim_command.cc
@@ -26,7 +26,7 @@
 std::string EncodeClaimCommand(const claim_command& command) {
   msgpack::sbuffer buffer;
   claim_packer packer(buffer);
-  packer.pack_array(12);
+  packer.pack_array(13);
   packer.pack_uint8(static_cast<std::uint8_t>(command.kind));
   packer.pack_uint64(command.time.value());
   packer.pack_uint64(static_cast<std::uint64_t>(command.retention.count()));
--- a/source/process/claims/claim_fields.cc
+++ b/source/process/claims/claim_fields.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint64_t kAny = std::numeric_limits<std::uint64_t>::max();
-// The widest array has 14 elements; the rest is room for newer fields.
+// The widest array has 13 elements; the rest is room for newer fields.
 constexpr std::size_t kMaxArrayElements = 64;
 constexpr std::size_t kMaxDepth = 6;
 
