--- /dev/null
+++ b/source/process/admission/admission_queue.h
@@ -0,0 +1,88 @@
+#ifndef MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_QUEUE_H_
+#define MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "process/admission/admission_types.h"
+#include "process/admission/drain_rate.h"
+#include "process/admission/entry_pool.h"
+#include "process/admission/fair_queue.h"
+#include "process/admission/rank_shares.h"
+#include "types/random_source.h"
+
+namespace marjoramsill {
+
+/// Admission control of one model or service: ranks with kept shares, fair
+/// queueing between workspaces by cost, and early rejection of requests that
+/// cannot meet their deadline. Guarded by the lock of its shard. Every method
+/// leaves no capacity idle while an admissible request waits.
+class admission_queue {
+ public:
+  admission_queue(const admission_policy& policy, random_source random);
+
+  /// Admits, queues or rejects. A rejection is final.
+  offer_result Offer(const admission_offer& offer, steady_time now);
+
+  /// An admitted request has ended; `used` is the cost that it really had.
+  /// Returns false when the ticket is not that of an admitted request.
+  bool Finish(admission_ticket ticket, cost_units used, steady_time now,
+              admission_actions& actions);
+
+  /// Withdraws a queued request, for example when its caller disconnects.
+  /// Returns false when the ticket is not that of a queued request.
+  bool Cancel(admission_ticket ticket);
+
+  void SetCapacity(const admission_capacity& capacity, steady_time now,
+                   admission_actions& actions);
+
+  /// Takes effect for queued requests too.
+  void SetPolicy(const admission_policy& policy);
+
+  /// Admits and drops. To be called every 10 ms while requests are queued:
+  /// eight calls visit every queued request once.
+  void Tick(steady_time now, admission_actions& actions);
+
+  std::size_t queued(rank of) const;
+  cost_units queued_cost(rank of) const;
+  std::uint32_t running() const { return running_; }
+  cost_units running_cost() const { return cost_units(running_cost_); }
+  /// Cost per second that the rank is estimated to get; none before the first
+  /// request runs.
+  std::optional<double> EstimatedRate(rank of) const;
+  /// Bytes of memory held, for the capacity page.
+  std::size_t MemoryBytes() const;
+
+ private:
+  bool HasRoom() const;
+  bool LacksCapacity(steady_time now) const;
+  void Fill(steady_time now, admission_actions& actions);
+  void Start(entry_index index);
+  void Sweep(rank of, steady_time now, admission_actions& actions);
+  void RejectAll(steady_time now, admission_actions& actions);
+  void Reject(entry_index index, rejection_kind kind, double wait_seconds,
+              admission_actions& actions);
+  double WaitSeconds(rank of, double work) const;
+  admission_rejection MakeRejection(rejection_kind kind, double wait_seconds);
+  bool IsLate(const admission_offer& offer, double wait, steady_time now) const;
+  offer_result Enqueue(const admission_offer& offer, steady_time now);
+  std::array<bool, kRankCount> Backlogged() const;
+  void Observe(steady_time now);
+
+  admission_policy policy_;
+  random_source random_;
+  admission_capacity capacity_;
+  std::optional<steady_time> no_capacity_since_;
+  entry_pool pool_;
+  std::array<fair_queue, kRankCount> queues_;
+  rank_shares shares_;
+  drain_rate drain_;
+  std::uint32_t running_ = 0;
+  std::uint64_t running_cost_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_QUEUE_H_
