admission: add the queue with kept shares and fair queueing

Cause: requests need admission by rank, workspace and deadline before endpoint choice (design 5.2). Change: admission_queue with credit-based kept shares between ranks, start-time fair queueing by cost within a rank, bounded queues with dynamic thresholds, a measured drain rate and immediate rejection of requests that cannot meet their deadline.

--- a/source/process/admission/admission_queue.h
+++ b/source/process/admission/admission_queue.h
@@ -61,12 +61,12 @@
   void Fill(steady_time now, admission_actions& actions);
   void Start(entry_index index);
   void Sweep(rank of, steady_time now, admission_actions& actions);
-  void RejectAll(steady_time now, admission_actions& actions);
+  void RejectAll(admission_actions& actions);
   void Reject(entry_index index, rejection_kind kind, double wait_seconds,
               admission_actions& actions);
+  double UsableCost() const;
   double WaitSeconds(rank of, double work) const;
   admission_rejection MakeRejection(rejection_kind kind, double wait_seconds);
-  bool IsLate(const admission_offer& offer, double wait, steady_time now) const;
   offer_result Enqueue(const admission_offer& offer, steady_time now);
   std::array<bool, kRankCount> Backlogged() const;
   void Observe(steady_time now);
--- a/source/process/admission/fair_queue.h
+++ b/source/process/admission/fair_queue.h
@@ -110,7 +110,7 @@
     const entry_index following = pool.at(at).next;
     const flow& of = flows_[index];
     ++visited;
-    if (late(at, Work(of.tag + ahead / of.weight, of.weight))) {
+    if (late(at, Work(of.tag + ahead / of.weight, 0))) {
       Remove(pool, at);
       removed(at);
     } else {
