--- /dev/null
+++ b/source/process/choice/placement.h
@@ -0,0 +1,69 @@
+#ifndef MARJORAMSILL_PROCESS_CHOICE_PLACEMENT_H_
+#define MARJORAMSILL_PROCESS_CHOICE_PLACEMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "types/ids.h"
+
+namespace marjoramsill {
+
+/// Position of an endpoint in one placement.
+using endpoint_index = std::uint32_t;
+
+struct placement_endpoint {
+  endpoint_id id;
+  failure_domain_id domain;
+  /// Requests that the endpoint runs at once; its share of the load.
+  std::uint32_t capacity = 1;
+  /// Prompt tokens that it computes a second.
+  std::uint32_t prefill_rate = 10000;
+  /// A draining endpoint takes no new work, but its chats stay grouped.
+  bool draining = false;
+};
+
+/// Hash of a chat id or prefix key.
+std::uint64_t PlacementKey(std::string_view chat_or_prefix);
+
+/// Preference order of the endpoints of one model or service for every key.
+/// Built once per membership view, immutable, shared between shards. All VMs
+/// with the same view compute the same order.
+class placement {
+ public:
+  struct domain_ring {
+    failure_domain_id domain;
+    /// Sorted points of the ring and the endpoint of each.
+    std::vector<std::uint64_t> points;
+    std::vector<endpoint_index> owners;
+    std::vector<endpoint_index> members;
+  };
+
+  static std::shared_ptr<const placement> Build(
+      std::vector<placement_endpoint> endpoints, std::uint64_t view_number);
+
+  const std::vector<placement_endpoint>& endpoints() const {
+    return endpoints_;
+  }
+  const std::vector<domain_ring>& rings() const { return rings_; }
+  /// Position of the domain's ring, or empty when it has no endpoint.
+  std::optional<std::size_t> RingOf(const failure_domain_id& domain) const;
+  std::optional<endpoint_index> IndexOf(const endpoint_id& id) const;
+  std::uint64_t view_number() const { return view_number_; }
+  std::uint64_t total_capacity() const { return total_capacity_; }
+
+ private:
+  placement() = default;
+
+  std::vector<placement_endpoint> endpoints_;
+  std::vector<domain_ring> rings_;
+  std::uint64_t view_number_ = 0;
+  std::uint64_t total_capacity_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CHOICE_PLACEMENT_H_
--- /dev/null
+++ b/source/process/membership/byte_budget.h
@@ -0,0 +1,54 @@
+#ifndef MARJORAMSILL_PROCESS_MEMBERSHIP_BYTE_BUDGET_H_
+#define MARJORAMSILL_PROCESS_MEMBERSHIP_BYTE_BUDGET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+/// Token bucket of bytes. It starts full.
+class byte_budget {
+ public:
+  byte_budget(std::int64_t bytes_per_second, std::int64_t burst)
+      : rate_(bytes_per_second), burst_(burst), available_(burst) {}
+
+  /// Takes the bytes when they are available.
+  bool Take(std::int64_t bytes, steady_time now) {
+    Refill(now);
+    if (available_ < bytes) return false;
+    available_ -= bytes;
+    return true;
+  }
+  /// Takes the bytes also when that overdraws the bucket; used for messages
+  /// that must not wait.
+  void Charge(std::int64_t bytes, steady_time now) {
+    Refill(now);
+    available_ -= bytes;
+  }
+  std::int64_t Available(steady_time now) {
+    Refill(now);
+    return available_;
+  }
+
+ private:
+  void Refill(steady_time now) {
+    if (now <= last_) return;
+    const std::int64_t micros =
+        std::min<std::int64_t>((now - last_).count(), 60'000'000);
+    const std::int64_t earned = rate_ * micros / 1'000'000;
+    if (earned == 0) return;
+    available_ = std::min(burst_, available_ + earned);
+    last_ = now;
+  }
+
+  std::int64_t rate_;
+  std::int64_t burst_;
+  std::int64_t available_;
+  steady_time last_{};
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_MEMBERSHIP_BYTE_BUDGET_H_
