membership: add the endpoint registry, peer exchange and codec

Dispatch needs liveness evidence younger than 2.5 s. Evidence is dated by the clock of the VM that uses it: peers echo each other's stamps, and announcements are dated by their fixed schedule, so that a delayed message is not taken for a fresh one. Not yet tested; tests follow.

--- a/source/process/membership/endpoint_registry.h
+++ b/source/process/membership/endpoint_registry.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "process/membership/announcement_schedule.h"
 #include "process/membership/byte_budget.h"
 #include "process/membership/circuit_breaker.h"
 #include "process/membership/endpoint_announcement.h"
@@ -23,23 +24,22 @@
 
 struct endpoint_registry_settings {
   holder_id self;
-  std::chrono::milliseconds announce_interval{1000};
+  announcement_schedule_settings schedule;
   /// Three announcements missed.
   std::chrono::milliseconds lease{3000};
   std::chrono::milliseconds evidence_limit{2500};
-  /// An announcement later than this is no evidence: it may have waited in a
-  /// socket buffer or on a cut link while its endpoint died. The evidence
-  /// limit plus this stays at the 3 s bound.
-  std::chrono::milliseconds latest_announcement{400};
   /// Time between two events that counts as a frozen process.
   std::chrono::milliseconds freeze_gap{500};
   std::chrono::milliseconds probe_interval{500};
   /// Silent records are kept this long, so that a late message cannot
   /// reintroduce the endpoint.
-  std::chrono::milliseconds forget_silent{60000};
+  std::chrono::milliseconds forget_silent{600000};
   std::uint32_t probe_bytes = 320;
   std::int64_t probe_bytes_per_second = 600;
   std::size_t max_endpoints = 8192;
+  /// Leases with older evidence than this are not vouched for.
+  std::chrono::milliseconds longest_vouch{1400};
+  std::size_t loads_per_vouch = 8;
   circuit_breaker_settings breaker;
   flap_damper_settings damper;
 };
@@ -134,7 +134,7 @@
   std::vector<lease_record> RecordsOf(const holder_id& holder,
                                       std::uint64_t after) const;
   /// This VM's own vouch for its leases.
-  lease_vouch MakeVouch(steady_time now) const;
+  lease_vouch MakeVouch(steady_time now);
   std::uint64_t own_change() const { return own_change_; }
 
   std::optional<endpoint_status> Find(const endpoint_id& id) const;
@@ -153,9 +153,7 @@
     holder_id holder;
     std::optional<steady_time> evidence;
     steady_time last_heard{};
-    /// How much later than its schedule the last announcement came. Empty
-    /// while unknown: at first, after a freeze and after a long silence.
-    std::optional<std::chrono::microseconds> lateness;
+    announcement_schedule schedule;
     steady_time load_at{};
     steady_time last_probe{};
     bool probe_wanted = false;
@@ -170,13 +168,13 @@
   void Restart(entry& known, const endpoint_announcement& said,
                steady_time now);
   void Hold(entry& known, steady_time now);
-  void DateAnnouncement(entry& known, steady_time now);
   void Write(entry& known);
   void SetHolder(entry& known, const holder_id& holder);
   void Learn(entry& known, std::optional<endpoint_state> state,
              std::optional<endpoint_load> load, steady_time sent_at,
              steady_time now);
   void Expire(entry& known, steady_time now);
+  void AddLoads(const std::set<endpoint_id>& held, lease_vouch& vouch);
   bool IsOwn(const entry& known) const;
   bool IsFresh(const entry& known, steady_time now) const;
   bool IsNewer(const entry& known, const holder_id& holder,
@@ -191,6 +189,7 @@
   std::uint64_t own_change_ = 0;
   std::uint64_t view_number_ = 0;
   std::uint64_t probe_bytes_sent_ = 0;
+  std::uint64_t vouches_made_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/membership/lease_record.h
+++ b/source/process/membership/lease_record.h
@@ -33,17 +33,26 @@
   friend auto operator<=>(const holder_id&, const holder_id&) = default;
 };
 
+/// Requests in the engine of the lease that this change wrote.
+struct lease_load {
+  std::uint64_t change = 0;
+  std::uint32_t requests = 0;
+
+  friend bool operator==(const lease_load&, const lease_load&) = default;
+};
+
 /// Liveness evidence of a holder for its leases. It applies only to a copy of
 /// the holder's records that has reached exactly `change`; otherwise a lease
-/// that has begun to leave could be vouched for under its old state.
+/// that has begun to leave could be vouched for under its old state. Leases
+/// are named by the change that wrote them, because the sets of leases on two
+/// VMs differ while an endpoint moves to another holder.
 struct lease_vouch {
   std::uint64_t change = 0;
   /// Age of the oldest evidence among the leases that are vouched for.
   std::chrono::milliseconds age{0};
-  /// Positions, in the order of endpoint ids, of leases not vouched for.
-  std::vector<std::uint32_t> overdue;
-  /// Reported requests per lease, in the order of endpoint ids.
-  std::vector<std::uint32_t> loads;
+  /// Leases that are not vouched for, ascending.
+  std::vector<std::uint64_t> overdue;
+  std::vector<lease_load> loads;
 
   friend bool operator==(const lease_vouch&, const lease_vouch&) = default;
 };
--- /dev/null
+++ b/source/process/membership/peer_codec.cc
@@ -0,0 +1,129 @@
+#include "process/membership/peer_codec.h"
+
+#include <msgpack.hpp>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+template <class T, class Each>
+void PackList(packer& out, const std::vector<T>& list, Each each) {
+  out.pack_array(static_cast<std::uint32_t>(list.size()));
+  for (const T& item : list) each(out, item);
+}
+
+void PackHolder(packer& out, const holder_id& holder) {
+  out.pack_array(2);
+  out.pack(holder.vm.value());
+  out.pack(holder.life.value());
+}
+
+void PackRecord(packer& out, const lease_record& record) {
+  const endpoint_announcement& endpoint = record.endpoint;
+  out.pack_array(10);
+  out.pack(endpoint.id.value());
+  out.pack(endpoint.life.value());
+  out.pack(endpoint.address);
+  out.pack(endpoint.domain.value());
+  out.pack(static_cast<std::uint8_t>(endpoint.state));
+  PackList(out, endpoint.serves,
+           [](packer& to, const model_id& model) { to.pack(model.value()); });
+  out.pack(endpoint.capacity);
+  out.pack(record.change);
+  out.pack(record.epoch);
+  out.pack(record.silent);
+}
+
+void PackBeat(packer& out, const peer_beat& beat) {
+  out.pack_array(6);
+  out.pack(beat.holder);
+  out.pack(beat.version.value());
+  out.pack(beat.vouch.change);
+  out.pack(static_cast<std::uint64_t>(beat.vouch.age.count()));
+  PackList(out, beat.vouch.overdue,
+           [](packer& to, std::uint64_t change) { to.pack(change); });
+  // Flat pairs save one byte for each load.
+  out.pack_array(static_cast<std::uint32_t>(2 * beat.vouch.loads.size()));
+  for (const lease_load& load : beat.vouch.loads) {
+    out.pack(load.change);
+    out.pack(load.requests);
+  }
+}
+
+void PackChange(packer& out, const holder_change& change) {
+  out.pack_array(3);
+  PackHolder(out, change.holder);
+  out.pack(change.after);
+  PackRecord(out, change.record);
+}
+
+void PackDigest(packer& out, const domain_digest& digest) {
+  out.pack_array(2);
+  out.pack(digest.domain.value());
+  out.pack(digest.hash);
+}
+
+void PackPosition(packer& out, const holder_position& position) {
+  out.pack_array(3);
+  PackHolder(out, position.holder);
+  out.pack(position.change);
+  out.pack(position.silent_s);
+}
+
+void PackRequest(packer& out, const record_request& request) {
+  out.pack_array(2);
+  out.pack(request.holder);
+  out.pack(request.after);
+}
+
+void PackRecordList(packer& out, const record_list& list) {
+  out.pack_array(5);
+  PackHolder(out, list.holder);
+  out.pack(list.change);
+  out.pack(list.after);
+  out.pack(list.complete);
+  PackList(out, list.records, PackRecord);
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const peer_message& message) {
+  msgpack::sbuffer buffer;
+  packer out(buffer);
+  out.pack_array(13);
+  PackHolder(out, message.from);
+  out.pack(message.sequence);
+  out.pack(message.stamp_ms);
+  out.pack(message.echo_life.value());
+  out.pack(message.echo_ms);
+  out.pack(message.held_ms);
+  PackList(out, message.beats, PackBeat);
+  PackList(out, message.changes, PackChange);
+  PackList(out, message.digests, PackDigest);
+  PackList(out, message.wanted_positions,
+           [](packer& to, const failure_domain_id& domain) {
+             to.pack(domain.value());
+           });
+  PackList(out, message.positions, PackPosition);
+  PackList(out, message.wanted_records, PackRequest);
+  PackList(out, message.records, PackRecordList);
+  return std::string(buffer.data(), buffer.size());
+}
+
+std::size_t EncodedSize(const lease_record& record) {
+  msgpack::sbuffer buffer;
+  packer out(buffer);
+  PackRecord(out, record);
+  return buffer.size();
+}
+
+std::size_t EncodedSize(const holder_change& change) {
+  msgpack::sbuffer buffer;
+  packer out(buffer);
+  PackChange(out, change);
+  return buffer.size();
+}
+
+}  // namespace marjoramsill
--- a/source/process/membership/peer_codec.h
+++ b/source/process/membership/peer_codec.h
@@ -21,7 +21,11 @@
     kTooLong,
     kWrongType,
     kMissingField,
-    kOutOfRange
+    kOutOfRange,
+    /// From a VM that the settings don't name.
+    kUnknownSender,
+    /// From an earlier life of the sender.
+    kOldIncarnation
   };
   reason why;
   /// Field at fault; empty for the whole message.
--- a/source/process/membership/peer_membership.h
+++ b/source/process/membership/peer_membership.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_PROCESS_MEMBERSHIP_PEER_MEMBERSHIP_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -39,16 +40,24 @@
   std::chrono::milliseconds direct_interval{500};
   std::chrono::milliseconds ring_interval{900};
   std::chrono::milliseconds remote_interval{1000};
-  /// A request without a response for this time has failed.
-  std::chrono::milliseconds response_limit{1000};
+  /// A peer that has not answered is asked again at this interval.
+  std::chrono::milliseconds retry_interval{1000};
   /// A peer without evidence for this time counts as cut off.
   std::chrono::milliseconds cut_off_after{2500};
-  /// A holder silent for this time is forgotten with its leases.
-  std::chrono::milliseconds forget_holder{60000};
-  /// Sent bytes a second, framing included; the probes' part is the
-  /// registry's.
-  std::int64_t bytes_per_second = 2400;
-  std::int64_t burst_bytes = 4800;
+  /// A VM silent for this time leaves the ring of its failure domain.
+  std::chrono::milliseconds leave_ring_after{10000};
+  /// A holder silent for this time is forgotten with its leases. Shorter than
+  /// the registry's forget_silent, so that no VM that still knows an endpoint
+  /// misses the record of its end.
+  std::chrono::milliseconds forget_holder{300000};
+  /// A difference of digests lasts this long before positions are asked for:
+  /// changes on their way cause shorter ones.
+  std::chrono::milliseconds digest_patience{3000};
+  /// A copy that lags behind a holder for this time is fetched anew.
+  std::chrono::milliseconds longest_lag{60000};
+  /// Sent bytes a second, framing included. The probes have their own part.
+  std::int64_t bytes_per_second = 2300;
+  std::int64_t burst_bytes = 4600;
   /// HTTP/2 frames, TLS record and TCP/IP headers of one message.
   std::uint32_t framing_bytes = 100;
   /// Largest part of one message that changes and records may fill.
@@ -56,7 +65,7 @@
 };
 
 /// A message to send to `to` as POST /peer/heartbeat. The response body goes
-/// to OnResponse(); without one within response_limit nothing is reported.
+/// to OnResponse(). A failed request is not reported: it is repeated.
 struct peer_request {
   vm_id to;
   std::string body;
@@ -77,111 +86,153 @@
   /// Returns the body of the response.
   result<std::string, peer_decode_error> OnRequest(std::string_view body,
                                                    steady_time now);
-  result<void, peer_decode_error> OnResponse(const vm_id& from,
-                                             std::string_view body,
+  result<void, peer_decode_error> OnResponse(std::string_view body,
                                              steady_time now);
 
   void SetVersion(document_version version) { version_ = version; }
-  /// Newest document version that a live peer has in force.
+  /// Newest document version that a peer has in force.
   document_version newest_peer_version() const { return newest_version_; }
   /// A peer that has it, to fetch from.
-  std::optional<vm_id> newest_version_holder() const { return newest_holder_; }
+  const std::optional<vm_id>& newest_version_holder() const {
+    return newest_holder_;
+  }
 
-  /// True when evidence that the VM runs is younger than cut_off_after.
+  /// True when evidence that the VM runs is younger than cut_off_after. Beyond
+  /// direct_limit VMs this holds for VMs of the own failure domain only.
   bool IsReachable(const vm_id& vm, steady_time now) const;
   /// True when no peer is reachable although there are peers.
   bool IsCutOff(steady_time now) const;
   std::uint64_t bytes_sent() const { return bytes_sent_; }
+  std::uint64_t messages_sent() const { return messages_sent_; }
 
  private:
   struct holder_state {
     holder_id id;
     failure_domain_id domain;
+    /// All changes up to this one have been applied.
     std::uint64_t change = 0;
+    /// Highest change that any peer has named.
+    std::uint64_t announced = 0;
+    /// Since when `change` is lower than `announced`.
+    std::optional<steady_time> lagging_since;
     document_version version;
     lease_vouch vouch;
-    /// Latest date of the vouch, by this VM's clock.
+    /// Date of the vouch, by this VM's clock.
     std::optional<steady_time> as_of;
     /// Latest evidence that the holder runs.
-    std::optional<steady_time> alive_at;
-    /// A beat named this change, which is not yet known here.
-    std::uint64_t announced_change = 0;
+    steady_time alive_at{};
+    /// Ids seen so far of a list of all records.
+    std::optional<std::set<endpoint_id>> listed;
   };
   struct peer_state {
     peer_vm vm;
     std::optional<incarnation> life;
-    std::uint64_t last_stamp_ms = 0;
+    std::uint64_t stamp_ms = 0;
     steady_time stamp_at{};
-    steady_time last_exchange{};
-    steady_time last_request{};
+    std::optional<steady_time> last_exchange;
+    std::optional<steady_time> last_request;
     std::uint64_t news_cursor = 0;
-    bool relays = false;
-    std::set<holder_ref> wanted;
-    std::set<failure_domain_id> wanted_positions;
+    /// A far ring partner: gets the beats of this VM's neighbourhood.
+    bool is_far = false;
+    /// Something is to be asked; the next exchange is due at once.
+    bool urgent = false;
+    std::set<holder_ref> lacking;
+    std::set<failure_domain_id> unclear;
     std::vector<record_request> asked_records;
     std::set<failure_domain_id> asked_positions;
   };
-  struct news {
+  struct news_item {
     std::uint64_t number = 0;
     steady_time learned_at;
-    holder_ref holder = 0;
-    endpoint_id endpoint;
-    std::uint64_t change = 0;
-    vm_id from;
+    vm_id learned_from;
+    bool own_domain = false;
+    holder_change change;
+  };
+  struct mismatch {
+    std::optional<steady_time> since;
   };
 
-  void ArrangePartners();
-  void ArrangeRing(const std::vector<vm_id>& ring, std::size_t own);
+  // peer_membership.cc: schedule and state.
+  void ArrangePartners(steady_time now);
+  std::optional<vm_id> RemotePartner(steady_time now);
+  std::optional<vm_id> AbsentPartner(steady_time now);
+  bool IsDue(const peer_state& peer, steady_time now) const;
   void FollowOwnChanges(steady_time now);
   void ForgetHolders(steady_time now);
-  std::optional<vm_id> RemotePartner(steady_time now);
-  std::string Build(peer_state& peer, steady_time now, bool response);
-  void AddBeats(const peer_state& peer, steady_time now, peer_message& message);
-  std::size_t AddNews(peer_state& peer, steady_time now, std::size_t room,
-                      peer_message& message);
-  std::size_t AddRecords(peer_state& peer, std::size_t room,
-                         peer_message& message);
-  void AddDigests(peer_state& peer, steady_time now, peer_message& message);
-  void AddPositions(peer_state& peer, steady_time now, peer_message& message);
-  void AddWants(const peer_state& peer, steady_time now, peer_message& message);
+  void ResetLaggards(steady_time now);
+  bool IsDirect() const { return vms_.size() <= settings_.direct_limit; }
+  bool IsKnownDomain(const failure_domain_id& domain) const;
+  bool IsPresent(const vm_id& vm, steady_time now) const;
+  holder_state* Meet(const holder_id& id, steady_time alive_at);
+  holder_state* FindHolder(holder_ref ref);
+  const holder_state* LatestLife(const vm_id& vm) const;
+  void AddNews(const holder_change& change, const holder_state& holder,
+               const vm_id& from, steady_time now);
+  std::uint64_t DigestOf(const failure_domain_id& domain) const;
+  std::uint64_t StampOf(steady_time now) const;
+  result<peer_message, peer_decode_error> Decode(std::string_view body);
+
+  // peer_membership_send.cc: what a message says.
+  std::string Build(peer_state& peer, steady_time now);
+  void TellBeats(const peer_state& peer, steady_time now,
+                 peer_message& message);
+  std::size_t TellNews(peer_state& peer, steady_time now, std::size_t room,
+                       peer_message& message);
+  void TellRecords(peer_state& peer, std::size_t room, peer_message& message);
+  record_list ListRecords(const holder_state& holder, std::uint64_t after,
+                          std::size_t room) const;
+  void TellDigests(const peer_state& peer, peer_message& message);
+  void TellPositions(peer_state& peer, steady_time now, peer_message& message);
+  void TellWants(peer_state& peer, peer_message& message);
+
+  // peer_membership_receive.cc: what a message teaches.
   void Receive(peer_state& peer, const peer_message& message, steady_time now);
   std::optional<steady_time> SentNoEarlierThan(const peer_message& message,
                                                steady_time now) const;
-  void ReceiveBeats(const peer_message& message, steady_time sent,
-                    steady_time now);
-  void ReceiveChanges(const peer_state& peer, const peer_message& message,
-                      steady_time now);
-  void ReceiveRecords(const peer_state& peer, const peer_message& message,
-                      steady_time now);
-  void ReceivePositions(const peer_state& peer, const peer_message& message,
-                        steady_time now);
-  holder_state* Meet(const holder_id& id, steady_time now);
-  void AddToNews(const holder_state& holder, const lease_record& record,
-                 const vm_id& from, steady_time now);
-  std::uint64_t DigestOf(const failure_domain_id& domain,
-                         steady_time now) const;
-  failure_domain_id DomainOf(const vm_id& vm) const;
-  std::uint64_t StampOf(steady_time now) const;
+  void HearBeats(peer_state& peer, const peer_message& message,
+                 std::optional<steady_time> sent, steady_time now);
+  void HearBeat(peer_state& peer, holder_state& holder, const peer_beat& beat,
+                std::optional<steady_time> sent, steady_time now);
+  void HearChanges(peer_state& peer, const peer_message& message,
+                   steady_time now);
+  void HearRecords(peer_state& peer, const peer_message& message,
+                   steady_time now);
+  void HearDigests(peer_state& peer, const peer_message& message,
+                   std::optional<steady_time> sent, steady_time now);
+  void HearPositions(peer_state& peer, const peer_message& message,
+                     steady_time now);
+  void HearAnnounced(peer_state& peer, holder_state& holder,
+                     std::uint64_t change, steady_time now);
+  void Advance(holder_state& holder, std::uint64_t change, steady_time now);
 
   peer_membership_settings settings_;
   endpoint_registry& registry_;
   byte_budget budget_;
+  holder_id self_;
+  std::map<vm_id, failure_domain_id> vms_;
   std::map<vm_id, peer_state> peers_;
   std::map<holder_ref, holder_state> holders_;
-  std::vector<vm_id> partners_;
+  std::map<vm_id, incarnation> lives_;
   std::vector<failure_domain_id> domains_;
-  std::set<holder_ref> near_;
-  std::deque<news> news_;
+  std::vector<vm_id> partners_;
+  std::vector<vm_id> remotes_;
+  std::set<vm_id> neighbourhood_;
+  std::optional<steady_time> started_at_;
+  std::optional<steady_time> arranged_at_;
+  std::map<failure_domain_id, mismatch> mismatches_;
+  std::deque<news_item> news_;
   std::uint64_t next_news_ = 1;
   std::uint64_t sequence_ = 0;
-  std::uint64_t followed_change_ = 0;
-  steady_time last_remote_{};
+  std::optional<steady_time> last_remote_;
+  std::optional<steady_time> last_absent_;
   std::size_t next_remote_ = 0;
+  std::size_t next_absent_ = 0;
   std::size_t next_digest_ = 0;
   document_version version_;
   document_version newest_version_;
   std::optional<vm_id> newest_holder_;
   std::uint64_t bytes_sent_ = 0;
+  std::uint64_t messages_sent_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/membership/peer_message.h
+++ b/source/process/membership/peer_message.h
@@ -23,6 +23,9 @@
 
 struct holder_change {
   holder_id holder;
+  /// The holder's change before this one. Changes between the two have been
+  /// overwritten by later ones.
+  std::uint64_t after = 0;
   lease_record record;
 
   friend bool operator==(const holder_change&, const holder_change&) = default;
@@ -31,7 +34,6 @@
 /// How far the sender has followed a holder's changes.
 struct holder_position {
   holder_id holder;
-  failure_domain_id domain;
   std::uint64_t change = 0;
   /// Seconds since the sender had evidence that the holder runs.
   std::uint32_t silent_s = 0;
@@ -49,12 +51,14 @@
                          const record_request&) = default;
 };
 
-/// Answer to a record_request that asked for all records: the ids in force at
-/// `change`, so that the receiver can remove the others.
+/// Answer to a record_request: records above `after`, by change, up to
+/// `change`. A list after 0 that ends complete holds all records in force, so
+/// that the receiver removes the others.
 struct record_list {
   holder_id holder;
   std::uint64_t change = 0;
   std::uint64_t after = 0;
+  bool complete = false;
   std::vector<lease_record> records;
 
   friend bool operator==(const record_list&, const record_list&) = default;
