request, admission: give two types names of their own

Cause: endpoint_chooser and rank_policy each named two types in one namespace. Change: the hook is endpoint_selector, the queue's rank settings are rank_admission.

--- a/source/process/admission/admission_queue.cc
+++ b/source/process/admission/admission_queue.cc
@@ -55,7 +55,7 @@
 offer_result admission_queue::Enqueue(const admission_offer& offer,
                                       steady_time now) {
   fair_queue& queue = queues_.at(Index(offer.rank));
-  const rank_policy& bounds = policy_.ranks.at(Index(offer.rank));
+  const rank_admission& bounds = policy_.ranks.at(Index(offer.rank));
   const auto workspace = static_cast<std::uint32_t>(offer.workspace.value());
   const double wait =
       WaitSeconds(offer.rank, queue.WorkAhead(workspace, offer.weight));
--- a/source/process/admission/admission_types.h
+++ b/source/process/admission/admission_types.h
@@ -33,7 +33,7 @@
   std::uint32_t concurrency = 0;
 };
 
-struct rank_policy {
+struct rank_admission {
   /// Part of the admitted cost, 0 to 1, that the rank keeps while it has work
   /// waiting. Ignored for urgent, which takes what the others do not keep.
   double share = 0;
@@ -44,8 +44,8 @@
 
 struct admission_policy {
   /// Indexed by rank. The sum of the shares must be below 1.
-  std::array<rank_policy, kRankCount> ranks = {
-      rank_policy{}, rank_policy{.share = 0.25}, rank_policy{.share = 0.05}};
+  std::array<rank_admission, kRankCount> ranks = {
+      rank_admission{}, rank_admission{.share = 0.25}, rank_admission{.share = 0.05}};
   /// How long requests wait without any capacity before they are rejected.
   std::chrono::microseconds no_capacity_grace = std::chrono::seconds(2);
   std::chrono::microseconds min_retry_after = std::chrono::seconds(1);
--- a/source/request/call_hooks.h
+++ b/source/request/call_hooks.h
@@ -13,7 +13,7 @@
 
 /// Chooses an endpoint outside of `tried`; nullopt if none may be used. Called
 /// under the lock of the call's shard.
-using endpoint_chooser = std::function<std::optional<endpoint_id>(
+using endpoint_selector = std::function<std::optional<endpoint_id>(
     const std::vector<endpoint_id>& tried)>;
 
 /// Returns an attempt id that was never used before, on any VM.
@@ -22,7 +22,7 @@
 /// What a call needs from its surroundings. `budget` is the one of the call's
 /// shard and outlives the call.
 struct call_hooks {
-  endpoint_chooser choose;
+  endpoint_selector choose;
   attempt_id_source next_attempt;
   random_source random;
   retry_budget* budget = nullptr;
