--- a/tests/claims/claim_codec_test.cc
+++ b/tests/claims/claim_codec_test.cc
@@ -123,7 +123,7 @@
       claim_table table;
       const std::string before = table.Snapshot();
       const bool restored = table.Restore(Damage(snapshot, steps)).has_value();
-      RC_ASSERT(restored || table.Snapshot() == before);
+      if (!restored) RC_ASSERT(table.Snapshot() == before);
       claim_table other;
       if (!other.Apply(Damage(command, steps))) {
         RC_ASSERT(other.Snapshot() == before);
--- a/tests/claims/claim_world.cc
+++ b/tests/claims/claim_world.cc
@@ -298,9 +298,10 @@
 
 void claim_world::CheckEnd() {
   for (const call& each : calls_) {
-    RC_ASSERT(!each.flow || each.flow->ended());
-    RC_ASSERT(!each.flow || !each.caller_present || each.answers == 1);
-    RC_ASSERT(!each.said_not_run || !each.sent);
+    RC_ASSERT(!(each.said_not_run && each.sent));
+    if (!each.flow) continue;
+    RC_ASSERT(each.flow->ended());
+    if (each.caller_present) RC_ASSERT(each.answers == 1);
   }
   RC_ASSERT(table_.Snapshot() == twin_.Snapshot());
 }
