control: add the policy state machine

Operators submit signed sections; every member must judge them alike. Denied submissions are not recorded, so strangers can neither fill the history nor occupy an id.

--- /dev/null
+++ b/source/process/control/outcome_fields.h
@@ -0,0 +1,15 @@
+#ifndef MARJORAMSILL_PROCESS_CONTROL_OUTCOME_FIELDS_H_
+#define MARJORAMSILL_PROCESS_CONTROL_OUTCOME_FIELDS_H_
+
+#include "process/control/submission_outcome.h"
+#include "version/wire_reader.h"
+
+namespace marjoramsill {
+
+/// An outcome as one msgpack array inside another message.
+void PackOutcome(wire_packer& packer, const submission_outcome& outcome);
+submission_outcome ReadOutcome(wire_reader fields);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CONTROL_OUTCOME_FIELDS_H_
--- /dev/null
+++ b/source/process/control/policy_state.h
@@ -0,0 +1,86 @@
+#ifndef MARJORAMSILL_PROCESS_CONTROL_POLICY_STATE_H_
+#define MARJORAMSILL_PROCESS_CONTROL_POLICY_STATE_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "process/control/outcome_history.h"
+#include "process/control/policy_command.h"
+#include "process/control/submission_outcome.h"
+#include "types/result.h"
+#include "version/policy_document.h"
+#include "version/section_record.h"
+#include "version/signing_key.h"
+#include "version/team_policy.h"
+#include "version/wall_time.h"
+#include "version/wire_error.h"
+
+namespace marjoramsill {
+
+/// The state machine of the control group: the accepted document, the keys of
+/// the teams and the first outcomes of recent submissions. Deterministic: the
+/// same commands give the same outcomes and the same snapshot bytes on every
+/// member. Not synchronised.
+class policy_state {
+ public:
+  struct applied {
+    submission_outcome outcome;
+    /// The new record when the submission was accepted for the first time.
+    section_ptr change;
+  };
+
+  explicit policy_state(signature_check verify = VerifyEd25519);
+
+  /// Applies one command. A command that cannot be decoded changes nothing.
+  result<applied, wire_error> Apply(std::string_view command);
+
+  /// What `Apply` would answer now. A leader answers a denied or repeated
+  /// submission with it, so that strangers cannot fill the log.
+  submission_outcome Judge(const policy_command& command) const;
+
+  std::string Snapshot() const;
+  /// Replaces the state; after an error the state is as before.
+  result<void, wire_error> Restore(std::string_view snapshot);
+
+  const policy_document& document() const { return document_; }
+  const team_policies& teams() const { return teams_; }
+  const outcome_history& history() const { return history_; }
+  /// Latest stamped time; it never goes back.
+  wall_time latest_time() const { return latest_time_; }
+
+ private:
+  struct judgement {
+    submission_outcome outcome;
+    /// Only outcomes of correctly signed submissions are recorded.
+    bool signed_by_team = false;
+    bool repeated = false;
+    std::optional<team_policies> new_teams;
+  };
+
+  judgement JudgeCommand(const policy_command& command) const;
+  submission_outcome Current(outcome_kind kind,
+                             const section_name& section) const;
+  denial_reason CheckSigner(const policy_command& command) const;
+  denial_reason CheckTeamKeys(const team_policy& team,
+                              const submission& submitted, wall_time now) const;
+  bool SignedByOtherTeam(const submission& submitted,
+                         const std::string& bytes) const;
+  denial_reason CheckOwner(const submission& submitted) const;
+  std::optional<section_error> CheckContent(
+      const submission& submitted, std::optional<team_policies>& teams) const;
+  std::optional<section_error> CheckRemoval(const submission& submitted) const;
+  std::optional<section_error> CheckPoolName(const section_name& section) const;
+  section_ptr Accept(const submission& submitted,
+                     std::optional<team_policies> teams);
+
+  signature_check verify_;
+  policy_document document_;
+  team_policies teams_;
+  outcome_history history_;
+  wall_time latest_time_{};
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CONTROL_POLICY_STATE_H_
--- a/source/version/endpoint_parser.cc
+++ b/source/version/endpoint_parser.cc
@@ -2,6 +2,7 @@
 
 #include "version/kind_parsers.h"
 #include "version/section_kind.h"
+#include "version/text_check.h"
 
 namespace marjoramsill {
 namespace {
@@ -40,8 +41,8 @@
     const std::string& name = root.keys[i];
     const yaml_node& item = root.items[i];
     if (!IsPolicyName(name)) {
-      report.Fail(item.line, name.substr(0, 60), "this endpoint name",
-                  std::string(kPolicyNameAllowed));
+      report.Fail(item.line, std::string(CutText(name, 60)),
+                  "this endpoint name", std::string(kPolicyNameAllowed));
     } else if (item.type != yaml_node::kind::kMap) {
       report.Fail(item.line, name, DescribeFound(item), "a map");
     } else {
--- a/source/version/field_reader.cc
+++ b/source/version/field_reader.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "version/text_check.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -160,7 +162,7 @@
   for (std::size_t i = 0; i < map_.keys.size(); ++i) {
     const std::string& key = map_.keys[i];
     if (std::find(asked_.begin(), asked_.end(), key) != asked_.end()) continue;
-    report_.Fail(map_.items[i].line, PathOf(key.substr(0, 60)),
+    report_.Fail(map_.items[i].line, PathOf(std::string(CutText(key, 60))),
                  "an unknown key", Join(asked_));
   }
 }
--- a/source/version/pool_parser.cc
+++ b/source/version/pool_parser.cc
@@ -122,7 +122,7 @@
 
 pool_policy ParseService(const yaml_node& root, parse_report& report) {
   constexpr std::uint64_t kShortestRetentionS = 60;
-  constexpr std::uint64_t kLongestRetentionS = 30 * 86'400;
+  constexpr std::uint64_t kLongestRetentionS = 2'592'000;
   field_reader reader(root, "", report);
   pool_policy policy;
   policy.is_service = true;
--- a/source/version/section_parser.cc
+++ b/source/version/section_parser.cc
@@ -3,6 +3,7 @@
 #include "version/field_reader.h"
 #include "version/kind_parsers.h"
 #include "version/section_kind.h"
+#include "version/text_check.h"
 #include "version/yaml_reader.h"
 
 namespace marjoramsill {
@@ -34,7 +35,8 @@
   const auto kind = KindOf(section);
   if (!kind) {
     return failure(section_error{
-        section, 0, "", "section name \"" + section.value().substr(0, 80) + '"',
+        section, 0, "",
+        "section name \"" + std::string(CutText(section.value(), 80)) + '"',
         "teams/root, ranks/fleet, or workspaces/, models/, endpoints/ or "
         "services/ and a name"});
   }
--- /dev/null
+++ b/source/version/submission_fields.h
@@ -0,0 +1,21 @@
+#ifndef MARJORAMSILL_VERSION_SUBMISSION_FIELDS_H_
+#define MARJORAMSILL_VERSION_SUBMISSION_FIELDS_H_
+
+#include "version/section_record.h"
+#include "version/submission.h"
+#include "version/wire_reader.h"
+
+namespace marjoramsill {
+
+inline constexpr std::size_t kMostNameBytes = 96;
+
+/// A submission or record as one msgpack array inside another message.
+void PackSubmission(wire_packer& packer, const submission& value);
+submission ReadSubmission(wire_reader fields);
+
+void PackRecord(wire_packer& packer, const section_record& record);
+section_record ReadRecord(wire_reader fields);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_VERSION_SUBMISSION_FIELDS_H_
--- a/source/version/text_check.cc
+++ b/source/version/text_check.cc
@@ -50,4 +50,13 @@
   return std::nullopt;
 }
 
+std::string_view CutText(std::string_view text, std::size_t most_bytes) {
+  if (text.size() <= most_bytes) return text;
+  const auto continues = [&](std::size_t at) {
+    return (static_cast<std::uint8_t>(text[at]) & 0xC0) == 0x80;
+  };
+  while (most_bytes > 0 && continues(most_bytes)) --most_bytes;
+  return text.substr(0, most_bytes);
+}
+
 }  // namespace marjoramsill
--- a/source/version/text_check.h
+++ b/source/version/text_check.h
@@ -12,6 +12,10 @@
 /// order mark.
 std::optional<std::size_t> FirstInvalidByte(std::string_view bytes);
 
+/// The front of a text, at most `most_bytes` long, without a part of a UTF-8
+/// sequence at its end.
+std::string_view CutText(std::string_view text, std::size_t most_bytes);
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_VERSION_TEXT_CHECK_H_
--- a/source/version/wall_time.cc
+++ b/source/version/wall_time.cc
@@ -34,7 +34,7 @@
   if (!date.ok() || hour > 23 || minute > 59 || second > 59) {
     return std::nullopt;
   }
-  return sys_days(date) + hours(hour) + minutes(minute) + seconds(second);
+  return sys_days{date} + hours(hour) + minutes(minute) + seconds(second);
 }
 
 }  // namespace marjoramsill
--- /dev/null
+++ b/source/version/wire_error.h
@@ -0,0 +1,31 @@
+#ifndef MARJORAMSILL_VERSION_WIRE_ERROR_H_
+#define MARJORAMSILL_VERSION_WIRE_ERROR_H_
+
+#include <string>
+
+namespace marjoramsill {
+
+enum class wire_error_kind {
+  /// Not msgpack, cut short, or followed by more bytes.
+  kMalformed,
+  /// More bytes, entries or levels than the message may have.
+  kTooLarge,
+  kMissingField,
+  kWrongType,
+  /// Of the right type, but not a value that the field may have.
+  kOutOfRange
+};
+
+/// Why bytes from a peer or a log were rejected, and at which field.
+struct wire_error {
+  wire_error_kind kind = wire_error_kind::kMalformed;
+  std::string field;
+
+  friend bool operator==(const wire_error&, const wire_error&) = default;
+};
+
+std::string Describe(const wire_error& error);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_VERSION_WIRE_ERROR_H_
--- a/source/version/workspace_table.cc
+++ b/source/version/workspace_table.cc
@@ -25,7 +25,7 @@
       in.entries.begin(), in.entries.end(), hash,
       [](const entry& e, std::uint64_t value) { return e.hash < value; });
   for (; it != in.entries.end() && it->hash == hash; ++it) {
-    if (std::string_view(in.names).substr(it->name_offset, it->name_length) ==
+    if (std::string_view{in.names}.substr(it->name_offset, it->name_length) ==
         name) {
       return &*it;
     }
--- a/source/version/yaml_reader.cc
+++ b/source/version/yaml_reader.cc
@@ -15,6 +15,12 @@
 namespace marjoramsill {
 namespace {
 
+constexpr std::size_t kMostQuotedBytes = 60;
+
+std::string Quoted(std::string_view text) {
+  return std::string(CutText(text, kMostQuotedBytes));
+}
+
 // Leaves yaml-cpp's parser at the first event that policy does not allow.
 struct rejected_event {
   int line;
@@ -63,7 +69,7 @@
     const int line = mark.line + 1;
     if (anchor != 0) throw rejected_event{line, "an anchor", "no anchors"};
     if (!tag.empty() && tag != "?" && tag != "!") {
-      throw rejected_event{line, "tag " + tag, "no tags"};
+      throw rejected_event{line, "tag " + Quoted(tag), "no tags"};
     }
     yaml_node node;
     node.type = type;
@@ -92,7 +98,8 @@
     }
     auto& keys = open_.back().keys;
     if (std::find(keys.begin(), keys.end(), node.text) != keys.end()) {
-      throw rejected_event{node.line, "key " + node.text + " a second time",
+      throw rejected_event{node.line,
+                           "key " + Quoted(node.text) + " a second time",
                            "each key once"};
     }
     keys.push_back(node.text);
@@ -165,15 +172,14 @@
     return failure(
         section_error{section, event.line, "", event.found, event.allowed});
   } catch (const YAML::Exception& e) {
-    return failure(
-        section_error{section, e.mark.line + 1, "", e.msg, "valid YAML"});
+    return failure(section_error{section, e.mark.line + 1, "", Quoted(e.msg),
+                                 "valid YAML"});
   }
 }
 
 }  // namespace
 
 std::string DescribeFound(const yaml_node& node) {
-  constexpr std::size_t kShown = 60;
   switch (node.type) {
     case yaml_node::kind::kNull:
       return "nothing";
@@ -184,7 +190,7 @@
     case yaml_node::kind::kScalar:
       break;
   }
-  return '"' + node.text.substr(0, kShown) + '"';
+  return '"' + Quoted(node.text) + '"';
 }
 
 result<yaml_node, section_error> ReadYaml(const section_name& section,
--- a/source/version/yaml_reader.h
+++ b/source/version/yaml_reader.h
@@ -11,7 +11,7 @@
 
 namespace marjoramsill {
 
-inline constexpr std::size_t kMaximumSectionBytes = 16 * 1024;
+inline constexpr std::size_t kMaximumSectionBytes = 16384;
 inline constexpr int kMaximumYamlDepth = 8;
 
 /// Reads one YAML document whose top node is a map. Rejects what yaml-cpp
