--- /dev/null
+++ b/source/process/control/token_bucket.h
@@ -0,0 +1,44 @@
+#ifndef MARJORAMSILL_PROCESS_CONTROL_TOKEN_BUCKET_H_
+#define MARJORAMSILL_PROCESS_CONTROL_TOKEN_BUCKET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+/// Bytes that may be sent or received. Debt is allowed, so that an urgent
+/// message goes out at once and the paced ones wait until it is paid off.
+class token_bucket {
+ public:
+  token_bucket(std::int64_t bytes_per_second, std::int64_t burst_bytes)
+      : rate_(bytes_per_second), burst_(burst_bytes), bytes_(burst_bytes) {}
+
+  std::int64_t Available(steady_time now) {
+    const auto elapsed = (now - updated_).count();
+    if (elapsed <= 0) return bytes_;
+    // The product stays far below 2^63: after an hour the bucket is full.
+    constexpr std::int64_t kLongest = 3'600'000'000;
+    const std::int64_t added =
+        rate_ * std::min<std::int64_t>(elapsed, kLongest) / 1'000'000;
+    if (added == 0) return bytes_;
+    bytes_ = std::min(burst_, bytes_ + added);
+    updated_ = now;
+    return bytes_;
+  }
+  void Debit(steady_time now, std::int64_t bytes) {
+    Available(now);
+    bytes_ -= bytes;
+  }
+
+ private:
+  std::int64_t rate_;
+  std::int64_t burst_;
+  std::int64_t bytes_;
+  steady_time updated_{};
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CONTROL_TOKEN_BUCKET_H_
--- a/source/version/policy_document.cc
+++ b/source/version/policy_document.cc
@@ -9,10 +9,10 @@
   return it == by_name_.end() ? nullptr : it->second;
 }
 
-void policy_document::Put(section_ptr record) {
+bool policy_document::Put(section_ptr record) {
   const auto it = by_name_.find(record->name.value());
   if (it != by_name_.end()) {
-    if (it->second->version >= record->version) return;
+    if (it->second->version >= record->version) return false;
     by_version_.erase(it->second->version);
     // The key refers to the old record's name.
     by_name_.erase(it);
@@ -20,18 +20,21 @@
   by_name_.emplace(record->name.value(), record);
   const section_version version = record->version;
   by_version_[version] = std::move(record);
+  return true;
 }
 
 policy_document::section_range policy_document::Range(
-    section_version after, section_version until, std::size_t most_bytes,
-    const section_filter& filter) const {
+    section_version after, section_version until, std::size_t most_sections,
+    std::size_t most_bytes, const section_filter& filter) const {
   section_range range{{}, until};
   std::size_t bytes = 0;
   for (auto it = by_version_.upper_bound(after);
        it != by_version_.end() && it->first <= until; ++it) {
     if (filter && !filter(*it->second)) continue;
     bytes += it->second->bytes.size() + it->second->name.value().size();
-    if (!range.sections.empty() && bytes > most_bytes) {
+    const bool full =
+        bytes > most_bytes || range.sections.size() >= most_sections;
+    if (full && !range.sections.empty()) {
       range.through = range.sections.back()->version;
       return range;
     }
--- a/source/version/policy_document.h
+++ b/source/version/policy_document.h
@@ -30,13 +30,15 @@
 
   /// Null when the document has never had the section.
   section_ptr Find(const section_name& name) const;
-  /// Replaces an older record of the same section; keeps a newer one.
-  void Put(section_ptr record);
+  /// Replaces an older record of the same section. False when the document
+  /// has this or a newer record, which stays.
+  bool Put(section_ptr record);
 
   /// Sections with versions in (after, until], in the order of their versions,
-  /// up to about `most_bytes` of content but at least one section.
+  /// at most `most_sections` and up to about `most_bytes` of content, but at
+  /// least one section.
   section_range Range(section_version after, section_version until,
-                      std::size_t most_bytes,
+                      std::size_t most_sections, std::size_t most_bytes,
                       const section_filter& filter = {}) const;
 
   const std::map<section_version, section_ptr>& by_version() const {
