--- a/source/process/admission/limit_types.h
+++ b/source/process/admission/limit_types.h
@@ -31,11 +31,14 @@
   std::chrono::microseconds licence = std::chrono::seconds(10);
   /// Longest time that an accepted request may run.
   std::chrono::microseconds longest_request = std::chrono::seconds(120);
+  /// Longer than a change of the list of VMs needs to reach every VM, plus the
+  /// licence.
+  std::chrono::microseconds fleet_settle = std::chrono::seconds(30);
   /// Size of a token bucket, as time at its rate.
   std::chrono::microseconds burst = std::chrono::seconds(1);
   /// Bound of the bytes per second that this VM sends for limits.
   double bytes_per_second = 1000;
-  std::size_t max_waiting_per_workspace = 64;
+  std::size_t max_waiting_per_workspace = 256;
 };
 
 /// kWaiting: the outcome follows as a limit_action, at the latest after
@@ -66,16 +69,26 @@
 struct limit_message {
   limit_message_kind kind = limit_message_kind::kAsk;
   workspace_id workspace;
-  /// Number of the ask that this is or answers; grows per sender.
+  /// Number of the ask that this is or answers. Grows per sender, also from one
+  /// start of its process to the next (upper half: incarnation).
   std::uint64_t sequence = 0;
   workspace_limit limit;
   /// Demand of an ask, share of a grant.
   double tokens_per_second = 0;
+  /// As above. Of a licence: milliseconds until concurrency that an earlier
+  /// allocator gave out has certainly ended.
   std::uint32_t concurrent = 0;
   /// What the sender of an ask holds at most from now on.
   double held_tokens_per_second = 0;
   std::uint32_t held_concurrent = 0;
-  /// Counted by the receiver from the time it sent the ask.
+  /// Tokens wanted or given at once, from the part of the limit that nobody
+  /// held lately.
+  double burst_tokens = 0;
+  /// Of an ask: unused tokens of a share that the holder gives up.
+  double returned_tokens = 0;
+  /// Of a grant: holders that were recalled for it. Above 0 more may follow.
+  std::uint32_t recalls = 0;
+  /// Of a grant or licence; the receiver counts from the time it sent the ask.
   std::uint32_t duration_ms = 0;
 };
 
--- a/source/process/admission/workspace_limits.h
+++ b/source/process/admission/workspace_limits.h
@@ -3,12 +3,13 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "process/admission/limit_allocator.h"
 #include "process/admission/limit_arbiter.h"
+#include "process/admission/limit_fleet.h"
 #include "process/admission/limit_holder.h"
 #include "process/admission/limit_types.h"
 #include "types/ids.h"
@@ -22,12 +23,15 @@
 /// hash to it. docs/admission.md gives the protocol and its bound.
 class workspace_limits {
  public:
-  /// `life` tells this start of the process from earlier ones; a process that
-  /// restarts gives no licence for one licence time after `now`.
-  workspace_limits(limit_settings settings, vm_id self, steady_time now);
+  /// `life` grows with every start of the process on this VM (32 bits). A
+  /// process gives no licence for one licence time after `now`, its start.
+  workspace_limits(const limit_settings& settings, vm_id self, incarnation life,
+                   steady_time now);
 
   /// All entry VMs of the fleet, also unreachable ones, in any order. The same
-  /// list on every VM.
+  /// list on every VM, except while a change of it spreads: for
+  /// limit_settings::fleet_settle after a change no limit is exceeded on that
+  /// account, but shares move less freely.
   void SetFleet(std::vector<vm_id> vms, steady_time now);
 
   /// An accepted policy version. An older version than the known one is
@@ -54,20 +58,35 @@
   std::size_t MemoryBytes() const;
 
  private:
-  limit_holder& Holder(const workspace_id& workspace, steady_time now);
-  void Flush(limit_actions& actions, steady_time now);
+  limit_holder* Find(const workspace_id& workspace, steady_time now);
+  limit_allocator& Allocator(const workspace_id& workspace);
+  void Refresh(const workspace_id& workspace, limit_holder& holder,
+               steady_time now);
+  void Update(const workspace_id& workspace, limit_holder& holder,
+              steady_time now, limit_actions& actions);
+  void OnLicenceAsk(const vm_id& from, const limit_message& ask,
+                    steady_time now, std::vector<limit_send>& send);
+  bool IsCandidate(const workspace_id& workspace, const vm_id& vm) const;
+  /// Delivers messages to this VM itself and holds the others to the budget.
+  void Deliver(steady_time now, std::size_t from, limit_actions& actions);
+  bool Spend(const limit_message& message, steady_time now);
 
   limit_settings settings_;
   vm_id self_;
-  std::vector<vm_id> fleet_;
+  std::uint64_t life_;
+  limit_fleet fleet_;
+  limit_fleet previous_fleet_;
+  std::uint64_t fleet_version_ = 0;
+  steady_time settled_at_;
   std::unordered_map<workspace_id, limit_holder> holders_;
-  /// Workspaces that Tick must visit.
-  std::vector<workspace_id> engaged_;
+  /// Workspaces whose holders Tick must visit.
+  std::unordered_set<workspace_id> engaged_;
   std::unordered_map<workspace_id, limit_allocator> allocators_;
   limit_arbiter arbiter_;
-  std::vector<limit_send> outgoing_;
+  int local_depth_ = 0;
   double byte_credit_ = 0;
   steady_time credited_at_;
+  steady_time forgot_at_;
 };
 
 }  // namespace marjoramsill
