--- /dev/null
+++ b/tests/request/attempt_schedule_test.cc
@@ -0,0 +1,38 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+
+#include "request/attempt_world.h"
+
+namespace marjoramsill {
+
+class attempt_schedule_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(attempt_schedule_test);
+  CPPUNIT_TEST(any_schedule_gives_whole_response_or_explicit_failure);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against any order of endpoint faults, timeouts and late events that
+  // delivers a truncated, repeated or crossed response as complete, answers
+  // twice or never, makes a "not run" false, or breaks the retry budget.
+  void any_schedule_gives_whole_response_or_explicit_failure() {
+    attempt_world_counts counts;
+    CheckProperty("attempt schedules", 5000,
+                  [&counts] { attempt_world(*ScheduleOf(150), counts).Run(); });
+    std::cerr << " complete=" << counts.complete
+              << " complete_after_extra=" << counts.complete_after_extra
+              << " aborted=" << counts.aborted << " failed=" << counts.failed
+              << " resumes=" << counts.resumes << " replays=" << counts.replays;
+    // Every kind of ending must be common, or the schedules show nothing.
+    CPPUNIT_ASSERT(counts.complete > 5000);
+    CPPUNIT_ASSERT(counts.complete_after_extra > 1000);
+    CPPUNIT_ASSERT(counts.aborted > 1000);
+    CPPUNIT_ASSERT(counts.failed > 1000);
+    CPPUNIT_ASSERT(counts.resumes > 1000);
+    CPPUNIT_ASSERT(counts.replays > 1000);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(attempt_schedule_test);
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/request/retry_budget_test.cc
@@ -0,0 +1,56 @@
+#include "request/retry_budget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "request/final_answer.h"
+
+namespace marjoramsill {
+
+class retry_budget_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(retry_budget_test);
+  CPPUNIT_TEST(extra_attempts_stay_within_tenth_and_reserve);
+  CPPUNIT_TEST(reserve_does_not_grow_while_nothing_fails);
+  CPPUNIT_TEST(retry_after_is_spread);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a retry storm.
+  void extra_attempts_stay_within_tenth_and_reserve() {
+    retry_budget budget;
+    for (int i = 0; i < 1000; ++i) {
+      budget.CountFirstAttempt();
+      for (int k = 0; k < 3; ++k) budget.TakeExtraAttempt();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{109}, budget.extra_attempts());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, budget.reserve_used());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3000 - 109}, budget.denied_attempts());
+  }
+
+  // Guards against hours of good service that pay for one large burst.
+  void reserve_does_not_grow_while_nothing_fails() {
+    retry_budget budget;
+    for (int i = 0; i < 100000; ++i) budget.CountFirstAttempt();
+    std::uint64_t burst = 0;
+    while (budget.TakeExtraAttempt()) ++burst;
+    CPPUNIT_ASSERT_EQUAL(retry_budget::kRetryReserve, burst);
+  }
+
+  // Guards against rejected callers that all return at once.
+  void retry_after_is_spread() {
+    std::uint64_t bits = 0;
+    std::set<std::chrono::seconds> seen;
+    for (; bits < 50; ++bits) {
+      seen.insert(
+          JitteredRetryAfter(std::chrono::seconds(4), [&] { return bits; }));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, seen.size());
+    CPPUNIT_ASSERT(*seen.begin() == std::chrono::seconds(4));
+    CPPUNIT_ASSERT(*seen.rbegin() == std::chrono::seconds(8));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(retry_budget_test);
+
+}  // namespace marjoramsill
