--- a/source/process/claims/claim_types.h
+++ b/source/process/claims/claim_types.h
@@ -2,10 +2,10 @@
 #define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_TYPES_H_
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -20,7 +20,7 @@
 
 /// Bounds of every field of a claim; longer ones are refused by the decoders.
 inline constexpr std::size_t kMaxClaimNameBytes = 255;
-inline constexpr std::size_t kMaxStoredBodyBytes = 64 * 1024;
+inline constexpr std::size_t kMaxStoredBodyBytes = std::size_t{64} * 1024;
 inline constexpr std::size_t kMaxStoredHeaders = 16;
 inline constexpr std::size_t kMaxStoredHeaderBytes = 1024;
 inline constexpr std::chrono::milliseconds kMaxClaimDeadline =
@@ -33,7 +33,10 @@
   idempotency_key key;
 
   friend bool operator==(const claim_key&, const claim_key&) = default;
-  friend auto operator<=>(const claim_key&, const claim_key&) = default;
+  friend bool operator<(const claim_key& left, const claim_key& right) {
+    return std::tie(left.workspace, left.key) <
+           std::tie(right.workspace, right.key);
+  }
 };
 
 /// 128 bits of XXH3. A caller that constructs a collision harms only its own
--- a/source/request/attempt_plan.cc
+++ b/source/request/attempt_plan.cc
@@ -38,7 +38,7 @@
 }
 
 attempt_plan::attempt_plan(attempt_settings settings, call_hooks hooks)
-    : settings_(std::move(settings)), hooks_(std::move(hooks)) {}
+    : settings_(settings), hooks_(std::move(hooks)) {}
 
 call_actions attempt_plan::Start(steady_time now) {
   call_actions actions;
--- a/source/request/body_collector.h
+++ b/source/request/body_collector.h
@@ -16,7 +16,7 @@
 /// Collects one whole response and hands it out only if it is complete.
 class body_collector {
  public:
-  static constexpr std::size_t kDefaultMaxBytes = 8 * 1024 * 1024;
+  static constexpr std::size_t kDefaultMaxBytes = std::size_t{8} * 1024 * 1024;
 
   body_collector(response_head head, std::size_t max_bytes);
 
--- a/source/request/sse_parser.cc
+++ b/source/request/sse_parser.cc
@@ -55,7 +55,8 @@
 }
 
 result<void, sse_error> sse_parser::TakeLine(std::vector<std::string>& events) {
-  const std::string line = std::exchange(line_, std::string());
+  const std::string taken = std::exchange(line_, std::string());
+  const std::string_view line = taken;
   if (line.empty()) {
     if (has_data_) events.push_back(std::exchange(data_, std::string()));
     has_data_ = false;
@@ -66,14 +67,14 @@
   }
   if (line.front() == ':') return success();
   const std::size_t colon = std::min(line.find(':'), line.size());
-  if (!IsKnownField(std::string_view(line).substr(0, colon))) {
+  if (!IsKnownField(line.substr(0, colon))) {
     return failure(sse_error::kUnknownField);
   }
   if (line.compare(0, colon, "data") != 0) return success();
   std::size_t start = std::min(colon + 1, line.size());
   if (start < line.size() && line[start] == ' ') ++start;
   if (has_data_) data_.push_back('\n');
-  data_.append(line, start);
+  data_.append(line.substr(start));
   has_data_ = true;
   return success();
 }
--- a/source/request/sse_parser.h
+++ b/source/request/sse_parser.h
@@ -26,7 +26,7 @@
 /// an event stream.
 class sse_parser {
  public:
-  static constexpr std::size_t kDefaultMaxEventBytes = 256 * 1024;
+  static constexpr std::size_t kDefaultMaxEventBytes = std::size_t{256} * 1024;
 
   explicit sse_parser(std::size_t max_event_bytes = kDefaultMaxEventBytes);
 
--- a/source/request/stream_relay.h
+++ b/source/request/stream_relay.h
@@ -29,7 +29,7 @@
 class stream_relay {
  public:
   /// Text kept for a replay; a longer response can be resumed only.
-  static constexpr std::size_t kMaxReplayBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxReplayBytes = std::size_t{1024} * 1024;
 
   /// A stream that starts at its first event: a first attempt, a retry, or a
   /// replay that continues the text delivered so far.
