--- /dev/null
+++ b/source/process/replication/log_store.h
@@ -0,0 +1,53 @@
+#ifndef MARJORAMSILL_PROCESS_REPLICATION_LOG_STORE_H_
+#define MARJORAMSILL_PROCESS_REPLICATION_LOG_STORE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "process/replication/file_folder.h"
+#include "process/replication/storage_writes.h"
+
+namespace marjoramsill {
+
+/// Durable state of one group in one folder: segment files of checksummed
+/// records and one snapshot file. Any error is fatal to the member.
+class log_store {
+ public:
+  /// The folder must outlive the store. Segments are closed at
+  /// `segment_bytes`.
+  explicit log_store(file_folder& folder,
+                     std::size_t segment_bytes = 4 * 1024 * 1024);
+
+  /// Reads the stored state, cuts a torn tail and opens a new segment.
+  result<stored_state, storage_error> Open();
+  /// Executes the writes; durable after the next Sync.
+  result<void, storage_error> Write(const storage_writes& writes);
+  result<void, storage_error> Sync();
+
+ private:
+  struct segment {
+    std::uint64_t number = 0;
+    std::size_t bytes = 0;
+    /// Greatest entry index in the segment.
+    log_index last;
+  };
+  result<void, storage_error> ReadSnapshot(stored_state& state);
+  result<void, storage_error> ReadSegment(const std::string& name, bool last,
+                                          stored_state& state);
+  result<void, storage_error> OpenSegment();
+  result<void, storage_error> RemoveSegments(log_index before);
+
+  file_folder& folder_;
+  const std::size_t segment_bytes_;
+  std::deque<segment> segments_;
+  hard_state state_;
+  bool dirty_ = false;
+  std::optional<log_index> remove_before_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_REPLICATION_LOG_STORE_H_
--- /dev/null
+++ b/source/process/replication/member.h
@@ -0,0 +1,34 @@
+#ifndef MARJORAMSILL_PROCESS_REPLICATION_MEMBER_H_
+#define MARJORAMSILL_PROCESS_REPLICATION_MEMBER_H_
+
+#include <compare>
+
+#include "types/ids.h"
+
+namespace marjoramsill {
+
+/// Random number written to a data folder at its first start. Zero: unknown.
+using disk_id = strong_number<struct disk_id_tag>;
+
+/// Identity of a member of a replicated group. A VM whose disk was lost or
+/// exchanged has another disk id and is therefore another member.
+struct member_id {
+  vm_id vm;
+  disk_id disk;
+
+  friend bool operator==(const member_id&, const member_id&) = default;
+  friend auto operator<=>(const member_id&, const member_id&) = default;
+};
+
+struct group_member {
+  member_id id;
+  failure_domain_id domain;
+  /// A standby receives the log but neither votes nor counts for commit.
+  bool voter = false;
+
+  friend bool operator==(const group_member&, const group_member&) = default;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_REPLICATION_MEMBER_H_
--- /dev/null
+++ b/source/process/replication/raft_log.h
@@ -0,0 +1,45 @@
+#ifndef MARJORAMSILL_PROCESS_REPLICATION_RAFT_LOG_H_
+#define MARJORAMSILL_PROCESS_REPLICATION_RAFT_LOG_H_
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "process/replication/log_entry.h"
+
+namespace marjoramsill {
+
+/// Entries in memory that follow a base position.
+class raft_log {
+ public:
+  /// Discards all entries; the next one follows `index`.
+  void Reset(log_index index, log_term term);
+  void Append(log_entry entry);
+  /// Discards entries from `index` on.
+  void TruncateFrom(log_index index);
+  /// Discards entries before `index`, which must be in the log.
+  void CompactBefore(log_index index);
+
+  log_index base_index() const { return base_index_; }
+  log_index last_index() const;
+  log_term last_term() const;
+  std::size_t bytes() const { return bytes_; }
+  /// Empty when the index is before the base or after the end.
+  std::optional<log_term> TermAt(log_index index) const;
+  /// Null when not in the log.
+  const log_entry* Find(log_index index) const;
+  /// Entries from `from` on, bounded by count and bytes (at least one).
+  std::vector<log_entry> Copy(log_index from, std::size_t max_entries,
+                              std::size_t max_bytes) const;
+
+ private:
+  std::deque<log_entry> entries_;
+  log_index base_index_;
+  log_term base_term_;
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_REPLICATION_RAFT_LOG_H_
--- /dev/null
+++ b/source/process/replication/raft_settings.h
@@ -0,0 +1,51 @@
+#ifndef MARJORAMSILL_PROCESS_REPLICATION_RAFT_SETTINGS_H_
+#define MARJORAMSILL_PROCESS_REPLICATION_RAFT_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace marjoramsill {
+
+/// Settings of a replicated group; equal on all members.
+struct raft_settings {
+  /// Long, because with nine groups heartbeats are the idle control traffic.
+  std::chrono::milliseconds heartbeat_interval{600};
+  /// Must exceed two heartbeat intervals, so that one lost heartbeat neither
+  /// ends the lease nor starts an election.
+  std::chrono::milliseconds election_timeout_min{1400};
+  std::chrono::milliseconds election_timeout_max{2000};
+  /// Share of election_timeout_min for which a lease holds; the rest covers
+  /// clocks that advance at different rates.
+  int lease_percent = 90;
+  /// Standbys receive every n-th heartbeat.
+  std::uint32_t standby_heartbeat_every = 4;
+  /// Followers learn a new commit index after this time at the latest.
+  std::chrono::milliseconds commit_notice_delay{20};
+
+  std::size_t max_command_bytes = 1024 * 1024;
+  std::size_t max_append_bytes = 256 * 1024;
+  std::size_t max_append_entries = 1024;
+  /// Append requests on the way to one member.
+  std::size_t max_appends_in_flight = 8;
+  /// Proposals are refused while this much is not yet committed.
+  std::size_t max_uncommitted_bytes = 8 * 1024 * 1024;
+  std::size_t snapshot_part_bytes = 64 * 1024;
+
+  /// A snapshot is requested when the log exceeds one of these.
+  std::uint64_t compaction_entries = 8192;
+  std::size_t compaction_bytes = 16 * 1024 * 1024;
+  /// Entries kept before the snapshot for members that lag behind slightly.
+  std::uint64_t retained_entries = 1024;
+
+  std::size_t target_voters = 5;
+  std::size_t max_members = 9;
+  std::chrono::milliseconds demote_after{10'000};
+  std::chrono::milliseconds remove_after{60'000};
+  /// A standby that lags by at most this many entries may be promoted.
+  std::uint64_t promotion_lag = 128;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_REPLICATION_RAFT_SETTINGS_H_
