--- a/source/process/replication/data_folder.h
+++ b/source/process/replication/data_folder.h
@@ -28,7 +28,7 @@
       const std::string& group);
 
  private:
-  data_folder(std::string path, int lock) : path_(path), lock_(lock) {}
+  data_folder(std::string path, int lock);
   result<void, storage_error> LoadDiskId(const random_source& random);
 
   const std::string path_;
--- a/source/process/replication/hard_state.h
+++ b/source/process/replication/hard_state.h
@@ -13,6 +13,8 @@
 struct known_start {
   member_id member;
   std::uint64_t number = 0;
+  /// Random number of that run of the process.
+  std::uint64_t run = 0;
 
   friend bool operator==(const known_start&, const known_start&) = default;
 };
--- /dev/null
+++ b/source/process/replication/log_store.cc
@@ -0,0 +1,303 @@
+#include "process/replication/log_store.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+namespace marjoramsill {
+namespace {
+
+constexpr std::string_view kSegmentPrefix = "segment-";
+constexpr const char* kSnapshotName = "snapshot";
+
+std::string SegmentName(std::uint64_t number) {
+  const std::string digits = std::to_string(number);
+  return std::string(kSegmentPrefix) +
+         std::string(digits.size() < 20 ? 20 - digits.size() : 0, '0') + digits;
+}
+
+std::optional<std::uint64_t> SegmentNumber(const std::string& name) {
+  if (!name.starts_with(kSegmentPrefix)) return std::nullopt;
+  std::uint64_t number = 0;
+  const char* begin = name.data() + kSegmentPrefix.size();
+  const char* end = name.data() + name.size();
+  const auto [stop, error] = std::from_chars(begin, end, number);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return number;
+}
+
+storage_error Corrupt(const std::string& file, std::size_t offset,
+                      std::string detail) {
+  return {storage_error_kind::kCorrupt, file, offset, std::move(detail)};
+}
+
+/// A torn write leaves nothing valid behind it; damage elsewhere does.
+bool HasRecordAfter(std::string_view bytes, std::uint64_t segment,
+                    std::size_t offset) {
+  for (std::size_t i = offset + 1; i + kRecordHeaderBytes <= bytes.size();
+       ++i) {
+    if (ReadRecord(bytes, segment, i)) return true;
+  }
+  return false;
+}
+
+/// Replays one record; returns the reason if it does not fit.
+std::optional<std::string> Replay(const record_view& record,
+                                  stored_state& state, log_index& last) {
+  std::vector<log_entry>& entries = state.entries;
+  if (record.type == record_type::kState) {
+    auto decoded = DecodeState(record.payload);
+    if (!decoded) return "undecodable state record";
+    state.state = std::move(*decoded);
+  } else if (record.type == record_type::kEntry) {
+    auto decoded = DecodeLogEntry(record.payload);
+    if (!decoded) return "undecodable entry record";
+    if (!entries.empty() && decoded->index != entries.back().index.Next()) {
+      return "entry " + std::to_string(decoded->index.value()) +
+             " follows entry " + std::to_string(entries.back().index.value());
+    }
+    last = std::max(last, decoded->index);
+    entries.push_back(std::move(*decoded));
+  } else if (record.type == record_type::kTruncate) {
+    const auto from = DecodeIndex(record.payload);
+    if (!from) return "undecodable truncate record";
+    while (!entries.empty() && entries.back().index >= *from) {
+      entries.pop_back();
+    }
+  } else {
+    entries.clear();
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+log_store::log_store(file_folder& folder, std::size_t segment_bytes)
+    : folder_(folder), segment_bytes_(segment_bytes) {}
+
+result<stored_state, storage_error> log_store::Open() {
+  auto names = folder_.List();
+  if (!names) return failure(names.error());
+  std::vector<std::uint64_t> numbers;
+  for (const std::string& name : names.value()) {
+    if (name.ends_with(".tmp")) {
+      auto removed = folder_.Remove(name);
+      if (!removed) return failure(removed.error());
+    } else if (auto number = SegmentNumber(name)) {
+      numbers.push_back(*number);
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  stored_state state;
+  const bool has_snapshot =
+      std::find(names.value().begin(), names.value().end(), kSnapshotName) !=
+      names.value().end();
+  if (has_snapshot) {
+    auto read = ReadSnapshot(state);
+    if (!read) return failure(read.error());
+  }
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    if (i > 0 && numbers[i] != numbers[i - 1] + 1) {
+      return failure(
+          Corrupt(SegmentName(numbers[i - 1] + 1), 0, "segment is missing"));
+    }
+    auto read = ReadSegment(numbers[i], i + 1 == numbers.size(), state);
+    if (!read) return failure(read.error());
+  }
+  auto reconciled = Reconcile(state);
+  if (!reconciled) return failure(reconciled.error());
+  return state;
+}
+
+result<void, storage_error> log_store::ReadSnapshot(stored_state& state) {
+  auto bytes = folder_.Read(kSnapshotName);
+  if (!bytes) return failure(bytes.error());
+  state.stored_snapshot.emplace();
+  switch (DecodeSnapshotFile(bytes.value(), *state.stored_snapshot)) {
+    case header_state::kValid:
+      return success();
+    case header_state::kUnknownVersion:
+      return failure(storage_error{storage_error_kind::kUnknownVersion,
+                                   kSnapshotName, 4, "snapshot format"});
+    case header_state::kDamaged:
+      break;
+  }
+  return failure(Corrupt(kSnapshotName, 0, "checksum does not match"));
+}
+
+result<void, storage_error> log_store::ReadSegment(std::uint64_t number,
+                                                   bool last,
+                                                   stored_state& state) {
+  const std::string name = SegmentName(number);
+  auto bytes = folder_.Read(name);
+  if (!bytes) return failure(bytes.error());
+  const std::string& data = bytes.value();
+  const header_state header = CheckSegmentHeader(data, number);
+  if (header == header_state::kUnknownVersion) {
+    return failure(storage_error{storage_error_kind::kUnknownVersion, name, 4,
+                                 "segment format"});
+  }
+  if (header == header_state::kDamaged) {
+    // A segment whose creation was interrupted holds nothing yet.
+    const bool torn = last && !HasRecordAfter(data, number, 0);
+    if (!torn) return failure(Corrupt(name, 0, "damaged header"));
+    return folder_.Remove(name);
+  }
+  segment read{number, data.size(), log_index()};
+  auto end = ReadRecords(data, read, state);
+  if (!end) return failure(end.error());
+  if (end.value() < data.size()) {
+    if (!last || HasRecordAfter(data, number, end.value())) {
+      return failure(Corrupt(name, end.value(), "damaged record"));
+    }
+    auto cut = folder_.Truncate(name, end.value());
+    if (!cut) return failure(cut.error());
+    read.bytes = end.value();
+  } else if (last) {
+    auto synced = folder_.Sync(name);
+    if (!synced) return failure(synced.error());
+  }
+  segments_.push_back(read);
+  return success();
+}
+
+result<std::size_t, storage_error> log_store::ReadRecords(
+    const std::string& bytes, segment& read, stored_state& state) {
+  std::size_t offset = kSegmentHeaderBytes;
+  while (auto record = ReadRecord(bytes, read.number, offset)) {
+    if (auto reason = Replay(*record, state, read.last)) {
+      return failure(Corrupt(SegmentName(read.number), offset, *reason));
+    }
+    offset += record->size;
+  }
+  return offset;
+}
+
+/// Brings log and snapshot together after a stop between their writes.
+result<void, storage_error> log_store::Reconcile(stored_state& state) {
+  state_ = state.state;
+  std::vector<log_entry>& entries = state.entries;
+  if (entries.empty()) return success();
+  if (!state.stored_snapshot) {
+    return failure(Corrupt(kSnapshotName, 0, "missing beside a log"));
+  }
+  const snapshot& base = *state.stored_snapshot;
+  const log_index first = entries.front().index;
+  if (first > base.index.Next()) {
+    return failure(Corrupt(SegmentName(segments_.front().number), 0,
+                           "entries after the snapshot are missing"));
+  }
+  bool replaced = entries.back().index < base.index;
+  if (!replaced && first <= base.index) {
+    const std::size_t at = base.index.value() - first.value();
+    replaced = entries[at].term != base.term;
+  }
+  if (!replaced) return success();
+  entries.clear();
+  auto reset = AppendRecord(record_type::kReset, {});
+  if (!reset) return reset;
+  return SyncRecords();
+}
+
+result<void, storage_error> log_store::StartSegment() {
+  if (!segments_.empty()) {
+    // Only the last segment may have a torn tail.
+    auto synced = folder_.Sync(SegmentName(segments_.back().number));
+    if (!synced) return synced;
+  }
+  const std::uint64_t number =
+      segments_.empty() ? 1 : segments_.back().number + 1;
+  auto written =
+      folder_.Append(SegmentName(number), EncodeSegmentHeader(number));
+  if (!written) return written;
+  segments_.push_back({number, kSegmentHeaderBytes, log_index()});
+  dirty_ = true;
+  // Repeated in each segment, so that older segments can be removed.
+  return AppendRecord(record_type::kState, EncodeState(state_));
+}
+
+result<void, storage_error> log_store::AppendRecord(
+    record_type type, const std::string& payload) {
+  if (segments_.empty() || segments_.back().bytes >= segment_bytes_) {
+    auto started = StartSegment();
+    if (!started) return started;
+  }
+  segment& active = segments_.back();
+  const std::string record =
+      EncodeRecord(type, payload, active.number, active.bytes);
+  auto written = folder_.Append(SegmentName(active.number), record);
+  if (!written) return written;
+  active.bytes += record.size();
+  dirty_ = true;
+  return success();
+}
+
+result<void, storage_error> log_store::Write(const storage_writes& writes) {
+  if (!failed_) return Checked(WriteRecords(writes));
+  return failure(*failed_);
+}
+
+result<void, storage_error> log_store::Sync() {
+  if (!failed_) return Checked(SyncRecords());
+  return failure(*failed_);
+}
+
+/// After a failure the content of the files is not known: a later sync may
+/// succeed although the failed one lost pages.
+result<void, storage_error> log_store::Checked(
+    result<void, storage_error> outcome) {
+  if (!outcome) failed_ = outcome.error();
+  return outcome;
+}
+
+result<void, storage_error> log_store::WriteRecords(
+    const storage_writes& writes) {
+  if (writes.stored_snapshot) {
+    auto replaced = folder_.Replace(
+        kSnapshotName, EncodeSnapshotFile(*writes.stored_snapshot));
+    if (!replaced) return replaced;
+  }
+  if (writes.reset_log) {
+    auto reset = AppendRecord(record_type::kReset, {});
+    if (!reset) return reset;
+  }
+  if (writes.truncate_from) {
+    auto cut = AppendRecord(record_type::kTruncate,
+                            EncodeIndex(*writes.truncate_from));
+    if (!cut) return cut;
+  }
+  if (writes.state) {
+    state_ = *writes.state;
+    auto written = AppendRecord(record_type::kState, EncodeState(state_));
+    if (!written) return written;
+  }
+  for (const log_entry& entry : writes.entries) {
+    auto written = AppendRecord(record_type::kEntry, EncodeLogEntry(entry));
+    if (!written) return written;
+    segments_.back().last = std::max(segments_.back().last, entry.index);
+  }
+  if (writes.compact_before) remove_before_ = writes.compact_before;
+  return success();
+}
+
+result<void, storage_error> log_store::SyncRecords() {
+  if (dirty_) {
+    auto synced = folder_.Sync(SegmentName(segments_.back().number));
+    if (!synced) return synced;
+    dirty_ = false;
+  }
+  return RemoveSegments();
+}
+
+result<void, storage_error> log_store::RemoveSegments() {
+  if (!remove_before_) return success();
+  while (segments_.size() > 1 && segments_.front().last < *remove_before_) {
+    auto removed = folder_.Remove(SegmentName(segments_.front().number));
+    if (!removed) return removed;
+    segments_.pop_front();
+  }
+  remove_before_.reset();
+  return success();
+}
+
+}  // namespace marjoramsill
--- a/source/process/replication/log_store.h
+++ b/source/process/replication/log_store.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "process/replication/file_folder.h"
+#include "process/replication/storage_codec.h"
 #include "process/replication/storage_writes.h"
 
 namespace marjoramsill {
@@ -19,9 +20,10 @@
   /// The folder must outlive the store. Segments are closed at
   /// `segment_bytes`.
   explicit log_store(file_folder& folder,
-                     std::size_t segment_bytes = 4 * 1024 * 1024);
+                     std::size_t segment_bytes = std::size_t{4} * 1024 * 1024);
 
-  /// Reads the stored state, cuts a torn tail and opens a new segment.
+  /// Reads the stored state, cuts a torn tail and syncs what is left: a
+  /// process that was killed may have left unsynced records.
   result<stored_state, storage_error> Open();
   /// Executes the writes; durable after the next Sync.
   result<void, storage_error> Write(const storage_writes& writes);
@@ -35,10 +37,20 @@
     log_index last;
   };
   result<void, storage_error> ReadSnapshot(stored_state& state);
-  result<void, storage_error> ReadSegment(const std::string& name, bool last,
+  result<void, storage_error> ReadSegment(std::uint64_t number, bool last,
                                           stored_state& state);
-  result<void, storage_error> OpenSegment();
-  result<void, storage_error> RemoveSegments(log_index before);
+  /// Reads records up to the end or the first damaged one.
+  result<std::size_t, storage_error> ReadRecords(const std::string& bytes,
+                                                 segment& read,
+                                                 stored_state& state);
+  result<void, storage_error> Reconcile(stored_state& state);
+  result<void, storage_error> StartSegment();
+  result<void, storage_error> AppendRecord(record_type type,
+                                           const std::string& payload);
+  result<void, storage_error> WriteRecords(const storage_writes& writes);
+  result<void, storage_error> SyncRecords();
+  result<void, storage_error> RemoveSegments();
+  result<void, storage_error> Checked(result<void, storage_error> outcome);
 
   file_folder& folder_;
   const std::size_t segment_bytes_;
@@ -46,6 +58,8 @@
   hard_state state_;
   bool dirty_ = false;
   std::optional<log_index> remove_before_;
+  /// First failure; every later call returns it.
+  std::optional<storage_error> failed_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/replication/majority_recovery.h
+++ b/source/process/replication/majority_recovery.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_PROCESS_REPLICATION_MAJORITY_RECOVERY_H_
 #define MARJORAMSILL_PROCESS_REPLICATION_MAJORITY_RECOVERY_H_
 
+#include <utility>
 #include <vector>
 
 #include "process/replication/storage_writes.h"
@@ -35,6 +36,9 @@
   kNotNewest,
 };
 
+/// Term and index of the last entry; the operator compares the survivors.
+std::pair<log_term, log_index> LastPosition(const stored_state& stored);
+
 /// Offline, on one stopped survivor only: returns the writes that make this
 /// member the only voter of the group, in a new term. All other members empty
 /// their data folders and join.
--- a/source/process/replication/message_codec.h
+++ b/source/process/replication/message_codec.h
@@ -35,7 +35,7 @@
 
 /// Limits of one decoded bundle.
 struct codec_limits {
-  std::size_t max_bytes = 4 * 1024 * 1024;
+  std::size_t max_bytes = std::size_t{4} * 1024 * 1024;
   std::size_t max_messages = 256;
   std::size_t max_entries = 4096;
   std::size_t max_members = 64;
--- /dev/null
+++ b/source/process/replication/raft_membership.cc
@@ -0,0 +1,154 @@
+#include <algorithm>
+#include <utility>
+
+#include "process/replication/message_codec.h"
+#include "process/replication/raft_node.h"
+
+namespace marjoramsill {
+
+void raft_node::AdoptConfiguration(group_configuration configuration,
+                                   log_index index, steady_time now) {
+  configuration_history_[index.value()] = configuration;
+  configuration_ = std::move(configuration);
+  configuration_index_ = index;
+  if (role_ == raft_role::kLeader) SyncProgress(now);
+}
+
+void raft_node::RevertConfiguration(log_index from) {
+  configuration_history_.erase(configuration_history_.lower_bound(from.value()),
+                               configuration_history_.end());
+  if (configuration_history_.empty()) return;
+  configuration_ = configuration_history_.rbegin()->second;
+  configuration_index_ = log_index(configuration_history_.rbegin()->first);
+}
+
+/// Gives every other member of the configuration a progress record.
+void raft_node::SyncProgress(steady_time now) {
+  std::erase_if(progress_, [&](const auto& item) {
+    return configuration_.Find(item.first) == nullptr;
+  });
+  for (const group_member& member : configuration_.members) {
+    if (member.id == self() || progress_.contains(member.id)) continue;
+    peer_progress& progress = progress_[member.id];
+    progress.next = log_.last_index().Next();
+    progress.last_heard = now;
+    progress.round_sent_at = now;
+  }
+}
+
+/// One change at a time: the previous one and an entry of this term must be
+/// committed. Otherwise two majorities without a common member could arise.
+bool raft_node::MayChangeConfiguration() const {
+  return role_ == raft_role::kLeader && !transfer_to_ &&
+         commit_ >= configuration_index_ && commit_ >= term_start_index_;
+}
+
+void raft_node::ProposeConfiguration(const group_configuration& next,
+                                     steady_time now) {
+  if (!MayChangeConfiguration() || !IsSingleStep(configuration_, next)) return;
+  AppendOwn(entry_kind::kConfiguration, EncodeConfiguration(next), now);
+}
+
+void raft_node::ProposeRepair(steady_time now) {
+  if (!MayChangeConfiguration()) return;
+  auto next = PlanRepair(configuration_, self(), CollectHealth(now), settings_);
+  if (next) ProposeConfiguration(*next, now);
+}
+
+std::vector<member_health> raft_node::CollectHealth(steady_time now) const {
+  std::vector<member_health> health;
+  for (const auto& [id, progress] : progress_) {
+    const std::chrono::microseconds silent = now - progress.last_heard;
+    // Standbys are asked less often than voters.
+    const std::chrono::microseconds limit =
+        configuration_.IsVoter(id) ? settings_.election_timeout_min
+                                   : 2 * settings_.standby_heartbeat_every *
+                                         settings_.heartbeat_interval;
+    const bool caught_up = progress.match.value() > 0 &&
+                           progress.match.value() + settings_.promotion_lag >=
+                               log_.last_index().value();
+    health.push_back({id, silent, silent < limit, caught_up, progress.leaving});
+  }
+  return health;
+}
+
+void raft_node::Leave(steady_time now) {
+  last_now_ = std::max(now, last_now_);
+  leaving_ = true;
+  next_leave_ = last_now_;
+  if (role_ == raft_role::kLeader) TransferLeadership(last_now_);
+  TickJoin(last_now_);
+}
+
+void raft_node::TickLeave(steady_time now) {
+  if (now < next_leave_ || left_) return;
+  next_leave_ = now + settings_.heartbeat_interval;
+  if (role_ == raft_role::kLeader) {
+    TransferLeadership(now);
+  } else if (leader_) {
+    Send(*leader_, leave_request{});
+  }
+}
+
+void raft_node::OnLeaveRequest(const raft_message& message) {
+  if (role_ != raft_role::kLeader) return;
+  if (peer_progress* progress = ProgressOf(message.from)) {
+    progress->leaving = true;
+  } else if (configuration_index_ <= commit_) {
+    // The removal is committed; tells the member, which is sent no log now.
+    Send(message.from, join_reply{self()});
+  }
+}
+
+/// A member that hears from no leader asks the other VMs for one.
+void raft_node::TickJoin(steady_time now) {
+  if (leaving_) return TickLeave(now);
+  if (role_ == raft_role::kLeader || now < next_join_) return;
+  const std::chrono::microseconds patience = settings_.election_timeout_max;
+  next_join_ = now + settings_.heartbeat_interval;
+  if (!IsEmpty() && now - last_leader_contact_ < patience) return;
+  const join_request request{start_.domain, IsEmpty() ? nonce_ : 0};
+  if (join_hint_) {
+    Send(*std::exchange(join_hint_, std::nullopt), request);
+    return;
+  }
+  next_join_ = now + patience;
+  for (const vm_id& peer : start_.peers) {
+    if (peer != self().vm) Send({peer, disk_id()}, request);
+  }
+}
+
+void raft_node::OnJoinRequest(const raft_message& message,
+                              const join_request& request, steady_time now) {
+  if (role_ != raft_role::kLeader) {
+    if (leader_) Send(message.from, join_reply{leader_});
+    return;
+  }
+  Send(message.from, join_reply{self()});
+  if (peer_progress* progress = ProgressOf(message.from)) {
+    progress->last_heard = now;
+    if (request.nonce != 0) progress->nonce = request.nonce;
+    SendHeartbeat(message.from, *progress);
+    return;
+  }
+  if (configuration_.members.size() >= settings_.max_members) return;
+  if (!MayChangeConfiguration()) return;
+  group_configuration next = configuration_;
+  next.Set({message.from, request.domain, false});
+  ProposeConfiguration(next, now);
+  if (peer_progress* progress = ProgressOf(message.from)) {
+    progress->nonce = request.nonce;
+  }
+}
+
+void raft_node::OnJoinReply(const raft_message& message,
+                            const join_reply& reply) {
+  if (!reply.leader) return;
+  group_seen_elsewhere_ = true;
+  if (leaving_ && message.from == *reply.leader) left_ = true;
+  if (*reply.leader == self() || message.from == *reply.leader) return;
+  join_hint_ = reply.leader;
+  next_join_ = last_now_;
+}
+
+}  // namespace marjoramsill
--- a/source/process/replication/raft_message.h
+++ b/source/process/replication/raft_message.h
@@ -126,14 +126,17 @@
 /// A restarted member asks its peers whether its disk is the newest one.
 struct start_query {
   std::uint64_t starts = 0;
+  /// Random number of this run, so that a repeated query is recognised.
+  std::uint64_t run = 0;
   friend bool operator==(const start_query&, const start_query&) = default;
 };
 
-/// `known_starts` is the number known before the query; `known_index` is the
-/// last index that the queried member has acknowledged to this leader.
+/// `stale` tells that another run with this number or a greater one is known.
+/// `known_index` is the last index that the member has acknowledged to this
+/// leader in the message's term.
 struct start_reply {
-  std::uint64_t starts = 0;
-  std::uint64_t known_starts = 0;
+  std::uint64_t run = 0;
+  bool stale = false;
   log_index known_index;
   friend bool operator==(const start_reply&, const start_reply&) = default;
 };
--- a/source/process/replication/raft_node.h
+++ b/source/process/replication/raft_node.h
@@ -89,7 +89,8 @@
   log_index commit_index() const { return commit_; }
   log_index last_index() const { return log_.last_index(); }
   bool has_group() const { return !configuration_.members.empty(); }
-  bool is_leaving() const { return leaving_; }
+  /// The removal that Leave() asked for is committed.
+  bool has_left() const { return left_; }
   /// False until a restarted member knows that its disk is the newest one.
   bool is_start_checked() const { return start_checked_; }
 
@@ -100,23 +101,24 @@
   steady_time NextDeadline() const;
 
  private:
-  using clock = steady_time;
-
   // raft_node.cc: start, dispatch, output.
   void LoadStored(steady_time now);
-  bool AcceptsMessage(const raft_message& message, steady_time now);
+  void TickLeader(steady_time now);
+  bool AcceptsMessage(const raft_message& message) const;
+  bool DispatchWithoutTerm(const raft_message& message, steady_time now);
   bool ObserveTerm(const raft_message& message, steady_time now);
   void Dispatch(const raft_message& message, steady_time now);
   void Send(const member_id& to, raft_body body);
+  /// Sends once everything written so far, or about to be, is durable.
   void SendWhenDurable(const member_id& to, raft_body body);
-  void Enqueue(raft_message message, bool durable);
   storage_writes& PendingWrites();
   void WriteState();
   void NoteRole();
+  /// No configuration is known: this member belongs to no group yet.
   bool IsEmpty() const { return !has_group(); }
 
-  // raft_election.cc: terms, votes, leases.
-  void BecomeFollower(log_term term, std::optional<member_id> leader,
+  // raft_election.cc: terms, votes, leases, transfer.
+  void BecomeFollower(log_term new_term, std::optional<member_id> leader,
                       steady_time now);
   void StartElection(bool pre, bool transfer, steady_time now);
   void BecomeLeader(steady_time now);
@@ -133,59 +135,80 @@
   void OnTakeLeadership(const raft_message& message, steady_time now);
   void TickTransfer(steady_time now);
 
-  // raft_replication.cc: log and commit.
+  // raft_replication.cc: log, commit, reads.
   void AppendOwn(entry_kind kind, std::string payload, steady_time now);
+  void AppendEntry(log_entry entry, steady_time now);
+  void TruncateLog(log_index from);
+  void DropHeldAppendReplies();
+  peer_progress* ProgressOf(const member_id& id);
   void Replicate(steady_time now);
   void ReplicateTo(const member_id& to, peer_progress& progress,
                    steady_time now);
+  void RepeatLost(const member_id& to, peer_progress& progress,
+                  steady_time now);
   void BroadcastHeartbeat(steady_time now);
-  void SendHeartbeat(const member_id& to, const peer_progress& progress);
+  void SendHeartbeat(const member_id& to, peer_progress& progress);
+  void NotifyCommit();
+  void NoteRound(peer_progress& progress, std::uint64_t round, steady_time now);
   void AdvanceCommit(steady_time now);
   void CommitTo(log_index index);
   void ApplyCommitted();
-  void NoteRound(peer_progress& progress, std::uint64_t round, steady_time now);
-  void FollowLeader(const raft_message& message, steady_time now);
-  void AppendReceived(const log_entry& entry);
-  void OnHeartbeat(const raft_message& message, const heartbeat& body,
-                   steady_time now);
+  bool FollowLeader(const raft_message& message, steady_time now);
+  void OnHeartbeat(const raft_message& message, const heartbeat& body);
+  void OnHeartbeatReply(const raft_message& message,
+                        const heartbeat_reply& reply, steady_time now);
   void OnAppend(const raft_message& message, const append_request& request,
                 steady_time now);
   void OnAppendReply(const raft_message& message, const append_reply& reply,
                      steady_time now);
+  void OnMatch(peer_progress& progress, log_index index, steady_time now);
   void AnswerReads();
-  peer_progress* ProgressOf(const member_id& id);
 
   // raft_snapshot.cc: snapshots and compaction.
+  void StartSnapshot(const member_id& to, peer_progress& progress,
+                     steady_time now);
   void SendSnapshotPart(const member_id& to, peer_progress& progress,
                         steady_time now);
   void OnSnapshotPart(const raft_message& message, const snapshot_part& part,
                       steady_time now);
   void OnSnapshotReply(const raft_message& message, const snapshot_reply& reply,
                        steady_time now);
-  void InstallSnapshot(snapshot received);
+  void InstallSnapshot(snapshot received, steady_time now);
   void RequestCompaction();
 
-  // raft_membership.cc: configuration, joining, bootstrap, start check.
+  // raft_membership.cc: configuration, repair, joining, leaving.
   void AdoptConfiguration(group_configuration configuration, log_index index,
                           steady_time now);
-  void RevertConfiguration();
+  void RevertConfiguration(log_index from);
+  void SyncProgress(steady_time now);
+  bool MayChangeConfiguration() const;
+  void ProposeConfiguration(const group_configuration& next, steady_time now);
   void ProposeRepair(steady_time now);
   std::vector<member_health> CollectHealth(steady_time now) const;
+  void TickLeave(steady_time now);
   void TickJoin(steady_time now);
-  void TickBootstrap(steady_time now);
-  void Bootstrap(steady_time now);
   void OnJoinRequest(const raft_message& message, const join_request& request,
                      steady_time now);
+  void OnJoinReply(const raft_message& message, const join_reply& reply);
+  void OnLeaveRequest(const raft_message& message);
+
+  // raft_start.cc: bootstrap and start check.
+  void TickBootstrap(steady_time now);
+  void Bootstrap(steady_time now);
   void OnBootstrapQuery(const raft_message& message);
   void OnBootstrapReply(const raft_message& message,
                         const bootstrap_reply& reply, steady_time now);
   void SendStartQueries(steady_time now);
   void OnStartQuery(const raft_message& message, const start_query& query);
   void OnStartReply(const raft_message& message, const start_reply& reply);
+  void NoteStartReplies();
+  void ForgetRemovedStarts();
 
   const raft_settings settings_;
   raft_start start_;
   random_source random_;
+  steady_time last_now_;
+  steady_time started_at_;
 
   hard_state state_;
   raft_log log_;
@@ -201,6 +224,9 @@
   /// Configurations by index that may still be reverted or compacted.
   std::map<std::uint64_t, group_configuration> configuration_history_;
 
+  /// Applied since the last snapshot.
+  std::size_t applied_bytes_ = 0;
+
   steady_time election_deadline_;
   steady_time last_leader_contact_;
   std::map<member_id, bool> votes_;
@@ -221,6 +247,9 @@
   bool lease_renounced_ = false;
   std::optional<member_id> transfer_to_;
   steady_time transfer_deadline_;
+  steady_time next_transfer_;
+  /// Entries were appended since the last output.
+  bool replicate_needed_ = false;
   struct pending_read {
     std::uint64_t id = 0;
     std::uint64_t round = 0;
@@ -236,12 +265,15 @@
   steady_time next_join_;
   std::optional<member_id> join_hint_;
   bool group_seen_elsewhere_ = false;
-  std::map<vm_id, std::pair<group_member, std::uint64_t>> bootstrap_replies_;
+  steady_time next_bootstrap_;
+  std::map<vm_id, group_member> bootstrap_replies_;
   bool start_checked_ = true;
+  std::uint64_t run_ = 0;
   std::map<member_id, bool> start_replies_;
   steady_time next_start_query_;
   bool stale_disk_ = false;
   bool leaving_ = false;
+  bool left_ = false;
   steady_time next_leave_;
   steady_time next_repair_;
 
@@ -265,6 +297,7 @@
   std::uint64_t synced_ticket_ = 0;
   std::deque<held_message> held_;
   std::deque<std::pair<std::uint64_t, log_index>> durable_marks_;
+  role_change noted_role_;
   raft_output output_;
 };
 
--- a/source/process/replication/raft_output.h
+++ b/source/process/replication/raft_output.h
@@ -19,6 +19,8 @@
   raft_role role = raft_role::kFollower;
   log_term term;
   std::optional<member_id> leader;
+
+  friend bool operator==(const role_change&, const role_change&) = default;
 };
 
 struct read_outcome {
--- /dev/null
+++ b/source/process/replication/raft_replication.cc
@@ -0,0 +1,349 @@
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "process/replication/message_codec.h"
+#include "process/replication/raft_node.h"
+
+namespace marjoramsill {
+namespace {
+
+/// Rounds whose answers still count; older answers say nothing new.
+constexpr std::size_t kRememberedRounds = 32;
+
+}  // namespace
+
+result<log_position, propose_error> raft_node::Propose(std::string command,
+                                                       steady_time now) {
+  now = last_now_ = std::max(now, last_now_);
+  CheckQuorum(now);
+  if (role_ != raft_role::kLeader) return failure(propose_error::kNotLeader);
+  if (transfer_to_) return failure(propose_error::kTransferring);
+  if (command.size() > settings_.max_command_bytes) {
+    return failure(propose_error::kTooLarge);
+  }
+  if (uncommitted_bytes_ + command.size() > settings_.max_uncommitted_bytes) {
+    return failure(propose_error::kOverloaded);
+  }
+  AppendOwn(entry_kind::kCommand, std::move(command), now);
+  return log_position{log_.last_index(), term()};
+}
+
+void raft_node::AppendOwn(entry_kind kind, std::string payload,
+                          steady_time now) {
+  uncommitted_bytes_ += payload.size();
+  AppendEntry({log_.last_index().Next(), term(), kind, std::move(payload)},
+              now);
+  replicate_needed_ = true;
+}
+
+void raft_node::AppendEntry(log_entry entry, steady_time now) {
+  PendingWrites().entries.push_back(entry);
+  if (entry.kind == entry_kind::kConfiguration) {
+    auto decoded = DecodeConfiguration(entry.payload);
+    if (decoded) AdoptConfiguration(decoded.value(), entry.index, now);
+  }
+  log_.Append(std::move(entry));
+}
+
+void raft_node::TruncateLog(log_index from) {
+  log_.TruncateFrom(from);
+  storage_writes& writes = PendingWrites();
+  std::erase_if(writes.entries,
+                [&](const log_entry& entry) { return entry.index >= from; });
+  writes.truncate_from = std::min(from, writes.truncate_from.value_or(from));
+  const log_index last = log_.last_index();
+  durable_ = std::min(durable_, last);
+  for (auto& mark : durable_marks_) mark.second = std::min(mark.second, last);
+  DropHeldAppendReplies();
+  RevertConfiguration(from);
+}
+
+/// Promises about entries that were discarded before they were written.
+void raft_node::DropHeldAppendReplies() {
+  std::erase_if(held_, [](const held_message& held) {
+    return std::holds_alternative<append_reply>(held.message.body);
+  });
+}
+
+peer_progress* raft_node::ProgressOf(const member_id& id) {
+  auto it = progress_.find(id);
+  return it == progress_.end() ? nullptr : &it->second;
+}
+
+void raft_node::Replicate(steady_time now) {
+  for (auto& [id, progress] : progress_) ReplicateTo(id, progress, now);
+}
+
+void raft_node::ReplicateTo(const member_id& to, peer_progress& progress,
+                            steady_time now) {
+  if (now - progress.last_heard >= settings_.election_timeout_min) {
+    // A silent member gets heartbeats only; its answer resumes replication.
+    if (progress.in_flight > 0 || progress.sending_snapshot) return;
+  }
+  if (progress.sending_snapshot) return;
+  const std::size_t limit =
+      progress.probing ? 1 : settings_.max_appends_in_flight;
+  while (progress.in_flight < limit && progress.match < log_.last_index()) {
+    if (progress.next > log_.last_index() && !progress.probing) return;
+    const log_index previous(progress.next.value() - 1);
+    const std::optional<log_term> previous_term = log_.TermAt(previous);
+    if (!previous_term) return StartSnapshot(to, progress, now);
+    append_request request{round_, previous, *previous_term, commit_, {}};
+    request.entries = log_.Copy(progress.next, settings_.max_append_entries,
+                                settings_.max_append_bytes);
+    if (!progress.probing) {
+      progress.next = log_index(progress.next.value() + request.entries.size());
+    }
+    ++progress.in_flight;
+    progress.sent_at = now;
+    progress.commit_sent = commit_;
+    Send(to, std::move(request));
+  }
+}
+
+/// Answers that did not arrive within a heartbeat interval count as lost.
+void raft_node::RepeatLost(const member_id& to, peer_progress& progress,
+                           steady_time now) {
+  if (now - progress.sent_at < settings_.heartbeat_interval) return;
+  if (progress.sending_snapshot) {
+    return SendSnapshotPart(to, progress, now);
+  }
+  // Replies to repeated requests lower the count as well, so a gap between
+  // match and next also shows a lost request.
+  if (progress.in_flight > 0 || progress.next > progress.match.Next()) {
+    progress.in_flight = 0;
+    progress.probing = true;
+    progress.next = progress.match.Next();
+  }
+  ReplicateTo(to, progress, now);
+}
+
+void raft_node::BroadcastHeartbeat(steady_time now) {
+  // Aligned to multiples of the interval: the heartbeats of all groups that
+  // a VM leads fall together and share bundles.
+  const std::chrono::microseconds interval = settings_.heartbeat_interval;
+  const auto since = now.time_since_epoch();
+  next_heartbeat_ = steady_time((since / interval + 1) * interval);
+  ++round_;
+  rounds_[round_] = now;
+  if (rounds_.size() > kRememberedRounds) rounds_.erase(rounds_.begin());
+  for (auto& [id, progress] : progress_) {
+    if (!configuration_.IsVoter(id) &&
+        round_ % settings_.standby_heartbeat_every != 0) {
+      continue;
+    }
+    SendHeartbeat(id, progress);
+  }
+  UpdateLease();
+}
+
+void raft_node::SendHeartbeat(const member_id& to, peer_progress& progress) {
+  progress.commit_sent = std::min(commit_, progress.match);
+  Send(to, heartbeat{round_, progress.commit_sent});
+}
+
+void raft_node::NotifyCommit() {
+  commit_notice_at_.reset();
+  for (auto& [id, progress] : progress_) {
+    const log_index known = std::min(commit_, progress.match);
+    if (progress.commit_sent < known) SendHeartbeat(id, progress);
+  }
+}
+
+void raft_node::NoteRound(peer_progress& progress, std::uint64_t round,
+                          steady_time now) {
+  progress.last_heard = now;
+  auto it = rounds_.find(round);
+  if (round <= progress.round || it == rounds_.end()) return;
+  progress.round = round;
+  progress.round_sent_at = it->second;
+  UpdateLease();
+}
+
+void raft_node::AdvanceCommit(steady_time now) {
+  std::vector<log_index> matches;
+  for (const group_member& member : configuration_.members) {
+    if (!member.voter) continue;
+    const peer_progress* progress = ProgressOf(member.id);
+    matches.push_back(member.id == self()   ? durable_
+                      : progress != nullptr ? progress->match
+                                            : log_index());
+  }
+  const std::size_t quorum = configuration_.quorum();
+  if (matches.size() < quorum) return;
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const log_index index = matches[quorum - 1];
+  // Only an entry of the own term is committed by counting.
+  if (index <= commit_ || log_.TermAt(index) != term()) return;
+  for (log_index i = commit_.Next(); i <= index; i = i.Next()) {
+    const log_entry* entry = log_.Find(i);
+    if (entry == nullptr || entry->term != term()) continue;
+    uncommitted_bytes_ -= std::min(uncommitted_bytes_, entry->payload.size());
+  }
+  CommitTo(index);
+  if (!commit_notice_at_) {
+    commit_notice_at_ = now + settings_.commit_notice_delay;
+  }
+  if (commit_ >= configuration_index_ && !configuration_.IsVoter(self())) {
+    BecomeFollower(term(), std::nullopt, now);
+  }
+}
+
+void raft_node::CommitTo(log_index index) {
+  commit_ = std::max(commit_, std::min(index, log_.last_index()));
+  ApplyCommitted();
+}
+
+void raft_node::ApplyCommitted() {
+  // Entries are applied once they are durable here as well, so that a stored
+  // snapshot never runs ahead of the stored log.
+  const log_index end = std::min(commit_, durable_);
+  while (applied_ < end) {
+    const log_entry* entry = log_.Find(applied_.Next());
+    if (entry == nullptr) return;
+    output_.committed.push_back(*entry);
+    applied_ = entry->index;
+    applied_bytes_ += entry->payload.size();
+  }
+  RequestCompaction();
+}
+
+/// False when the message cannot come from the leader of this term.
+bool raft_node::FollowLeader(const raft_message& message, steady_time now) {
+  if (role_ == raft_role::kLeader) return false;
+  if (role_ != raft_role::kFollower || leader_ != message.from) {
+    BecomeFollower(term(), message.from, now);
+  }
+  last_leader_contact_ = now;
+  ResetElectionTimer(now);
+  return true;
+}
+
+void raft_node::OnHeartbeat(const raft_message& message,
+                            const heartbeat& body) {
+  if (start_checked_ && !IsEmpty()) CommitTo(body.commit);
+  Send(message.from, heartbeat_reply{body.round});
+}
+
+void raft_node::OnHeartbeatReply(const raft_message& message,
+                                 const heartbeat_reply& reply,
+                                 steady_time now) {
+  peer_progress* progress = ProgressOf(message.from);
+  if (progress == nullptr) return;
+  NoteRound(*progress, reply.round, now);
+  RepeatLost(message.from, *progress, now);
+}
+
+void raft_node::OnAppend(const raft_message& message,
+                         const append_request& request, steady_time now) {
+  // Before the start check this disk may be older than what it acknowledged.
+  if (!start_checked_) return;
+  if (IsEmpty()) {
+    return Send(message.from,
+                append_reply{request.round, false, log_index(), nonce_});
+  }
+  const log_index previous = request.previous_index;
+  if (previous >= log_.base_index() &&
+      log_.TermAt(previous) != request.previous_term) {
+    const log_index before(previous.value() - 1);
+    const log_index hint =
+        std::max(commit_, std::min(log_.last_index(), before));
+    return Send(message.from, append_reply{request.round, false, hint, 0});
+  }
+  log_index match = previous;
+  for (const log_entry& entry : request.entries) {
+    if (entry.index != match.Next()) return;
+    match = entry.index;
+    if (entry.index <= log_.base_index()) continue;
+    const std::optional<log_term> present = log_.TermAt(entry.index);
+    if (present == entry.term) continue;
+    // A committed entry is never replaced; such a request is damaged.
+    if (entry.index <= commit_) return;
+    if (present) TruncateLog(entry.index);
+    AppendEntry(entry, now);
+  }
+  CommitTo(std::min(request.commit, match));
+  SendWhenDurable(message.from, append_reply{request.round, true, match, 0});
+}
+
+void raft_node::OnAppendReply(const raft_message& message,
+                              const append_reply& reply, steady_time now) {
+  peer_progress* progress = ProgressOf(message.from);
+  if (progress == nullptr || reply.index > log_.last_index()) return;
+  NoteRound(*progress, reply.round, now);
+  if (progress->in_flight > 0) --progress->in_flight;
+  if (reply.success) {
+    OnMatch(*progress, reply.index, now);
+  } else if (reply.nonce != 0) {
+    progress->nonce = reply.nonce;
+    if (!progress->sending_snapshot) {
+      StartSnapshot(message.from, *progress, now);
+    }
+    return;
+  } else if (reply.index >= progress->match) {
+    progress->probing = true;
+    progress->in_flight = 0;
+    progress->next = std::max(progress->match.Next(),
+                              std::min(progress->next, reply.index.Next()));
+  }
+  // The reply may have removed this leader from the group.
+  progress = ProgressOf(message.from);
+  if (progress != nullptr) ReplicateTo(message.from, *progress, now);
+}
+
+void raft_node::OnMatch(peer_progress& progress, log_index index,
+                        steady_time now) {
+  progress.match = std::max(progress.match, index);
+  progress.next = std::max(progress.next, progress.match.Next());
+  progress.probing = false;
+  if (progress.sending_snapshot && index >= progress.snapshot_index) {
+    progress.sending_snapshot = false;
+    progress.in_flight = 0;
+  }
+  AdvanceCommit(now);
+}
+
+void raft_node::RequestRead(std::uint64_t id, steady_time now) {
+  now = last_now_ = std::max(now, last_now_);
+  CheckQuorum(now);
+  if (role_ != raft_role::kLeader) {
+    output_.reads.push_back({id, false});
+    return;
+  }
+  const std::optional<steady_time> lease = LeaseEnd();
+  const bool confirmed = lease && now < *lease;
+  if (!confirmed && (reads_.empty() || reads_.back().confirmed)) {
+    BroadcastHeartbeat(now);
+  }
+  // A round that was sent before this request proves nothing for it, so a
+  // read that joins a waiting one needs the round after.
+  const bool joins = !confirmed && rounds_.rbegin()->second != now;
+  reads_.push_back({id, joins ? round_ + 1 : round_,
+                    std::max(commit_, term_start_index_), confirmed});
+}
+
+void raft_node::AnswerReads() {
+  if (reads_.empty()) return;
+  std::vector<std::uint64_t> rounds;
+  for (const group_member& member : configuration_.members) {
+    if (!member.voter) continue;
+    const peer_progress* progress = ProgressOf(member.id);
+    rounds.push_back(member.id == self()   ? round_
+                     : progress != nullptr ? progress->round
+                                           : 0);
+  }
+  const std::size_t quorum = configuration_.quorum();
+  std::sort(rounds.begin(), rounds.end(), std::greater<>());
+  const std::uint64_t confirmed =
+      rounds.size() < quorum ? 0 : rounds[quorum - 1];
+  while (!reads_.empty()) {
+    const pending_read& read = reads_.front();
+    if (!read.confirmed && read.round > confirmed) return;
+    if (applied_ < read.index) return;
+    output_.reads.push_back({read.id, true});
+    reads_.pop_front();
+  }
+}
+
+}  // namespace marjoramsill
--- a/source/process/replication/raft_settings.h
+++ b/source/process/replication/raft_settings.h
@@ -23,18 +23,18 @@
   /// Followers learn a new commit index after this time at the latest.
   std::chrono::milliseconds commit_notice_delay{20};
 
-  std::size_t max_command_bytes = 1024 * 1024;
-  std::size_t max_append_bytes = 256 * 1024;
+  std::size_t max_command_bytes = std::size_t{1024} * 1024;
+  std::size_t max_append_bytes = std::size_t{256} * 1024;
   std::size_t max_append_entries = 1024;
   /// Append requests on the way to one member.
   std::size_t max_appends_in_flight = 8;
   /// Proposals are refused while this much is not yet committed.
-  std::size_t max_uncommitted_bytes = 8 * 1024 * 1024;
-  std::size_t snapshot_part_bytes = 64 * 1024;
+  std::size_t max_uncommitted_bytes = std::size_t{8} * 1024 * 1024;
+  std::size_t snapshot_part_bytes = std::size_t{64} * 1024;
 
   /// A snapshot is requested when the log exceeds one of these.
   std::uint64_t compaction_entries = 8192;
-  std::size_t compaction_bytes = 16 * 1024 * 1024;
+  std::size_t compaction_bytes = std::size_t{16} * 1024 * 1024;
   /// Entries kept before the snapshot for members that lag behind slightly.
   std::uint64_t retained_entries = 1024;
 
--- /dev/null
+++ b/source/process/replication/raft_snapshot.cc
@@ -0,0 +1,152 @@
+#include <algorithm>
+#include <utility>
+
+#include "process/replication/raft_node.h"
+
+namespace marjoramsill {
+namespace {
+
+std::string_view DataOf(const snapshot& taken) {
+  if (!taken.data) return {};
+  return *taken.data;
+}
+
+}  // namespace
+
+void raft_node::StartSnapshot(const member_id& to, peer_progress& progress,
+                              steady_time now) {
+  progress.sending_snapshot = true;
+  progress.snapshot_index = snapshot_.index;
+  progress.snapshot_offset = 0;
+  progress.in_flight = 0;
+  SendSnapshotPart(to, progress, now);
+}
+
+void raft_node::SendSnapshotPart(const member_id& to, peer_progress& progress,
+                                 steady_time now) {
+  if (progress.snapshot_index != snapshot_.index) {
+    progress.snapshot_index = snapshot_.index;
+    progress.snapshot_offset = 0;
+  }
+  const std::string_view data = DataOf(snapshot_);
+  const std::uint64_t offset =
+      std::min<std::uint64_t>(progress.snapshot_offset, data.size());
+  progress.sent_at = now;
+  Send(to,
+       snapshot_part{
+           round_, snapshot_.index, snapshot_.term, snapshot_.configuration,
+           progress.nonce, offset, data.size(),
+           std::string(data.substr(offset, settings_.snapshot_part_bytes))});
+}
+
+void raft_node::OnSnapshotPart(const raft_message& message,
+                               const snapshot_part& part, steady_time now) {
+  if (!start_checked_) return;
+  // The nonce shows that the sender knows of this member what it told the
+  // last VM that wanted to found a group.
+  if (IsEmpty() && part.nonce != nonce_) {
+    return Send(message.from,
+                append_reply{part.round, false, log_index(), nonce_});
+  }
+  if (part.index <= commit_) {
+    return SendWhenDurable(message.from,
+                           append_reply{part.round, true, commit_, 0});
+  }
+  if (part.offset == 0) {
+    incoming_ = incoming_snapshot{
+        message.from, part.index, part.entry_term, part.configuration, {}};
+  }
+  const bool fits = incoming_ && incoming_->from == message.from &&
+                    incoming_->index == part.index &&
+                    incoming_->term == part.entry_term &&
+                    incoming_->data.size() == part.offset;
+  if (fits) incoming_->data += part.data;
+  if (!fits || incoming_->data.size() < part.total) {
+    const bool same = incoming_ && incoming_->from == message.from &&
+                      incoming_->index == part.index;
+    const std::uint64_t received = same ? incoming_->data.size() : 0;
+    return Send(message.from, snapshot_reply{part.round, part.index, received});
+  }
+  InstallSnapshot(
+      {incoming_->index, incoming_->term, incoming_->configuration,
+       std::make_shared<const std::string>(std::move(incoming_->data))},
+      now);
+  incoming_.reset();
+  SendWhenDurable(message.from, append_reply{part.round, true, commit_, 0});
+}
+
+void raft_node::OnSnapshotReply(const raft_message& message,
+                                const snapshot_reply& reply, steady_time now) {
+  peer_progress* progress = ProgressOf(message.from);
+  if (progress == nullptr) return;
+  NoteRound(*progress, reply.round, now);
+  if (!progress->sending_snapshot) return;
+  if (reply.index != progress->snapshot_index) return;
+  // A duplicate of an earlier reply would send the same part twice.
+  if (reply.received == progress->snapshot_offset && reply.received != 0) {
+    return;
+  }
+  progress->snapshot_offset = reply.received;
+  SendSnapshotPart(message.from, *progress, now);
+}
+
+void raft_node::InstallSnapshot(snapshot received, steady_time now) {
+  snapshot_ = std::move(received);
+  storage_writes& writes = PendingWrites();
+  writes.stored_snapshot = snapshot_;
+  const bool extends = log_.TermAt(snapshot_.index) == snapshot_.term;
+  if (!extends) {
+    log_.Reset(snapshot_.index, snapshot_.term);
+    writes.reset_log = true;
+    writes.truncate_from.reset();
+    writes.compact_before.reset();
+    writes.entries.clear();
+    durable_ = snapshot_.index;
+    durable_marks_.clear();
+    DropHeldAppendReplies();
+    configuration_history_.clear();
+    AdoptConfiguration(snapshot_.configuration, snapshot_.index, now);
+  }
+  commit_ = std::max(commit_, snapshot_.index);
+  applied_ = snapshot_.index;
+  durable_ = std::max(durable_, snapshot_.index);
+  applied_bytes_ = 0;
+  snapshot_requested_ = false;
+  output_.take_snapshot = false;
+  output_.committed.clear();
+  output_.installed = snapshot_;
+}
+
+void raft_node::RequestCompaction() {
+  const std::uint64_t entries = applied_.value() - snapshot_.index.value();
+  if (snapshot_requested_ || entries == 0) return;
+  if (entries < settings_.compaction_entries &&
+      applied_bytes_ < settings_.compaction_bytes) {
+    return;
+  }
+  snapshot_requested_ = true;
+  output_.take_snapshot = true;
+}
+
+void raft_node::SnapshotTaken(log_index index, std::string data,
+                              steady_time now) {
+  last_now_ = std::max(now, last_now_);
+  snapshot_requested_ = false;
+  const std::optional<log_term> at = log_.TermAt(index);
+  if (index <= snapshot_.index || index > applied_ || !at) return;
+  auto entry = configuration_history_.upper_bound(index.value());
+  --entry;
+  snapshot_ = {index, *at, entry->second,
+               std::make_shared<const std::string>(std::move(data))};
+  configuration_history_.erase(configuration_history_.begin(), entry);
+  applied_bytes_ = 0;
+  storage_writes& writes = PendingWrites();
+  writes.stored_snapshot = snapshot_;
+  if (index.value() <= settings_.retained_entries) return;
+  const log_index keep(index.value() - settings_.retained_entries);
+  if (keep <= log_.base_index()) return;
+  log_.CompactBefore(keep);
+  writes.compact_before = keep;
+}
+
+}  // namespace marjoramsill
--- a/source/process/replication/replicated_group.h
+++ b/source/process/replication/replicated_group.h
@@ -43,7 +43,7 @@
 /// What the caller does after unlocking. Writes must be executed in order.
 struct group_output {
   std::vector<raft_message> messages;
-  std::optional<storage_writes> writes;
+  std::vector<storage_writes> writes;
   std::vector<proposal_outcome> proposals;
   std::vector<read_outcome> reads;
   std::optional<role_change> role;
@@ -79,15 +79,16 @@
     std::uint64_t id = 0;
     log_term term;
   };
+  using proposal_map = std::map<log_index, pending_proposal>;
   void ApplyOutput(raft_output& output);
   void ApplyEntry(const log_entry& entry);
-  void FailProposals();
+  void FailProposals(proposal_map::iterator end);
 
   group_hooks hooks_;
   raft_node node_;
   log_index applied_;
   std::uint64_t next_id_ = 1;
-  std::map<log_index, pending_proposal> proposals_;
+  proposal_map proposals_;
   group_output output_;
 };
 
--- /dev/null
+++ b/tests/replication/cluster.cc
@@ -0,0 +1,486 @@
+#include "cluster.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace marjoramsill {
+namespace {
+
+std::uint64_t Mix(std::uint64_t chain, std::uint64_t index,
+                  std::string_view command) {
+  return (chain ^ index) * 0x9E3779B97F4A7C15U +
+         std::hash<std::string_view>()(command);
+}
+
+std::string Name(const member_id& id) {
+  return id.vm.value() + "/" + std::to_string(id.disk.value());
+}
+
+}  // namespace
+
+cluster::cluster(cluster_options options)
+    : options_(options), random_(options.seed), vms_(options.vms) {
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    vms_[i].id = vm_id("vm-" + std::to_string(i));
+    vms_[i].domain =
+        failure_domain_id("domain-" + std::to_string(i % options_.domains));
+    const double share = static_cast<double>(Random(2001)) / 1000 - 1;
+    vms_[i].clock_rate = 1 + share * options_.drift;
+    Wipe(i);
+    Start(i);
+  }
+}
+
+void cluster::Wipe(std::size_t vm) {
+  if (vms_[vm].disk) past_syncs_ += vms_[vm].disk->syncs();
+  vms_[vm].disk = std::make_unique<memory_disk>();
+  vms_[vm].disk_number = disk_id(random_() | 1U);
+  vms_[vm].stale = false;
+}
+
+std::uint64_t cluster::syncs() const {
+  std::uint64_t sum = past_syncs_;
+  for (const vm_state& vm : vms_) sum += vm.disk->syncs();
+  return sum;
+}
+
+steady_time cluster::Clock(std::size_t vm) const {
+  return steady_time(std::chrono::microseconds(
+      static_cast<time_us>(static_cast<double>(now_) * vms_[vm].clock_rate)));
+}
+
+void cluster::At(time_us time, std::function<void()> action) {
+  events_.push({time, order_++, std::move(action)});
+}
+
+void cluster::Step() {
+  event next = events_.top();
+  events_.pop();
+  now_ = std::max(now_, next.at);
+  next.action();
+  CheckLeases();
+}
+
+void cluster::Run(std::chrono::microseconds duration) {
+  const time_us end = now_ + duration.count();
+  while (violation_.empty() && !events_.empty() && events_.top().at <= end) {
+    Step();
+  }
+  now_ = std::max(now_, end);
+}
+
+bool cluster::RunUntil(const std::function<bool()>& done,
+                       std::chrono::microseconds limit) {
+  const time_us end = now_ + limit.count();
+  while (violation_.empty() && !events_.empty() && events_.top().at <= end) {
+    if (done()) return true;
+    Step();
+  }
+  return done();
+}
+
+group_hooks cluster::Hooks(std::size_t vm) {
+  group_hooks hooks;
+  hooks.clock = [this, vm] { return Clock(vm); };
+  hooks.apply = [this, vm](log_index index, log_term, std::string_view bytes) {
+    NoteApplied(vm, index.value(), Mix(vms_[vm].chain, index.value(), bytes));
+  };
+  hooks.take_snapshot = [this, vm] {
+    return std::to_string(vms_[vm].applied) + " " +
+           std::to_string(vms_[vm].chain) + std::string(100, ' ');
+  };
+  hooks.install_snapshot = [this, vm](std::string_view bytes) {
+    vms_[vm].applied = vms_[vm].chain = 0;
+    if (bytes.empty()) return;
+    std::istringstream in{std::string(bytes)};
+    std::uint64_t index = 0;
+    std::uint64_t chain = 0;
+    in >> index >> chain;
+    NoteApplied(vm, index, chain);
+  };
+  return hooks;
+}
+
+void cluster::NoteApplied(std::size_t vm, std::uint64_t index,
+                          std::uint64_t chain) {
+  vms_[vm].applied = index;
+  vms_[vm].chain = chain;
+  if (index == 0) return;
+  const auto [it, added] = chains_.emplace(index, chain);
+  if (it->second != chain) {
+    Violate(vms_[vm].id.value() + " applied another command at index " +
+            std::to_string(index));
+  }
+}
+
+void cluster::Start(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  if (state.group) return;
+  state.store = std::make_unique<log_store>(*state.disk, 512);
+  auto opened = state.store->Open();
+  if (!opened) {
+    // An injected failure of a sync prevents this start only.
+    if (opened.error().kind == storage_error_kind::kSyncFailed) return;
+    return Violate("storage: " + opened.error().detail);
+  }
+  ++state.run;
+  state.applied = state.chain = 0;
+  raft_start start;
+  start.self = {state.id, state.disk_number};
+  start.domain = state.domain;
+  start.stored = std::move(opened).value();
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    start.peers.emplace_back("vm-" + std::to_string(i));
+    if (i < options_.voters) start.bootstrap_voters.push_back(start.peers[i]);
+  }
+  state.group = std::make_unique<replicated_group>(
+      options_.settings, std::move(start), Hooks(vm),
+      [this] { return random_(); });
+  Collect(vm);
+  TickLater(vm);
+}
+
+void cluster::TickLater(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  const auto wait = state.group->node().NextDeadline() - Clock(vm);
+  const time_us delay = std::max<time_us>(wait.count() + 1000, 1000);
+  const time_us resume = std::max(now_ + delay, state.frozen_until);
+  At(resume, [this, vm, run = state.run] {
+    vm_state& later = vms_[vm];
+    if (!later.group || later.run != run) return;
+    if (now_ >= later.frozen_until) {
+      later.group->Tick();
+      Collect(vm);
+    }
+    if (later.group) TickLater(vm);
+  });
+}
+
+void cluster::Collect(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  group_output output = state.group->TakeOutput();
+  if (output.role) CheckRole(vm, *output.role);
+  for (const proposal_outcome& outcome : output.proposals) {
+    if (outcome.outcome != proposal_result::kCommitted) continue;
+    ++committed_;
+    acknowledged_ = std::max(acknowledged_, outcome.index.value());
+    std::uint64_t& last =
+        acknowledged_by_term_[state.group->node().term().value()];
+    last = std::max(last, outcome.index.value());
+  }
+  for (const read_outcome& read : output.reads) {
+    if (read.ready &&
+        state.group->applied_index().value() < state.reads[read.id]) {
+      Violate("a read misses an acknowledged command");
+    }
+    state.reads.erase(read.id);
+  }
+  for (const raft_message& message : output.messages) Transmit(vm, message);
+  for (storage_writes& writes : output.writes) {
+    state.queued.push_back(std::move(writes));
+  }
+  if (!state.queued.empty() && !state.sync_scheduled) {
+    state.sync_scheduled = true;
+    const time_us delay =
+        options_.sync_time.count() / 2 + Random(options_.sync_time.count() + 1);
+    At(now_ + delay, [this, vm, run = state.run] { CompleteSync(vm, run); });
+  }
+  if (output.stale_disk) {
+    ++stale_disks_;
+    Stop(vm);
+    Wipe(vm);
+    Start(vm);
+  }
+}
+
+void cluster::CompleteSync(std::size_t vm, std::uint64_t run) {
+  vm_state& state = vms_[vm];
+  if (!state.group || state.run != run) return;
+  state.sync_scheduled = false;
+  std::uint64_t ticket = 0;
+  bool good = true;
+  while (good && !state.queued.empty()) {
+    ticket = state.queued.front().ticket;
+    good = state.store->Write(state.queued.front()).has_value();
+    state.queued.pop_front();
+  }
+  good = good && state.store->Sync().has_value();
+  // A failed sync is fatal to the member; it is restarted later.
+  if (!good) return LosePower(vm);
+  state.group->SyncCompleted(ticket);
+  Collect(vm);
+}
+
+void cluster::Stop(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  state.group.reset();
+  state.store.reset();
+  state.queued.clear();
+  state.sync_scheduled = false;
+  state.reads.clear();
+  state.frozen_until = 0;
+  ++state.run;
+}
+
+void cluster::Kill(std::size_t vm) {
+  if (vms_[vm].group) Stop(vm);
+}
+
+void cluster::LosePower(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  if (!state.group) return;
+  const std::size_t written = Random(state.queued.size() + 1);
+  for (std::size_t i = 0; i < written; ++i) {
+    if (!state.store->Write(state.queued[i])) break;
+  }
+  Stop(vm);
+  state.disk->LosePower([this] { return random_(); });
+}
+
+/// A disk may be lost only while every configuration that a member holds
+/// keeps a majority of voters with their disks.
+bool cluster::MayLoseDisk(std::size_t vm) const {
+  // Until the leader can notice one loss, it may still plan with that member.
+  if (now_ < next_disk_loss_) return false;
+  const auto survives = [&](const group_configuration& configuration) {
+    std::size_t intact = 0;
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+      const member_id id{vms_[i].id, vms_[i].disk_number};
+      if (i != vm && !vms_[i].stale && configuration.IsVoter(id)) ++intact;
+    }
+    return intact >= configuration.quorum();
+  };
+  bool founded = false;
+  for (const vm_state& state : vms_) {
+    if (!state.group) return false;
+    if (!state.group->node().has_group()) continue;
+    founded = true;
+    if (!survives(state.group->node().configuration())) return false;
+  }
+  return founded;
+}
+
+bool cluster::LoseDisk(std::size_t vm) {
+  if (!MayLoseDisk(vm)) return false;
+  next_disk_loss_ = now_ + 2'000'000;
+  Stop(vm);
+  Wipe(vm);
+  Start(vm);
+  return true;
+}
+
+void cluster::CopyDisk(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  if (!state.group || state.stale || !state.group->node().has_group()) return;
+  state.older =
+      vm_state::copy{state.disk->files(), state.disk_number, state.run};
+}
+
+bool cluster::RestoreDisk(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  // An older disk of the same run is out of scope, see docs/replication.md.
+  if (!state.older || state.older->run == state.run) return false;
+  if (state.older->number != state.disk_number || !MayLoseDisk(vm)) {
+    return false;
+  }
+  if (!state.group->node().is_start_checked()) return false;
+  Stop(vm);
+  state.disk = std::make_unique<memory_disk>();
+  state.disk->files() = state.older->files;
+  for (const auto& [name, bytes] : state.disk->files()) {
+    (void)state.disk->Sync(name);
+  }
+  next_disk_loss_ = now_ + 2'000'000;
+  state.older.reset();
+  state.stale = true;
+  Start(vm);
+  return true;
+}
+
+void cluster::Freeze(std::size_t vm, std::chrono::microseconds duration) {
+  vms_[vm].frozen_until =
+      std::max(vms_[vm].frozen_until, now_ + duration.count());
+}
+
+void cluster::Isolate(std::size_t vm) {
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    if (i == vm) continue;
+    Cut(i, vm);
+    Cut(vm, i);
+  }
+  // Messages in the socket buffer of a frozen process still arrive.
+  if (vms_[vm].group && now_ >= vms_[vm].frozen_until)
+    vms_[vm].isolated_term = vms_[vm].group->node().term();
+}
+
+void cluster::Heal() {
+  cuts_.clear();
+  for (vm_state& vm : vms_) vm.isolated_term.reset();
+}
+
+void cluster::SetNetwork(int drop_percent, int duplicate_percent,
+                         int delay_ms) {
+  drop_percent_ = drop_percent;
+  duplicate_percent_ = duplicate_percent;
+  delay_ms_ = delay_ms;
+}
+
+void cluster::Transmit(std::size_t from, const raft_message& message) {
+  CheckMessage(message, from);
+  std::size_t to = 0;
+  while (to < vms_.size() && vms_[to].id != message.to.vm) ++to;
+  if (to == vms_.size()) return;
+  ++messages_;
+  raft_message received = message;
+  if (options_.encode) {
+    const std::string bytes = EncodeBundle({{0, message}});
+    bytes_ += bytes.size();
+    auto decoded = DecodeBundle(bytes);
+    if (!decoded || decoded.value().front().message != message) {
+      return Violate("codec changed a message");
+    }
+    received = std::move(decoded.value().front().message);
+  }
+  if (Random(100) < static_cast<std::uint64_t>(drop_percent_)) return;
+  const bool twice =
+      Random(100) < static_cast<std::uint64_t>(duplicate_percent_);
+  for (int i = 0; i < (twice ? 2 : 1); ++i) {
+    const auto spread = options_.latency_max - options_.latency_min;
+    time_us delay = options_.latency_min.count() + Random(spread.count() + 1);
+    if (delay_ms_ > 0) delay += Random(delay_ms_ * 1000);
+    At(now_ + delay, [this, from, to, received] {
+      if (!cuts_.contains({from, to})) Deliver(to, received);
+    });
+  }
+}
+
+void cluster::Deliver(std::size_t vm, const raft_message& message) {
+  vm_state& state = vms_[vm];
+  if (!state.group) return;
+  if (now_ < state.frozen_until) {
+    // Waits in the socket buffer, unless the process ends.
+    At(state.frozen_until, [this, vm, message, run = state.run] {
+      if (vms_[vm].run == run) Deliver(vm, message);
+    });
+    return;
+  }
+  state.group->Receive(message);
+  Collect(vm);
+}
+
+std::optional<std::uint64_t> cluster::Propose(std::size_t vm,
+                                              std::string command) {
+  vm_state& state = vms_[vm];
+  if (!state.group || now_ < state.frozen_until) return std::nullopt;
+  auto proposed = state.group->Propose(std::move(command));
+  Collect(vm);
+  if (!proposed) return std::nullopt;
+  return proposed.value();
+}
+
+void cluster::Read(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  if (!state.group || now_ < state.frozen_until) return;
+  const std::uint64_t id = state.group->Read();
+  state.reads[id] = acknowledged_;
+  Collect(vm);
+}
+
+void cluster::Transfer(std::size_t vm) {
+  if (!vms_[vm].group || now_ < vms_[vm].frozen_until) return;
+  vms_[vm].group->TransferLeadership();
+  Collect(vm);
+}
+
+void cluster::Leave(std::size_t vm) {
+  if (!vms_[vm].group || now_ < vms_[vm].frozen_until) return;
+  vms_[vm].group->Leave();
+  Collect(vm);
+}
+
+std::optional<std::size_t> cluster::Leader() const {
+  std::optional<std::size_t> found;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    if (!vms_[i].group) continue;
+    const raft_node& node = vms_[i].group->node();
+    if (node.role() != raft_role::kLeader) continue;
+    if (found && vms_[*found].group->node().term() >= node.term()) continue;
+    found = i;
+  }
+  return found;
+}
+
+void cluster::Violate(const std::string& what) {
+  if (violation_.empty()) {
+    violation_ = "at " + std::to_string(now_) + " us: " + what;
+  }
+}
+
+void cluster::CheckMessage(const raft_message& message, std::size_t from) {
+  const auto* vote = std::get_if<vote_reply>(&message.body);
+  const auto* append = std::get_if<append_reply>(&message.body);
+  const bool promise = (vote != nullptr && vote->granted) ||
+                       (append != nullptr && append->success);
+  if (!promise) return;
+  if (vms_[from].stale) Violate("an older disk made a promise");
+  if (message.from.disk != vms_[from].disk_number) {
+    Violate("a promise under an old identity");
+  }
+  if (vote == nullptr || vote->pre) return;
+  const auto [it, added] =
+      votes_.emplace(std::pair(message.from, message.term.value()), message.to);
+  if (it->second != message.to) {
+    Violate(Name(message.from) + " voted twice in term " +
+            std::to_string(message.term.value()));
+  }
+}
+
+void cluster::CheckRole(std::size_t vm, const role_change& role) {
+  if (role.role != raft_role::kLeader) return;
+  const raft_node& node = vms_[vm].group->node();
+  const auto [it, added] = leaders_.emplace(role.term.value(), node.self());
+  if (it->second != node.self()) {
+    Violate("two leaders in term " + std::to_string(role.term.value()));
+  }
+  for (const auto& [term, index] : acknowledged_by_term_) {
+    if (term < role.term.value() && node.last_index().value() < index) {
+      Violate(Name(node.self()) + " leads without an acknowledged command");
+    }
+  }
+}
+
+void cluster::CheckLeases() {
+  int holders = 0;
+  for (vm_state& vm : vms_) {
+    if (!vm.group) continue;
+    if (vm.isolated_term && vm.group->node().term() > *vm.isolated_term) {
+      Violate("an isolated member raised its term");
+    }
+    if (now_ >= vm.frozen_until && vm.group->HoldsLease()) ++holders;
+  }
+  if (holders > 1) Violate("two members hold a lease");
+}
+
+std::string cluster::Describe() const {
+  std::ostringstream out;
+  for (const vm_state& vm : vms_) {
+    out << vm.id.value() << ": ";
+    if (!vm.group) {
+      out << "down\n";
+      continue;
+    }
+    const raft_node& node = vm.group->node();
+    out << "role=" << static_cast<int>(node.role())
+        << " term=" << node.term().value()
+        << " last=" << node.last_index().value()
+        << " commit=" << node.commit_index().value()
+        << " checked=" << node.is_start_checked() << " members=";
+    for (const group_member& member : node.configuration().members) {
+      out << Name(member.id) << (member.voter ? "+" : "-") << " ";
+    }
+    out << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/replication/cluster.h
@@ -0,0 +1,168 @@
+#ifndef MARJORAMSILL_TESTS_REPLICATION_CLUSTER_H_
+#define MARJORAMSILL_TESTS_REPLICATION_CLUSTER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "memory_disk.h"
+#include "process/replication/log_store.h"
+#include "process/replication/message_codec.h"
+#include "process/replication/replicated_group.h"
+
+namespace marjoramsill {
+
+struct cluster_options {
+  std::size_t vms = 6;
+  std::size_t voters = 5;
+  std::size_t domains = 3;
+  std::uint64_t seed = 1;
+  /// Clocks advance at rates that differ by up to this share.
+  double drift = 0.03;
+  /// Messages pass through the codec.
+  bool encode = true;
+  std::chrono::microseconds latency_min{300};
+  std::chrono::microseconds latency_max{3000};
+  std::chrono::microseconds sync_time{500};
+  raft_settings settings;
+};
+
+/// VMs, their disks and the network between them in virtual time. Checks the
+/// invariants of the log after each event; the first violation is kept.
+class cluster {
+ public:
+  using time_us = std::int64_t;
+
+  explicit cluster(cluster_options options);
+
+  void Run(std::chrono::microseconds duration);
+  bool RunUntil(const std::function<bool()>& done,
+                std::chrono::microseconds limit);
+
+  void Start(std::size_t vm);
+  /// The process ends; written bytes stay in the page cache.
+  void Kill(std::size_t vm);
+  void LosePower(std::size_t vm);
+  /// Empty disk with a new identity, unless a majority would be lost for good.
+  bool LoseDisk(std::size_t vm);
+  /// A copy of the disk, as taken by CopyDisk, replaces the present one.
+  bool RestoreDisk(std::size_t vm);
+  void CopyDisk(std::size_t vm);
+  void FailSync(std::size_t vm) { vms_[vm].disk->FailNextSync(); }
+  void Freeze(std::size_t vm, std::chrono::microseconds duration);
+  void Cut(std::size_t from, std::size_t to) { cuts_.insert({from, to}); }
+  void Isolate(std::size_t vm);
+  void Heal();
+  void SetNetwork(int drop_percent, int duplicate_percent, int delay_ms);
+
+  std::optional<std::uint64_t> Propose(std::size_t vm, std::string command);
+  void Read(std::size_t vm);
+  void Transfer(std::size_t vm);
+  void Leave(std::size_t vm);
+
+  /// VM of the running leader with the greatest term.
+  std::optional<std::size_t> Leader() const;
+  replicated_group* group(std::size_t vm) { return vms_[vm].group.get(); }
+  const replicated_group* group(std::size_t vm) const {
+    return vms_[vm].group.get();
+  }
+  std::size_t size() const { return vms_.size(); }
+  std::uint64_t committed() const { return committed_; }
+  std::uint64_t elections() const { return leaders_.size(); }
+  std::uint64_t messages() const { return messages_; }
+  std::uint64_t bytes() const { return bytes_; }
+  std::uint64_t syncs() const;
+  std::uint64_t stale_disks() const { return stale_disks_; }
+  time_us now() const { return now_; }
+  const std::string& violation() const { return violation_; }
+  std::string Describe() const;
+
+ private:
+  struct vm_state {
+    vm_id id;
+    failure_domain_id domain;
+    disk_id disk_number;
+    std::unique_ptr<memory_disk> disk;
+    std::unique_ptr<log_store> store;
+    std::unique_ptr<replicated_group> group;
+    std::deque<storage_writes> queued;
+    bool sync_scheduled = false;
+    std::uint64_t run = 0;
+    time_us frozen_until = 0;
+    double clock_rate = 1;
+    std::uint64_t applied = 0;
+    std::uint64_t chain = 0;
+    bool stale = false;
+    std::optional<log_term> isolated_term;
+    struct copy {
+      std::map<std::string, std::string> files;
+      disk_id number;
+      std::uint64_t run = 0;
+    };
+    std::optional<copy> older;
+    std::map<std::uint64_t, std::uint64_t> reads;
+  };
+  struct event {
+    time_us at = 0;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator<(const event& other) const {
+      return std::pair(other.at, other.order) < std::pair(at, order);
+    }
+  };
+
+  void At(time_us time, std::function<void()> action);
+  void Step();
+  steady_time Clock(std::size_t vm) const;
+  void TickLater(std::size_t vm);
+  void Deliver(std::size_t vm, const raft_message& message);
+  void Collect(std::size_t vm);
+  void Transmit(std::size_t from, const raft_message& message);
+  void CompleteSync(std::size_t vm, std::uint64_t run);
+  void Stop(std::size_t vm);
+  void Wipe(std::size_t vm);
+  bool MayLoseDisk(std::size_t vm) const;
+  group_hooks Hooks(std::size_t vm);
+  void Violate(const std::string& what);
+  void CheckMessage(const raft_message& message, std::size_t from);
+  void CheckRole(std::size_t vm, const role_change& role);
+  void CheckLeases();
+  void NoteApplied(std::size_t vm, std::uint64_t index, std::uint64_t chain);
+  std::uint64_t Random(std::uint64_t bound) { return random_() % bound; }
+
+  cluster_options options_;
+  std::mt19937_64 random_;
+  time_us now_ = 1'000'000;
+  std::uint64_t order_ = 0;
+  std::priority_queue<event> events_;
+  std::vector<vm_state> vms_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  int drop_percent_ = 0;
+  int duplicate_percent_ = 0;
+  int delay_ms_ = 0;
+
+  std::uint64_t committed_ = 0;
+  std::uint64_t messages_ = 0;
+  std::uint64_t bytes_ = 0;
+  std::uint64_t stale_disks_ = 0;
+  time_us next_disk_loss_ = 0;
+  std::uint64_t past_syncs_ = 0;
+  std::uint64_t acknowledged_ = 0;
+  std::map<std::uint64_t, std::uint64_t> acknowledged_by_term_;
+  std::map<std::uint64_t, member_id> leaders_;
+  std::map<std::pair<member_id, std::uint64_t>, member_id> votes_;
+  std::map<std::uint64_t, std::uint64_t> chains_;
+  std::string violation_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_TESTS_REPLICATION_CLUSTER_H_
--- /dev/null
+++ b/tests/replication/memory_disk.h
@@ -0,0 +1,43 @@
+#ifndef MARJORAMSILL_TESTS_REPLICATION_MEMORY_DISK_H_
+#define MARJORAMSILL_TESTS_REPLICATION_MEMORY_DISK_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "process/replication/file_folder.h"
+#include "types/random_source.h"
+
+namespace marjoramsill {
+
+/// A folder in memory that distinguishes written from synced bytes.
+class memory_disk : public file_folder {
+ public:
+  result<std::vector<std::string>, storage_error> List() override;
+  result<std::string, storage_error> Read(const std::string& name) override;
+  result<void, storage_error> Append(const std::string& name,
+                                     std::string_view bytes) override;
+  result<void, storage_error> Sync(const std::string& name) override;
+  result<void, storage_error> Truncate(const std::string& name,
+                                       std::uint64_t size) override;
+  result<void, storage_error> Replace(const std::string& name,
+                                      std::string_view bytes) override;
+  result<void, storage_error> Remove(const std::string& name) override;
+
+  /// Keeps a random part of what was not synced; its last byte may be torn.
+  void LosePower(const random_source& random);
+  void FailNextSync() { fail_sync_ = true; }
+
+  std::map<std::string, std::string>& files() { return files_; }
+  int syncs() const { return syncs_; }
+
+ private:
+  std::map<std::string, std::string> files_;
+  std::map<std::string, std::size_t> synced_;
+  bool fail_sync_ = false;
+  int syncs_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_TESTS_REPLICATION_MEMORY_DISK_H_
