--- a/source/process/membership/byte_budget.h
+++ b/source/process/membership/byte_budget.h
@@ -40,7 +40,11 @@
     const std::int64_t earned = rate_ * micros / 1'000'000;
     if (earned == 0) return;
     available_ = std::min(burst_, available_ + earned);
-    last_ = now;
+    // The part of a byte that is not earned yet stays in the next interval.
+    const bool full = available_ == burst_ || micros == 60'000'000;
+    last_ = full ? now
+                 : last_ + std::chrono::microseconds(
+                               (earned * 1'000'000 + rate_ - 1) / rate_);
   }
 
   std::int64_t rate_;
--- a/source/process/membership/endpoint_registry.cc
+++ b/source/process/membership/endpoint_registry.cc
@@ -15,8 +15,7 @@
 
 endpoint_registry::endpoint_registry(endpoint_registry_settings settings)
     : settings_(std::move(settings)),
-      probe_budget_(settings_.probe_bytes_per_second,
-                    2 * settings_.probe_bytes_per_second) {}
+      probe_budget_(settings_.probe_bytes_per_second, settings_.probe_bytes) {}
 
 bool endpoint_registry::IsOwn(const entry& known) const {
   return known.holder == settings_.self;
@@ -127,6 +126,7 @@
                               std::optional<endpoint_load> load,
                               steady_time sent_at, steady_time now) {
   known.evidence = std::max(known.evidence.value_or(kNever), sent_at);
+  known.unanswered = 0;
   known.schedule.OnDirectAnswer(sent_at, now);
   if (load.has_value() && sent_at >= known.load_at) {
     known.record.endpoint.load = *load;
@@ -217,7 +217,6 @@
 
 std::vector<probe_request> endpoint_registry::Tick(steady_time now) {
   Observe(now);
-  std::vector<probe_request> probes;
   for (auto it = entries_.begin(); it != entries_.end();) {
     entry& known = it->second;
     Expire(known, now);
@@ -227,20 +226,41 @@
       it = entries_.erase(it);
       continue;
     }
-    if (known.probe_wanted && !known.record.silent &&
-        now - known.last_probe >= settings_.probe_interval &&
-        probe_budget_.Take(settings_.probe_bytes, now)) {
-      known.last_probe = now;
-      known.probe_wanted = false;
-      probe_bytes_sent_ += settings_.probe_bytes;
-      probes.push_back({it->first, known.record.endpoint.life,
-                        known.record.endpoint.address});
-    }
     ++it;
   }
+  std::vector<probe_request> probes;
+  for (entry* known : ProbesDue(now)) {
+    if (!probe_budget_.Take(settings_.probe_bytes, now)) break;
+    known->last_probe = now;
+    known->probe_wanted = false;
+    ++known->unanswered;
+    probe_bytes_sent_ += settings_.probe_bytes;
+    const endpoint_announcement& endpoint = known->record.endpoint;
+    probes.push_back({endpoint.id, endpoint.life, endpoint.address});
+  }
   return probes;
 }
 
+// Endpoints that answered the last probe come first, then the longest wait.
+std::vector<endpoint_registry::entry*> endpoint_registry::ProbesDue(
+    steady_time now) {
+  std::vector<entry*> due;
+  for (auto& [id, known] : entries_) {
+    if (!known.probe_wanted || known.record.silent) continue;
+    const auto wait = std::min(
+        settings_.probe_interval * (1U << std::min(known.unanswered, 10U)),
+        settings_.longest_probe_interval);
+    if (known.unanswered == 0 || now - known.last_probe >= wait) {
+      due.push_back(&known);
+    }
+  }
+  std::sort(due.begin(), due.end(), [](const entry* a, const entry* b) {
+    return std::tie(a->unanswered, a->last_probe) <
+           std::tie(b->unanswered, b->last_probe);
+  });
+  return due;
+}
+
 std::optional<endpoint_status> endpoint_registry::Find(
     const endpoint_id& id) const {
   const auto found = entries_.find(id);
--- a/source/process/membership/endpoint_registry.h
+++ b/source/process/membership/endpoint_registry.h
@@ -30,16 +30,19 @@
   std::chrono::milliseconds evidence_limit{2500};
   /// Time between two events that counts as a frozen process.
   std::chrono::milliseconds freeze_gap{500};
+  /// Doubles with each probe without an answer up to the second value, so
+  /// that endpoints behind a cut don't use up the budget.
   std::chrono::milliseconds probe_interval{500};
+  std::chrono::milliseconds longest_probe_interval{8000};
   /// Silent records are kept this long, so that a late message cannot
   /// reintroduce the endpoint.
   std::chrono::milliseconds forget_silent{600000};
   std::uint32_t probe_bytes = 320;
-  std::int64_t probe_bytes_per_second = 600;
+  std::int64_t probe_bytes_per_second = 640;
   std::size_t max_endpoints = 8192;
   /// Leases with older evidence than this are not vouched for.
   std::chrono::milliseconds longest_vouch{1400};
-  std::size_t loads_per_vouch = 8;
+  std::size_t loads_per_vouch = 4;
   circuit_breaker_settings breaker;
   flap_damper_settings damper;
 };
@@ -157,6 +160,8 @@
     steady_time load_at{};
     steady_time last_probe{};
     bool probe_wanted = false;
+    /// Probes without an answer since the last evidence.
+    std::uint32_t unanswered = 0;
     steady_time silent_since{};
     circuit_breaker breaker;
     flap_damper damper;
@@ -174,6 +179,7 @@
              std::optional<endpoint_load> load, steady_time sent_at,
              steady_time now);
   void Expire(entry& known, steady_time now);
+  std::vector<entry*> ProbesDue(steady_time now);
   void AddLoads(const std::set<endpoint_id>& held, lease_vouch& vouch);
   bool IsOwn(const entry& known) const;
   bool IsFresh(const entry& known, steady_time now) const;
--- a/source/process/membership/holder_hash.h
+++ b/source/process/membership/holder_hash.h
@@ -11,10 +11,11 @@
 /// Hash of a text and a number.
 std::uint64_t HashPair(std::string_view text, std::uint64_t number);
 
-/// Reference to a holder in beats. At 330 VMs two of them collide with a
-/// probability of about 3e-15.
-inline std::uint64_t RefOf(const holder_id& holder) {
-  return HashPair(holder.vm.value(), holder.life.value());
+/// Reference to a holder in beats; never 0. Beats are relayed within a failure
+/// domain only, where two of 33 VMs collide with a probability of about 1e-7.
+inline std::uint32_t RefOf(const holder_id& holder) {
+  const std::uint64_t hash = HashPair(holder.vm.value(), holder.life.value());
+  return static_cast<std::uint32_t>(hash) | 1U;
 }
 
 }  // namespace marjoramsill
--- a/source/process/membership/peer_codec.cc
+++ b/source/process/membership/peer_codec.cc
@@ -87,12 +87,38 @@
   PackList(out, list.records, PackRecord);
 }
 
+constexpr std::uint32_t kFieldsOfBeats = 7;
+constexpr std::uint32_t kFieldsOfDigests = 8;
+constexpr std::uint32_t kAllFields = 13;
+
+// Most messages end after the beats or the digests.
+std::uint32_t FieldsToSend(const peer_message& message) {
+  if (!message.changes.empty() || !message.wanted_positions.empty() ||
+      !message.positions.empty() || !message.wanted_records.empty() ||
+      !message.records.empty()) {
+    return kAllFields;
+  }
+  return message.digests.empty() ? kFieldsOfBeats : kFieldsOfDigests;
+}
+
+void PackNews(packer& out, const peer_message& message) {
+  PackList(out, message.changes, PackChange);
+  PackList(out, message.wanted_positions,
+           [](packer& to, const failure_domain_id& domain) {
+             to.pack(domain.value());
+           });
+  PackList(out, message.positions, PackPosition);
+  PackList(out, message.wanted_records, PackRequest);
+  PackList(out, message.records, PackRecordList);
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const peer_message& message) {
   msgpack::sbuffer buffer;
   packer out(buffer);
-  out.pack_array(13);
+  const std::uint32_t fields = FieldsToSend(message);
+  out.pack_array(fields);
   PackHolder(out, message.from);
   out.pack(message.sequence);
   out.pack(message.stamp_ms);
@@ -100,15 +126,8 @@
   out.pack(message.echo_ms);
   out.pack(message.held_ms);
   PackList(out, message.beats, PackBeat);
-  PackList(out, message.changes, PackChange);
-  PackList(out, message.digests, PackDigest);
-  PackList(out, message.wanted_positions,
-           [](packer& to, const failure_domain_id& domain) {
-             to.pack(domain.value());
-           });
-  PackList(out, message.positions, PackPosition);
-  PackList(out, message.wanted_records, PackRequest);
-  PackList(out, message.records, PackRecordList);
+  if (fields > kFieldsOfBeats) PackList(out, message.digests, PackDigest);
+  if (fields > kFieldsOfDigests) PackNews(out, message);
   return std::string(buffer.data(), buffer.size());
 }
 
--- a/source/process/membership/peer_decoder.cc
+++ b/source/process/membership/peer_decoder.cc
@@ -114,6 +114,7 @@
     return list;
   }
 
+  bool at_end() const { return left_ == 0; }
   decode_state& state() { return state_; }
 
  private:
@@ -159,7 +160,7 @@
 peer_beat ReadBeat(decode_state& state, const object& from) {
   field_reader in(state, from, "beat");
   peer_beat beat;
-  beat.holder = in.Number("holder");
+  beat.holder = in.Small("holder");
   beat.version = document_version(in.Number("version"));
   beat.vouch.change = in.Number("vouched change");
   beat.vouch.age = std::chrono::milliseconds(in.Small("vouch age"));
@@ -204,7 +205,7 @@
 record_request ReadRequest(decode_state& state, const object& from) {
   field_reader in(state, from, "record request");
   record_request request;
-  request.holder = in.Number("requested holder");
+  request.holder = in.Small("requested holder");
   request.after = in.Number("requested after");
   return request;
 }
@@ -230,8 +231,11 @@
   message.echo_ms = in.Number("echo");
   message.held_ms = in.Number("held");
   message.beats = in.List<peer_beat>("beats", ReadBeat);
-  message.changes = in.List<holder_change>("changes", ReadChange);
+  // The encoder leaves out empty lists at the end.
+  if (in.at_end()) return message;
   message.digests = in.List<domain_digest>("digests", ReadDigest);
+  if (in.at_end()) return message;
+  message.changes = in.List<holder_change>("changes", ReadChange);
   message.wanted_positions = in.Values<failure_domain_id>(
       "wanted positions",
       [](field_reader& v) { return failure_domain_id(v.Text("domain")); });
--- a/source/process/membership/peer_membership.cc
+++ b/source/process/membership/peer_membership.cc
@@ -16,6 +16,8 @@
 /// The VM with the lower id opens an exchange; the other one waits this much
 /// longer, so that the two don't open one each.
 constexpr std::chrono::milliseconds kSecondOpener{100};
+/// Pushes of a change that came from another VM; its holder tells all partners.
+constexpr std::uint32_t kRelayedPushes = 2;
 constexpr std::int64_t kSmallestMessage = 180;
 
 }  // namespace
@@ -25,6 +27,7 @@
     : settings_(std::move(settings)),
       registry_(registry),
       budget_(settings_.bytes_per_second, settings_.burst_bytes),
+      news_budget_(settings_.news_bytes_per_second, settings_.news_burst_bytes),
       self_{settings_.self.id, settings_.life} {
   vms_[settings_.self.id] = settings_.self.domain;
   for (const peer_vm& vm : settings_.vms) vms_[vm.id] = vm.domain;
@@ -89,7 +92,6 @@
   if (arranged_at_.has_value() && now - *arranged_at_ < kArrangeInterval) {
     return;
   }
-  if (!started_at_.has_value()) started_at_ = now;
   arranged_at_ = now;
   partners_.clear();
   remotes_.clear();
@@ -123,7 +125,9 @@
       now - *peer.last_request < settings_.retry_interval) {
     return false;
   }
-  if (!peer.last_exchange.has_value() || peer.urgent) return true;
+  if (!peer.last_exchange.has_value() || urgent_.contains(peer.vm.id)) {
+    return true;
+  }
   auto interval =
       IsDirect() ? settings_.direct_interval : settings_.ring_interval;
   if (peer.vm.id < self_.vm) interval += kSecondOpener;
@@ -165,13 +169,13 @@
   return absent[next_absent_++ % absent.size()];
 }
 
-std::vector<peer_request> peer_membership::Tick(steady_time now) {
-  FollowOwnChanges(now);
-  ForgetHolders(now);
-  ResetLaggards(now);
-  ArrangePartners(now);
+std::vector<vm_id> peer_membership::DuePeers(steady_time now) {
+  std::set<vm_id> candidates(partners_.begin(), partners_.end());
+  candidates.insert(urgent_.begin(), urgent_.end());
+  if (const auto remote = RemotePartner(now)) candidates.insert(*remote);
+  if (const auto absent = AbsentPartner(now)) candidates.insert(*absent);
   std::vector<vm_id> due;
-  for (const vm_id& id : partners_) {
+  for (const vm_id& id : candidates) {
     if (IsDue(peers_.at(id), now)) due.push_back(id);
   }
   // The longest wait first, so that a short budget starves no partner.
@@ -179,19 +183,46 @@
     return std::pair(peers_.at(a).last_exchange, a) <
            std::pair(peers_.at(b).last_exchange, b);
   });
-  if (const auto remote = RemotePartner(now)) due.push_back(*remote);
-  if (const auto absent = AbsentPartner(now)) due.push_back(*absent);
+  return due;
+}
+
+std::vector<peer_request> peer_membership::Tick(steady_time now) {
+  if (!started_at_.has_value()) SpreadStart(now);
+  ChargeProbes(now);
+  FollowOwnChanges(now);
+  ForgetHolders(now);
+  ChaseLaggards(now);
+  ArrangePartners(now);
   std::vector<peer_request> requests;
-  for (const vm_id& id : due) {
+  for (const vm_id& id : DuePeers(now)) {
     if (budget_.Available(now) < kSmallestMessage) break;
     peer_state& peer = peers_.at(id);
     peer.last_request = now;
-    peer.urgent = false;
+    urgent_.erase(id);
     requests.push_back({id, Build(peer, now)});
   }
   return requests;
 }
 
+// The first exchanges spread over one interval, so that a start keeps within
+// the bytes of a second.
+void peer_membership::SpreadStart(steady_time now) {
+  started_at_ = now;
+  const auto interval =
+      IsDirect() ? settings_.direct_interval : settings_.ring_interval;
+  const auto count = static_cast<std::int64_t>(peers_.size());
+  std::int64_t turn = 0;
+  for (auto& [id, peer] : peers_) {
+    peer.last_exchange = now - interval * turn++ / count;
+  }
+}
+
+void peer_membership::ChargeProbes(steady_time now) {
+  const std::uint64_t bytes = registry_.probe_bytes_sent();
+  budget_.Charge(static_cast<std::int64_t>(bytes - charged_probe_bytes_), now);
+  charged_probe_bytes_ = bytes;
+}
+
 void peer_membership::FollowOwnChanges(steady_time now) {
   holder_state& own = holders_.at(RefOf(self_));
   own.alive_at = now;
@@ -208,8 +239,15 @@
 void peer_membership::AddNews(const holder_change& change,
                               const holder_state& holder, const vm_id& from,
                               steady_time now) {
-  news_.push_back({next_news_++, now, from,
-                   holder.domain == settings_.self.domain, change});
+  const bool own_domain = holder.domain == settings_.self.domain;
+  news_item item{next_news_++, now, from, own_domain, 0, 0, change};
+  if (from == self_.vm) {
+    item.pushes = static_cast<std::uint32_t>(vms_.size());
+  } else if (!IsDirect()) {
+    item.pushes = kRelayedPushes;
+  }
+  if (own_domain) item.remote_pushes = kRelayedPushes;
+  news_.push_back(std::move(item));
 }
 
 void peer_membership::ForgetHolders(steady_time now) {
@@ -224,15 +262,20 @@
   }
 }
 
-void peer_membership::ResetLaggards(steady_time now) {
+void peer_membership::ChaseLaggards(steady_time now) {
   for (auto& [ref, holder] : holders_) {
-    if (!holder.lagging_since.has_value() ||
-        now - *holder.lagging_since <= settings_.longest_lag) {
+    if (!holder.lagging_since.has_value()) continue;
+    if (now - *holder.lagging_since > settings_.longest_lag) {
+      holder.change = 0;
+      holder.lagging_since = now;
+      holder.listed.reset();
+    }
+    if (holder.asked_at.has_value() &&
+        now - *holder.asked_at < settings_.retry_interval) {
       continue;
     }
-    holder.change = 0;
-    holder.lagging_since = now;
-    holder.listed.reset();
+    peers_.at(holder.named_by).lacking.insert(ref);
+    urgent_.insert(holder.named_by);
   }
 }
 
--- a/source/process/membership/peer_membership.h
+++ b/source/process/membership/peer_membership.h
@@ -37,9 +37,9 @@
   std::vector<peer_vm> vms;
   /// Up to this number of VMs each one exchanges with every other.
   std::size_t direct_limit = 12;
-  std::chrono::milliseconds direct_interval{500};
-  std::chrono::milliseconds ring_interval{900};
-  std::chrono::milliseconds remote_interval{1000};
+  std::chrono::milliseconds direct_interval{700};
+  std::chrono::milliseconds ring_interval{1000};
+  std::chrono::milliseconds remote_interval{2000};
   /// A peer that has not answered is asked again at this interval.
   std::chrono::milliseconds retry_interval{1000};
   /// A peer without evidence for this time counts as cut off.
@@ -53,15 +53,21 @@
   /// A difference of digests lasts this long before positions are asked for:
   /// changes on their way cause shorter ones.
   std::chrono::milliseconds digest_patience{3000};
+  /// The patience doubles up to this while the digests go on to differ.
+  std::chrono::milliseconds longest_patience{24000};
+  std::chrono::milliseconds positions_interval{2000};
   /// A copy that lags behind a holder for this time is fetched anew.
   std::chrono::milliseconds longest_lag{60000};
-  /// Sent bytes a second, framing included. The probes have their own part.
-  std::int64_t bytes_per_second = 2300;
-  std::int64_t burst_bytes = 4600;
+  /// Sent bytes a second, framing and the registry's probes included. With
+  /// the burst this stays below 3,000 bytes in any second.
+  std::int64_t bytes_per_second = 2200;
+  std::int64_t burst_bytes = 300;
+  /// Part of the above that changes and records may use, so that heartbeats
+  /// can't crowd them out.
+  std::int64_t news_bytes_per_second = 600;
+  std::int64_t news_burst_bytes = 900;
   /// HTTP/2 frames, TLS record and TCP/IP headers of one message.
   std::uint32_t framing_bytes = 100;
-  /// Largest part of one message that changes and records may fill.
-  std::size_t max_news_bytes = 1200;
 };
 
 /// A message to send to `to` as POST /peer/heartbeat. The response body goes
@@ -74,7 +80,7 @@
 /// Exchanges liveness evidence and changes of leases with the other entry VMs.
 /// Up to direct_limit VMs exchange with all others. Beyond it a VM exchanges
 /// with ring neighbours of its own failure domain, so that each beat arrives
-/// over at most two hops, and with one VM of another failure domain a second.
+/// over at most two hops, and with VMs of other failure domains in turn.
 /// Guarded by the membership lock, like the registry that it feeds.
 class peer_membership {
  public:
@@ -119,6 +125,9 @@
     lease_vouch vouch;
     /// Date of the vouch, by this VM's clock.
     std::optional<steady_time> as_of;
+    std::optional<steady_time> asked_at;
+    /// The peer that named the announced change.
+    vm_id named_by;
     /// Latest evidence that the holder runs.
     steady_time alive_at{};
     /// Ids seen so far of a list of all records.
@@ -134,32 +143,41 @@
     std::uint64_t news_cursor = 0;
     /// A far ring partner: gets the beats of this VM's neighbourhood.
     bool is_far = false;
-    /// Something is to be asked; the next exchange is due at once.
-    bool urgent = false;
     std::set<holder_ref> lacking;
     std::set<failure_domain_id> unclear;
     std::vector<record_request> asked_records;
     std::set<failure_domain_id> asked_positions;
+    holder_ref told_position = 0;
   };
   struct news_item {
     std::uint64_t number = 0;
     steady_time learned_at;
     vm_id learned_from;
     bool own_domain = false;
+    /// Further peers to tell unasked. Those that miss a change ask for it
+    /// when a beat or a digest names it, which costs one copy each.
+    std::uint32_t pushes = 0;
+    /// The same for VMs of other failure domains.
+    std::uint32_t remote_pushes = 0;
     holder_change change;
   };
   struct mismatch {
     std::optional<steady_time> since;
+    std::chrono::milliseconds patience{0};
+    std::optional<steady_time> asked_at;
   };
 
   // peer_membership.cc: schedule and state.
   void ArrangePartners(steady_time now);
   std::optional<vm_id> RemotePartner(steady_time now);
   std::optional<vm_id> AbsentPartner(steady_time now);
+  std::vector<vm_id> DuePeers(steady_time now);
   bool IsDue(const peer_state& peer, steady_time now) const;
+  void SpreadStart(steady_time now);
+  void ChargeProbes(steady_time now);
   void FollowOwnChanges(steady_time now);
   void ForgetHolders(steady_time now);
-  void ResetLaggards(steady_time now);
+  void ChaseLaggards(steady_time now);
   bool IsDirect() const { return vms_.size() <= settings_.direct_limit; }
   bool IsKnownDomain(const failure_domain_id& domain) const;
   bool IsPresent(const vm_id& vm, steady_time now) const;
@@ -176,14 +194,16 @@
   std::string Build(peer_state& peer, steady_time now);
   void TellBeats(const peer_state& peer, steady_time now,
                  peer_message& message);
-  std::size_t TellNews(peer_state& peer, steady_time now, std::size_t room,
+  std::size_t TellNews(peer_state& peer, std::size_t room,
                        peer_message& message);
-  void TellRecords(peer_state& peer, std::size_t room, peer_message& message);
+  std::size_t TellRecords(peer_state& peer, std::size_t room,
+                          peer_message& message);
   record_list ListRecords(const holder_state& holder, std::uint64_t after,
                           std::size_t room) const;
   void TellDigests(const peer_state& peer, peer_message& message);
-  void TellPositions(peer_state& peer, steady_time now, peer_message& message);
-  void TellWants(peer_state& peer, peer_message& message);
+  std::size_t TellPositions(peer_state& peer, steady_time now, std::size_t room,
+                            peer_message& message);
+  void TellWants(peer_state& peer, steady_time now, peer_message& message);
 
   // peer_membership_receive.cc: what a message teaches.
   void Receive(peer_state& peer, const peer_message& message, steady_time now);
@@ -208,6 +228,8 @@
   peer_membership_settings settings_;
   endpoint_registry& registry_;
   byte_budget budget_;
+  byte_budget news_budget_;
+  std::uint64_t charged_probe_bytes_ = 0;
   holder_id self_;
   std::map<vm_id, failure_domain_id> vms_;
   std::map<vm_id, peer_state> peers_;
@@ -217,6 +239,8 @@
   std::vector<vm_id> partners_;
   std::vector<vm_id> remotes_;
   std::set<vm_id> neighbourhood_;
+  /// Peers to be asked something; the next exchange with them is due at once.
+  std::set<vm_id> urgent_;
   std::optional<steady_time> started_at_;
   std::optional<steady_time> arranged_at_;
   std::map<failure_domain_id, mismatch> mismatches_;
--- a/source/process/membership/peer_membership_receive.cc
+++ b/source/process/membership/peer_membership_receive.cc
@@ -43,7 +43,10 @@
   for (const failure_domain_id& domain : message.wanted_positions) {
     if (IsKnownDomain(domain)) peer.asked_positions.insert(domain);
   }
-  peer.asked_records = message.wanted_records;
+  // Answered in the next message, whichever VM opens the exchange.
+  if (!message.wanted_records.empty()) {
+    peer.asked_records = message.wanted_records;
+  }
 }
 
 void peer_membership::HearBeats(peer_state& peer, const peer_message& message,
@@ -53,7 +56,7 @@
       Meet(message.from, sent.value_or(now - settings_.cut_off_after));
   if (sender == nullptr) return;
   for (const peer_beat& beat : message.beats) {
-    holder_state* holder = FindHolder(beat.holder);
+    holder_state* holder = beat.holder == 0 ? sender : FindHolder(beat.holder);
     if (holder == nullptr) {
       // Only positions name the holder behind a reference.
       peer.unclear.insert(peer.vm.domain);
@@ -88,11 +91,11 @@
 
 void peer_membership::HearAnnounced(peer_state& peer, holder_state& holder,
                                     std::uint64_t change, steady_time now) {
-  holder.announced = std::max(holder.announced, change);
-  if (holder.change >= change) return;
+  if (holder.change >= change || change < holder.announced) return;
+  holder.announced = change;
+  holder.named_by = peer.vm.id;
   if (!holder.lagging_since.has_value()) holder.lagging_since = now;
   peer.lacking.insert(RefOf(holder.id));
-  peer.urgent = true;
 }
 
 void peer_membership::Advance(holder_state& holder, std::uint64_t change,
@@ -133,8 +136,11 @@
       continue;
     }
     if (list.after == 0) holder->listed.emplace();
+    std::uint64_t before = list.after;
     for (const lease_record& record : list.records) {
       registry_.ApplyRecord(list.holder, record, now);
+      AddNews({list.holder, before, record}, *holder, peer.vm.id, now);
+      before = record.change;
       if (holder->listed.has_value()) {
         holder->listed->insert(record.endpoint.id);
       }
@@ -144,6 +150,7 @@
       holder->listed.reset();
     }
     Advance(*holder, list.change, now);
+    holder->asked_at.reset();
     if (holder->change < holder->announced) {
       HearAnnounced(peer, *holder, holder->announced, now);
     }
@@ -157,9 +164,9 @@
                                   steady_time now) {
   for (const domain_digest& digest : message.digests) {
     if (!IsKnownDomain(digest.domain)) continue;
-    auto& since = mismatches_[digest.domain].since;
+    mismatch& seen = mismatches_[digest.domain];
     if (DigestOf(digest.domain) == digest.hash) {
-      since.reset();
+      seen.since.reset();
       if (!sent.has_value() || IsDirect() || digest.domain != peer.vm.domain ||
           digest.domain == settings_.self.domain) {
         continue;
@@ -170,12 +177,15 @@
       }
       continue;
     }
-    if (!since.has_value()) since = now;
-    if (now - *since >= settings_.digest_patience) {
-      peer.unclear.insert(digest.domain);
-      peer.urgent = true;
-      since = now;
+    if (!seen.since.has_value()) {
+      seen.since = now;
+      seen.patience = settings_.digest_patience;
     }
+    if (now - *seen.since < seen.patience) continue;
+    seen.since = now;
+    seen.patience = std::min(seen.patience * 2, settings_.longest_patience);
+    peer.unclear.insert(digest.domain);
+    urgent_.insert(peer.vm.id);
   }
 }
 
--- a/source/process/membership/peer_membership_send.cc
+++ b/source/process/membership/peer_membership_send.cc
@@ -10,9 +10,7 @@
 
 constexpr std::size_t kMaxWants = 16;
 constexpr std::size_t kMaxPositions = 64;
-/// Changes of the own failure domain go to other ones for this long. With one
-/// contact a VM and second, several VMs of each other failure domain get them.
-constexpr std::chrono::milliseconds kRemoteNews{3000};
+constexpr std::size_t kPositionBytes = 32;
 
 std::chrono::milliseconds CeilMs(std::chrono::microseconds duration) {
   return std::chrono::ceil<std::chrono::milliseconds>(duration);
@@ -34,14 +32,14 @@
   }
   TellBeats(peer, now, message);
   TellDigests(peer, message);
-  TellPositions(peer, now, message);
-  TellWants(peer, message);
-  const std::int64_t spare =
-      std::max<std::int64_t>(0, budget_.Available(now) - 400);
-  std::size_t room = std::min<std::size_t>(settings_.max_news_bytes,
-                                           static_cast<std::size_t>(spare));
-  room -= std::min(room, TellNews(peer, now, room, message));
-  TellRecords(peer, room, message);
+  TellWants(peer, now, message);
+  const std::size_t room = static_cast<std::size_t>(std::clamp<std::int64_t>(
+      budget_.Available(now), 0,
+      std::max<std::int64_t>(0, news_budget_.Available(now))));
+  std::size_t news = TellNews(peer, room, message);
+  news += TellRecords(peer, room - std::min(room, news), message);
+  news += TellPositions(peer, now, room - std::min(room, news), message);
+  news_budget_.Charge(static_cast<std::int64_t>(news), now);
   std::string body = EncodePeerMessage(message);
   const std::size_t bytes = body.size() + settings_.framing_bytes;
   budget_.Charge(static_cast<std::int64_t>(bytes), now);
@@ -65,20 +63,20 @@
   }
 }
 
-std::size_t peer_membership::TellNews(peer_state& peer, steady_time now,
-                                      std::size_t room, peer_message& message) {
+std::size_t peer_membership::TellNews(peer_state& peer, std::size_t room,
+                                      peer_message& message) {
   const bool remote = !IsDirect() && peer.vm.domain != settings_.self.domain;
   std::size_t used = 0;
-  for (const news_item& item : news_) {
+  for (news_item& item : news_) {
     if (item.number <= peer.news_cursor) continue;
-    const bool wanted =
-        item.learned_from != peer.vm.id &&
-        item.change.holder.vm != peer.vm.id &&
-        (!remote || (item.own_domain && now - item.learned_at <= kRemoteNews));
+    std::uint32_t& pushes = remote ? item.remote_pushes : item.pushes;
+    const bool wanted = pushes > 0 && item.learned_from != peer.vm.id &&
+                        item.change.holder.vm != peer.vm.id;
     if (wanted) {
       const std::size_t size = EncodedSize(item.change);
       if (used + size > room) break;
       used += size;
+      --pushes;
       message.changes.push_back(item.change);
     }
     peer.news_cursor = item.number;
@@ -110,8 +108,9 @@
   return list;
 }
 
-void peer_membership::TellRecords(peer_state& peer, std::size_t room,
-                                  peer_message& message) {
+std::size_t peer_membership::TellRecords(peer_state& peer, std::size_t room,
+                                         peer_message& message) {
+  std::size_t total = 0;
   for (const record_request& asked : peer.asked_records) {
     const holder_state* holder = FindHolder(asked.holder);
     if (holder == nullptr || holder->change <= asked.after) continue;
@@ -122,10 +121,12 @@
       used += EncodedSize(record);
     }
     room -= std::min(room, used + 32);
+    total += used + 32;
     message.records.push_back(std::move(list));
   }
   // What found no room is asked for again.
   peer.asked_records.clear();
+  return total;
 }
 
 void peer_membership::TellDigests(const peer_state& peer,
@@ -139,33 +140,59 @@
   message.digests.push_back({domain, DigestOf(domain)});
 }
 
-void peer_membership::TellPositions(peer_state& peer, steady_time now,
-                                    peer_message& message) {
-  for (const auto& [ref, holder] : holders_) {
+std::size_t peer_membership::TellPositions(peer_state& peer, steady_time now,
+                                           std::size_t room,
+                                           peer_message& message) {
+  const std::size_t limit = std::min(kMaxPositions, room / kPositionBytes);
+  if (peer.asked_positions.empty() || limit == 0) return 0;
+  // Positions that find no room go with a later answer.
+  auto it = holders_.upper_bound(peer.told_position);
+  for (std::size_t seen = 0; seen < holders_.size(); ++seen, ++it) {
+    if (message.positions.size() >= limit) break;
+    if (it == holders_.end()) it = holders_.begin();
+    const holder_state& holder = it->second;
     if (!peer.asked_positions.contains(holder.domain)) continue;
-    if (message.positions.size() >= kMaxPositions) break;
     const auto silence =
         std::chrono::floor<std::chrono::seconds>(now - holder.alive_at);
     message.positions.push_back(
         {holder.id, holder.change,
          static_cast<std::uint32_t>(
              std::max<std::int64_t>(0, silence.count()))});
+    peer.told_position = it->first;
   }
   peer.asked_positions.clear();
+  return message.positions.size() * kPositionBytes;
 }
 
-void peer_membership::TellWants(peer_state& peer, peer_message& message) {
+void peer_membership::TellWants(peer_state& peer, steady_time now,
+                                peer_message& message) {
   for (const failure_domain_id& domain : peer.unclear) {
+    auto& asked_at = mismatches_[domain].asked_at;
+    if (asked_at.has_value() &&
+        now - *asked_at < settings_.positions_interval) {
+      continue;
+    }
+    asked_at = now;
     message.wanted_positions.push_back(domain);
   }
   peer.unclear.clear();
-  for (const holder_ref ref : peer.lacking) {
-    const holder_state* holder = FindHolder(ref);
-    if (holder == nullptr || holder->change >= holder->announced) continue;
+  for (auto it = peer.lacking.begin(); it != peer.lacking.end();) {
+    holder_state* holder = FindHolder(*it);
+    if (holder == nullptr || holder->change >= holder->announced) {
+      it = peer.lacking.erase(it);
+      continue;
+    }
     if (message.wanted_records.size() >= kMaxWants) return;
-    message.wanted_records.push_back({ref, holder->change});
+    // Another peer may be about to answer the same question.
+    if (holder->asked_at.has_value() &&
+        now - *holder->asked_at < settings_.retry_interval) {
+      ++it;
+      continue;
+    }
+    holder->asked_at = now;
+    message.wanted_records.push_back({*it, holder->change});
+    it = peer.lacking.erase(it);
   }
-  peer.lacking.clear();
 }
 
 }  // namespace marjoramsill
--- a/source/process/membership/peer_message.h
+++ b/source/process/membership/peer_message.h
@@ -10,10 +10,11 @@
 namespace marjoramsill {
 
 /// Hash of a holder_id; stands for it in beats, where bytes count.
-using holder_ref = std::uint64_t;
+using holder_ref = std::uint32_t;
 
 /// A holder's vouch, from the holder itself or relayed.
 struct peer_beat {
+  /// 0 stands for the sender.
   holder_ref holder = 0;
   document_version version;
   lease_vouch vouch;
--- /dev/null
+++ b/tests/membership/endpoint_registry_test.cc
@@ -0,0 +1,212 @@
+#include "process/membership/endpoint_registry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace marjoramsill {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class endpoint_registry_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(endpoint_registry_test);
+  CPPUNIT_TEST(endpoint_new_is_probed_then_usable);
+  CPPUNIT_TEST(announcements_regular_keep_endpoint_usable);
+  CPPUNIT_TEST(announcement_late_is_no_evidence);
+  CPPUNIT_TEST(announcement_lower_incarnation_is_refused);
+  CPPUNIT_TEST(endpoint_silent_expires);
+  CPPUNIT_TEST(endpoint_leaving_by_header_gets_no_work);
+  CPPUNIT_TEST(endpoint_leaving_does_not_become_active_again);
+  CPPUNIT_TEST(endpoint_flapping_is_held_down);
+  CPPUNIT_TEST(freeze_makes_evidence_stale);
+  CPPUNIT_TEST(vouch_skips_overdue_leases);
+  CPPUNIT_TEST(probes_stay_within_budget);
+  CPPUNIT_TEST(registry_full_refuses_unknown_endpoints);
+  CPPUNIT_TEST_SUITE_END();
+
+  static endpoint_announcement Said(const char* id = "e1",
+                                    std::uint64_t life = 1) {
+    endpoint_announcement said;
+    said.id = endpoint_id(id);
+    said.life = incarnation(life);
+    said.address = "10.0.0.1:80";
+    said.domain = failure_domain_id("perth");
+    said.serves = {model_id("drafting")};
+    return said;
+  }
+
+  static endpoint_registry_settings Settings() {
+    endpoint_registry_settings settings;
+    settings.self = {vm_id("vm-1"), incarnation(1)};
+    return settings;
+  }
+
+  // Advances to `to` in ticks and announces at every full second.
+  void RunTo(milliseconds to, bool announce = true, bool answer = true) {
+    while (at_ < to) {
+      at_ += milliseconds(100);
+      if (announce && at_ % milliseconds(1000) == milliseconds(0)) {
+        (void)registry_.OnAnnouncement(said_, Now());
+      }
+      for (const probe_request& probe : registry_.Tick(Now())) {
+        ++probes_;
+        if (!answer) continue;
+        registry_.OnProbeResult(
+            probe.id, {probe.life, true, Now(), said_.state, {}}, Now());
+      }
+    }
+  }
+
+  dispatch_verdict Verdict() const {
+    return registry_.Inspect(said_.id, Now());
+  }
+  steady_time Now() const { return steady_time(at_); }
+
+  milliseconds at_{100000};
+  endpoint_announcement said_ = Said();
+  endpoint_registry registry_{Settings()};
+  int probes_ = 0;
+
+ public:
+  // Guards against work sent to an address that nobody has reached yet.
+  void endpoint_new_is_probed_then_usable() {
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kUnknown);
+    CPPUNIT_ASSERT(registry_.OnAnnouncement(said_, Now()).has_value());
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kNeedsProbe);
+    RunTo(milliseconds(100100));
+    CPPUNIT_ASSERT_EQUAL(1, probes_);
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kUsable);
+  }
+
+  // Guards against probes for endpoints that announce on time.
+  void announcements_regular_keep_endpoint_usable() {
+    RunTo(milliseconds(104000));
+    const int before = probes_;
+    while (at_ < milliseconds(130000)) {
+      RunTo(at_ + milliseconds(100));
+      CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kUsable);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, probes_);
+  }
+
+  // Guards against an announcement that waited on a cut link for seconds and
+  // vouches for an endpoint that has died since.
+  void announcement_late_is_no_evidence() {
+    RunTo(milliseconds(106000));
+    RunTo(milliseconds(108400), false);
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kUsable);
+    (void)registry_.OnAnnouncement(said_, Now());
+    RunTo(milliseconds(108600), false, false);
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kNeedsProbe);
+  }
+
+  // Guards against a delayed announcement of an earlier life.
+  void announcement_lower_incarnation_is_refused() {
+    said_ = Said("e1", 5);
+    RunTo(milliseconds(101000));
+    const auto refused = registry_.OnAnnouncement(Said("e1", 4), Now());
+    CPPUNIT_ASSERT(!refused);
+    CPPUNIT_ASSERT(refused.error() == announcement_refusal::kOldIncarnation);
+    CPPUNIT_ASSERT(registry_.Find(said_.id)->endpoint.life == incarnation(5));
+  }
+
+  // Guards against endpoints that stay in the view after their end.
+  void endpoint_silent_expires() {
+    RunTo(milliseconds(105000));
+    RunTo(milliseconds(107500), false, false);
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kNeedsProbe);
+    RunTo(milliseconds(108200), false, false);
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kUnknown);
+    CPPUNIT_ASSERT(registry_.ForModel(model_id("drafting")).empty());
+  }
+
+  // Guards against new work on an endpoint that has said in a response that
+  // it leaves, on a VM that hears neither its announcements nor its peers.
+  void endpoint_leaving_by_header_gets_no_work() {
+    RunTo(milliseconds(105000));
+    registry_.OnAttempt(
+        said_.id,
+        {said_.life, true, Now(), endpoint_state::kLeaving, std::nullopt},
+        Now());
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kLeaving);
+  }
+
+  // Guards against a delayed older announcement that revives the endpoint.
+  void endpoint_leaving_does_not_become_active_again() {
+    said_.state = endpoint_state::kLeaving;
+    RunTo(milliseconds(101000));
+    (void)registry_.OnAnnouncement(Said(), Now());
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kLeaving);
+    (void)registry_.OnAnnouncement(Said("e1", 2), Now());
+    CPPUNIT_ASSERT(Verdict() != dispatch_verdict::kLeaving);
+  }
+
+  // Guards against a flapping endpoint that gets work at each return.
+  void endpoint_flapping_is_held_down() {
+    for (std::uint64_t life = 2; life < 6; ++life) {
+      said_.life = incarnation(life);
+      RunTo(at_ + milliseconds(2000));
+    }
+    // Three returns: held for 1 + 2 + 4 s after the last one, at 107 s.
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kHeldDown);
+    RunTo(milliseconds(110900));
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kHeldDown);
+    RunTo(milliseconds(111000));
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kUsable);
+  }
+
+  // Guards against a resumed process that takes queued announcements for
+  // evidence.
+  void freeze_makes_evidence_stale() {
+    RunTo(milliseconds(105000));
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kUsable);
+    at_ += milliseconds(700);
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kNeedsProbe);
+    (void)registry_.OnAnnouncement(said_, Now());
+    CPPUNIT_ASSERT(Verdict() == dispatch_verdict::kNeedsProbe);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         registry_.MakeVouch(Now()).overdue.size());
+  }
+
+  // Guards against a holder that vouches for a lease without evidence.
+  void vouch_skips_overdue_leases() {
+    RunTo(milliseconds(105000));
+    (void)registry_.OnAnnouncement(Said("e2"), Now());
+    lease_vouch vouch = registry_.MakeVouch(Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vouch.overdue.size());
+    CPPUNIT_ASSERT(vouch.age == milliseconds(0));
+    RunTo(milliseconds(106500), false, false);
+    vouch = registry_.MakeVouch(Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, vouch.overdue.size());
+  }
+
+  // Guards against probe traffic above its part of 3,000 bytes a second.
+  void probes_stay_within_budget() {
+    for (int i = 0; i < 100; ++i) {
+      (void)registry_.OnAnnouncement(Said(std::to_string(i).c_str()), Now());
+    }
+    for (int second = 0; second < 30; ++second) {
+      for (int i = 0; i < 100; ++i) {
+        (void)registry_.OnAnnouncement(Said(std::to_string(i).c_str()), Now());
+      }
+      RunTo(at_ + milliseconds(1000), false, false);
+    }
+    CPPUNIT_ASSERT(probes_ > 0);
+    CPPUNIT_ASSERT(registry_.probe_bytes_sent() <= 640 * 30 + 640);
+  }
+
+  // Guards against memory that grows with invented endpoint ids.
+  void registry_full_refuses_unknown_endpoints() {
+    endpoint_registry_settings settings = Settings();
+    settings.max_endpoints = 1;
+    endpoint_registry small(settings);
+    CPPUNIT_ASSERT(small.OnAnnouncement(Said("e1"), Now()).has_value());
+    const auto refused = small.OnAnnouncement(Said("e2"), Now());
+    CPPUNIT_ASSERT(!refused);
+    CPPUNIT_ASSERT(refused.error() == announcement_refusal::kTooManyEndpoints);
+    CPPUNIT_ASSERT(small.OnAnnouncement(Said("e1"), Now()).has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_registry_test);
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/membership/membership_simulation.cc
@@ -0,0 +1,399 @@
+#include "membership_simulation.h"
+
+#include <algorithm>
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{100};
+constexpr milliseconds kCheck{50};
+constexpr milliseconds kBound{3000};
+const model_id kModel("drafting");
+
+}  // namespace
+
+membership_simulation::membership_simulation(const simulation_options& options)
+    : options_(options), random_(options.seed) {
+  vms_.resize(options.domains * options.vms_per_domain);
+  endpoints_.resize(options.domains * options.endpoints_per_domain);
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    StartVm(i);
+    const auto phase = std::chrono::microseconds(random_() % 100000);
+    At(now_ + phase, [this, i] { TickVm(i); });
+    if (options_.check_dispatch) At(now_, [this, i] { CheckVm(i); });
+  }
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    endpoints_[i].target = PickTarget(i);
+    const auto phase = std::chrono::microseconds(random_() % 1000000);
+    At(now_ + phase, [this, i] { Announce(i); });
+  }
+  At(now_ + milliseconds(1000), [this] { MeasureBytes(); });
+}
+
+double membership_simulation::Random() {
+  return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+std::size_t membership_simulation::PickTarget(std::size_t endpoint) {
+  if (!options_.announce_in_domain) return random_() % vms_.size();
+  return DomainOfEndpoint(endpoint) * options_.vms_per_domain +
+         random_() % options_.vms_per_domain;
+}
+
+void membership_simulation::At(steady_time when, std::function<void()> action) {
+  events_.emplace(when, std::move(action));
+}
+
+void membership_simulation::Run(milliseconds duration) {
+  const steady_time end = now_ + duration;
+  while (!events_.empty() && events_.begin()->first <= end) {
+    auto node = events_.extract(events_.begin());
+    now_ = node.key();
+    node.mapped()();
+  }
+  now_ = end;
+}
+
+endpoint_id membership_simulation::IdOf(std::size_t endpoint) const {
+  return endpoint_id("engine-" + std::to_string(endpoint));
+}
+
+vm_id membership_simulation::VmId(std::size_t vm) const {
+  return vm_id("vm-" + std::to_string(vm));
+}
+
+std::size_t membership_simulation::DomainOfVm(std::size_t vm) const {
+  return vm / options_.vms_per_domain;
+}
+
+std::size_t membership_simulation::DomainOfEndpoint(
+    std::size_t endpoint) const {
+  return endpoint / options_.endpoints_per_domain;
+}
+
+void membership_simulation::StartVm(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  const auto domain = [](std::size_t at) {
+    return failure_domain_id("domain-" + std::to_string(at));
+  };
+  endpoint_registry_settings settings;
+  settings.self = {VmId(vm), incarnation(state.life)};
+  settings.forget_silent = options_.forget_silent;
+  state.registry = std::make_unique<endpoint_registry>(settings);
+  peer_membership_settings peers;
+  peers.self = {VmId(vm), domain(DomainOfVm(vm))};
+  peers.life = incarnation(state.life);
+  peers.forget_holder = options_.forget_holder;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    peers.vms.push_back({VmId(i), domain(DomainOfVm(i))});
+  }
+  state.peers = std::make_unique<peer_membership>(peers, *state.registry);
+  state.bytes_before = 0;
+}
+
+void membership_simulation::Deliver(std::size_t vm, std::uint64_t life,
+                                    const std::function<void()>& action) {
+  vm_state& state = vms_[vm];
+  if (!state.up || state.life != life) return;
+  if (now_ < state.frozen_until) {
+    state.waiting.push_back(action);
+  } else {
+    action();
+  }
+}
+
+void membership_simulation::TickVm(std::size_t vm) {
+  vm_state& state = vms_[vm];
+  At(now_ + kTick, [this, vm] { TickVm(vm); });
+  if (!state.up || now_ < state.frozen_until) return;
+  // After a freeze the process reads its sockets before its timers run.
+  const auto waiting = std::exchange(state.waiting, {});
+  for (const auto& action : waiting) action();
+  for (const probe_request& probe : state.registry->Tick(now_)) {
+    Probe(vm, probe);
+  }
+  for (const peer_request& request : state.peers->Tick(now_)) {
+    ExchangeHeartbeat(vm, request);
+  }
+}
+
+std::optional<std::chrono::microseconds> membership_simulation::Delay() {
+  if (Random() < options_.lost_share) return std::nullopt;
+  if (Random() < options_.slow_share) {
+    return std::chrono::microseconds(static_cast<std::int64_t>(
+        Random() * 1000.0 * static_cast<double>(options_.long_delay.count())));
+  }
+  return std::chrono::microseconds(500 + random_() % 2000);
+}
+
+bool membership_simulation::VmsLinked(std::size_t a, std::size_t b) const {
+  if (vms_[a].isolated || vms_[b].isolated) return false;
+  return DomainOfVm(a) == DomainOfVm(b) ||
+         (!cut_domains_.contains(DomainOfVm(a)) &&
+          !cut_domains_.contains(DomainOfVm(b)));
+}
+
+bool membership_simulation::EndpointLinked(std::size_t vm,
+                                           std::size_t endpoint) const {
+  const std::size_t domain = DomainOfEndpoint(endpoint);
+  return domain == DomainOfVm(vm) || (!cut_domains_.contains(domain) &&
+                                      !cut_domains_.contains(DomainOfVm(vm)));
+}
+
+void membership_simulation::ExchangeHeartbeat(std::size_t from,
+                                              const peer_request& request) {
+  const std::size_t to =
+      static_cast<std::size_t>(std::stoul(request.to.value().substr(3)));
+  const std::uint64_t from_life = vms_[from].life;
+  const int copies = Random() < options_.duplicate_share ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    const auto there = Delay();
+    if (!there.has_value() || !VmsLinked(from, to)) continue;
+    At(now_ + *there, [this, from, to, from_life, body = request.body] {
+      if (!VmsLinked(from, to)) return;
+      Deliver(to, vms_[to].life, [this, from, to, from_life, body] {
+        auto answer = vms_[to].peers->OnRequest(body, now_);
+        const auto back = Delay();
+        if (!answer || !back.has_value()) return;
+        At(now_ + *back,
+           [this, from, to, from_life, reply = std::move(answer.value())] {
+             if (!VmsLinked(from, to)) return;
+             Deliver(from, from_life, [this, from, reply] {
+               (void)vms_[from].peers->OnResponse(reply, now_);
+             });
+           });
+      });
+    });
+  }
+}
+
+// A fixed schedule: a slot passes unused while an announcement is in flight.
+void membership_simulation::Announce(std::size_t endpoint) {
+  At(now_ + milliseconds(1000), [this, endpoint] { Announce(endpoint); });
+  endpoint_state_in_test& state = endpoints_[endpoint];
+  if (!state.up || state.in_flight) return;
+  // The load balancer moves the connection when its VM can't be reached.
+  for (int i = 0; i < 20; ++i) {
+    const vm_state& vm = vms_[state.target];
+    if (vm.up && now_ >= vm.frozen_until &&
+        EndpointLinked(state.target, endpoint)) {
+      break;
+    }
+    state.target = PickTarget(endpoint);
+  }
+  SendAnnouncement(endpoint, state.target);
+}
+
+void membership_simulation::SendAnnouncement(std::size_t endpoint,
+                                             std::size_t vm) {
+  endpoint_state_in_test& state = endpoints_[endpoint];
+  endpoint_announcement said;
+  said.id = IdOf(endpoint);
+  said.life = incarnation(state.life);
+  said.address = "10.0.0." + std::to_string(endpoint % 250) + ":8000";
+  said.domain =
+      failure_domain_id("domain-" + std::to_string(DomainOfEndpoint(endpoint)));
+  said.state =
+      state.leaving ? endpoint_state::kLeaving : endpoint_state::kActive;
+  said.serves = {kModel};
+  said.capacity = 32;
+  const auto delay = Delay();
+  if (!delay.has_value()) return;
+  state.in_flight = true;
+  const std::uint64_t life = state.life;
+  At(now_ + *delay, [this, endpoint, vm, life, said] {
+    if (endpoints_[endpoint].life == life) {
+      endpoints_[endpoint].in_flight = false;
+    }
+    if (!EndpointLinked(vm, endpoint)) return;
+    Deliver(vm, vms_[vm].life, [this, vm, said] {
+      (void)vms_[vm].registry->OnAnnouncement(said, now_);
+    });
+  });
+}
+
+void membership_simulation::Probe(std::size_t vm, const probe_request& probe) {
+  const std::size_t endpoint =
+      static_cast<std::size_t>(std::stoul(probe.id.value().substr(7)));
+  const auto there = Delay();
+  const auto back = Delay();
+  if (!there.has_value() || !back.has_value()) return;
+  const std::uint64_t vm_life = vms_[vm].life;
+  const steady_time sent = now_;
+  At(now_ + *there, [this, vm, endpoint, sent, vm_life, back = *back] {
+    const endpoint_state_in_test& state = endpoints_[endpoint];
+    if (!state.up || !EndpointLinked(vm, endpoint)) return;
+    probe_result answer{
+        incarnation(state.life), true, sent,
+        state.leaving ? endpoint_state::kLeaving : endpoint_state::kActive,
+        std::nullopt};
+    At(now_ + back, [this, vm, endpoint, vm_life, answer] {
+      Deliver(vm, vm_life, [this, vm, endpoint, answer] {
+        vms_[vm].registry->OnProbeResult(IdOf(endpoint), answer, now_);
+      });
+    });
+  });
+}
+
+void membership_simulation::Attempt(std::size_t vm, std::size_t endpoint) {
+  const endpoint_state_in_test& state = endpoints_[endpoint];
+  const auto known = vms_[vm].registry->Find(IdOf(endpoint));
+  const bool good = state.up && EndpointLinked(vm, endpoint) &&
+                    known->endpoint.life == incarnation(state.life);
+  attempt_report report{known->endpoint.life, good, now_, std::nullopt,
+                        endpoint_load{1, 0}};
+  if (good) {
+    report.state =
+        state.leaving ? endpoint_state::kLeaving : endpoint_state::kActive;
+  }
+  const std::uint64_t life = vms_[vm].life;
+  At(now_ + milliseconds(20), [this, vm, endpoint, life, report] {
+    Deliver(vm, life, [this, vm, endpoint, report] {
+      vms_[vm].registry->OnAttempt(IdOf(endpoint), report, now_);
+    });
+  });
+}
+
+bool membership_simulation::IsUsable(std::size_t vm, std::size_t endpoint) {
+  return vms_[vm].registry->Inspect(IdOf(endpoint), now_) ==
+         dispatch_verdict::kUsable;
+}
+
+void membership_simulation::CheckVm(std::size_t vm) {
+  At(now_ + kCheck, [this, vm] { CheckVm(vm); });
+  if (!vms_[vm].up || now_ < vms_[vm].frozen_until) return;
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    const dispatch_verdict verdict = vms_[vm].registry->Inspect(IdOf(i), now_);
+    if (DomainOfEndpoint(i) == DomainOfVm(vm) && !endpoints_[i].ended_at) {
+      ++seen_pairs_;
+      if (verdict != dispatch_verdict::kUsable) ++stale_pairs_;
+    }
+    const bool own = DomainOfEndpoint(i) == DomainOfVm(vm);
+    if (verdict == dispatch_verdict::kNeedsProbe &&
+        Random() < (own ? 0.1 : 0.01)) {
+      (void)vms_[vm].registry->Dispatch(IdOf(i), now_);
+    }
+    if (verdict != dispatch_verdict::kUsable) continue;
+    const auto& ended = endpoints_[i].ended_at;
+    if (ended.has_value() && now_ > *ended + kBound) {
+      violations_.push_back(
+          VmId(vm).value() + " may use " + IdOf(i).value() + " " +
+          std::to_string((now_ - *ended).count() / 1000) + " ms after its end");
+    }
+    if (Random() < options_.attempt_share) Attempt(vm, i);
+  }
+}
+
+void membership_simulation::MeasureBytes() {
+  At(now_ + milliseconds(1000), [this] { MeasureBytes(); });
+  for (vm_state& state : vms_) {
+    const std::uint64_t bytes =
+        state.peers->bytes_sent() + state.registry->probe_bytes_sent();
+    peak_bytes_ = std::max(peak_bytes_, bytes - state.bytes_before);
+    state.bytes_before = bytes;
+  }
+}
+
+void membership_simulation::StopEndpoint(std::size_t endpoint) {
+  endpoint_state_in_test& state = endpoints_[endpoint];
+  state.up = false;
+  if (!state.ended_at.has_value()) state.ended_at = now_;
+}
+
+void membership_simulation::RestartEndpoint(std::size_t endpoint) {
+  endpoint_state_in_test& state = endpoints_[endpoint];
+  if (state.up && !state.leaving) return;
+  ++state.life;
+  state.up = true;
+  state.leaving = false;
+  state.in_flight = false;
+  state.ended_at.reset();
+}
+
+void membership_simulation::LeaveEndpoint(std::size_t endpoint) {
+  endpoint_state_in_test& state = endpoints_[endpoint];
+  if (!state.up) return;
+  state.leaving = true;
+  if (!state.ended_at.has_value()) state.ended_at = now_;
+}
+
+void membership_simulation::FreezeVm(std::size_t vm, milliseconds duration) {
+  vms_[vm].frozen_until = now_ + duration;
+}
+
+void membership_simulation::StopVm(std::size_t vm) {
+  vms_[vm].up = false;
+  vms_[vm].waiting.clear();
+}
+
+void membership_simulation::RestartVm(std::size_t vm) {
+  if (vms_[vm].up) return;
+  ++vms_[vm].life;
+  vms_[vm].up = true;
+  vms_[vm].frozen_until = steady_time{};
+  StartVm(vm);
+}
+
+void membership_simulation::IsolateVm(std::size_t vm, bool cut) {
+  vms_[vm].isolated = cut;
+}
+
+void membership_simulation::CutDomain(std::size_t domain, bool cut) {
+  if (cut) {
+    cut_domains_.insert(domain);
+  } else {
+    cut_domains_.erase(domain);
+  }
+}
+
+void membership_simulation::SetFaults(double slow, double lost,
+                                      double duplicate) {
+  options_.slow_share = slow;
+  options_.lost_share = lost;
+  options_.duplicate_share = duplicate;
+}
+
+bool membership_simulation::HasConverged() const {
+  std::set<std::string> expected;
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    const endpoint_state_in_test& state = endpoints_[i];
+    if (!state.up || state.leaving) continue;
+    expected.insert(IdOf(i).value() + "#" + std::to_string(state.life));
+  }
+  for (const vm_state& state : vms_) {
+    if (!state.up) continue;
+    std::set<std::string> seen;
+    for (const endpoint_status& status : state.registry->ForModel(kModel)) {
+      seen.insert(status.endpoint.id.value() + "#" +
+                  std::to_string(status.endpoint.life.value()));
+    }
+    if (seen != expected || state.registry->Fingerprint() !=
+                                vms_[FirstUp()].registry->Fingerprint()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::size_t membership_simulation::FirstUp() const {
+  std::size_t at = 0;
+  while (at + 1 < vms_.size() && !vms_[at].up) ++at;
+  return at;
+}
+
+std::string membership_simulation::DescribeViews() const {
+  std::string text;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    text += VmId(i).value() + (vms_[i].up ? ":" : " (down):");
+    for (const auto& status : vms_[i].registry->ForModel(kModel)) {
+      text += " " + status.endpoint.id.value() + "#" +
+              std::to_string(status.endpoint.life.value());
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+}  // namespace marjoramsill
