--- a/tests/admission/limit_network.h
+++ b/tests/admission/limit_network.h
@@ -49,8 +49,8 @@
     vms_[vm]->SetFleet(fleet, now);
     vms_[vm]->SetLimit(workspace, limit_, now);
     running[vm].clear();
-    std::erase_if(waiting_,
-                  [vm](const auto& item) { return item.second.vm == vm; });
+    lost += std::erase_if(
+        waiting_, [vm](const auto& item) { return item.second.vm == vm; });
   }
   void Offer(std::size_t vm, double cost, std::chrono::milliseconds lasts) {
     const request_handle request(next_request_++);
@@ -132,12 +132,16 @@
   /// Directions (from, to) that lose every message.
   std::set<std::pair<std::size_t, std::size_t>> cut;
   std::vector<outcome> outcomes;
+  std::size_t most_running = 0;
+  /// Requests that waited in a process that restarted.
+  std::size_t lost = 0;
 
  private:
   vm_id Name(std::size_t vm) const { return vm_id(std::to_string(vm)); }
   void Decide(const waiting_request& of, bool accepted) {
     outcomes.push_back({now, of.vm, of.cost, accepted, now - of.offered});
     if (accepted) running[of.vm].emplace(now + of.lasts, of.cost);
+    most_running = std::max(most_running, Running());
   }
   void End() {
     for (std::size_t i = 0; i < running.size(); ++i) {
