--- a/source/process/burn/burn_report.h
+++ b/source/process/burn/burn_report.h
@@ -43,6 +43,7 @@
 };
 
 struct burn_report {
+  burn_settings settings;
   std::vector<vm_id> included;
   /// VMs whose counters could not be had: the report does not cover them.
   std::vector<vm_id> missing;
@@ -58,6 +59,8 @@
 std::string_view ServiceEventName(service_event event);
 std::string_view SizeClassName(size_class size);
 std::string_view AlertName(alert_state state);
+/// For example "urgent, small workspaces" or "standard, perth".
+std::string BurnRowName(const burn_row& row);
 
 std::string BurnReportText(const burn_report& report);
 std::string BurnReportJson(const burn_report& report);
