claims: keep a stored response as one encoded string

Cause: 795.3 heap bytes per claim with a 256-byte body, much of it in one allocation per header and string.

--- a/source/process/claims/claim_fields.cc
+++ b/source/process/claims/claim_fields.cc
@@ -37,6 +37,19 @@
   return headers;
 }
 
+stored_response ReadFields(const msgpack::object& array,
+                           claim_decode_status& status) {
+  claim_field_reader fields(array, status);
+  stored_response response;
+  response.status = static_cast<std::uint16_t>(fields.Number(599));
+  response.headers = ReadHeaders(fields.OptionalArray(), status);
+  response.body = fields.Bytes(kMaxStoredBodyBytes);
+  response.body_kept = fields.Flag();
+  response.body_size = fields.Number(kAny);
+  response.body_hash = fields.Hash();
+  return response;
+}
+
 bool IsConsistent(const stored_response& response) {
   if (response.status < 100 || response.status > 599) return false;
   if (!response.body_kept) return response.body.empty();
@@ -211,18 +224,26 @@
   PackHash(packer, response->body_hash);
 }
 
+std::string EncodeResponse(const stored_response& response) {
+  msgpack::sbuffer buffer;
+  claim_packer packer(buffer);
+  PackResponse(packer, &response);
+  return {buffer.data(), buffer.size()};
+}
+
+stored_response DecodeOwnResponse(std::string_view bytes) {
+  std::size_t offset = 0;
+  const auto unpacked = UnpackClaimArray(bytes, offset);
+  if (!unpacked) return {};
+  claim_decode_status status;
+  return ReadFields(unpacked.value().get(), status);
+}
+
 std::optional<stored_response> ReadResponse(claim_field_reader& reader,
                                             claim_decode_status& status) {
   const msgpack::object* array = reader.OptionalArray();
   if (array == nullptr || status.error) return std::nullopt;
-  claim_field_reader fields(*array, status);
-  stored_response response;
-  response.status = static_cast<std::uint16_t>(fields.Number(599));
-  response.headers = ReadHeaders(fields.OptionalArray(), status);
-  response.body = fields.Bytes(kMaxStoredBodyBytes);
-  response.body_kept = fields.Flag();
-  response.body_size = fields.Number(kAny);
-  response.body_hash = fields.Hash();
+  stored_response response = ReadFields(*array, status);
   if (!status.error && !IsConsistent(response)) {
     status.Fail(claim_decode_fault::kOutOfRange);
   }
--- a/source/process/claims/claim_fields.h
+++ b/source/process/claims/claim_fields.h
@@ -61,6 +61,11 @@
 void PackOwner(claim_packer& packer, const claim_owner& owner);
 /// Packs nil for null.
 void PackResponse(claim_packer& packer, const stored_response* response);
+/// A response alone, as the table keeps it: one allocation instead of one per
+/// header and body.
+std::string EncodeResponse(const stored_response& response);
+/// `bytes` come from EncodeResponse().
+stored_response DecodeOwnResponse(std::string_view bytes);
 std::optional<stored_response> ReadResponse(claim_field_reader& reader,
                                             claim_decode_status& status);
 
--- a/source/process/claims/claim_snapshot.cc
+++ b/source/process/claims/claim_snapshot.cc
@@ -19,8 +19,9 @@
 struct claim_snapshot_codec {
   using record = claim_table::record;
 
-  static void Pack(claim_packer& packer, const claim_key& key,
+  static void Pack(msgpack::sbuffer& buffer, const claim_key& key,
                    const record& entry) {
+    claim_packer packer(buffer);
     packer.pack_array(11);
     PackKey(packer, key);
     PackOwner(packer, entry.owner);
@@ -28,7 +29,11 @@
     packer.pack_uint64(entry.deadline.value());
     packer.pack_uint64(entry.expires.value());
     packer.pack_uint8(static_cast<std::uint8_t>(entry.state));
-    PackResponse(packer, entry.response.get());
+    if (entry.response.empty()) {
+      packer.pack_nil();
+    } else {
+      buffer.write(entry.response.data(), entry.response.size());
+    }
   }
 
   static void Insert(claim_field_reader& reader, claim_decode_status& status,
@@ -47,17 +52,18 @@
     }
     if (status.error) return;
     if (response) {
-      table.body_bytes_ += response->body.size();
-      entry.response =
-          std::make_unique<const stored_response>(std::move(*response));
+      entry.body_bytes = static_cast<std::uint32_t>(response->body.size());
+      entry.response = EncodeResponse(*response);
     }
     const claim_time expires = entry.expires;
+    const std::uint32_t body_bytes = entry.body_bytes;
     const auto [position, inserted] =
         table.records_.try_emplace(std::move(key), std::move(entry));
     if (!inserted) {
       status.Fail(claim_decode_fault::kOutOfRange);
       return;
     }
+    table.body_bytes_ += body_bytes;
     table.expiries_.insert(claim_table::expiry{expires, &position->first});
   }
 
@@ -87,7 +93,7 @@
   packer.pack_uint64(time_.value());
   packer.pack_uint64(records_.size());
   for (const auto* entry : sorted) {
-    claim_snapshot_codec::Pack(packer, entry->first, entry->second);
+    claim_snapshot_codec::Pack(buffer, entry->first, entry->second);
   }
   return {buffer.data(), buffer.size()};
 }
--- a/source/process/claims/claim_table.cc
+++ b/source/process/claims/claim_table.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "process/claims/claim_fields.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -87,7 +89,7 @@
 void claim_table::Erase(record_map::iterator position) {
   record& entry = position->second;
   expiries_.erase(expiry{entry.expires, &position->first});
-  if (entry.response) body_bytes_ -= entry.response->body.size();
+  body_bytes_ -= entry.body_bytes;
   records_.erase(position);
 }
 
@@ -107,13 +109,14 @@
 }
 
 void claim_table::Store(record& entry, const stored_response& response) {
-  auto stored = std::make_unique<stored_response>(response);
-  if (stored->body.size() > kMaxStoredBodyBytes ||
-      body_bytes_ + stored->body.size() > limits_.max_body_bytes) {
-    DropBody(*stored);
+  stored_response stored = response;
+  if (stored.body.size() > kMaxStoredBodyBytes ||
+      body_bytes_ + stored.body.size() > limits_.max_body_bytes) {
+    DropBody(stored);
   }
-  body_bytes_ += stored->body.size();
-  entry.response = std::move(stored);
+  entry.body_bytes = static_cast<std::uint32_t>(stored.body.size());
+  body_bytes_ += entry.body_bytes;
+  entry.response = EncodeResponse(stored);
 }
 
 void claim_table::AnswerFrom(const record& entry, const content_hash& hash,
@@ -124,7 +127,7 @@
     reply.outcome = claim_outcome::kKeyReused;
   } else if (entry.state == claim_state::kFinished) {
     reply.outcome = claim_outcome::kFinished;
-    reply.response = *entry.response;
+    reply.response = DecodeOwnResponse(entry.response);
   } else if (entry.state == claim_state::kClaimed && entry.deadline > time_) {
     reply.outcome = claim_outcome::kInProgress;
     reply.deadline_in = std::chrono::milliseconds(
--- a/source/process/claims/claim_table.h
+++ b/source/process/claims/claim_table.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -49,7 +48,9 @@
     claim_time deadline;
     claim_time expires;
     claim_state state = claim_state::kClaimed;
-    std::unique_ptr<const stored_response> response;
+    std::uint32_t body_bytes = 0;
+    /// kFinished: encoded stored_response.
+    std::string response;
   };
   struct expiry {
     claim_time at;
