request: keep a healthy stream until its deadline

Cause: the timeout between events shrank to half of the remaining time, so a stream was ended and resumed shortly before its deadline although no other attempt could end in time. Change: where another attempt could not end in time, the wait is the remaining time.

--- a/source/request/attempt_plan.cc
+++ b/source/request/attempt_plan.cc
@@ -24,16 +24,18 @@
 attempt_timeouts DeriveAttemptTimeouts(const attempt_settings& settings,
                                        microseconds remaining) {
   const microseconds half = std::max(remaining / 2, kMinAttemptTime);
-  attempt_timeouts timeouts{};
   // A whole response has no first event, so its target says nothing about it.
+  attempt_timeouts timeouts{half, half};
+  if (!settings.streamed) return timeouts;
+  // Close to the deadline another attempt would be late, and only the present
+  // one can end in time.
   timeouts.first_event =
-      settings.streamed
-          ? std::min(half, settings.first_event_target * kFirstEventMultiple)
-          : half;
+      half < settings.first_event_target
+          ? remaining
+          : std::min(half, settings.first_event_target * kFirstEventMultiple);
   timeouts.between_events =
-      settings.streamed ? std::min(half, settings.between_events_target *
-                                             kBetweenEventsMultiple)
-                        : half;
+      settings.between_events_target * kBetweenEventsMultiple;
+  if (timeouts.between_events > half) timeouts.between_events = remaining;
   return timeouts;
 }
 
--- a/source/request/attempt_plan.h
+++ b/source/request/attempt_plan.h
@@ -32,8 +32,8 @@
   std::chrono::microseconds between_events;
 };
 
-/// Several times the rank's targets, and at most half of the remaining time, so
-/// that another attempt can still end before the deadline.
+/// Several times the rank's targets, so that another attempt can still end
+/// before the deadline, or the remaining time if it could not.
 attempt_timeouts DeriveAttemptTimeouts(const attempt_settings& settings,
                                        std::chrono::microseconds remaining);
 
--- a/tests/request/attempt_plan_test.cc
+++ b/tests/request/attempt_plan_test.cc
@@ -247,7 +247,8 @@
     CPPUNIT_ASSERT(Find<start_attempt>(actions) == nullptr);
   }
 
-  // Guards against timeouts that leave no time for another attempt.
+  // Guards against timeouts that leave no time for another attempt, and against
+  // ending a healthy stream shortly before its deadline.
   void timeouts_follow_targets_and_deadline() {
     attempt_settings settings;
     settings.streamed = true;
@@ -258,6 +259,9 @@
     CPPUNIT_ASSERT(timeouts.between_events == milliseconds(400));
     timeouts = DeriveAttemptTimeouts(settings, milliseconds(600));
     CPPUNIT_ASSERT(timeouts.first_event == milliseconds(300));
+    CPPUNIT_ASSERT(timeouts.between_events == milliseconds(600));
+    timeouts = DeriveAttemptTimeouts(settings, milliseconds(150));
+    CPPUNIT_ASSERT(timeouts.first_event == milliseconds(150));
     settings.streamed = false;
     timeouts = DeriveAttemptTimeouts(settings, std::chrono::seconds(60));
     CPPUNIT_ASSERT(timeouts.first_event == std::chrono::seconds(30));
