--- a/source/process/replication/storage_codec.cc
+++ b/source/process/replication/storage_codec.cc
@@ -215,6 +215,9 @@
   if (bytes.size() < kSnapshotHeaderBytes) return header_state::kDamaged;
   const header_state state = CheckMagic(bytes, kSnapshotMagic);
   if (state != header_state::kValid) return state;
+  if (GetNumber(bytes.substr(4, 4)) != kStorageVersion) {
+    return header_state::kDamaged;
+  }
   const std::string_view payload = bytes.substr(kSnapshotHeaderBytes);
   if (GetNumber(bytes.substr(8, 8)) != Checksum(payload, 0)) {
     return header_state::kDamaged;
--- /dev/null
+++ b/tests/replication/group_test.cc
@@ -0,0 +1,307 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "cluster.h"
+#include "process/replication/majority_recovery.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+cluster Started(std::size_t voters = 5, std::size_t vms = 6) {
+  cluster_options options;
+  options.voters = voters;
+  options.vms = vms;
+  cluster c(options);
+  return c;
+}
+
+std::size_t WaitForLeader(cluster& c) {
+  CPPUNIT_ASSERT(c.RunUntil(
+      [&] {
+        auto leader = c.Leader();
+        return leader && c.group(*leader)->HoldsLease();
+      },
+      seconds(20)));
+  return *c.Leader();
+}
+
+std::size_t Voters(cluster& c) {
+  return c.group(*c.Leader())->node().configuration().voter_count();
+}
+
+}  // namespace
+
+class group_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(group_test);
+  CPPUNIT_TEST(isolated_member_returning_leaves_leader_and_term);
+  CPPUNIT_TEST(leader_lost_next_commit_comes_within_two_seconds);
+  CPPUNIT_TEST(frozen_leader_resuming_holds_no_lease);
+  CPPUNIT_TEST(isolated_leader_steps_down_and_refuses_proposals);
+  CPPUNIT_TEST(read_without_lease_is_confirmed_by_a_majority);
+  CPPUNIT_TEST(lost_voter_is_replaced_and_second_loss_survived);
+  CPPUNIT_TEST(leaving_leader_hands_over_and_is_removed);
+  CPPUNIT_TEST(older_disk_is_detected_before_it_votes);
+  CPPUNIT_TEST(first_vm_with_new_disk_joins_and_founds_no_group);
+  CPPUNIT_TEST(standby_far_behind_receives_a_snapshot_in_parts);
+  CPPUNIT_TEST(proposal_too_large_or_too_many_is_refused);
+  CPPUNIT_TEST(recovery_is_refused_unless_every_guard_holds);
+  CPPUNIT_TEST(recovered_member_leads_and_keeps_the_commands);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against elections that an isolated member forces on its return.
+  void isolated_member_returning_leaves_leader_and_term() {
+    cluster c = Started();
+    const std::size_t leader = WaitForLeader(c);
+    c.Run(seconds(2));
+    const log_term term = c.group(leader)->node().term();
+    c.Isolate((leader + 1) % 5);
+    c.Run(seconds(8));
+    c.Heal();
+    c.Run(seconds(20));
+    CPPUNIT_ASSERT(c.Leader() == leader);
+    CPPUNIT_ASSERT(c.group(leader)->node().term() == term);
+    CPPUNIT_ASSERT_EQUAL(std::string(), c.violation());
+  }
+
+  // Guards against an outage longer than the design allows (1 to 2 s).
+  void leader_lost_next_commit_comes_within_two_seconds() {
+    cluster c = Started();
+    const std::size_t leader = WaitForLeader(c);
+    c.Run(seconds(2));
+    c.Kill(leader);
+    const std::uint64_t before = c.committed();
+    CPPUNIT_ASSERT(c.RunUntil(
+        [&] {
+          if (auto next = c.Leader()) c.Propose(*next, "x");
+          return c.committed() > before;
+        },
+        milliseconds(2100)));
+  }
+
+  // Guards against a frozen process that acts on a lease it lost.
+  void frozen_leader_resuming_holds_no_lease() {
+    cluster c = Started();
+    const std::size_t leader = WaitForLeader(c);
+    c.Freeze(leader, seconds(5));
+    c.Run(seconds(4));
+    CPPUNIT_ASSERT(c.Leader() != leader);
+    // No event has reached the frozen process yet; only its clock advanced.
+    CPPUNIT_ASSERT(c.group(leader)->node().role() == raft_role::kLeader);
+    CPPUNIT_ASSERT(!c.group(leader)->HoldsLease());
+    CPPUNIT_ASSERT(c.group(leader)->Propose("x").error() ==
+                   propose_error::kNotLeader);
+  }
+
+  // Guards against a cut-off leader that keeps accepting work.
+  void isolated_leader_steps_down_and_refuses_proposals() {
+    cluster c = Started();
+    const std::size_t leader = WaitForLeader(c);
+    c.Isolate(leader);
+    c.Run(milliseconds(2700));
+    CPPUNIT_ASSERT(c.group(leader)->node().role() != raft_role::kLeader);
+    CPPUNIT_ASSERT(!c.Propose(leader, "x").has_value());
+    CPPUNIT_ASSERT(c.Leader() != leader);
+  }
+
+  // Guards against reads that a deposed leader answers with old state, and
+  // against a transfer that leaves a usable lease behind.
+  void read_without_lease_is_confirmed_by_a_majority() {
+    cluster c = Started();
+    const std::size_t leader = WaitForLeader(c);
+    replicated_group& group = *c.group(leader);
+    const std::uint64_t id = group.Read();
+    group_output output = group.TakeOutput();
+    CPPUNIT_ASSERT(output.reads.size() == 1 && output.reads[0].ready);
+    CPPUNIT_ASSERT_EQUAL(id, output.reads[0].id);
+    CPPUNIT_ASSERT(group.TransferLeadership());
+    CPPUNIT_ASSERT(!group.HoldsLease());
+    group.Read();
+    output = group.TakeOutput();
+    CPPUNIT_ASSERT(output.reads.empty());
+    CPPUNIT_ASSERT(group.Propose("x").error() == propose_error::kTransferring);
+  }
+
+  // Guards against a group that a second loss right after a repair stops.
+  void lost_voter_is_replaced_and_second_loss_survived() {
+    cluster c = Started();
+    for (int i = 0; i < 2; ++i) {
+      const std::size_t leader = WaitForLeader(c);
+      c.Kill(leader);
+      c.Run(seconds(15));
+    }
+    CPPUNIT_ASSERT(Voters(c) >= 3);
+    const std::uint64_t before = c.committed();
+    c.Propose(*c.Leader(), "x");
+    c.Run(seconds(1));
+    CPPUNIT_ASSERT(c.committed() > before);
+  }
+
+  // Guards against a planned shutdown that costs an election timeout.
+  void leaving_leader_hands_over_and_is_removed() {
+    cluster c = Started();
+    const std::size_t leader = WaitForLeader(c);
+    c.Run(seconds(3));
+    c.Leave(leader);
+    c.Run(milliseconds(100));
+    CPPUNIT_ASSERT(c.Leader().has_value() && c.Leader() != leader);
+    c.Run(seconds(5));
+    CPPUNIT_ASSERT(c.group(leader)->node().has_left());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, Voters(c));
+  }
+
+  // Guards against a vote that a restored disk has forgotten.
+  void older_disk_is_detected_before_it_votes() {
+    cluster c = Started();
+    const std::size_t leader = WaitForLeader(c);
+    const std::size_t other = (leader + 1) % 5;
+    c.CopyDisk(other);
+    c.Kill(other);
+    c.Start(other);
+    c.Run(seconds(2));
+    CPPUNIT_ASSERT(c.RestoreDisk(other));
+    c.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, c.stale_disks());
+    CPPUNIT_ASSERT_EQUAL(std::string(), c.violation());
+  }
+
+  // Guards against a second group beside the one that exists.
+  void first_vm_with_new_disk_joins_and_founds_no_group() {
+    cluster c = Started();
+    WaitForLeader(c);
+    CPPUNIT_ASSERT(c.LoseDisk(0));
+    c.Run(seconds(20));
+    const auto& members = c.group(0)->node().configuration();
+    const auto leader = c.Leader();
+    CPPUNIT_ASSERT(members == c.group(*leader)->node().configuration());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, members.members.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(), c.violation());
+  }
+
+  // Guards against a member that can never catch up after compaction.
+  void standby_far_behind_receives_a_snapshot_in_parts() {
+    cluster_options options;
+    options.settings.compaction_entries = 8;
+    options.settings.retained_entries = 2;
+    options.settings.snapshot_part_bytes = 16;
+    cluster c(options);
+    const std::size_t leader = WaitForLeader(c);
+    const std::size_t other = (leader + 1) % 5;
+    c.Kill(other);
+    for (int i = 0; i < 50; ++i) {
+      c.Propose(leader, "command");
+      c.Run(milliseconds(10));
+    }
+    c.Start(other);
+    c.Run(seconds(3));
+    CPPUNIT_ASSERT(c.group(other)->applied_index() ==
+                   c.group(leader)->applied_index());
+    CPPUNIT_ASSERT_EQUAL(std::string(), c.violation());
+  }
+
+  // Guards against memory that grows without bound while nothing commits.
+  void proposal_too_large_or_too_many_is_refused() {
+    cluster_options options;
+    options.settings.max_command_bytes = 100;
+    options.settings.max_uncommitted_bytes = 250;
+    cluster c(options);
+    replicated_group& group = *c.group(WaitForLeader(c));
+    CPPUNIT_ASSERT(group.Propose(std::string(101, 'x')).error() ==
+                   propose_error::kTooLarge);
+    CPPUNIT_ASSERT(group.Propose(std::string(100, 'x')).has_value());
+    CPPUNIT_ASSERT(group.Propose(std::string(100, 'x')).has_value());
+    CPPUNIT_ASSERT(group.Propose(std::string(100, 'x')).error() ==
+                   propose_error::kOverloaded);
+  }
+
+  // Guards against a recovery that discards commands or splits the group.
+  void recovery_is_refused_unless_every_guard_holds() {
+    stored_state stored = ThreeVoters();
+    recovery_request good = GoodRequest();
+    recovery_request request = good;
+    request.accept_loss = false;
+    AssertRefused(stored, request, recovery_error::kNotConfirmed);
+    request = good;
+    request.lost.pop_back();
+    AssertRefused(stored, request, recovery_error::kMembersDiffer);
+    request = good;
+    request.survivors.push_back(request.lost.back());
+    request.positions.push_back({});
+    request.lost.pop_back();
+    AssertRefused(stored, request, recovery_error::kMajorityAlive);
+    request = good;
+    request.positions = {{log_term(9), log_index(1)}};
+    AssertRefused(stored, request, recovery_error::kNotNewest);
+    request = good;
+    request.self.disk = disk_id(77);
+    AssertRefused(stored, request, recovery_error::kNotAVoter);
+    AssertRefused({}, good, recovery_error::kNoGroup);
+  }
+
+  // Guards against a recovery after which the member cannot lead.
+  void recovered_member_leads_and_keeps_the_commands() {
+    memory_disk disk;
+    log_store store(disk);
+    CPPUNIT_ASSERT(store.Open().has_value());
+    auto writes = RecoverWithoutMajority(ThreeVoters(), GoodRequest());
+    CPPUNIT_ASSERT(writes.has_value());
+    writes.value().stored_snapshot = ThreeVoters().stored_snapshot;
+    CPPUNIT_ASSERT(store.Write(writes.value()).has_value());
+    raft_start start;
+    start.self = Member("a");
+    start.stored = log_store(disk).Open().value();
+    steady_time now;
+    raft_node node(
+        {}, start, [] { return std::uint64_t{1}; }, now);
+    for (int i = 0; i < 60; ++i) {
+      now += milliseconds(50);
+      node.Tick(now);
+      const raft_output output = node.TakeOutput();
+      if (output.writes) node.SyncCompleted(output.writes->ticket, now);
+    }
+    CPPUNIT_ASSERT(node.role() == raft_role::kLeader);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node.configuration().members.size());
+    CPPUNIT_ASSERT(node.commit_index() > log_index(5));
+  }
+
+ private:
+  static member_id Member(const std::string& name) {
+    return {vm_id(name), disk_id(1)};
+  }
+
+  static stored_state ThreeVoters() {
+    stored_state stored;
+    stored.state.term = log_term(3);
+    stored.stored_snapshot.emplace();
+    stored.stored_snapshot->index = log_index(5);
+    stored.stored_snapshot->term = log_term(3);
+    for (const char* name : {"a", "b", "c"}) {
+      stored.stored_snapshot->configuration.Set({Member(name), {}, true});
+    }
+    return stored;
+  }
+
+  static recovery_request GoodRequest() {
+    recovery_request request;
+    request.self = Member("a");
+    request.survivors = {Member("a")};
+    request.lost = {Member("b"), Member("c")};
+    request.positions = {{log_term(3), log_index(5)}};
+    request.accept_loss = true;
+    return request;
+  }
+
+  static void AssertRefused(const stored_state& stored,
+                            const recovery_request& request,
+                            recovery_error expected) {
+    auto outcome = RecoverWithoutMajority(stored, request);
+    CPPUNIT_ASSERT(!outcome.has_value());
+    CPPUNIT_ASSERT(outcome.error() == expected);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(group_test);
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/replication/repair_plan_test.cc
@@ -0,0 +1,184 @@
+#include "process/replication/repair_plan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::seconds;
+
+/// Members "a1" to "c2" in the domains "a" to "c": id, voter, silent seconds.
+struct sample {
+  std::string name;
+  bool voter = true;
+  int silent = 0;
+  std::uint64_t disk = 1;
+  bool leaving = false;
+};
+
+struct plan_case {
+  group_configuration configuration;
+  std::vector<member_health> health;
+
+  explicit plan_case(const std::vector<sample>& samples) {
+    for (const sample& s : samples) {
+      const member_id id{vm_id(s.name), disk_id(s.disk)};
+      configuration.Set({id, failure_domain_id(s.name.substr(0, 1)), s.voter});
+      health.push_back(
+          {id, seconds(s.silent), s.silent < 2, s.silent < 2, s.leaving});
+    }
+  }
+
+  /// "+a1" promoted, "-a1" demoted or removed as a voter, "" nothing,
+  /// "x a1" a standby was removed.
+  std::string Plan() const {
+    const member_id leader{vm_id("a1"), disk_id(1)};
+    auto next = PlanRepair(configuration, leader, health, raft_settings{});
+    if (!next) return "";
+    for (const group_member& member : configuration.members) {
+      const std::string name = member.id.vm.value();
+      const bool voter = next->IsVoter(member.id);
+      if (voter != member.voter) return (voter ? "+" : "-") + name;
+      if (next->Find(member.id) == nullptr) return "x " + name;
+    }
+    return "?";
+  }
+};
+
+std::string Plan(const std::vector<sample>& samples) {
+  return plan_case(samples).Plan();
+}
+
+}  // namespace
+
+class repair_plan_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(repair_plan_test);
+  CPPUNIT_TEST(plan_healthy_group_is_left_alone);
+  CPPUNIT_TEST(plan_silent_voter_is_demoted_after_its_time);
+  CPPUNIT_TEST(plan_silent_standby_is_removed_after_its_time);
+  CPPUNIT_TEST(plan_three_voters_keep_a_silent_one_without_standby);
+  CPPUNIT_TEST(plan_step_that_cannot_commit_is_not_taken);
+  CPPUNIT_TEST(plan_returned_vm_supersedes_its_old_disk_at_once);
+  CPPUNIT_TEST(plan_voters_are_spread_over_domains);
+  CPPUNIT_TEST(plan_leaving_voter_is_replaced_before_it_is_dropped);
+  CPPUNIT_TEST(plan_lost_domain_ends_with_three_reachable_voters);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against changes without a cause, which cost a commit each.
+  void plan_healthy_group_is_left_alone() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        Plan({{"a1"}, {"a2"}, {"b1"}, {"b2"}, {"c1"}, {"c2", false}}));
+    // A fourth voter would survive no more losses than three.
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         Plan({{"a1"}, {"b1"}, {"c1"}, {"c2", false}}));
+  }
+
+  // Guards against a group that a second loss stops.
+  void plan_silent_voter_is_demoted_after_its_time() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(), Plan({{"a1"}, {"a2"}, {"b1"}, {"b2"}, {"c1", true, 9}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("-c1"),
+        Plan({{"a1"}, {"a2"}, {"b1"}, {"b2"}, {"c1", true, 10}}));
+  }
+
+  // Guards against a list of members that grows with each replaced VM.
+  void plan_silent_standby_is_removed_after_its_time() {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         Plan({{"a1"}, {"b1"}, {"c1"}, {"c2", false, 59}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("x c2"),
+                         Plan({{"a1"}, {"b1"}, {"c1"}, {"c2", false, 60}}));
+  }
+
+  // Guards against two voters, of which neither may be lost.
+  void plan_three_voters_keep_a_silent_one_without_standby() {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         Plan({{"a1"}, {"b1"}, {"c1", true, 99}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("-c1"),
+        Plan({{"a1"}, {"b1"}, {"c1", true, 99}, {"c2", false}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("+c2"),
+                         Plan({{"a1"}, {"b1"}, {"c2", false}}));
+  }
+
+  // Guards against a change that the remaining voters cannot commit, after
+  // which no other change is possible either.
+  void plan_step_that_cannot_commit_is_not_taken() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        Plan({{"a1"}, {"b1", true, 5}, {"c1", true, 5}, {"c2", false}}));
+    // Three voters, one silent for a moment: a fourth voter that dies now
+    // would leave two of four.
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        Plan({{"a1"}, {"b1"}, {"c1", true, 5}, {"b2", false}, {"c2", false}}));
+  }
+
+  // Guards against waiting for a disk that cannot come back.
+  void plan_returned_vm_supersedes_its_old_disk_at_once() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("-c1"),
+        Plan({{"a1"}, {"b1"}, {"b2"}, {"c1", true, 3}, {"c1", false, 0, 2}}));
+  }
+
+  // Guards against voters that share a failure domain needlessly.
+  void plan_voters_are_spread_over_domains() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("+c1"),
+        Plan({{"a1"}, {"a2"}, {"a3"}, {"b1"}, {"b2"}, {"c1", false}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("-a2"),
+        Plan({{"a1"}, {"a2"}, {"a3"}, {"b1"}, {"b2"}, {"c1"}}));
+    // Of two standbys the one in the emptier domain is promoted.
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("+d1"),
+        Plan({{"a1"}, {"a2"}, {"b1"}, {"c1"}, {"c2", false}, {"d1", false}}));
+  }
+
+  // Guards against a planned shutdown that costs the group its reserve.
+  void plan_leaving_voter_is_replaced_before_it_is_dropped() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("+c2"),
+        Plan({{"a1"}, {"b1"}, {"c1", true, 0, 1, true}, {"c2", false}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("-c1"),
+        Plan({{"a1"}, {"b1"}, {"c1", true, 0, 1, true}, {"c2"}}));
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         Plan({{"a1"}, {"b1"}, {"c1", true, 0, 1, true}}));
+    // With one voter lost the leaving one still counts.
+    CPPUNIT_ASSERT_EQUAL(std::string(), Plan({{"a1"},
+                                              {"a2"},
+                                              {"b1"},
+                                              {"b2", true, 5},
+                                              {"c1", true, 0, 1, true}}));
+  }
+
+  // Guards against a group that stays at its last majority after a failure
+  // domain with two of five voters is lost.
+  void plan_lost_domain_ends_with_three_reachable_voters() {
+    plan_case group({{"a1"},
+                     {"a2"},
+                     {"b1", true, 70},
+                     {"b2", true, 70},
+                     {"c1"},
+                     {"c2", false}});
+    const member_id leader{vm_id("a1"), disk_id(1)};
+    for (int i = 0; i < 10; ++i) {
+      auto next = PlanRepair(group.configuration, leader, group.health, {});
+      if (!next) break;
+      CPPUNIT_ASSERT(IsSingleStep(group.configuration, *next));
+      group.configuration = *next;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, group.configuration.members.size());
+    CPPUNIT_ASSERT(group.configuration.voter_count() >= 3);
+    CPPUNIT_ASSERT(!group.configuration.IsVoter({vm_id("b1"), disk_id(1)}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(repair_plan_test);
+
+}  // namespace marjoramsill
