--- a/source/process/choice/endpoint_chooser.h
+++ b/source/process/choice/endpoint_chooser.h
@@ -1,12 +1,13 @@
 #ifndef MARJORAMSILL_PROCESS_CHOICE_ENDPOINT_CHOOSER_H_
 #define MARJORAMSILL_PROCESS_CHOICE_ENDPOINT_CHOOSER_H_
 
-#include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <vector>
 
+#include "process/choice/load_table.h"
 #include "process/choice/placement.h"
 #include "types/ids.h"
 #include "types/result.h"
@@ -17,13 +18,19 @@
 
 struct endpoint_chooser_settings {
   failure_domain_id own_domain;
-  /// Policy: highest load over the mean load, both relative to capacity.
-  double load_multiple = 1.25;
+  load_table_settings load;
+  /// Cache hints kept; a power of two.
+  std::size_t hints = 16384;
+  /// Most endpoints that share the requests of a hot key.
+  std::uint32_t most_homes = 8;
+  /// Part of an endpoint's requests above which a key is hot.
+  double hot_share = 0.25;
 };
 
 struct choice_request {
   /// From PlacementKey().
   std::uint64_t key = 0;
+  /// Tokens of the prompt that a cache may hold.
   token_count prefix_tokens;
   cost_units cost;
   /// Endpoints already tried for this request.
@@ -35,24 +42,25 @@
   kNoEndpoint,
   /// All usable endpoints are at the bound.
   kAllOverBound,
-  /// Endpoints are known, but none has fresh evidence: probe first.
+  /// Endpoints are known, but none has fresh evidence.
   kNoFreshEvidence
 };
 
+struct choice_failure {
+  no_choice why = no_choice::kNoEndpoint;
+  /// First endpoint in the order that lacks nothing but fresh evidence.
+  std::optional<endpoint_index> probe;
+};
+
 struct endpoint_choice {
   endpoint_index index = 0;
   /// Entries of the load table that were read.
   std::uint32_t examined = 0;
   /// The endpoint comes first in the order of the key.
   bool is_home = false;
-};
-
-/// What the membership module knows about one endpoint.
-struct endpoint_condition {
-  /// New work may be sent until this time.
-  steady_time fresh_until;
-  /// False while held down, leaving or with an open circuit.
-  bool admitted = true;
+  /// An endpoint earlier in the order lacks nothing but fresh evidence; a
+  /// probe gives the next request of the key its home back.
+  std::optional<endpoint_index> probe;
 };
 
 /// Chooses endpoints for one model or service. Every call is made under the
@@ -66,30 +74,62 @@
   /// endpoints that stay are kept.
   void SetPlacement(std::shared_ptr<const placement> table);
   void SetCondition(endpoint_index index, const endpoint_condition& condition);
-  /// A load report: requests in the engine at `as_of`, of which this VM's own
-  /// ones that were sent before are part.
+  /// A load report: requests in the engine at `as_of`, those of this VM
+  /// included.
   void OnReport(endpoint_index index, std::uint32_t requests,
                 steady_time as_of);
+  /// Call every 100 ms.
+  void Tick(steady_time now);
 
-  result<endpoint_choice, no_choice> Choose(const choice_request& request,
-                                            steady_time now);
-  /// The chosen endpoint gets the request now; it counts at once.
-  void OnSent(endpoint_index index, steady_time now);
+  result<endpoint_choice, choice_failure> Choose(const choice_request& request,
+                                                 steady_time now);
+  /// The request is sent now; it counts at once.
+  void OnSent(std::uint64_t key, endpoint_index index, steady_time now);
   void OnFinished(endpoint_index index, steady_time now);
-  /// Cache event: the endpoint has dropped or holds the prefix of this key.
+  /// Cache event: the endpoint holds the prefix of this key, or has dropped
+  /// it. Hints may be late or missing.
   void OnCacheHint(std::uint64_t key, endpoint_index index, bool holds);
 
   const placement& table() const { return *table_; }
-  /// Estimated requests in the engine.
-  double EstimatedLoad(endpoint_index index, steady_time now) const;
-  /// Requests that the endpoint may hold, the next one included.
-  double BoundOf(endpoint_index index, steady_time now) const;
+  const load_table& loads() const { return loads_; }
 
  private:
-  struct load_entry;
+  struct cache_hint {
+    std::uint32_t tag = 0;
+    endpoint_index index = 0;
+  };
+  struct key_count {
+    std::uint32_t tag = 0;
+    float count = 0;
+  };
+  /// What one choice has found so far.
+  struct search {
+    const choice_request& request;
+    steady_time now;
+    std::uint32_t examined = 0;
+    bool any_fresh = false;
+    std::optional<endpoint_index> first;
+    std::optional<endpoint_index> probe;
+  };
+
+  bool Accepts(search& found, endpoint_index index) const;
+  std::optional<endpoint_index> Walk(search& found,
+                                     const placement::domain_ring& ring,
+                                     std::uint32_t homes) const;
+  std::optional<endpoint_index> Scan(search& found,
+                                     const placement::domain_ring& ring) const;
+  std::optional<endpoint_index> Hinted(search& found) const;
+  std::uint32_t HomesOf(std::uint64_t key) const;
+  double Relative(endpoint_index index) const;
 
   endpoint_chooser_settings settings_;
   std::shared_ptr<const placement> table_;
+  load_table loads_;
+  std::optional<std::size_t> own_ring_;
+  std::vector<cache_hint> hints_;
+  std::vector<key_count> counts_;
+  float sent_ = 0;
+  steady_time last_decay_ = steady_time::min();
 };
 
 }  // namespace marjoramsill
--- /dev/null
+++ b/source/process/choice/load_table.cc
@@ -0,0 +1,144 @@
+#include "process/choice/load_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace marjoramsill {
+
+load_table::load_table(load_table_settings settings) : settings_(settings) {}
+
+void load_table::Assign(const placement* before, const placement& table) {
+  std::vector<entry> next(table.endpoints().size());
+  for (endpoint_index i = 0; i < next.size(); ++i) {
+    const placement_endpoint& endpoint = table.endpoints()[i];
+    if (before != nullptr) {
+      const auto old = before->IndexOf(endpoint.id);
+      if (old.has_value()) next[i] = entries_[*old];
+    }
+    next[i].capacity = endpoint.capacity;
+  }
+  entries_ = std::move(next);
+  own_in_flight_ = 0;
+  for (const entry& known : entries_) own_in_flight_ += known.own;
+  if (last_tick_ != steady_time::min()) Tick(last_tick_);
+}
+
+void load_table::SetCondition(endpoint_index index,
+                              const endpoint_condition& condition) {
+  entries_[index].fresh_until = condition.fresh_until;
+  entries_[index].admitted = condition.admitted;
+}
+
+std::uint32_t load_table::Estimate(endpoint_index index) const {
+  const entry& known = entries_[index];
+  const auto sum = static_cast<std::int64_t>(known.reported) +
+                   static_cast<std::int64_t>(known.since_report);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(sum, known.own));
+}
+
+void load_table::Recount(endpoint_index index, std::uint32_t before) {
+  if (!entries_[index].counted) return;
+  total_load_ += Estimate(index);
+  total_load_ -= before;
+}
+
+void load_table::OnReport(endpoint_index index, std::uint32_t requests,
+                          steady_time as_of) {
+  entry& known = entries_[index];
+  if (as_of <= known.reported_at) return;
+  const std::uint32_t before = Estimate(index);
+  known.reported = requests;
+  known.reported_at = as_of;
+  known.since_report = 0;
+  for (const own_event& event : known.events) {
+    if (event.at > as_of) known.since_report += event.change;
+  }
+  Recount(index, before);
+}
+
+void load_table::Change(endpoint_index index, std::int32_t change,
+                        steady_time now) {
+  entry& known = entries_[index];
+  const std::uint32_t before = Estimate(index);
+  known.own = static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, std::int64_t{known.own} + change));
+  known.since_report += change;
+  known.events[known.next_event] = {now, change};
+  known.next_event =
+      static_cast<std::uint8_t>((known.next_event + 1) % kEvents);
+  Recount(index, before);
+}
+
+void load_table::OnSent(endpoint_index index, steady_time now) {
+  ++own_in_flight_;
+  Change(index, 1, now);
+}
+
+void load_table::OnFinished(endpoint_index index, steady_time now) {
+  if (entries_[index].own == 0) return;
+  --own_in_flight_;
+  ++finished_;
+  Change(index, -1, now);
+}
+
+void load_table::Tick(steady_time now) {
+  if (last_tick_ != steady_time::min() && now > last_tick_) {
+    const double seconds =
+        std::chrono::duration<double>(now - last_tick_).count();
+    const double weight = std::min(1.0, seconds / 10.0);
+    finish_rate_ += weight * (finished_ / seconds - finish_rate_);
+    finished_ = 0;
+  }
+  last_tick_ = now;
+  total_load_ = 0;
+  total_capacity_ = 0;
+  for (endpoint_index i = 0; i < entries_.size(); ++i) {
+    entry& known = entries_[i];
+    known.counted = known.admitted && now < known.fresh_until;
+    if (!known.counted) continue;
+    total_load_ += Estimate(i);
+    total_capacity_ += known.capacity;
+  }
+  // Part of the requests in flight that ends in a second, by Little's law
+  // from this VM's own requests.
+  turnover_ = own_in_flight_ == 0
+                  ? 0
+                  : finish_rate_ / static_cast<double>(own_in_flight_);
+}
+
+double load_table::MeanPerSlot() const {
+  if (total_capacity_ == 0) return 0;
+  return static_cast<double>(total_load_) /
+         static_cast<double>(total_capacity_);
+}
+
+// Since the report about share * turnover * age requests of other VMs have
+// come and as many have gone; the difference has a deviation of the square
+// root of their sum.
+std::uint32_t load_table::Bound(endpoint_index index, steady_time now) const {
+  if (total_capacity_ == 0) return 1;
+  const entry& known = entries_[index];
+  const double share = static_cast<double>(total_load_ + 1) * known.capacity /
+                       static_cast<double>(total_capacity_);
+  const auto age = std::min<std::chrono::microseconds>(
+      known.reported_at == steady_time::min()
+          ? std::chrono::microseconds(settings_.oldest_report)
+          : now - known.reported_at,
+      settings_.oldest_report);
+  const double seconds =
+      std::max(0.0, std::chrono::duration<double>(age).count());
+  const double others =
+      total_load_ == 0
+          ? 0
+          : 1.0 - std::min(1.0, static_cast<double>(own_in_flight_) /
+                                    static_cast<double>(total_load_));
+  const double margin =
+      settings_.margin_deviations *
+      std::sqrt(2.0 * share * others * std::min(2.0, turnover_ * seconds));
+  const double bound =
+      std::ceil(settings_.load_multiple * share) - std::ceil(margin);
+  return static_cast<std::uint32_t>(std::max(bound, std::ceil(share)));
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/choice/load_table.h
@@ -0,0 +1,106 @@
+#ifndef MARJORAMSILL_PROCESS_CHOICE_LOAD_TABLE_H_
+#define MARJORAMSILL_PROCESS_CHOICE_LOAD_TABLE_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "process/choice/placement.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+struct load_table_settings {
+  /// Policy: highest load over the mean load, both relative to capacity.
+  double load_multiple = 1.25;
+  /// Margin for work of other VMs that no report shows yet, in standard
+  /// deviations of its expected change since the report.
+  double margin_deviations = 1.0;
+  /// Reports older than this widen the margin no further.
+  std::chrono::milliseconds oldest_report{3000};
+};
+
+/// What the membership module knows about one endpoint.
+struct endpoint_condition {
+  /// New work may be sent until this time.
+  steady_time fresh_until;
+  /// False while held down, leaving or with an open circuit.
+  bool admitted = true;
+};
+
+/// Load of each endpoint of one placement: the last report plus the work that
+/// this VM has sent, and less the work that it has seen finish, since then.
+class load_table {
+ public:
+  explicit load_table(load_table_settings settings = {});
+
+  /// Starts anew for this placement; entries of endpoints that stay are kept.
+  void Assign(const placement* before, const placement& table);
+
+  void SetCondition(endpoint_index index, const endpoint_condition& condition);
+  /// Requests in the engine at `as_of`, those of this VM included.
+  void OnReport(endpoint_index index, std::uint32_t requests,
+                steady_time as_of);
+  void OnSent(endpoint_index index, steady_time now);
+  void OnFinished(endpoint_index index, steady_time now);
+  /// Recomputes the sums over the usable endpoints; call every 100 ms.
+  void Tick(steady_time now);
+
+  bool IsFresh(endpoint_index index, steady_time now) const {
+    return now < entries_[index].fresh_until;
+  }
+  bool IsAdmitted(endpoint_index index) const {
+    return entries_[index].admitted;
+  }
+  std::uint32_t Estimate(endpoint_index index) const;
+  std::uint32_t OwnInFlight(endpoint_index index) const {
+    return entries_[index].own;
+  }
+  /// Requests that the endpoint may hold, a new one included: its share of
+  /// the multiple of the mean, rounded up, where the mean counts the new one.
+  /// The margin lowers this at most to the share of the mean, rounded up.
+  std::uint32_t Bound(endpoint_index index, steady_time now) const;
+  /// True when one more request keeps the endpoint within its bound.
+  bool HasRoom(endpoint_index index, steady_time now) const {
+    return Estimate(index) + 1 <= Bound(index, now);
+  }
+  double MeanPerSlot() const;
+
+ private:
+  static constexpr std::size_t kEvents = 16;
+
+  struct own_event {
+    steady_time at;
+    std::int32_t change = 0;
+  };
+  struct entry {
+    std::uint32_t reported = 0;
+    std::uint32_t own = 0;
+    std::int32_t since_report = 0;
+    std::uint32_t capacity = 1;
+    steady_time fresh_until = steady_time::min();
+    steady_time reported_at = steady_time::min();
+    bool admitted = true;
+    bool counted = false;
+    std::uint8_t next_event = 0;
+    std::array<own_event, kEvents> events{};
+  };
+
+  void Change(endpoint_index index, std::int32_t change, steady_time now);
+  void Recount(endpoint_index index, std::uint32_t before);
+
+  load_table_settings settings_;
+  std::vector<entry> entries_;
+  std::uint64_t total_load_ = 0;
+  std::uint64_t total_capacity_ = 0;
+  std::uint64_t own_in_flight_ = 0;
+  std::uint32_t finished_ = 0;
+  double finish_rate_ = 0;
+  double turnover_ = 0;
+  steady_time last_tick_ = steady_time::min();
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CHOICE_LOAD_TABLE_H_
--- a/source/process/membership/endpoint_registry.cc
+++ b/source/process/membership/endpoint_registry.cc
@@ -222,8 +222,7 @@
     Expire(known, now);
     if (known.record.silent &&
         now - known.silent_since > settings_.forget_silent) {
-      held_[known.holder].erase(it->first);
-      it = entries_.erase(it);
+      it = Remove(it);
       continue;
     }
     ++it;
--- a/source/process/membership/endpoint_registry.h
+++ b/source/process/membership/endpoint_registry.h
@@ -128,7 +128,8 @@
                      const std::set<endpoint_id>& kept);
   /// Records evidence dated `as_of` (this VM's clock) for the holder's leases.
   /// `vouch.change` must equal the change that the local copy has reached.
-  void ApplyVouch(const holder_id& holder, const lease_vouch& vouch,
+  /// Returns false, without effect, when the leases differ all the same.
+  bool ApplyVouch(const holder_id& holder, const lease_vouch& vouch,
                   steady_time as_of, steady_time now);
   /// Forgets a life of a holder that has been replaced by a later one.
   void DropHolder(const holder_id& holder);
@@ -154,6 +155,9 @@
   struct entry {
     lease_record record;
     holder_id holder;
+    /// Record of another holder that lost against `record`. It comes into
+    /// force when the holder of `record` is forgotten.
+    std::optional<std::pair<holder_id, lease_record>> runner_up;
     std::optional<steady_time> evidence;
     steady_time last_heard{};
     announcement_schedule schedule;
@@ -179,8 +183,11 @@
              std::optional<endpoint_load> load, steady_time sent_at,
              steady_time now);
   void Expire(entry& known, steady_time now);
+  /// Removes the entry or puts its runner-up in force; returns the next one.
+  entry_map::iterator Remove(entry_map::iterator at);
   std::vector<entry*> ProbesDue(steady_time now);
   void AddLoads(const std::set<endpoint_id>& held, lease_vouch& vouch);
+  std::uint16_t LeaseDigest(const std::set<endpoint_id>& held) const;
   bool IsOwn(const entry& known) const;
   bool IsFresh(const entry& known, steady_time now) const;
   bool IsNewer(const entry& known, const holder_id& holder,
--- a/source/process/membership/endpoint_registry_records.cc
+++ b/source/process/membership/endpoint_registry_records.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "process/membership/endpoint_registry.h"
 
@@ -38,7 +39,17 @@
     return true;
   }
   entry& known = found->second;
-  if (!IsNewer(known, holder, record)) return false;
+  if (!IsNewer(known, holder, record)) {
+    if (holder != known.holder) known.runner_up.emplace(holder, record);
+    return false;
+  }
+  // The holder that loses now may turn out to be the one that lives.
+  if (holder != known.holder && !IsOwn(known)) {
+    known.runner_up.emplace(known.holder, known.record);
+  }
+  if (known.runner_up.has_value() && known.runner_up->first == holder) {
+    known.runner_up.reset();
+  }
   const bool restarted = known.record.endpoint.life < record.endpoint.life;
   const bool returned = known.record.silent && !record.silent;
   const endpoint_state before = known.record.endpoint.state;
@@ -70,23 +81,52 @@
       ++it;
       continue;
     }
-    entries_.erase(*it);
-    it = held->second.erase(it);
-    ++view_number_;
+    const endpoint_id id = *it++;
+    Remove(entries_.find(id));
+    // Remove() drops an empty set.
+    if (!held_.contains(holder)) return;
+  }
+}
+
+endpoint_registry::entry_map::iterator endpoint_registry::Remove(
+    entry_map::iterator at) {
+  entry& known = at->second;
+  ++view_number_;
+  const holder_id before = known.holder;
+  if (known.runner_up.has_value() && known.runner_up->first != before) {
+    const auto [holder, record] = *std::exchange(known.runner_up, {});
+    known.record = record;
+    known.evidence.reset();
+    known.schedule.Reset();
+    known.silent_since = last_event_.value_or(steady_time{});
+    SetHolder(known, holder);
+    return std::next(at);
+  }
+  const auto held = held_.find(before);
+  if (held != held_.end()) {
+    held->second.erase(at->first);
+    if (held->second.empty()) held_.erase(held);
   }
+  return entries_.erase(at);
 }
 
 void endpoint_registry::DropHolder(const holder_id& holder) {
+  if (holder == settings_.self) return;
   RetainRecords(holder, {});
-  if (holder != settings_.self) held_.erase(holder);
+  for (auto& [id, known] : entries_) {
+    if (known.runner_up.has_value() && known.runner_up->first == holder) {
+      known.runner_up.reset();
+    }
+  }
 }
 
-void endpoint_registry::ApplyVouch(const holder_id& holder,
+bool endpoint_registry::ApplyVouch(const holder_id& holder,
                                    const lease_vouch& vouch, steady_time as_of,
                                    steady_time now) {
   Observe(now);
   const auto held = held_.find(holder);
-  if (held == held_.end() || holder == settings_.self) return;
+  if (held == held_.end()) return vouch.digest == 0;
+  if (LeaseDigest(held->second) != vouch.digest) return false;
   for (const endpoint_id& id : held->second) {
     entry& known = entries_.at(id);
     const bool overdue = std::binary_search(
@@ -101,6 +141,17 @@
       }
     }
   }
+  return true;
+}
+
+std::uint16_t endpoint_registry::LeaseDigest(
+    const std::set<endpoint_id>& held) const {
+  std::uint64_t sum = 0;
+  for (const endpoint_id& id : held) {
+    const lease_record& record = entries_.at(id).record;
+    if (!record.silent) sum += (record.change + 1) * 0x9e3779b97f4a7c15U;
+  }
+  return static_cast<std::uint16_t>(sum >> 40);
 }
 
 std::vector<lease_record> endpoint_registry::RecordsOf(
@@ -125,6 +176,7 @@
   Observe(now);
   const auto held = held_.find(settings_.self);
   if (held == held_.end()) return vouch;
+  vouch.digest = LeaseDigest(held->second);
   std::chrono::microseconds oldest{0};
   for (const endpoint_id& id : held->second) {
     const entry& known = entries_.at(id);
--- a/source/process/membership/lease_record.h
+++ b/source/process/membership/lease_record.h
@@ -48,6 +48,10 @@
 /// VMs differ while an endpoint moves to another holder.
 struct lease_vouch {
   std::uint64_t change = 0;
+  /// Digest of the leases held. A lease that its holder has lost to another
+  /// one leaves no change behind, so that a copy of the records may hold it
+  /// still.
+  std::uint16_t digest = 0;
   /// Age of the oldest evidence among the leases that are vouched for.
   std::chrono::milliseconds age{0};
   /// Leases that are not vouched for, ascending.
--- a/source/process/membership/peer_codec.cc
+++ b/source/process/membership/peer_codec.cc
@@ -37,10 +37,11 @@
 }
 
 void PackBeat(packer& out, const peer_beat& beat) {
-  out.pack_array(6);
+  out.pack_array(7);
   out.pack(beat.holder);
   out.pack(beat.version.value());
   out.pack(beat.vouch.change);
+  out.pack(beat.vouch.digest);
   out.pack(static_cast<std::uint64_t>(beat.vouch.age.count()));
   PackList(out, beat.vouch.overdue,
            [](packer& to, std::uint64_t change) { to.pack(change); });
--- a/source/process/membership/peer_codec.h
+++ b/source/process/membership/peer_codec.h
@@ -25,7 +25,10 @@
     /// From a VM that the settings don't name.
     kUnknownSender,
     /// From an earlier life of the sender.
-    kOldIncarnation
+    kOldIncarnation,
+    /// Read, but the answer would exceed the byte budget. After a freeze all
+    /// requests that have waited come at once.
+    kOverBudget
   };
   reason why;
   /// Field at fault; empty for the whole message.
--- a/source/process/membership/peer_decoder.cc
+++ b/source/process/membership/peer_decoder.cc
@@ -163,6 +163,8 @@
   beat.holder = in.Small("holder");
   beat.version = document_version(in.Number("version"));
   beat.vouch.change = in.Number("vouched change");
+  beat.vouch.digest =
+      static_cast<std::uint16_t>(in.Small("vouch digest", 0xffff));
   beat.vouch.age = std::chrono::milliseconds(in.Small("vouch age"));
   beat.vouch.overdue = in.Values<std::uint64_t>(
       "overdue", [](field_reader& v) { return v.Number("overdue"); });
--- a/source/process/membership/peer_membership.cc
+++ b/source/process/membership/peer_membership.cc
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds kSecondOpener{100};
 /// Pushes of a change that came from another VM; its holder tells all partners.
 constexpr std::uint32_t kRelayedPushes = 2;
+constexpr std::int64_t kLargestOverdraft = 200;
 constexpr std::int64_t kSmallestMessage = 180;
 
 }  // namespace
@@ -289,10 +290,10 @@
                                                      steady_time alive_at) {
   const auto vm = vms_.find(id.vm);
   if (vm == vms_.end()) return nullptr;
-  // Another life of this VM itself: its leases end with it.
-  if (id.vm == self_.vm && id != self_) return nullptr;
   auto [it, added] = holders_.try_emplace(RefOf(id));
   holder_state& holder = it->second;
+  // Two holders with equal references: only the first one is followed.
+  if (!added && holder.id != id) return nullptr;
   if (added) {
     holder.id = id;
     holder.domain = vm->second;
@@ -340,6 +341,10 @@
   peer_state& peer = peers_.at(message.value().from.vm);
   Receive(peer, message.value(), now);
   FollowOwnChanges(now);
+  if (budget_.Available(now) < -kLargestOverdraft) {
+    return failure(
+        peer_decode_error{peer_decode_error::reason::kOverBudget, ""});
+  }
   return Build(peer, now);
 }
 
--- a/source/process/membership/peer_membership.h
+++ b/source/process/membership/peer_membership.h
@@ -56,6 +56,9 @@
   /// The patience doubles up to this while the digests go on to differ.
   std::chrono::milliseconds longest_patience{24000};
   std::chrono::milliseconds positions_interval{2000};
+  /// A copy that differs from its holder's digest for this time is fetched
+  /// anew.
+  std::chrono::milliseconds longest_difference{5000};
   /// A copy that lags behind a holder for this time is fetched anew.
   std::chrono::milliseconds longest_lag{60000};
   /// Sent bytes a second, framing and the registry's probes included. With
@@ -126,6 +129,8 @@
     /// Date of the vouch, by this VM's clock.
     std::optional<steady_time> as_of;
     std::optional<steady_time> asked_at;
+    /// Since when the copy differs from the vouch although no change lacks.
+    std::optional<steady_time> differs_since;
     /// The peer that named the announced change.
     vm_id named_by;
     /// Latest evidence that the holder runs.
@@ -147,6 +152,7 @@
     std::set<failure_domain_id> unclear;
     std::vector<record_request> asked_records;
     std::set<failure_domain_id> asked_positions;
+    /// The holders up to this one have been answered.
     holder_ref told_position = 0;
   };
   struct news_item {
@@ -223,6 +229,7 @@
                      steady_time now);
   void HearAnnounced(peer_state& peer, holder_state& holder,
                      std::uint64_t change, steady_time now);
+  void Trust(holder_state& holder, steady_time now);
   void Advance(holder_state& holder, std::uint64_t change, steady_time now);
 
   peer_membership_settings settings_;
--- a/source/process/membership/peer_membership_receive.cc
+++ b/source/process/membership/peer_membership_receive.cc
@@ -41,7 +41,9 @@
   HearDigests(peer, message, sent, now);
   HearPositions(peer, message, now);
   for (const failure_domain_id& domain : message.wanted_positions) {
-    if (IsKnownDomain(domain)) peer.asked_positions.insert(domain);
+    if (!IsKnownDomain(domain)) continue;
+    peer.asked_positions.insert(domain);
+    peer.told_position = 0;
   }
   // Answered in the next message, whichever VM opens the exchange.
   if (!message.wanted_records.empty()) {
@@ -84,8 +86,21 @@
   if (beat.vouch.change < holder.change) return;
   holder.as_of = as_of;
   holder.vouch = beat.vouch;
-  if (holder.change == beat.vouch.change) {
-    registry_.ApplyVouch(holder.id, holder.vouch, as_of, now);
+  Trust(holder, now);
+}
+
+void peer_membership::Trust(holder_state& holder, steady_time now) {
+  if (!holder.as_of.has_value() || holder.vouch.change != holder.change) {
+    return;
+  }
+  if (registry_.ApplyVouch(holder.id, holder.vouch, *holder.as_of, now)) {
+    holder.differs_since.reset();
+  } else if (!holder.differs_since.has_value()) {
+    holder.differs_since = now;
+  } else if (now - *holder.differs_since > settings_.longest_difference) {
+    holder.differs_since.reset();
+    holder.change = 0;
+    holder.lagging_since = now;
   }
 }
 
@@ -102,15 +117,13 @@
                               steady_time now) {
   holder.change = std::max(holder.change, change);
   if (holder.change >= holder.announced) holder.lagging_since.reset();
-  if (holder.as_of.has_value() && holder.vouch.change == holder.change) {
-    registry_.ApplyVouch(holder.id, holder.vouch, *holder.as_of, now);
-  }
+  Trust(holder, now);
 }
 
 void peer_membership::HearChanges(peer_state& peer, const peer_message& message,
                                   steady_time now) {
   for (const holder_change& change : message.changes) {
-    if (change.holder.vm == self_.vm) continue;
+    if (change.holder == self_) continue;
     holder_state* holder = Meet(change.holder, now - settings_.cut_off_after);
     if (holder == nullptr || change.record.change <= holder->change) continue;
     if (change.after > holder->change) {
@@ -129,7 +142,7 @@
 void peer_membership::HearRecords(peer_state& peer, const peer_message& message,
                                   steady_time now) {
   for (const record_list& list : message.records) {
-    if (list.holder.vm == self_.vm) continue;
+    if (list.holder == self_) continue;
     holder_state* holder = Meet(list.holder, now - settings_.cut_off_after);
     if (holder == nullptr || list.after > holder->change ||
         list.change <= holder->change) {
@@ -193,7 +206,7 @@
                                     const peer_message& message,
                                     steady_time now) {
   for (const holder_position& position : message.positions) {
-    if (position.holder.vm == self_.vm) continue;
+    if (position.holder == self_) continue;
     const std::chrono::seconds silence(position.silent_s);
     // A holder that its own failure domain has nearly forgotten is not met
     // again, or forgetful VMs would remind each other of it for ever.
--- a/source/process/membership/peer_membership_send.cc
+++ b/source/process/membership/peer_membership_send.cc
@@ -145,13 +145,12 @@
                                            peer_message& message) {
   const std::size_t limit = std::min(kMaxPositions, room / kPositionBytes);
   if (peer.asked_positions.empty() || limit == 0) return 0;
-  // Positions that find no room go with a later answer.
   auto it = holders_.upper_bound(peer.told_position);
-  for (std::size_t seen = 0; seen < holders_.size(); ++seen, ++it) {
-    if (message.positions.size() >= limit) break;
-    if (it == holders_.end()) it = holders_.begin();
+  for (; it != holders_.end(); ++it) {
     const holder_state& holder = it->second;
     if (!peer.asked_positions.contains(holder.domain)) continue;
+    // The rest goes with the next messages.
+    if (message.positions.size() >= limit) break;
     const auto silence =
         std::chrono::floor<std::chrono::seconds>(now - holder.alive_at);
     message.positions.push_back(
@@ -160,7 +159,7 @@
              std::max<std::int64_t>(0, silence.count()))});
     peer.told_position = it->first;
   }
-  peer.asked_positions.clear();
+  if (it == holders_.end()) peer.asked_positions.clear();
   return message.positions.size() * kPositionBytes;
 }
 
