--- a/examples/fake_endpoint/fake_endpoint.cc
+++ b/examples/fake_endpoint/fake_endpoint.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "commands/trial_text.h"
 #include "connection/endpoint_call.h"
 #include "connection/http_responder.h"
 
@@ -191,8 +192,6 @@
     }
     http_field_list fields = AnswerFields(current->attempt);
     fields.push_back({"Content-Type", "text/event-stream"});
-    fields.push_back(
-        {"X-Prefix-Cached", std::to_string(current->cached_words)});
     if (current->next_word > 0) {
       fields.push_back({"X-Resume-Offset", std::to_string(current->next_word)});
     }
@@ -221,9 +220,13 @@
   const std::uint32_t position = current->plan.first_word + current->next_word;
   chunk["choices"] = {
       {{"index", 0},
-       {"delta",
-        {{"content", CompletionWord(current->plan.prompt_hash, position)}}},
+       {"delta", {{"content", TrialWord(current->plan.prompt_hash, position)}}},
        {"finish_reason", nullptr}}};
+  if (current->next_word + 1 == current->plan.words) {
+    chunk["usage"] = {
+        {"prompt_tokens", current->plan.prompt_words},
+        {"prompt_tokens_details", {{"cached_tokens", current->cached_words}}}};
+  }
   current->responder->Write("data: " + chunk.dump() + "\n\n");
   ++current->next_word;
   current->timer.expires_after(settings_.between_tokens);
@@ -240,8 +243,8 @@
     if (error || current->ended) return;
     std::string text;
     for (std::uint32_t i = 0; i < current->plan.words; ++i) {
-      text += CompletionWord(current->plan.prompt_hash,
-                             current->plan.first_word + i);
+      text +=
+          TrialWord(current->plan.prompt_hash, current->plan.first_word + i);
     }
     nlohmann::ordered_json body;
     body["id"] = "cmpl-" + current->attempt;
--- a/examples/fake_endpoint/fake_model.cc
+++ b/examples/fake_endpoint/fake_model.cc
@@ -1,10 +1,10 @@
 #include "fake_endpoint/fake_model.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "commands/trial_text.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -31,8 +31,7 @@
     plan.first_word = CountWords(messages.back().value("content", ""));
     messages.erase(messages.size() - 1);
   }
-  const std::string prompt = messages.dump();
-  plan.prompt_hash = XXH3_64bits(prompt.data(), prompt.size());
+  plan.prompt_hash = TrialPromptHash(messages);
   for (const auto& message : messages) {
     plan.prompt_words += CountWords(message.value("content", ""));
   }
@@ -40,12 +39,6 @@
   return plan;
 }
 
-std::string CompletionWord(std::uint64_t prompt_hash, std::uint32_t position) {
-  const std::uint64_t seeded =
-      XXH3_64bits_withSeed(&position, sizeof(position), prompt_hash);
-  return "w" + std::to_string(seeded % 100'000) + " ";
-}
-
 std::uint32_t fake_prefix_cache::Use(const std::string& chat,
                                      std::uint32_t prompt_words) {
   std::uint32_t cached = 0;
--- a/examples/fake_endpoint/fake_model.h
+++ b/examples/fake_endpoint/fake_model.h
@@ -22,9 +22,6 @@
 /// continue_final_message is text that the completion continues.
 fake_completion PlanCompletion(const nlohmann::json& request);
 
-/// The word at a position of the completion of a prompt.
-std::string CompletionWord(std::uint64_t prompt_hash, std::uint32_t position);
-
 /// Prefix cache of limited size, least recently used first out. One entry is
 /// the number of prompt words that were computed for a chat.
 class fake_prefix_cache {
--- /dev/null
+++ b/source/commands/command.h
@@ -0,0 +1,40 @@
+#ifndef MARJORAMSILL_COMMANDS_COMMAND_H_
+#define MARJORAMSILL_COMMANDS_COMMAND_H_
+
+#include <boost/program_options.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "commands/exit_code.h"
+
+namespace marjoramsill {
+
+/// One subcommand, for example "policy submit". `options` and `arguments` are
+/// the same for parsing and for the help page.
+struct command {
+  std::string name;
+  std::string summary;
+  /// Names of positional arguments, all required.
+  std::vector<std::string> arguments;
+  std::function<void(boost::program_options::options_description&)> options;
+  std::function<exit_code(const boost::program_options::variables_map&)> run;
+};
+
+command ServeCommand();
+command SettingsCheckCommand();
+std::vector<command> PolicyCommands();
+command StatusCommand();
+command ReportBurnCommand();
+command LoadCommand();
+command VersionCommand();
+
+/// Adds --control, the address of a VM's control listener.
+void AddControlOption(boost::program_options::options_description& options);
+
+/// Runs the command that the arguments name; prints help and usage errors.
+int RunCommandLine(int argc, char** argv);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_COMMANDS_COMMAND_H_
--- /dev/null
+++ b/source/commands/control_client.cc
@@ -0,0 +1,59 @@
+#include "commands/control_client.h"
+
+#include <cctype>
+#include <cstdio>
+#include <future>
+#include <iostream>
+#include <memory>
+
+#include "connection/endpoint_call.h"
+#include "connection/endpoint_client.h"
+#include "connection/socket_address.h"
+
+namespace marjoramsill {
+
+std::optional<control_answer> Fetch(const control_request& request) {
+  if (!ParseSocketAddress(request.address)) {
+    std::cerr << "marjoramsill: --control: found \"" << request.address
+              << "\", allowed is IP:PORT\n";
+    return std::nullopt;
+  }
+  const auto answer = std::make_shared<control_answer>();
+  const auto ended = std::make_shared<std::promise<endpoint_call_end>>();
+  endpoint_call call;
+  call.method = request.method;
+  call.url = "http://" + request.address + request.target;
+  call.body = request.body;
+  call.fields = {{"Content-Type", "application/octet-stream"}};
+  call.total_timeout = request.timeout;
+  call.on_headers = [answer](int status, const http_field_list& fields) {
+    answer->status = status;
+    answer->fields = fields;
+  };
+  call.on_data = [answer](const std::string& data) { answer->body += data; };
+  call.on_end = [ended](endpoint_call_end end) { ended->set_value(end); };
+  endpoint_client client;
+  client.Start(std::move(call));
+  if (ended->get_future().get() == endpoint_call_end::kWhole) return *answer;
+  std::cerr << "marjoramsill: no answer from the VM at " << request.address
+            << "\n";
+  return std::nullopt;
+}
+
+std::string EncodeQuery(const std::string& value) {
+  std::string encoded;
+  for (const char c : value) {
+    const bool plain = std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+                       c == '-' || c == '_' || c == '.' || c == '/';
+    if (plain) {
+      encoded += c;
+      continue;
+    }
+    char code[4];
+    std::snprintf(code, sizeof(code), "%%%02X", static_cast<unsigned char>(c));
+    encoded += code;
+  }
+  return encoded;
+}
+
+}  // namespace marjoramsill
--- a/source/commands/main.cc
+++ b/source/commands/main.cc
@@ -1,6 +1,5 @@
-#include <iostream>
+#include "commands/command.h"
 
-int main() {
-  std::cout << "marjoramsill 0.1.0\n";
-  return 0;
+int main(int argc, char** argv) {
+  return marjoramsill::RunCommandLine(argc, argv);
 }
--- a/source/connection/endpoint_call.h
+++ b/source/connection/endpoint_call.h
@@ -25,6 +25,10 @@
   /// repeatable must not suffer.
   bool fresh_connection = false;
 
+  /// Runs when the connection is up, before the first byte is sent. Nothing is
+  /// sent when it returns false. A second connection for the same call, which
+  /// libcurl opens when a reused one turns out dead, is refused.
+  std::function<bool()> on_connected;
   std::function<void(int status, const http_field_list& fields)> on_headers;
   std::function<void(std::string data)> on_data;
   std::function<void(endpoint_call_end end)> on_end;
--- a/source/connection/endpoint_client.cc
+++ b/source/connection/endpoint_client.cc
@@ -28,6 +28,8 @@
   http_field_list received;
   std::size_t header_bytes = 0;
   bool headers_reported = false;
+  // The request was allowed to be sent on a connection.
+  bool send_started = false;
   // Set by a cancellation from inside one of the call's own hooks.
   bool cancelled = false;
 
@@ -76,6 +78,17 @@
   return line.size();
 }
 
+int OnConnected(void* user, char* /*remote_ip*/, char* /*local_ip*/,
+                int /*remote_port*/, int /*local_port*/) {
+  auto& current = *static_cast<transfer*>(user);
+  if (current.send_started || current.cancelled) return CURL_PREREQFUNC_ABORT;
+  if (current.call.on_connected && !current.call.on_connected()) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  current.send_started = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                    void* user) {
   auto& current = *static_cast<transfer*>(user);
@@ -89,14 +102,7 @@
 
 endpoint_call_end EndOf(const transfer& current, CURLcode code) {
   if (code == CURLE_OK) return endpoint_call_end::kWhole;
-  curl_off_t connected_us = 0;
-  long request_bytes = 0;
-  curl_easy_getinfo(current.easy, CURLINFO_PRETRANSFER_TIME_T, &connected_us);
-  curl_easy_getinfo(current.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  // Both stay zero as long as no connection has come up.
-  if (connected_us == 0 && request_bytes == 0) {
-    return endpoint_call_end::kNotSent;
-  }
+  if (!current.send_started) return endpoint_call_end::kNotSent;
   if (code == CURLE_OPERATION_TIMEDOUT) return endpoint_call_end::kTimedOut;
   return endpoint_call_end::kBroken;
 }
@@ -134,6 +140,8 @@
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, current.header_list);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeaderLine);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &current);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnConnected);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &current);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &current);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &current);
--- a/source/connection/http2_session.cc
+++ b/source/connection/http2_session.cc
@@ -20,6 +20,7 @@
 constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 1'000;
 constexpr std::string_view kPathPrefix = "/peer/";
+constexpr std::string_view kFromHeader = "x-vm";
 
 nghttp2_nv Field(std::string_view name, std::string_view value) {
   // nghttp2 copies names and values unless told otherwise.
@@ -44,6 +45,9 @@
     if (field == ":path") {
       if (text.size() > kMaxPathBytes) return Reset();
       self.streams_[frame->hd.stream_id].path = std::string(text);
+    } else if (field == kFromHeader) {
+      if (text.size() > kMaxPathBytes) return Reset();
+      self.streams_[frame->hd.stream_id].from = std::string(text);
     } else if (field == ":status") {
       self.streams_[frame->hd.stream_id].answered_with_success = text == "200";
     }
@@ -150,9 +154,10 @@
     return;
   }
   const std::string path = std::string(kPathPrefix) + message.kind;
-  const std::array<nghttp2_nv, 4> fields = {
+  const std::array<nghttp2_nv, 5> fields = {
       Field(":method", "POST"), Field(":scheme", "http"),
-      Field(":authority", "peer"), Field(":path", path)};
+      Field(":authority", "peer"), Field(":path", path),
+      Field(kFromHeader, message.from)};
   nghttp2_data_provider provider{};
   provider.read_callback = http2_callbacks::ReadOutgoing;
   const std::int32_t stream_id = nghttp2_submit_request(
@@ -202,8 +207,10 @@
                             nullptr);
     return;
   }
-  vm_message message{stream.path.substr(kPathPrefix.size()),
-                     std::move(stream.received)};
+  vm_message message;
+  message.kind = stream.path.substr(kPathPrefix.size());
+  message.body = std::move(stream.received);
+  message.from = std::move(stream.from);
   handle_(std::move(message),
           [weak = weak_from_this(), stream_id](std::string body) {
             if (const auto self = weak.lock()) {
--- a/source/connection/http2_session.h
+++ b/source/connection/http2_session.h
@@ -54,6 +54,7 @@
   /// State of one stream, which is one message and its answer.
   struct stream_state {
     std::string path;
+    std::string from;
     std::string received;
     std::string outgoing;
     std::size_t outgoing_offset = 0;
--- a/source/connection/peer_transport.cc
+++ b/source/connection/peer_transport.cc
@@ -73,6 +73,7 @@
   void Send(const socket_address& remote, vm_message message,
             std::chrono::milliseconds timeout, answer_handler done) {
     sent_bytes_ += message.body.size();
+    message.from = settings_.vm;
     asio::post(io_, [this, remote, message = std::move(message), timeout,
                      done = std::move(done)]() mutable {
       Channel(remote).Send(std::move(message), timeout, std::move(done));
--- a/source/connection/peer_transport_settings.h
+++ b/source/connection/peer_transport_settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <string>
 
 #include "connection/socket_address.h"
 #include "connection/tls_settings.h"
@@ -12,6 +13,8 @@
 
 /// Settings of the connections between VMs.
 struct peer_transport_settings {
+  /// Name of this VM, which its messages carry.
+  std::string vm;
   socket_address listen;
   /// Without TLS the connections are plaintext, which is for trials on
   /// loopback only.
--- a/source/connection/vm_message.h
+++ b/source/connection/vm_message.h
@@ -10,6 +10,8 @@
   /// What follows "/peer/" in the request path, for example "heartbeat".
   std::string kind;
   std::string body;
+  /// VM that sent the message; set by the transport.
+  std::string from;
 };
 
 }  // namespace marjoramsill
--- a/source/process/admission/admission_types.h
+++ b/source/process/admission/admission_types.h
@@ -45,7 +45,8 @@
 struct admission_policy {
   /// Indexed by rank. The sum of the shares must be below 1.
   std::array<rank_admission, kRankCount> ranks = {
-      rank_admission{}, rank_admission{.share = 0.25}, rank_admission{.share = 0.05}};
+      rank_admission{}, rank_admission{.share = 0.25},
+      rank_admission{.share = 0.05}};
   /// How long requests wait without any capacity before they are rejected.
   std::chrono::microseconds no_capacity_grace = std::chrono::seconds(2);
   std::chrono::microseconds min_retry_after = std::chrono::seconds(1);
--- /dev/null
+++ b/source/process/daemon/control_service.h
@@ -0,0 +1,36 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_CONTROL_SERVICE_H_
+#define MARJORAMSILL_PROCESS_DAEMON_CONTROL_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "request/caller_request.h"
+
+namespace marjoramsill {
+
+class http_responder;
+
+/// Answers the requests on the control address by path.
+class control_service {
+ public:
+  using handler = std::function<void(const caller_request&,
+                                     const std::shared_ptr<http_responder>&)>;
+
+  /// Registers before the server listens.
+  void Add(const std::string& method, const std::string& path, handler handle) {
+    handlers_[method + " " + path] = std::move(handle);
+  }
+
+  void Handle(const caller_request& request,
+              const std::shared_ptr<http_responder>& responder) const;
+
+ private:
+  std::map<std::string, handler> handlers_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_CONTROL_SERVICE_H_
--- /dev/null
+++ b/source/process/daemon/endpoint_request.h
@@ -0,0 +1,34 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_ENDPOINT_REQUEST_H_
+#define MARJORAMSILL_PROCESS_DAEMON_ENDPOINT_REQUEST_H_
+
+#include <string>
+
+#include "connection/endpoint_call.h"
+#include "request/call_action.h"
+#include "request/caller_request.h"
+#include "request/classified_request.h"
+#include "request/response_head.h"
+
+namespace marjoramsill {
+
+/// The HTTP request of one attempt, without its hooks. `address` is IP:PORT.
+endpoint_call MakeEndpointCall(const caller_request& request,
+                               const classified_request& classified,
+                               const start_attempt& attempt,
+                               const request_id& id, const std::string& address,
+                               steady_time now);
+
+/// The head of an endpoint's answer as the decision code takes it.
+response_head MakeResponseHead(int status, const http_field_list& fields,
+                               const std::string& method);
+
+/// Fields of an endpoint's answer that the caller gets.
+http_field_list CallerFields(const http_fields& headers);
+
+/// Request body that continues the text which the caller already has. The
+/// text becomes a last assistant message that the engine continues.
+std::string ReplayBody(const std::string& body, const std::string& text);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_ENDPOINT_REQUEST_H_
--- /dev/null
+++ b/source/process/daemon/event_log.h
@@ -0,0 +1,34 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_EVENT_LOG_H_
+#define MARJORAMSILL_PROCESS_DAEMON_EVENT_LOG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoramsill {
+
+enum class log_level { kDebug, kInfo, kWarning, kError };
+
+/// One key=value pair of a log line.
+struct log_field {
+  std::string_view key;
+  std::string value;
+};
+
+/// Starts glog on standard error. `level` is debug, info, warning or error.
+void StartLog(const char* program, std::string_view level);
+
+/// Writes one line: event=NAME key=value... Values with spaces, quotes or
+/// control characters are quoted and escaped. At most 200 lines a second are
+/// written below level error, so that an attack cannot fill a disk; the number
+/// of dropped lines is logged.
+void LogEvent(log_level level, std::string_view event,
+              const std::vector<log_field>& fields = {});
+
+/// The value as LogEvent() writes it.
+std::string EscapeLogValue(std::string_view value);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_EVENT_LOG_H_
--- /dev/null
+++ b/source/process/daemon/fleet_membership.h
@@ -0,0 +1,82 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_FLEET_MEMBERSHIP_H_
+#define MARJORAMSILL_PROCESS_DAEMON_FLEET_MEMBERSHIP_H_
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "process/membership/endpoint_registry.h"
+#include "process/membership/peer_membership.h"
+#include "types/result.h"
+
+namespace marjoramsill {
+
+class endpoint_client;
+class peer_transport;
+class pool_shards;
+struct pool_shard;
+struct settings;
+
+/// Refusal of an announcement over HTTP.
+struct announce_failure {
+  int status = 400;
+  std::string detail;
+};
+
+/// Membership of endpoints and VMs on this process: holds the registry under
+/// the membership lock, exchanges heartbeats, sends probes, and keeps the
+/// placements of the shards up to date.
+class fleet_membership {
+ public:
+  fleet_membership(const settings& process_settings, incarnation life,
+                   peer_transport& peers, endpoint_client& client,
+                   pool_shards& shards);
+
+  result<announcement_reply, announce_failure> Announce(std::string_view json);
+  /// Answers POST /peer/heartbeat.
+  std::string OnHeartbeat(std::string_view body);
+  /// To be called every 100 ms.
+  void Tick();
+
+  dispatch_verdict Dispatch(const endpoint_id& id);
+  std::optional<endpoint_status> Find(const endpoint_id& id) const;
+  /// Result of an attempt; passes a load report on to the shard.
+  void OnAttempt(const endpoint_id& id, const attempt_report& report,
+                 pool_shard& shard);
+  /// Endpoints of a pool, for the status command.
+  std::vector<endpoint_status> EndpointsOf(const model_id& pool) const;
+  bool IsReachable(const vm_id& vm) const;
+  /// Other VMs with recent evidence that they run.
+  std::vector<vm_id> ReachableVms() const;
+
+  void SetVersion(document_version version);
+  /// Newest policy version of a reachable peer and a VM that has it; empty
+  /// when none is known.
+  std::pair<vm_id, document_version> NewestPeerVersion() const;
+  std::uint64_t sent_bytes() const;
+
+ private:
+  void SendHeartbeats(const std::vector<peer_request>& requests);
+  void SendProbes(const std::vector<probe_request>& probes);
+  void UpdateShards(steady_time now);
+  void UpdateShard(const model_id& pool, pool_shard& shard, steady_time now);
+
+  const settings& settings_;
+  peer_transport& peers_;
+  endpoint_client& client_;
+  pool_shards& shards_;
+  mutable std::mutex mutex_;
+  endpoint_registry registry_;
+  peer_membership membership_;
+  /// View number of the placement that each pool's shard has. Used by Tick().
+  std::unordered_map<model_id, std::uint64_t> placed_views_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_FLEET_MEMBERSHIP_H_
--- /dev/null
+++ b/source/process/daemon/leader_client.cc
@@ -0,0 +1,137 @@
+#include "process/daemon/leader_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "connection/peer_transport.h"
+#include "process/daemon/control_plane.h"
+#include "process/daemon/settings.h"
+#include "process/daemon/steady_clock.h"
+
+namespace marjoramsill {
+namespace {
+
+constexpr std::chrono::milliseconds kMessageTimeout{1'000};
+// Between two rounds through all candidates, for example during an election.
+constexpr std::chrono::milliseconds kRoundPause{100};
+
+}  // namespace
+
+struct leader_client::journey {
+  std::string kind;
+  leader_request request;
+  steady_time deadline;
+  done hook;
+  /// Still to be tried in this round, the next one last.
+  std::vector<vm_id> candidates;
+  /// One hint is followed in a round: two VMs may name each other while there
+  /// is no leader.
+  bool hint_followed = false;
+};
+
+leader_client::leader_client(const settings& process_settings,
+                             peer_transport& peers, control_plane* own)
+    : settings_(process_settings), peers_(peers), own_(own) {}
+
+void leader_client::Send(std::string_view kind, leader_request request,
+                         std::chrono::milliseconds timeout, done hook) {
+  auto current = std::make_shared<journey>();
+  current->kind = std::string(kind);
+  current->request = std::move(request);
+  current->deadline = SteadyNow() + timeout;
+  current->hook = std::move(hook);
+  current->candidates = Candidates(current->request.group);
+  Try(current);
+}
+
+std::vector<vm_id> leader_client::Candidates(std::uint32_t group) const {
+  std::vector<vm_id> order;
+  for (const fleet_vm& vm : settings_.fleet) {
+    if (vm.control != control_part::kNone) order.push_back(vm.id);
+  }
+  const std::lock_guard lock(mutex_);
+  const auto known = leaders_.find(group);
+  if (known == leaders_.end()) return order;
+  const auto place = std::find(order.begin(), order.end(), known->second);
+  if (place != order.end()) std::rotate(place, place + 1, order.end());
+  return order;
+}
+
+void leader_client::Try(const std::shared_ptr<journey>& current) {
+  if (SteadyNow() >= current->deadline) {
+    current->hook(std::nullopt);
+    return;
+  }
+  if (current->candidates.empty()) {
+    current->candidates = Candidates(current->request.group);
+    current->hint_followed = false;
+    if (current->candidates.empty()) {
+      current->hook(std::nullopt);
+      return;
+    }
+    peers_.RunAfter(kRoundPause, [this, current] { Try(current); });
+    return;
+  }
+  const vm_id target = current->candidates.back();
+  current->candidates.pop_back();
+  if (own_ != nullptr && target == settings_.vm) {
+    own_->OnLeaderRequest(current->kind, current->request,
+                          [this, current, target](const leader_answer& answer) {
+                            OnAnswer(current, target, answer, true);
+                          });
+    return;
+  }
+  const fleet_vm* vm = settings_.FindVm(target);
+  if (vm == nullptr) {
+    Try(current);
+    return;
+  }
+  peers_.Send(
+      vm->peers, {current->kind, EncodeLeaderRequest(current->request), {}},
+      kMessageTimeout,
+      [this, current, target](const result<std::string, peer_error>& answer) {
+        if (answer) {
+          OnAnswer(current, target, DecodeLeaderAnswer(answer.assume_value()),
+                   true);
+          return;
+        }
+        const peer_error error = answer.assume_error();
+        const bool uncertain = error == peer_error::kTimedOut ||
+                               error == peer_error::kConnectionLost;
+        OnAnswer(current, target, std::nullopt, uncertain);
+      });
+}
+
+void leader_client::OnAnswer(const std::shared_ptr<journey>& current,
+                             const vm_id& from,
+                             const std::optional<leader_answer>& answer,
+                             bool delivered) {
+  if (answer && answer->kind == leader_answer_kind::kAnswered) {
+    {
+      const std::lock_guard lock(mutex_);
+      leaders_[current->request.group] = from;
+    }
+    current->hook(answer->body);
+    return;
+  }
+  const bool not_leader =
+      answer && answer->kind == leader_answer_kind::kNotLeader;
+  if (delivered && !not_leader) {
+    const std::lock_guard lock(mutex_);
+    leaders_.erase(current->request.group);
+  }
+  if (delivered && !not_leader) {
+    current->hook(std::nullopt);
+    return;
+  }
+  const bool has_hint =
+      not_leader && !answer->leader.empty() && answer->leader != from;
+  if (has_hint && !current->hint_followed) {
+    current->hint_followed = true;
+    std::erase(current->candidates, answer->leader);
+    current->candidates.push_back(answer->leader);
+  }
+  Try(current);
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/daemon/operator_api.h
@@ -0,0 +1,62 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_OPERATOR_API_H_
+#define MARJORAMSILL_PROCESS_DAEMON_OPERATOR_API_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "request/caller_request.h"
+
+namespace marjoramsill {
+
+class control_plane;
+class control_service;
+class fleet_membership;
+class http_responder;
+class leader_client;
+class peer_transport;
+class policy_distribution;
+class policy_store;
+class pool_shards;
+struct settings;
+
+/// Parts of the process that operators ask. `control` is null on a VM that is
+/// no control member.
+struct operator_sources {
+  const settings& process_settings;
+  peer_transport& peers;
+  const fleet_membership& membership;
+  const policy_distribution& distribution;
+  const pool_shards& shards;
+  const policy_store& policy;
+  leader_client& leaders;
+  const control_plane* control = nullptr;
+  /// Whether the VM takes requests of callers.
+  std::function<bool()> is_ready;
+};
+
+/// What operators reach on the control address. Nothing here changes the fleet
+/// but the submission of a section.
+class operator_api {
+ public:
+  explicit operator_api(operator_sources sources) : sources_(sources) {}
+
+  void AddTo(control_service& service);
+  /// Body of the answer to a `counters` message.
+  std::string EncodeOwnCounters() const;
+
+ private:
+  using responder_ptr = std::shared_ptr<http_responder>;
+
+  void Submit(const caller_request& request, const responder_ptr& responder);
+  void Section(const caller_request& request, const responder_ptr& responder);
+  void Sections(const responder_ptr& responder);
+  void Status(const responder_ptr& responder);
+  void Report(const caller_request& request, const responder_ptr& responder);
+
+  operator_sources sources_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_OPERATOR_API_H_
--- /dev/null
+++ b/source/process/daemon/peer_kinds.h
@@ -0,0 +1,20 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_PEER_KINDS_H_
+#define MARJORAMSILL_PROCESS_DAEMON_PEER_KINDS_H_
+
+#include <string_view>
+
+namespace marjoramsill {
+
+/// Kinds of messages between VMs (design 4.3).
+inline constexpr std::string_view kHeartbeatKind = "heartbeat";
+inline constexpr std::string_view kRaftKind = "raft";
+inline constexpr std::string_view kClaimKind = "claim";
+inline constexpr std::string_view kSubmitKind = "submit";
+inline constexpr std::string_view kPolicyChangesKind = "policy/changes";
+inline constexpr std::string_view kPolicyFetchKind = "policy/fetch";
+inline constexpr std::string_view kLimitsKind = "limits";
+inline constexpr std::string_view kCountersKind = "counters";
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_PEER_KINDS_H_
--- /dev/null
+++ b/source/process/daemon/policy_distribution.h
@@ -0,0 +1,69 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_POLICY_DISTRIBUTION_H_
+#define MARJORAMSILL_PROCESS_DAEMON_POLICY_DISTRIBUTION_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "process/control/version_follower.h"
+#include "process/daemon/start_error.h"
+#include "types/result.h"
+
+namespace marjoramsill {
+
+class peer_transport;
+class policy_snapshot;
+struct settings;
+
+/// Keeps this VM at the newest policy version: runs the version follower under
+/// the control lock and carries out its actions.
+class policy_distribution {
+ public:
+  using install_hook =
+      std::function<void(std::shared_ptr<const policy_snapshot>)>;
+
+  policy_distribution(const settings& process_settings, peer_transport& peers,
+                      install_hook install);
+
+  /// Reads the document that was in force before a restart, on a VM with a
+  /// disk, and puts it in force.
+  result<void, start_error> Start();
+  /// To be called every 100 ms with the newest version among the peers.
+  void Tick(const vm_id& newest_holder, document_version newest);
+  void OnCommitted(const section_ptr& record, bool lead);
+  void OnRestored(const policy_document& document);
+  /// Bodies of `policy/changes` and `policy/fetch`.
+  void OnPush(std::string_view body);
+  std::string OnFetch(const vm_id& from, std::string_view body);
+
+  document_version version() const;
+  section_ptr FindSection(const section_name& name) const;
+  std::vector<section_ptr> Sections() const;
+
+ private:
+  template <class Input>
+  void Run(Input input);
+  void Execute(const follower_actions& actions);
+  void SendPush(const send_push& action);
+  void SendFetch(const send_fetch& action);
+  void Install(const install_version& action);
+  result<policy_document, start_error> ReadDocument() const;
+  /// Makes the document in force durable; a failure ends the process.
+  void WriteDocument();
+
+  const settings& settings_;
+  peer_transport& peers_;
+  const install_hook install_;
+  mutable std::mutex mutex_;
+  std::unique_ptr<version_follower> follower_;
+  /// Keeps installations in the order of their versions.
+  std::mutex install_mutex_;
+  document_version installed_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_POLICY_DISTRIBUTION_H_
--- /dev/null
+++ b/source/process/daemon/process_metrics.cc
@@ -0,0 +1,66 @@
+#include "process/daemon/process_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
+
+#include "process/burn/burn_report.h"
+
+namespace marjoramsill {
+
+process_metrics::process_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()) {
+  auto& family = prometheus::BuildCounter()
+                     .Name("marjoramsill_requests_total")
+                     .Help("Ended requests by rank and outcome")
+                     .Register(*registry_);
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    for (std::size_t k = 0; k < kServiceEventCount; ++k) {
+      const auto event = static_cast<service_event>(k);
+      requests_.at(i).at(k) =
+          &family.Add({{"rank", std::string(RankName(static_cast<rank>(i)))},
+                       {"outcome", std::string(ServiceEventName(event))}});
+    }
+  }
+  control_bytes_ = &prometheus::BuildGauge()
+                        .Name("marjoramsill_control_sent_bytes")
+                        .Help("Bytes sent for membership and probes")
+                        .Register(*registry_)
+                        .Add({});
+  policy_version_ = &prometheus::BuildGauge()
+                         .Name("marjoramsill_policy_version")
+                         .Help("Document version in force")
+                         .Register(*registry_)
+                         .Add({});
+  open_requests_ = &prometheus::BuildGauge()
+                        .Name("marjoramsill_open_requests")
+                        .Help("Requests whose answer has not ended")
+                        .Register(*registry_)
+                        .Add({});
+}
+
+process_metrics::~process_metrics() = default;
+
+void process_metrics::CountRequest(rank of, service_event event) {
+  requests_.at(static_cast<std::size_t>(of))
+      .at(static_cast<std::size_t>(event))
+      ->Increment();
+}
+
+void process_metrics::SetControlBytes(std::uint64_t bytes) {
+  control_bytes_->Set(static_cast<double>(bytes));
+}
+
+void process_metrics::SetPolicyVersion(std::uint64_t version) {
+  policy_version_->Set(static_cast<double>(version));
+}
+
+void process_metrics::SetOpenRequests(std::size_t count) {
+  open_requests_->Set(static_cast<double>(count));
+}
+
+std::string process_metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/daemon/process_metrics.h
@@ -0,0 +1,44 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_PROCESS_METRICS_H_
+#define MARJORAMSILL_PROCESS_DAEMON_PROCESS_METRICS_H_
+
+#include <prometheus/registry.h>
+
+#include <array>
+#include <memory>
+#include <string>
+
+#include "process/burn/service_counters.h"
+#include "types/rank.h"
+
+namespace prometheus {
+class Counter;
+class Gauge;
+}  // namespace prometheus
+
+namespace marjoramsill {
+
+/// Metrics of this process in Prometheus' text format. Label values come from
+/// fixed sets: one series per rank and outcome, none per chat or workspace.
+class process_metrics {
+ public:
+  process_metrics();
+  ~process_metrics();
+
+  void CountRequest(rank of, service_event event);
+  void SetControlBytes(std::uint64_t bytes);
+  void SetPolicyVersion(std::uint64_t version);
+  void SetOpenRequests(std::size_t count);
+  std::string Text() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  std::array<std::array<prometheus::Counter*, kServiceEventCount>, kRankCount>
+      requests_{};
+  prometheus::Gauge* control_bytes_ = nullptr;
+  prometheus::Gauge* policy_version_ = nullptr;
+  prometheus::Gauge* open_requests_ = nullptr;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_PROCESS_METRICS_H_
--- /dev/null
+++ b/source/process/daemon/request_front.cc
@@ -0,0 +1,71 @@
+#include "process/daemon/request_front.h"
+
+#include <utility>
+
+#include "connection/http_responder.h"
+#include "process/daemon/call_executor.h"
+#include "process/daemon/event_log.h"
+#include "process/daemon/policy_store.h"
+#include "process/daemon/pool_shards.h"
+#include "process/daemon/steady_clock.h"
+#include "version/policy_snapshot.h"
+
+namespace marjoramsill {
+
+request_front::request_front(call_services& services,
+                             const policy_store& policy,
+                             const pool_shards& shards,
+                             classifier_limits limits)
+    : services_(services), policy_(policy), shards_(shards), limits_(limits) {}
+
+void request_front::Handle(caller_request request,
+                           const std::shared_ptr<http_responder>& responder) {
+  const steady_time arrived = SteadyNow();
+  const auto policy = policy_.Current();
+  if (!policy) {
+    Refuse({problem_kind::kNotReady, run_certainty::kNotRun,
+            "no policy version has arrived yet", std::chrono::seconds(1)},
+           responder);
+    return;
+  }
+  auto classified = Classify(request, *policy, limits_);
+  if (!classified) {
+    Refuse(classified.assume_error(), responder);
+    return;
+  }
+  const auto shard = shards_.Find(classified.assume_value().pool);
+  if (!shard) {
+    Refuse({problem_kind::kUnknownModel, run_certainty::kNotRun,
+            classified.assume_value().pool.value(), std::nullopt},
+           responder);
+    return;
+  }
+  const workspace_handle workspace =
+      workspaces_.HandleOf(classified.assume_value().workspace);
+  const auto call = std::make_shared<call_executor>(
+      services_, shard, std::move(request),
+      std::move(classified).assume_value(), responder, arrived);
+  ++*open_calls_;
+  call->OnEnd(
+      [open_calls = open_calls_](cost_units /*used*/) { --*open_calls; });
+  responder->OnDisconnect([weak = std::weak_ptr(call)] {
+    if (const auto open = weak.lock()) open->OnCallerGone();
+  });
+  call->Offer(workspace);
+}
+
+void request_front::Refuse(
+    const problem& reason,
+    const std::shared_ptr<http_responder>& responder) const {
+  LogEvent(log_level::kDebug, "request_refused",
+           {{"problem", std::string(ProblemName(reason.kind))}});
+  http_field_list fields = {{"Content-Type", "application/problem+json"}};
+  if (reason.retry_after) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(*reason.retry_after);
+    fields.push_back({"Retry-After", std::to_string(seconds.count())});
+  }
+  responder->Respond(ProblemStatus(reason.kind), fields, ProblemJson(reason));
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/daemon/request_front.h
@@ -0,0 +1,46 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_REQUEST_FRONT_H_
+#define MARJORAMSILL_PROCESS_DAEMON_REQUEST_FRONT_H_
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+
+#include "process/daemon/workspace_handles.h"
+#include "request/caller_request.h"
+#include "request/classifier.h"
+
+namespace marjoramsill {
+
+class http_responder;
+class policy_store;
+class pool_shards;
+struct call_services;
+
+/// Takes the requests of callers: classifies them and hands them to the shard
+/// of their pool.
+class request_front {
+ public:
+  request_front(call_services& services, const policy_store& policy,
+                const pool_shards& shards, classifier_limits limits);
+
+  void Handle(caller_request request,
+              const std::shared_ptr<http_responder>& responder);
+  /// Calls that have not ended, those included whose caller has gone.
+  std::size_t open_calls() const { return *open_calls_; }
+
+ private:
+  void Refuse(const problem& reason,
+              const std::shared_ptr<http_responder>& responder) const;
+
+  call_services& services_;
+  const policy_store& policy_;
+  const pool_shards& shards_;
+  const classifier_limits limits_;
+  workspace_handles workspaces_;
+  std::shared_ptr<std::atomic<std::size_t>> open_calls_ =
+      std::make_shared<std::atomic<std::size_t>>(0);
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_REQUEST_FRONT_H_
--- /dev/null
+++ b/source/process/daemon/router_process.cc
@@ -0,0 +1,363 @@
+#include "process/daemon/router_process.h"
+
+#include <algorithm>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "connection/endpoint_client.h"
+#include "connection/http_responder.h"
+#include "connection/http_server.h"
+#include "connection/peer_transport.h"
+#include "process/claims/claim_shard.h"
+#include "process/daemon/call_services.h"
+#include "process/daemon/control_plane.h"
+#include "process/daemon/control_service.h"
+#include "process/daemon/event_log.h"
+#include "process/daemon/fleet_membership.h"
+#include "process/daemon/leader_client.h"
+#include "process/daemon/operator_api.h"
+#include "process/daemon/peer_kinds.h"
+#include "process/daemon/policy_distribution.h"
+#include "process/daemon/policy_store.h"
+#include "process/daemon/pool_shards.h"
+#include "process/daemon/process_metrics.h"
+#include "process/daemon/request_front.h"
+#include "process/daemon/steady_clock.h"
+#include "version/policy_snapshot.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The groups want a tick at least every 50 ms.
+constexpr milliseconds kTick{50};
+// Membership and distribution want one every 100 ms.
+constexpr std::uint64_t kTicksPerMembershipTick = 2;
+// Longer than an election, shorter than the claim flow's patience.
+constexpr milliseconds kClaimTimeout{2'500};
+// The longest deadline that policy allows, and the answer's way back.
+constexpr std::chrono::seconds kLongestShutdown{3'610};
+
+incarnation StartTime() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(since_epoch).count()));
+}
+
+http_server_settings ServerSettings(const socket_address& listen,
+                                    const settings& from) {
+  http_server_settings to;
+  to.listen = listen;
+  to.max_connections = from.max_connections;
+  to.handle_timeout = kLongestShutdown;
+  return to;
+}
+
+}  // namespace
+
+class router_process::implementation {
+ public:
+  explicit implementation(settings process_settings)
+      : settings_(std::move(process_settings)),
+        life_(StartTime()),
+        work_(asio::make_work_guard(io_)),
+        tick_timer_(io_),
+        peers_({.vm = settings_.vm.value(),
+                .listen = settings_.peers,
+                .tls = settings_.tls},
+               [this](const vm_message& message, const auto& reply) {
+                 OnPeerMessage(message, reply);
+               }),
+        shards_(settings_.failure_domain),
+        membership_(settings_, life_, peers_, client_, shards_),
+        services_{io_,
+                  client_,
+                  membership_,
+                  metrics_,
+                  [this](const claim_command& command, auto done) {
+                    SendClaim(command, std::move(done));
+                  },
+                  settings_.vm,
+                  settings_.failure_domain,
+                  life_},
+        distribution_(
+            settings_, peers_,
+            [this](const auto& snapshot) { InstallPolicy(snapshot); }),
+        front_(services_, policy_, shards_,
+               classifier_limits{settings_.max_body_bytes}),
+        callers_(io_, ServerSettings(settings_.callers, settings_),
+                 [this](caller_request request, const auto& responder) {
+                   front_.Handle(std::move(request), responder);
+                 }),
+        control_(io_, ServerSettings(settings_.control, settings_),
+                 [this](const caller_request& request, const auto& responder) {
+                   service_.Handle(request, responder);
+                 }) {
+    AddControlPaths();
+  }
+
+  ~implementation() { StopThreads(); }
+
+  result<void, start_error> Start() {
+    if (auto opened = OpenControlPlane(); !opened) return opened;
+    leaders_.emplace(settings_, peers_, control_plane_.get());
+    if (auto started = distribution_.Start(); !started) return started;
+    operators_.emplace(operator_sources{
+        settings_, peers_, membership_, distribution_, shards_, policy_,
+        *leaders_, control_plane_.get(), [this] { return IsReady(); }});
+    operators_->AddTo(service_);
+    if (control_plane_) control_plane_->Start();
+    const auto peers = peers_.Listen();
+    if (!peers) return ListenFailure("peers", peers.assume_error());
+    const auto control = control_.Listen();
+    if (!control) return ListenFailure("control", control.assume_error());
+    const auto callers = callers_.Listen();
+    if (!callers) return ListenFailure("callers", callers.assume_error());
+    if (!settings_.tls) {
+      LogEvent(log_level::kWarning, "peers_plaintext",
+               {{"listen", FormatSocketAddress(settings_.peers)}});
+    }
+    for (std::size_t i = 0; i < settings_.io_threads; ++i) {
+      threads_.emplace_back([this] { io_.run(); });
+    }
+    ScheduleTick();
+    ready_ = true;
+    LogEvent(log_level::kInfo, "started",
+             {{"vm", settings_.vm.value()},
+              {"failure_domain", settings_.failure_domain.value()},
+              {"callers", FormatSocketAddress(settings_.callers)}});
+    return success();
+  }
+
+  int Run() {
+    WaitForSignal();
+    LogEvent(log_level::kInfo, "shutdown_begins",
+             {{"open_calls", std::to_string(front_.open_calls())}});
+    // The load balancer turns away first; requests that still arrive on open
+    // connections are served.
+    ready_ = false;
+    if (control_plane_) control_plane_->Shutdown();
+    std::this_thread::sleep_for(settings_.settle);
+    callers_.CloseAfterAnswers();
+    callers_.StopAccepting();
+    const auto latest = std::chrono::steady_clock::now() + kLongestShutdown;
+    while (IsBusy() && std::chrono::steady_clock::now() < latest) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    const bool finished = !IsBusy();
+    LogEvent(log_level::kInfo, "shutdown_ends",
+             {{"open_calls", std::to_string(front_.open_calls())}});
+    StopThreads();
+    return finished ? 0 : 1;
+  }
+
+ private:
+  static result<void, start_error> ListenFailure(const std::string& name,
+                                                 const listen_error& error) {
+    return failure(start_error{name + ": " + FormatSocketAddress(error.address),
+                               error.reason});
+  }
+
+  bool IsReady() const { return ready_ && policy_.Current() != nullptr; }
+
+  bool IsBusy() const {
+    return callers_.open_requests() > 0 || front_.open_calls() > 0;
+  }
+
+  void WaitForSignal() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int number = 0;
+    sigwait(&signals, &number);
+  }
+
+  void StopThreads() {
+    peers_.Stop();
+    work_.reset();
+    io_.stop();
+    for (std::thread& thread : threads_) thread.join();
+    threads_.clear();
+  }
+
+  void ScheduleTick() {
+    tick_timer_.expires_after(kTick);
+    tick_timer_.async_wait([this](std::error_code error) {
+      if (error) return;
+      if (control_plane_) control_plane_->Tick();
+      if (++ticks_ % kTicksPerMembershipTick == 0) TickMembership();
+      ScheduleTick();
+    });
+  }
+
+  void TickMembership() {
+    membership_.Tick();
+    const auto [holder, version] = membership_.NewestPeerVersion();
+    distribution_.Tick(holder, version);
+    metrics_.SetControlBytes(membership_.sent_bytes());
+    metrics_.SetOpenRequests(callers_.open_requests());
+  }
+
+  void OnPeerMessage(const vm_message& message,
+                     const peer_transport::reply& reply) {
+    if (message.kind == kHeartbeatKind) {
+      reply(membership_.OnHeartbeat(message.body));
+    } else if (message.kind == kRaftKind) {
+      if (control_plane_) control_plane_->OnRaftMessage(message.body);
+      reply({});
+    } else if (message.kind == kClaimKind || message.kind == kSubmitKind) {
+      OnLeaderMessage(message, reply);
+    } else if (message.kind == kPolicyChangesKind) {
+      distribution_.OnPush(message.body);
+      reply({});
+    } else if (message.kind == kPolicyFetchKind) {
+      reply(distribution_.OnFetch(vm_id(message.from), message.body));
+    } else if (message.kind == kCountersKind) {
+      reply(operators_->EncodeOwnCounters());
+    } else {
+      LogEvent(log_level::kWarning, "peer_message_unknown",
+               {{"kind", message.kind}});
+      reply({});
+    }
+  }
+
+  void OnLeaderMessage(const vm_message& message,
+                       const peer_transport::reply& reply) {
+    const auto request = DecodeLeaderRequest(message.body);
+    if (!request || !control_plane_) {
+      reply(EncodeLeaderAnswer({leader_answer_kind::kNotLeader, {}, {}}));
+      return;
+    }
+    control_plane_->OnLeaderRequest(message.kind, *request,
+                                    [reply](const leader_answer& answer) {
+                                      reply(EncodeLeaderAnswer(answer));
+                                    });
+  }
+
+  void AddControlPaths() {
+    service_.Add("GET", "/healthz", [](const auto&, const auto& responder) {
+      responder->Respond(200, {}, "ok\n");
+    });
+    service_.Add("GET", "/readyz", [this](const auto&, const auto& responder) {
+      const bool serving = IsReady();
+      responder->Respond(serving ? 200 : 503, {},
+                         serving ? "ready\n" : "not ready\n");
+    });
+    service_.Add("GET", "/metrics", [this](const auto&, const auto& responder) {
+      responder->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                         metrics_.Text());
+    });
+    service_.Add("POST", "/v1/endpoints/announce",
+                 [this](const caller_request& request, const auto& responder) {
+                   Announce(request, responder);
+                 });
+  }
+
+  void Announce(const caller_request& request,
+                const std::shared_ptr<http_responder>& responder) {
+    nlohmann::ordered_json body;
+    const auto reply = membership_.Announce(request.body);
+    if (!reply) {
+      body["error"] = reply.assume_error().detail;
+      responder->Respond(reply.assume_error().status,
+                         {{"Content-Type", "application/json"}}, body.dump());
+      return;
+    }
+    body["lease_ms"] = reply.assume_value().lease.count();
+    body["interval_ms"] = reply.assume_value().interval.count();
+    responder->Respond(200, {{"Content-Type", "application/json"}},
+                       body.dump());
+  }
+
+  void InstallPolicy(const std::shared_ptr<const policy_snapshot>& snapshot) {
+    shards_.Apply(*snapshot);
+    policy_.Replace(snapshot);
+    membership_.SetVersion(snapshot->version());
+    metrics_.SetPolicyVersion(snapshot->version().value());
+  }
+
+  result<void, start_error> OpenControlPlane() {
+    if (settings_.data_folder.empty()) return success();
+    auto opened =
+        control_plane::Open(settings_, peers_,
+                            {.on_committed =
+                                 [this](const section_ptr& record, bool lead) {
+                                   distribution_.OnCommitted(record, lead);
+                                 },
+                             .on_restored =
+                                 [this](const policy_document& document) {
+                                   distribution_.OnRestored(document);
+                                 }});
+    if (!opened) return failure(std::move(opened).assume_error());
+    control_plane_ = std::move(opened).assume_value();
+    return success();
+  }
+
+  void SendClaim(const claim_command& command,
+                 std::function<void(std::optional<claim_reply>)> done) {
+    const std::size_t shard =
+        ClaimShardFor(command.key, settings_.claim_groups);
+    leaders_->Send(
+        kClaimKind,
+        {static_cast<std::uint32_t>(shard + 1), EncodeClaimCommand(command)},
+        kClaimTimeout,
+        [done = std::move(done)](const std::optional<std::string>& answer) {
+          std::optional<claim_reply> reply;
+          if (answer) {
+            auto decoded = DecodeClaimReply(*answer);
+            if (decoded) reply = std::move(decoded).assume_value();
+          }
+          done(std::move(reply));
+        });
+  }
+
+  const settings settings_;
+  const incarnation life_;
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  asio::steady_timer tick_timer_;
+  process_metrics metrics_;
+  policy_store policy_;
+  endpoint_client client_;
+  peer_transport peers_;
+  pool_shards shards_;
+  fleet_membership membership_;
+  call_services services_;
+  policy_distribution distribution_;
+  std::unique_ptr<control_plane> control_plane_;
+  std::optional<leader_client> leaders_;
+  std::optional<operator_api> operators_;
+  request_front front_;
+  control_service service_;
+  http_server callers_;
+  http_server control_;
+  std::atomic<bool> ready_{false};
+  std::uint64_t ticks_ = 0;
+  std::vector<std::thread> threads_;
+};
+
+router_process::router_process(settings process_settings)
+    : implementation_(
+          std::make_unique<implementation>(std::move(process_settings))) {}
+
+router_process::~router_process() = default;
+
+result<void, start_error> router_process::Start() {
+  return implementation_->Start();
+}
+
+int router_process::Run() { return implementation_->Run(); }
+
+}  // namespace marjoramsill
--- a/source/process/daemon/settings.cc
+++ b/source/process/daemon/settings.cc
@@ -28,6 +28,17 @@
     [](std::string_view text) { return PublicKeyFromText(text).has_value(); },
     "base64 of an Ed25519 public key (32 bytes)"};
 
+const text_rule kPart{[](std::string_view text) {
+                        return text == "voter" || text == "standby" ||
+                               text == "none";
+                      },
+                      "voter, standby or none"};
+
+control_part ParsePart(std::string_view text) {
+  if (text == "voter") return control_part::kVoter;
+  return text == "standby" ? control_part::kStandby : control_part::kNone;
+}
+
 socket_address Address(field_reader& reader, const std::string& key) {
   return ParseSocketAddress(reader.Text(key, kAddress))
       .value_or(socket_address{});
@@ -62,7 +73,7 @@
     vm.id = vm_id(reader.Text("vm", kName));
     vm.domain = failure_domain_id(reader.Text("failure_domain", kName));
     vm.peers = Address(reader, "peers");
-    vm.voter = reader.Boolean("voter", false);
+    vm.control = ParsePart(reader.Text("control", kPart, std::string("none")));
     reader.Finish();
     const bool known =
         std::any_of(fleet.begin(), fleet.end(),
@@ -83,9 +94,14 @@
       report.Fail(line, "failure_domain", parsed.failure_domain.value(),
                   "the one of this VM in fleet: " + vm.domain.value());
     }
-    if (vm.voter && parsed.data_folder.empty()) {
+    const bool is_member = vm.control != control_part::kNone;
+    if (is_member && parsed.data_folder.empty()) {
       report.Fail(line, "data_folder", "nothing",
-                  "a path, because this VM is a voter in fleet");
+                  "a path, because this VM is a control member in fleet");
+    }
+    if (!is_member && !parsed.data_folder.empty()) {
+      report.Fail(line, "data_folder", parsed.data_folder,
+                  "none, because this VM is no control member in fleet");
     }
     return;
   }
@@ -106,6 +122,13 @@
 
 }  // namespace
 
+const fleet_vm* settings::FindVm(const vm_id& id) const {
+  const auto found =
+      std::find_if(fleet.begin(), fleet.end(),
+                   [&id](const fleet_vm& each) { return each.id == id; });
+  return found == fleet.end() ? nullptr : &*found;
+}
+
 result<settings, section_error> ParseSettings(const std::string& file,
                                               std::string_view text) {
   const section_name name(file);
--- a/source/process/daemon/settings.h
+++ b/source/process/daemon/settings.h
@@ -15,14 +15,17 @@
 
 namespace marjoramsill {
 
-/// Another VM of the fleet.
+/// Part of a VM in the replicated groups. Voters form the groups when the fleet
+/// is started the first time; afterwards the groups repair themselves.
+enum class control_part { kNone, kStandby, kVoter };
+
+/// A VM of the fleet.
 struct fleet_vm {
   vm_id id;
   failure_domain_id domain;
   /// Address of its peer listener.
   socket_address peers;
-  /// Votes in the replicated groups when the fleet is started the first time.
-  bool voter = false;
+  control_part control = control_part::kNone;
 };
 
 /// Settings of one process, read from a YAML file.
@@ -47,6 +50,9 @@
   /// Time for the platform's load balancer to notice that the VM is not ready.
   std::chrono::milliseconds settle{2'000};
   std::string log_level = "info";
+
+  /// The entry of a VM in the fleet, or null.
+  const fleet_vm* FindVm(const vm_id& id) const;
 };
 
 /// Parses and checks a settings file. In the error the section is the file's
--- /dev/null
+++ b/source/process/daemon/start_error.h
@@ -0,0 +1,17 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_START_ERROR_H_
+#define MARJORAMSILL_PROCESS_DAEMON_START_ERROR_H_
+
+#include <string>
+
+namespace marjoramsill {
+
+/// Failure to start a process.
+struct start_error {
+  /// Setting or file at fault.
+  std::string subject;
+  std::string reason;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_START_ERROR_H_
--- a/source/process/replication/message_codec.cc
+++ b/source/process/replication/message_codec.cc
@@ -109,31 +109,31 @@
   const group_message& message_;
 };
 
-void ReadBody(field_reader& in, vote_request& b) {
+void ReadBody(raft_field_reader& in, vote_request& b) {
   b.pre = in.Flag("pre");
   b.transfer = in.Flag("transfer");
   b.last_index = in.NumberAs<log_index>("last_index");
   b.last_term = in.NumberAs<log_term>("last_term");
 }
-void ReadBody(field_reader& in, vote_reply& b) {
+void ReadBody(raft_field_reader& in, vote_reply& b) {
   b.pre = in.Flag("pre");
   b.granted = in.Flag("granted");
 }
-void ReadBody(field_reader& in, heartbeat& b) {
+void ReadBody(raft_field_reader& in, heartbeat& b) {
   b.round = in.Number("round");
   b.commit = in.NumberAs<log_index>("commit");
 }
-void ReadBody(field_reader& in, heartbeat_reply& b) {
+void ReadBody(raft_field_reader& in, heartbeat_reply& b) {
   b.round = in.Number("round");
 }
-void ReadBody(field_reader& in, append_request& b) {
+void ReadBody(raft_field_reader& in, append_request& b) {
   b.round = in.Number("round");
   b.previous_index = in.NumberAs<log_index>("previous_index");
   b.previous_term = in.NumberAs<log_term>("previous_term");
   b.commit = in.NumberAs<log_index>("commit");
   const msgpack::object* entries = in.Array("entries", in.limits().max_entries);
   if (entries == nullptr) return;
-  field_reader list(*entries, "entries", in.limits(), in.error());
+  raft_field_reader list(*entries, "entries", in.limits(), in.error());
   log_index expected = b.previous_index;
   for (std::uint32_t i = 0; i < entries->via.array.size; ++i) {
     expected = expected.Next();
@@ -144,13 +144,13 @@
     }
   }
 }
-void ReadBody(field_reader& in, append_reply& b) {
+void ReadBody(raft_field_reader& in, append_reply& b) {
   b.round = in.Number("round");
   b.success = in.Flag("success");
   b.index = in.NumberAs<log_index>("index");
   b.nonce = in.Number("nonce");
 }
-void ReadBody(field_reader& in, snapshot_part& b) {
+void ReadBody(raft_field_reader& in, snapshot_part& b) {
   b.round = in.Number("round");
   b.index = in.NumberAs<log_index>("index");
   b.entry_term = in.NumberAs<log_term>("entry_term");
@@ -164,33 +164,33 @@
     in.Fail(codec_error_kind::kOutOfRange, "offset");
   }
 }
-void ReadBody(field_reader& in, snapshot_reply& b) {
+void ReadBody(raft_field_reader& in, snapshot_reply& b) {
   b.round = in.Number("round");
   b.index = in.NumberAs<log_index>("index");
   b.received = in.Number("received");
 }
-void ReadBody(field_reader& in, join_request& b) {
+void ReadBody(raft_field_reader& in, join_request& b) {
   b.domain = in.TextAs<failure_domain_id>("domain");
   b.nonce = in.Number("nonce");
 }
-void ReadBody(field_reader&, take_leadership&) {}
-void ReadBody(field_reader&, leave_request&) {}
-void ReadBody(field_reader&, bootstrap_query&) {}
-void ReadBody(field_reader& in, bootstrap_reply& b) {
+void ReadBody(raft_field_reader&, take_leadership&) {}
+void ReadBody(raft_field_reader&, leave_request&) {}
+void ReadBody(raft_field_reader&, bootstrap_query&) {}
+void ReadBody(raft_field_reader& in, bootstrap_reply& b) {
   b.has_group = in.Flag("has_group");
   b.domain = in.TextAs<failure_domain_id>("domain");
   b.nonce = in.Number("nonce");
 }
-void ReadBody(field_reader& in, start_query& b) {
+void ReadBody(raft_field_reader& in, start_query& b) {
   b.starts = in.Number("starts");
   b.run = in.Number("run");
 }
-void ReadBody(field_reader& in, start_reply& b) {
+void ReadBody(raft_field_reader& in, start_reply& b) {
   b.run = in.Number("run");
   b.stale = in.Flag("stale");
   b.known_index = in.NumberAs<log_index>("known_index");
 }
-void ReadBody(field_reader& in, join_reply& b) {
+void ReadBody(raft_field_reader& in, join_reply& b) {
   member_id leader;
   leader.vm = in.TextAs<vm_id>("leader.vm");
   leader.disk = in.NumberAs<disk_id>("leader.disk");
@@ -198,7 +198,7 @@
 }
 
 template <std::size_t Index = 0>
-void ReadBodyOfType(field_reader& in, std::uint64_t type, bool has_fields,
+void ReadBodyOfType(raft_field_reader& in, std::uint64_t type, bool has_fields,
                     raft_body& body) {
   if constexpr (Index < std::variant_size_v<raft_body>) {
     if (type != Index) {
@@ -219,7 +219,7 @@
                           const codec_limits& limits,
                           std::optional<codec_error>& error) {
   group_message read;
-  field_reader in(array, "message", limits, error);
+  raft_field_reader in(array, "message", limits, error);
   const std::uint64_t group = in.Number("group");
   const std::uint64_t type = in.Number("type");
   read.message.term = in.NumberAs<log_term>("term");
@@ -281,7 +281,7 @@
   auto handle = Parse(bytes, limits);
   if (!handle) return failure(handle.error());
   std::optional<codec_error> error;
-  field_reader in(handle.value().get(), "bundle", limits, error);
+  raft_field_reader in(handle.value().get(), "bundle", limits, error);
   member_id from;
   member_id to;
   from.vm = in.TextAs<vm_id>("from.vm");
@@ -314,7 +314,7 @@
   auto handle = Parse(bytes, limits);
   if (!handle) return failure(handle.error());
   std::optional<codec_error> error;
-  field_reader in(handle.value().get(), "configuration", limits, error);
+  raft_field_reader in(handle.value().get(), "configuration", limits, error);
   group_configuration configuration = in.Configuration("members");
   if (error) return failure(*error);
   return configuration;
--- a/source/process/replication/message_fields.cc
+++ b/source/process/replication/message_fields.cc
@@ -37,7 +37,7 @@
   PackBytes(out, entry.payload);
 }
 
-field_reader::field_reader(const msgpack::object& array, const char* name,
+raft_field_reader::raft_field_reader(const msgpack::object& array, const char* name,
                            const codec_limits& limits,
                            std::optional<codec_error>& error)
     : limits_(limits), error_(error) {
@@ -48,11 +48,11 @@
   }
 }
 
-void field_reader::Fail(codec_error_kind kind, const char* name) {
+void raft_field_reader::Fail(codec_error_kind kind, const char* name) {
   if (!error_) error_ = codec_error{kind, name};
 }
 
-const msgpack::object* field_reader::Next(const char* name) {
+const msgpack::object* raft_field_reader::Next(const char* name) {
   if (error_) return nullptr;
   if (position_ >= array_->via.array.size) {
     Fail(codec_error_kind::kMalformed, name);
@@ -61,7 +61,7 @@
   return &array_->via.array.ptr[position_++];
 }
 
-std::uint64_t field_reader::Number(const char* name) {
+std::uint64_t raft_field_reader::Number(const char* name) {
   const msgpack::object* object = Next(name);
   if (object == nullptr) return 0;
   if (object->type != msgpack::type::POSITIVE_INTEGER) {
@@ -71,7 +71,7 @@
   return object->via.u64;
 }
 
-bool field_reader::Flag(const char* name) {
+bool raft_field_reader::Flag(const char* name) {
   const msgpack::object* object = Next(name);
   if (object == nullptr) return false;
   if (object->type != msgpack::type::BOOLEAN) {
@@ -81,7 +81,7 @@
   return object->via.boolean;
 }
 
-std::string field_reader::Text(const char* name) {
+std::string raft_field_reader::Text(const char* name) {
   const msgpack::object* object = Next(name);
   if (object == nullptr) return {};
   if (object->type != msgpack::type::STR) {
@@ -95,7 +95,7 @@
   return {object->via.str.ptr, object->via.str.size};
 }
 
-std::string field_reader::Bytes(const char* name) {
+std::string raft_field_reader::Bytes(const char* name) {
   const msgpack::object* object = Next(name);
   if (object == nullptr) return {};
   if (object->type != msgpack::type::BIN) {
@@ -105,7 +105,7 @@
   return {object->via.bin.ptr, object->via.bin.size};
 }
 
-const msgpack::object* field_reader::Array(const char* name,
+const msgpack::object* raft_field_reader::Array(const char* name,
                                            std::size_t max_size) {
   const msgpack::object* object = Next(name);
   if (object == nullptr) return nullptr;
@@ -120,12 +120,12 @@
   return object;
 }
 
-group_configuration field_reader::Configuration(const char* name) {
+group_configuration raft_field_reader::Configuration(const char* name) {
   group_configuration configuration;
   const msgpack::object* members = Array(name, limits_.max_members);
   if (members == nullptr) return configuration;
   for (std::uint32_t i = 0; i < members->via.array.size; ++i) {
-    field_reader fields(members->via.array.ptr[i], "member", limits_, error_);
+    raft_field_reader fields(members->via.array.ptr[i], "member", limits_, error_);
     group_member member;
     member.id.vm = fields.TextAs<vm_id>("member.vm");
     member.id.disk = fields.NumberAs<disk_id>("member.disk");
@@ -141,11 +141,11 @@
   return configuration;
 }
 
-log_entry field_reader::Entry() {
+log_entry raft_field_reader::Entry() {
   log_entry entry;
   const msgpack::object* array = Array("entry", 8);
   if (array == nullptr) return entry;
-  field_reader fields(*array, "entry", limits_, error_);
+  raft_field_reader fields(*array, "entry", limits_, error_);
   entry.index = fields.NumberAs<log_index>("entry.index");
   entry.term = fields.NumberAs<log_term>("entry.term");
   const std::uint64_t kind = fields.Number("entry.kind");
--- a/source/process/replication/message_fields.h
+++ b/source/process/replication/message_fields.h
@@ -22,9 +22,9 @@
 /// Reads the elements of a msgpack array in order. The first error is kept
 /// and every later read returns a default value; elements that follow the
 /// known ones are ignored, so that a newer sender is understood.
-class field_reader {
+class raft_field_reader {
  public:
-  field_reader(const msgpack::object& array, const char* name,
+  raft_field_reader(const msgpack::object& array, const char* name,
                const codec_limits& limits, std::optional<codec_error>& error);
 
   std::uint64_t Number(const char* name);
--- a/source/process/replication/storage_codec.cc
+++ b/source/process/replication/storage_codec.cc
@@ -50,7 +50,7 @@
   try {
     const msgpack::object_handle handle =
         msgpack::unpack(bytes.data(), bytes.size());
-    field_reader fields(handle.get(), "record", limits, error);
+    raft_field_reader fields(handle.get(), "record", limits, error);
     read(fields);
   } catch (const msgpack::unpack_error&) {
     return false;
@@ -63,7 +63,7 @@
   out.pack_uint64(id.disk.value());
 }
 
-member_id ReadMember(field_reader& in) {
+member_id ReadMember(raft_field_reader& in) {
   member_id id;
   id.vm = in.TextAs<vm_id>("vm");
   id.disk = in.NumberAs<disk_id>("disk");
@@ -145,18 +145,18 @@
 
 std::optional<hard_state> DecodeState(std::string_view bytes) {
   hard_state state;
-  const bool read = ReadArray(bytes, [&](field_reader& in) {
+  const bool read = ReadArray(bytes, [&](raft_field_reader& in) {
     state.term = in.NumberAs<log_term>("term");
     state.starts = in.Number("starts");
     const msgpack::object* vote = in.Array("voted_for", 2);
     if (vote != nullptr && vote->via.array.size > 0) {
-      field_reader fields(*vote, "voted_for", in.limits(), in.error());
+      raft_field_reader fields(*vote, "voted_for", in.limits(), in.error());
       state.voted_for = ReadMember(fields);
     }
     const msgpack::object* starts = in.Array("known_starts", 1024);
     if (starts == nullptr) return;
     for (std::uint32_t i = 0; i < starts->via.array.size; ++i) {
-      field_reader fields(starts->via.array.ptr[i], "known_start", in.limits(),
+      raft_field_reader fields(starts->via.array.ptr[i], "known_start", in.limits(),
                           in.error());
       known_start known;
       known.member = ReadMember(fields);
@@ -179,7 +179,7 @@
 
 std::optional<log_entry> DecodeLogEntry(std::string_view bytes) {
   log_entry entry;
-  if (!ReadArray(bytes, [&](field_reader& in) { entry = in.Entry(); })) {
+  if (!ReadArray(bytes, [&](raft_field_reader& in) { entry = in.Entry(); })) {
     return std::nullopt;
   }
   return entry;
@@ -222,7 +222,7 @@
   if (GetNumber(bytes.substr(8, 8)) != Checksum(payload, 0)) {
     return header_state::kDamaged;
   }
-  const bool decoded = ReadArray(payload, [&](field_reader& in) {
+  const bool decoded = ReadArray(payload, [&](raft_field_reader& in) {
     read.index = in.NumberAs<log_index>("index");
     read.term = in.NumberAs<log_term>("term");
     read.configuration = in.Configuration("configuration");
