daemon: enforce workspace limits and judge latency targets

Cause: the request path did not ask the fleet-wide limits, attempts used default targets instead of the rank's, and a caller's own colliding keys counted as failures in the burn report.

--- a/source/process/daemon/call_executor.cc
+++ b/source/process/daemon/call_executor.cc
@@ -20,19 +20,26 @@
 
 // Weight of a new call in the moving averages of a shard.
 constexpr double kAverageWeight = 0.05;
-constexpr std::uint64_t kReplayableEventBytes = 2;  // "\n\n"
+// A workspace at its limit may come back after one to two of these.
+constexpr std::chrono::seconds kLimitPause{1};
+constexpr std::string_view kEventEnd = "\n\n";
 
 std::uint64_t CountEvents(const std::string& bytes) {
   std::uint64_t events = 0;
-  for (std::size_t at = bytes.find("\n\n"); at != std::string::npos;
-       at = bytes.find("\n\n", at + kReplayableEventBytes)) {
+  for (std::size_t at = bytes.find(kEventEnd); at != std::string::npos;
+       at = bytes.find(kEventEnd, at + kEventEnd.size())) {
     ++events;
   }
   return events;
 }
 
-service_event EventOf(failure_kind kind) {
+/// What a failure counts as; nothing when the caller's own requests with one
+/// key collide.
+std::optional<service_event> EventOf(failure_kind kind) {
   switch (kind) {
+    case failure_kind::kInProgress:
+    case failure_kind::kKeyReused:
+      return std::nullopt;
     case failure_kind::kNoEndpoint:
     case failure_kind::kClaimUnavailable:
     case failure_kind::kClaimsFull:
@@ -143,6 +150,14 @@
   Refuse(ProblemOf(rejection), EventOf(rejection.kind));
 }
 
+void call_executor::RefuseForLimit() {
+  problem refusal;
+  refusal.kind = problem_kind::kLimitExceeded;
+  refusal.detail = "workspace " + classified_.workspace.value();
+  refusal.retry_after = JitteredRetryAfter(kLimitPause, SystemRandom());
+  Refuse(refusal, service_event::kRefusedLimit);
+}
+
 void call_executor::Refuse(const problem& reason, service_event event) {
   asio::post(strand_, [self = shared_from_this(), reason, event] {
     if (self->settled_) return;
@@ -178,6 +193,8 @@
     attempt_settings plan;
     plan.streamed = classified_.streamed;
     plan.deadline = arrived_ + classified_.deadline;
+    plan.first_event_target = classified_.first_token_target;
+    plan.between_events_target = classified_.between_tokens_target;
     plan_.emplace<attempt_plan>(plan, MakeHooks());
   } else {
     claim_flow_settings flow;
@@ -461,13 +478,37 @@
   loaded_.reset();
 }
 
+service_event call_executor::JudgedOutcome() const {
+  if (*outcome_ != service_event::kGood || !first_output_) return *outcome_;
+  // A whole response has to arrive in the time that a stream of its estimated
+  // length would take within the targets.
+  const auto tokens = static_cast<std::int64_t>(
+      classified_.streamed
+          ? 0
+          : classified_.cost.value() - classified_.prompt_tokens.value());
+  const auto allowed = classified_.first_token_target +
+                       classified_.between_tokens_target * tokens;
+  if (*first_output_ - arrived_ > allowed) {
+    return service_event::kLateFirstToken;
+  }
+  if (output_events_ > 1) {
+    const auto gaps = static_cast<std::int64_t>(output_events_ - 1);
+    if (last_output_ - *first_output_ >
+        classified_.between_tokens_target * gaps) {
+      return service_event::kSlowBetweenTokens;
+    }
+  }
+  return service_event::kGood;
+}
+
 void call_executor::Account() {
   if (!outcome_) return;
+  const service_event event = JudgedOutcome();
   const auto key = counter_key{
       classified_.rank, services_.domain,
       classified_.limits.weight > 1 ? size_class::kLarge : size_class::kSmall};
-  shard_->counters.Count(key, *outcome_, SteadyNow());
-  services_.metrics.CountRequest(classified_.rank, *outcome_);
+  shard_->counters.Count(key, event, SteadyNow());
+  services_.metrics.CountRequest(classified_.rank, event);
 }
 
 void call_executor::Settle() {
--- a/source/process/daemon/call_executor.h
+++ b/source/process/daemon/call_executor.h
@@ -43,9 +43,8 @@
   void OnAdmitted();
   void OnRejected(const admission_rejection& rejection);
   void OnCallerGone();
-  /// Answers with a problem before anything was sent, for example because the
-  /// workspace is at its limit.
-  void Refuse(const problem& reason, service_event event);
+  /// The workspace is at its limit; nothing was sent.
+  void RefuseForLimit();
 
   /// Runs once when the call has ended, with the cost that it really had.
   void OnEnd(std::function<void(cost_units used)> hook) {
@@ -65,6 +64,8 @@
     bool reported = false;
   };
 
+  /// Answers with a problem before anything was sent.
+  void Refuse(const problem& reason, service_event event);
   admission_offer MakeOffer(workspace_handle workspace) const;
   void Run();
   call_hooks MakeHooks();
@@ -94,6 +95,8 @@
   void ReportAttempt(bool succeeded, const http_field_list& fields);
   void ReleaseEndpoint();
   void Answer(const problem& reason);
+  /// The outcome, with the rank's latency targets taken into account.
+  service_event JudgedOutcome() const;
   void Account();
   void Settle();
 
--- a/source/process/daemon/request_front.cc
+++ b/source/process/daemon/request_front.cc
@@ -5,6 +5,7 @@
 #include "connection/http_responder.h"
 #include "process/daemon/call_executor.h"
 #include "process/daemon/event_log.h"
+#include "process/daemon/limits_service.h"
 #include "process/daemon/policy_store.h"
 #include "process/daemon/pool_shards.h"
 #include "process/daemon/steady_clock.h"
@@ -14,9 +15,13 @@
 
 request_front::request_front(call_services& services,
                              const policy_store& policy,
-                             const pool_shards& shards,
-                             classifier_limits limits)
-    : services_(services), policy_(policy), shards_(shards), limits_(limits) {}
+                             const pool_shards& shards, limits_service& limits,
+                             classifier_limits bounds)
+    : services_(services),
+      policy_(policy),
+      shards_(shards),
+      limits_(limits),
+      bounds_(bounds) {}
 
 void request_front::Handle(caller_request request,
                            const std::shared_ptr<http_responder>& responder) {
@@ -28,7 +33,7 @@
            responder);
     return;
   }
-  auto classified = Classify(request, *policy, limits_);
+  auto classified = Classify(request, *policy, bounds_);
   if (!classified) {
     Refuse(classified.assume_error(), responder);
     return;
@@ -46,12 +51,25 @@
       services_, shard, std::move(request),
       std::move(classified).assume_value(), responder, arrived);
   ++*open_calls_;
-  call->OnEnd(
-      [open_calls = open_calls_](cost_units /*used*/) { --*open_calls; });
+  const auto accepted = std::make_shared<bool>(false);
+  call->OnEnd([this, accepted, open_calls = open_calls_,
+               workspace_name = call->classified().workspace,
+               cost = call->classified().cost](cost_units used) {
+    if (*accepted) limits_.Finish(workspace_name, cost, used);
+    --*open_calls;
+  });
   responder->OnDisconnect([weak = std::weak_ptr(call)] {
     if (const auto open = weak.lock()) open->OnCallerGone();
   });
-  call->Offer(workspace);
+  limits_.Offer(call->classified(), call->handle(), policy->version(),
+                [call, workspace, accepted](bool within) {
+                  if (!within) {
+                    call->RefuseForLimit();
+                    return;
+                  }
+                  *accepted = true;
+                  call->Offer(workspace);
+                });
 }
 
 void request_front::Refuse(
--- a/source/process/daemon/request_front.h
+++ b/source/process/daemon/request_front.h
@@ -12,6 +12,7 @@
 namespace marjoramsill {
 
 class http_responder;
+class limits_service;
 class policy_store;
 class pool_shards;
 struct call_services;
@@ -21,7 +22,8 @@
 class request_front {
  public:
   request_front(call_services& services, const policy_store& policy,
-                const pool_shards& shards, classifier_limits limits);
+                const pool_shards& shards, limits_service& limits,
+                classifier_limits bounds);
 
   void Handle(caller_request request,
               const std::shared_ptr<http_responder>& responder);
@@ -35,7 +37,8 @@
   call_services& services_;
   const policy_store& policy_;
   const pool_shards& shards_;
-  const classifier_limits limits_;
+  limits_service& limits_;
+  const classifier_limits bounds_;
   workspace_handles workspaces_;
   std::shared_ptr<std::atomic<std::size_t>> open_calls_ =
       std::make_shared<std::atomic<std::size_t>>(0);
--- a/source/process/daemon/router_process.cc
+++ b/source/process/daemon/router_process.cc
@@ -25,6 +25,7 @@
 #include "process/daemon/event_log.h"
 #include "process/daemon/fleet_membership.h"
 #include "process/daemon/leader_client.h"
+#include "process/daemon/limits_service.h"
 #include "process/daemon/operator_api.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/daemon/policy_distribution.h"
@@ -94,7 +95,8 @@
         distribution_(
             settings_, peers_,
             [this](const auto& snapshot) { InstallPolicy(snapshot); }),
-        front_(services_, policy_, shards_,
+        limits_(settings_, life_, peers_),
+        front_(services_, policy_, shards_, limits_,
                classifier_limits{settings_.max_body_bytes}),
         callers_(io_, ServerSettings(settings_.callers, settings_),
                  [this](caller_request request, const auto& responder) {
@@ -197,6 +199,7 @@
     tick_timer_.async_wait([this](std::error_code error) {
       if (error) return;
       if (control_plane_) control_plane_->Tick();
+      limits_.Tick();
       if (++ticks_ % kTicksPerMembershipTick == 0) TickMembership();
       ScheduleTick();
     });
@@ -224,6 +227,9 @@
       reply({});
     } else if (message.kind == kPolicyFetchKind) {
       reply(distribution_.OnFetch(vm_id(message.from), message.body));
+    } else if (message.kind == kLimitsKind) {
+      limits_.OnMessage(vm_id(message.from), message.body);
+      reply({});
     } else if (message.kind == kCountersKind) {
       reply(operators_->EncodeOwnCounters());
     } else {
@@ -339,6 +345,7 @@
   std::unique_ptr<control_plane> control_plane_;
   std::optional<leader_client> leaders_;
   std::optional<operator_api> operators_;
+  limits_service limits_;
   request_front front_;
   control_service service_;
   http_server callers_;
--- a/source/request/classified_request.h
+++ b/source/request/classified_request.h
@@ -24,6 +24,9 @@
   bool is_service = false;
   chat_id chat;
   std::chrono::milliseconds deadline{0};
+  /// Targets of the rank.
+  std::chrono::microseconds first_token_target{0};
+  std::chrono::microseconds between_tokens_target{0};
   idempotency_key key;
   bool repeatable = true;
   bool streamed = false;
--- a/source/request/classifier.cc
+++ b/source/request/classifier.cc
@@ -101,6 +101,8 @@
                    classified_request& out) {
   using std::chrono::milliseconds;
   const auto& ranked = policy.Rank(out.rank);
+  out.first_token_target = ranked.first_token_target;
+  out.between_tokens_target = ranked.between_tokens_target;
   const auto longest =
       std::chrono::duration_cast<milliseconds>(ranked.maximum_deadline);
   const std::string_view text = Value(request, "X-Deadline-Ms");
