request: let crossed responses differ in the schedules

Cause: a trial that accepted crossed responses was caught by a focused test but not by the schedules, because the fake endpoints sent the same bytes.

--- a/tests/claims/claim_world.cc
+++ b/tests/claims/claim_world.cc
@@ -239,7 +239,8 @@
 void claim_world::SendResponse(const attempt& target, std::size_t fault) {
   // A copy: the actions may start an attempt and move the vector.
   const attempt source = target;
-  const whole_response response = ResponseOf(source);
+  whole_response response = ResponseOf(source);
+  if (fault == 2) response.body = "response to another request";
   response_head head;
   head.status = response.status;
   head.echoed = fault == 2 ? attempt_id("crossed") : source.id;
--- a/tests/request/attempt_world.cc
+++ b/tests/request/attempt_world.cc
@@ -163,7 +163,10 @@
     head.content_length = kWhole.size();
   }
   for (attempt& each : attempts_) {
-    if (each.start.attempt == target.start.attempt) each.headed = true;
+    if (each.start.attempt == target.start.attempt) {
+      each.headed = true;
+      if (crossed) each.bytes = Event(head.echoed, R"({"content":"alien"})");
+    }
   }
   Execute(plan_->OnHead(target.start.attempt, head, now_));
 }
