admission: give the unused burst of a limit once

Contended holders also asked every 50 ms for shares whose requests still ran. Change: the burst is set when the majority is reached for the first time; recalls of one holder are 1 s apart; a share that moves takes its burst along.

--- a/source/process/admission/limit_allocator.cc
+++ b/source/process/admission/limit_allocator.cc
@@ -11,7 +11,7 @@
 
 constexpr milliseconds kLicenceRetry(300);
 // Two recalls of one holder are at least this far apart.
-constexpr milliseconds kRecallInterval(100);
+constexpr milliseconds kRecallInterval(1000);
 constexpr milliseconds kOutdated(2000);
 // A recalled holder gives up its share within this time if its demand ended.
 constexpr milliseconds kRecallTime(300);
@@ -101,6 +101,12 @@
     is_renewal_ = licensed(now);
     safe_before_ = concurrency_from_;
     Accrue(now);
+    // Nobody held a part for long, so the whole burst is unused.
+    const bool first = licensed_until_ == steady_time();
+    if (first && votes_.back().safe_from <= now &&
+        votes_.front().safe_from <= now) {
+      unused_tokens_ = limit_.tokens_per_second * Seconds(settings_.burst);
+    }
     licensed_until_ = licence_asked_at_ + licence_duration_;
   }
   if (!is_renewal_) {
@@ -110,10 +116,6 @@
                 return left.safe_from < right.safe_from;
               });
     concurrency_from_ = std::max(safe_before_, votes_[majority - 1].safe_from);
-    // Nobody held a part for long, so the whole burst is unused.
-    unused_tokens_ = now >= concurrency_from_
-                         ? limit_.tokens_per_second * Seconds(settings_.burst)
-                         : 0;
   }
   Expire(now);
   GrantWaiting(now, send);
@@ -143,7 +145,9 @@
 }
 
 bool limit_allocator::idle(steady_time now) const {
-  return holders_.empty() && !licensed(now) && now >= concurrency_from_;
+  // After the burst time a new allocator's full burst is what this one has.
+  return holders_.empty() && now >= licensed_until_ + settings_.burst &&
+         now >= concurrency_from_;
 }
 
 limit_allocator::holder& limit_allocator::Find(const vm_id& vm) {
@@ -271,10 +275,11 @@
     const bool none = of.held_tokens <= 0 && of.held_concurrent == 0;
     if (none) continue;
     const bool recalled = now < of.recalled_at + kRecallTime;
-    if (!recalled && fair && now < of.asked_at + kOutdated) continue;
-    ++recalls;
-    if (recalled && (fair || now < of.recalled_at + kRecallInterval)) continue;
+    if (recalled) ++recalls;
+    if (fair && now < of.asked_at + kOutdated) continue;
+    if (now < of.recalled_at + kRecallInterval) continue;
     of.recalled_at = now;
+    ++recalls;
     send.push_back({of.vm, Message(limit_message_kind::kRecall, of.sequence)});
   }
   return recalls;
--- a/source/process/admission/limit_codec.h
+++ b/source/process/admission/limit_codec.h
@@ -11,7 +11,7 @@
 
 namespace marjoramsill {
 
-inline constexpr std::size_t kMaxLimitBytes = 64 * 1024;
+inline constexpr std::size_t kMaxLimitBytes = 65536;
 inline constexpr std::size_t kMaxLimitMessages = 512;
 inline constexpr std::size_t kMaxWorkspaceIdBytes = 256;
 
--- a/source/process/admission/limit_holder.cc
+++ b/source/process/admission/limit_holder.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kReturnTime(1000);
 // A share of which less than this part is used is worth a message.
 constexpr double kReturnPart = 0.7;
+// Recalled shares arrive within this time if they are not in use.
+constexpr milliseconds kExpectedTime(300);
 // Demand elsewhere may have ended.
 constexpr milliseconds kContendedInterval(1000);
 // A VM that reaches no candidate asks less often.
@@ -119,6 +121,7 @@
   const bool less = leased_tokens_ < asked_tokens_ * kExact ||
                     leased_concurrent_ < asked_concurrent_;
   if (answer) contended_ = less && grant.recalls == 0;
+  if (answer) expecting_ = less && grant.recalls > 0;
   if (!less) contended_ = false;
   // The allocator gives the rest to others once the lower share is confirmed.
   ask_again_ = ask_again_ || lowered;
@@ -161,6 +164,9 @@
     return true;
   }
   if (contended_) return now >= asked_at_ + kContendedInterval;
+  if (expecting_ && now < asked_at_ + kExpectedTime) {
+    return WantedTokens(now) > asked_tokens_ * kHeadroom;
+  }
   return !waiting_.empty() || WantedTokens(now) > leased_tokens_ * kHeadroom ||
          WantedConcurrent() > leased_concurrent_;
 }
@@ -185,7 +191,10 @@
   double waiting_cost = 0;
   for (const waiting_request& of : waiting_) waiting_cost += of.cost;
   if (!waiting_.empty()) {
-    ask.burst_tokens = std::max(0.0, waiting_cost - level_);
+    // A full bucket at the wanted rate: a share that moves here takes along
+    // the burst that belongs to it.
+    const double size = asked_tokens_ * Seconds(settings_.burst);
+    ask.burst_tokens = std::max(0.0, waiting_cost + size - level_);
   }
   const double size = TokenShare(now) * Seconds(settings_.burst);
   ask.returned_tokens = std::max(0.0, level_ - size);
--- a/source/process/admission/limit_holder.h
+++ b/source/process/admission/limit_holder.h
@@ -101,6 +101,8 @@
   /// The allocator gave less than was wanted and expects no share back: the
   /// limit itself is reached.
   bool contended_ = false;
+  /// Shares of others were recalled: they follow without another ask.
+  bool expecting_ = false;
   bool ask_again_ = false;
 };
 
--- a/source/process/burn/burn_html.cc
+++ b/source/process/burn/burn_html.cc
@@ -163,9 +163,9 @@
       if (burn) {
         const std::string x = Number(X(static_cast<double>(i)), 1);
         const std::string y = Number(Y(*burn), 1);
-        path += (connected ? "L" : "M") + x + " " + y;
-        dots +=
-            "<circle class=\"dot\" r=\"2\" cx=\"" + x + "\" cy=\"" + y + "\"/>";
+        path.append(connected ? "L" : "M").append(x).append(" ").append(y);
+        dots.append("<circle class=\"dot\" r=\"2\" cx=\"").append(x);
+        dots.append("\" cy=\"").append(y).append("\"/>");
       }
       connected = burn.has_value();
     }
@@ -193,13 +193,16 @@
                          static_cast<double>(counts.at(i)) /
                          static_cast<double>(most);
     const std::string top = std::to_string(y + 15);
-    bars += "<text x=\"0\" y=\"" + top + "\">" +
-            std::string(ServiceEventName(static_cast<service_event>(i))) +
-            "</text><rect class=\"bar\" height=\"14\" x=\"" +
-            Number(kNames, 0) + "\" y=\"" + std::to_string(y + 4) +
-            "\" width=\"" + Number(std::max(width, 1.0), 1) + "\"/><text x=\"" +
-            Number(kNames + width + 6, 1) + "\" y=\"" + top + "\">" +
-            std::to_string(counts.at(i)) + "</text>\n";
+    bars += "<text x=\"0\" y=\"";
+    bars.append(top).append("\">");
+    bars += ServiceEventName(static_cast<service_event>(i));
+    bars += "</text><rect class=\"bar\" height=\"14\" x=\"";
+    bars.append(Number(kNames, 0)).append("\" y=\"");
+    bars.append(std::to_string(y + 4)).append("\" width=\"");
+    bars.append(Number(std::max(width, 1.0), 1)).append("\"/><text x=\"");
+    bars.append(Number(kNames + width + 6, 1)).append("\" y=\"");
+    bars.append(top).append("\">").append(std::to_string(counts.at(i)));
+    bars += "</text>\n";
     y += kRow;
   }
   return "<svg viewBox=\"0 0 " + Number(kPlotWidth, 0) + " " +
--- a/source/process/burn/counters_codec.h
+++ b/source/process/burn/counters_codec.h
@@ -10,7 +10,7 @@
 
 namespace marjoramsill {
 
-inline constexpr std::size_t kMaxCountersBytes = 256 * 1024;
+inline constexpr std::size_t kMaxCountersBytes = 262144;
 inline constexpr std::size_t kMaxCounterKeys = 256;
 
 enum class counters_decode_error_kind { kTooLarge, kMalformed, kOutOfRange };
--- a/source/process/burn/service_counters.cc
+++ b/source/process/burn/service_counters.cc
@@ -5,6 +5,8 @@
 namespace marjoramsill {
 namespace {
 
+constexpr std::size_t kBudgetHours = 720;
+
 void Add(const event_counts& from, event_counts& to) {
   for (std::size_t i = 0; i < to.size(); ++i) to.at(i) += from.at(i);
 }
@@ -39,7 +41,7 @@
     values.windows = {of.minutes.Sum(5, now), of.minutes.Sum(30, now),
                       of.minutes.Sum(60, now),
                       of.five_minutes.Sum(kSeriesPoints, now),
-                      of.hours.Sum(30 * 24, now)};
+                      of.hours.Sum(kBudgetHours, now)};
     for (std::size_t i = 0; i < kSeriesPoints; ++i) {
       const event_counts counts =
           of.five_minutes.At(kSeriesPoints - 1 - i, now);
--- a/source/process/burn/service_counters.h
+++ b/source/process/burn/service_counters.h
@@ -3,10 +3,10 @@
 
 #include <array>
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 #include "types/ids.h"
@@ -37,7 +37,10 @@
   marjoramsill::rank rank = rank::kUrgent;
   failure_domain_id failure_domain;
   size_class size = size_class::kSmall;
-  friend auto operator<=>(const counter_key&, const counter_key&) = default;
+  friend bool operator<(const counter_key& left, const counter_key& right) {
+    return std::tie(left.rank, left.failure_domain, left.size) <
+           std::tie(right.rank, right.failure_domain, right.size);
+  }
 };
 
 using event_counts = std::array<std::uint64_t, kServiceEventCount>;
--- a/tests/admission/workspace_limits_test.cc
+++ b/tests/admission/workspace_limits_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(demand_on_one_vm_gets_all_concurrency_by_borrowing);
   CPPUNIT_TEST(demand_that_moves_is_not_refused);
   CPPUNIT_TEST(demand_above_the_limit_gets_the_limit);
+  CPPUNIT_TEST(burst_is_given_once);
   CPPUNIT_TEST(isolated_vm_serves_its_fixed_share_and_refuses_at_once);
   CPPUNIT_TEST(lost_allocator_is_replaced);
   CPPUNIT_TEST(raised_limit_counts_at_once_and_stays);
@@ -83,6 +84,19 @@
         1, network.AcceptedSince(start) / kLimit.tokens_per_second / 10, 0.1);
   }
 
+  // Guards against a late vote of the third arbiter that gives the burst again.
+  void burst_is_given_once() {
+    limit_network network = Warm();
+    const steady_time start = network.now;
+    for (int i = 0; i < 20; ++i) {
+      for (int j = 0; j < 50; ++j) network.Offer(0, 60, milliseconds(1));
+      network.RunFor(milliseconds(10));
+    }
+    // The burst, the VM's own bucket, 0.2 s at the rate, one request.
+    CPPUNIT_ASSERT(network.AcceptedSince(start) <= 6000 + 1000 + 1200 + 60);
+    CPPUNIT_ASSERT(network.AcceptedSince(start) >= 6000);
+  }
+
   // Guards against a cut-off VM that serves nothing, and against refusals that
   // wait for answers which do not come.
   void isolated_vm_serves_its_fixed_share_and_refuses_at_once() {
