--- /dev/null
+++ b/benchmarks/choice/choice_benchmark.cc
@@ -0,0 +1,72 @@
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "choice_simulation.h"
+
+namespace marjoramsill {
+namespace {
+
+double Share(const choice_figures& figures) {
+  return static_cast<double>(figures.reused_tokens) /
+         static_cast<double>(figures.prompt_tokens);
+}
+
+struct bounds {
+  double reuse = 0.90;
+  int over_bound = 0;
+};
+
+bool Measure(const choice_scenario& scenario,
+             const std::vector<std::string>& policies) {
+  const choice_figures ideal = RunChoice(scenario, "ideal");
+  bool kept = true;
+  for (const std::string& policy : policies) {
+    const choice_figures figures =
+        policy == "ideal" ? ideal : RunChoice(scenario, policy);
+    const double relative = Share(figures) / Share(ideal);
+    std::printf(
+        "policy=%s endpoints=%zu routers=%zu strangers=%.2f requests=%lu "
+        "reuse=%.3f reuse_of_ideal=%.3f highest_over_mean=%.3f "
+        "most_over_bound=%d placements_over_bound=%.6f\n",
+        policy.c_str(), scenario.endpoints, scenario.routers,
+        scenario.strangers, figures.requests, Share(figures), relative,
+        figures.highest_over_mean, figures.most_over_bound,
+        static_cast<double>(figures.placements_over_bound) /
+            static_cast<double>(figures.requests));
+    std::fflush(stdout);
+    if (policy != "bounded_ring" || scenario.strangers > 0) continue;
+    const bounds bound;
+    if (relative < bound.reuse || figures.most_over_bound > bound.over_bound) {
+      std::printf("broken=%s endpoints=%zu routers=%zu\n", policy.c_str(),
+                  scenario.endpoints, scenario.routers);
+      kept = false;
+    }
+  }
+  return kept;
+}
+
+}  // namespace
+}  // namespace marjoramsill
+
+// Usage: benchmark_choice [POLICY...]
+int main(int argc, char** argv) {
+  using namespace marjoramsill;
+  std::vector<std::string> policies(argv + 1, argv + argc);
+  if (policies.empty()) {
+    policies = PolicyNames();
+    policies.insert(policies.begin(), "ideal");
+  }
+  bool kept = true;
+  for (const std::size_t routers : {6, 33}) {
+    for (const auto& [endpoints, domains] :
+         {std::pair<std::size_t, std::size_t>{9, 3}, {18, 4}, {200, 5}}) {
+      choice_scenario scenario;
+      scenario.endpoints = endpoints;
+      scenario.domains = domains;
+      scenario.routers = routers;
+      kept = Measure(scenario, policies) && kept;
+    }
+  }
+  return kept ? 0 : 1;
+}
--- /dev/null
+++ b/benchmarks/choice/choice_simulation.cc
@@ -0,0 +1,358 @@
+#include "choice_simulation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjoramsill {
+namespace {
+
+constexpr double kMultiple = 1.25;
+constexpr std::uint64_t kWorkspaces = 10;
+constexpr std::uint32_t kWorkspaceTokens = 400;
+constexpr std::uint32_t kLongestChat = 6000;
+constexpr double kChurnPeriod = 120;
+constexpr double kAbsence = 30;
+
+steady_time TimeOf(double seconds) {
+  return steady_time(
+      std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6)));
+}
+
+struct chat_state {
+  std::uint64_t id = 0;
+  std::uint32_t tokens = 0;
+  bool busy = false;
+};
+
+class choice_simulation {
+ public:
+  choice_simulation(const choice_scenario& scenario, const std::string& policy)
+      : scenario_(scenario),
+        ideal_(policy == "ideal"),
+        random_(scenario.seed),
+        noise_(scenario.seed + 1),
+        engines_(scenario.endpoints),
+        chats_(scenario.endpoints * scenario.chats_per_endpoint) {
+    double sum = 0;
+    for (std::size_t i = 0; i < chats_.size(); ++i) {
+      chats_[i].id = next_chat_++;
+      sum += 1.0 / std::pow(static_cast<double>(i + 1), scenario.zipf);
+      popularity_.push_back(sum);
+    }
+    // Engines differ in slots and speed.
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      engines_[i].slots = i % 3 == 2 ? 64 : 48;
+      engines_[i].prefill_rate = i % 3 == 2 ? 12000 : 8000;
+      slots_ += engines_[i].slots;
+    }
+    const auto table = MakeTable();
+    for (std::size_t r = 0; r < scenario.routers && !ideal_; ++r) {
+      routers_.push_back(
+          MakePolicy(policy, Domain(r), table, scenario.seed * 1000 + r));
+      tables_.push_back(table);
+    }
+  }
+
+  choice_figures Run() {
+    end_ = scenario_.warm_up_seconds + scenario_.seconds;
+    At(0, [this] { Arrive(); });
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      At(Uniform(), [this, i] { Announce(i); });
+    }
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      At(Uniform() * 0.1, [this, r] { TickRouter(r); });
+    }
+    At(kChurnPeriod / 2, [this] { Churn(); });
+    while (!events_.empty()) {
+      const auto next = events_.top();
+      events_.pop();
+      if (next.at > end_) break;
+      now_ = next.at;
+      next.run();
+    }
+    return figures_;
+  }
+
+ private:
+  struct event {
+    double at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const event& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+
+  void At(double when, std::function<void()> run) {
+    events_.push({when, next_event_++, std::move(run)});
+  }
+  // Delays draw from their own generator, so that all policies get the same
+  // arrivals.
+  double Uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(noise_);
+  }
+  failure_domain_id Domain(std::size_t of) const {
+    return failure_domain_id("d" + std::to_string(of % scenario_.domains));
+  }
+
+  std::shared_ptr<const placement> MakeTable() const {
+    std::vector<placement_endpoint> endpoints;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (!engines_[i].up) continue;
+      endpoints.push_back(
+          {endpoint_id(std::to_string(i)), Domain(i), engines_[i].slots,
+           static_cast<std::uint32_t>(engines_[i].prefill_rate), false});
+    }
+    return placement::Build(std::move(endpoints), 0);
+  }
+
+  // Mean service time: decoding and an uncached part of the prompt.
+  double ArrivalRate() const {
+    const double service = 150 * fake_engine::kDecodeSeconds + 0.05;
+    return scenario_.utilisation * static_cast<double>(slots_) / service;
+  }
+
+  void Arrive() {
+    std::exponential_distribution<double> gap(ArrivalRate());
+    At(now_ + gap(random_), [this] { Arrive(); });
+    std::uniform_real_distribution<double> pick(0, popularity_.back());
+    const double point = pick(random_);
+    const std::uint32_t news = 50 + random_() % 300;
+    const std::uint32_t output = 50 + random_() % 200;
+    const std::uint64_t way = random_();
+    const bool strange = std::uniform_real_distribution<double>(0, 1)(random_) <
+                         scenario_.strangers;
+    std::size_t at = static_cast<std::size_t>(
+        std::lower_bound(popularity_.begin(), popularity_.end(), point) -
+        popularity_.begin());
+    while (chats_[at].busy) at = (at * 31 + 7) % chats_.size();
+    chat_state& chat = chats_[at];
+    if (chat.tokens > kLongestChat) chat = {next_chat_++, 0, false};
+    engine_request request;
+    request.chat = chat.id;
+    request.workspace = (1ULL << 40) + at % kWorkspaces;
+    request.workspace_tokens = kWorkspaceTokens;
+    request.prompt_tokens = std::max(chat.tokens, kWorkspaceTokens) + news;
+    request.output_tokens = output;
+    request.serial = at;
+    const std::size_t domain = strange ? way >> 32 : at;
+    request.router = static_cast<std::uint32_t>(RouterFor(domain, way));
+    chat.busy = true;
+    chat.tokens = request.prompt_tokens + output;
+    Send(request);
+  }
+
+  std::size_t RouterFor(std::size_t domain, std::uint64_t way) const {
+    const std::size_t first = domain % scenario_.domains;
+    const std::size_t count =
+        (scenario_.routers - first - 1) / scenario_.domains + 1;
+    return first + way % count * scenario_.domains;
+  }
+
+  void Send(const engine_request& request) {
+    std::size_t chosen = 0;
+    if (ideal_) {
+      chosen = ChooseIdeal(request);
+    } else {
+      const auto& table = tables_[request.router];
+      const endpoint_index index =
+          routers_[request.router]->Choose(request, TimeOf(now_));
+      routers_[request.router]->OnSent(request, index, TimeOf(now_));
+      chosen = std::stoul(table->endpoints()[index].id.value());
+    }
+    Record(chosen);
+    At(now_ + 0.0005, [this, request, chosen] {
+      fake_engine& engine = engines_[chosen];
+      engine.waiting.push_back(request);
+      engine.waiting.back().arrived = now_;
+      StartWaiting(chosen);
+    });
+    ++sent_[chosen];
+  }
+
+  // Load as sent: requests on their way count.
+  std::uint32_t TrueLoad(std::size_t i) const { return sent_.at(i); }
+
+  double ShareOf(std::size_t i, std::uint64_t total) const {
+    std::uint64_t slots = 0;
+    for (const fake_engine& engine : engines_) {
+      if (engine.up) slots += engine.slots;
+    }
+    return static_cast<double>(total) * engines_[i].slots /
+           static_cast<double>(slots);
+  }
+
+  std::uint64_t TotalLoad() const {
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (engines_[i].up) total += TrueLoad(i);
+    }
+    return total;
+  }
+
+  std::size_t ChooseIdeal(const engine_request& request) {
+    const std::uint64_t total = TotalLoad() + 1;
+    std::size_t best = engines_.size();
+    double best_rank = -1;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (!engines_[i].up) continue;
+      if (TrueLoad(i) + 1 > std::ceil(kMultiple * ShareOf(i, total))) continue;
+      const double rank =
+          engines_[i].Cached(request) + 1.0 -
+          static_cast<double>(TrueLoad(i)) / (1000.0 * engines_[i].slots);
+      if (rank > best_rank) {
+        best_rank = rank;
+        best = i;
+      }
+    }
+    return best;
+  }
+
+  void Record(std::size_t chosen) {
+    if (now_ < scenario_.warm_up_seconds || !engines_[chosen].up) return;
+    const double share = ShareOf(chosen, TotalLoad() + 1);
+    const int load = static_cast<int>(TrueLoad(chosen)) + 1;
+    const int over = load - static_cast<int>(std::ceil(kMultiple * share));
+    figures_.highest_over_mean =
+        std::max(figures_.highest_over_mean, load / share);
+    figures_.most_over_bound = std::max(figures_.most_over_bound, over);
+    figures_.placements_over_bound += over > 0 ? 1 : 0;
+    ++figures_.requests;
+  }
+
+  void StartWaiting(std::size_t at) {
+    fake_engine& engine = engines_[at];
+    while (engine.running < engine.slots && !engine.waiting.empty()) {
+      const engine_request request = engine.waiting.front();
+      engine.waiting.pop_front();
+      ++engine.running;
+      const std::uint32_t cached = engine.Cached(request);
+      if (now_ >= scenario_.warm_up_seconds) {
+        figures_.prompt_tokens += request.prompt_tokens;
+        figures_.reused_tokens += cached;
+      }
+      const double prefill =
+          (request.prompt_tokens - cached) / engine.prefill_rate;
+      engine.cache.Store(request.workspace, request.workspace_tokens);
+      engine.cache.Store(request.chat, request.prompt_tokens);
+      At(now_ + prefill,
+         [this, at, request] { Report(request.router, at, now_); });
+      At(now_ + prefill + request.output_tokens * fake_engine::kDecodeSeconds,
+         [this, at, request] { Finish(at, request); });
+    }
+  }
+
+  void Finish(std::size_t at, const engine_request& request) {
+    fake_engine& engine = engines_[at];
+    --engine.running;
+    --sent_[at];
+    if (engine.up) {
+      engine.cache.Store(request.chat,
+                         request.prompt_tokens + request.output_tokens);
+    }
+    chat_state& chat = chats_[request.serial];
+    if (chat.id == request.chat) chat.busy = false;
+    if (!ideal_) {
+      const auto index =
+          tables_[request.router]->IndexOf(endpoint_id(std::to_string(at)));
+      if (index.has_value()) {
+        routers_[request.router]->OnFinished(*index, TimeOf(now_));
+      }
+    }
+    StartWaiting(at);
+  }
+
+  void Report(std::size_t router, std::size_t at, double as_of) {
+    if (ideal_) return;
+    const std::uint32_t load = engines_[at].load();
+    At(now_ + 0.0005, [this, router, at, load, as_of] {
+      const auto index =
+          tables_[router]->IndexOf(endpoint_id(std::to_string(at)));
+      if (!index.has_value()) return;
+      routers_[router]->OnReport(*index, load, TimeOf(as_of));
+    });
+  }
+
+  // Heartbeats carry the announced load: at most 0.7 s later among 6 VMs,
+  // over up to two hops of 1 s each among 33.
+  void Announce(std::size_t at) {
+    At(now_ + 1.0, [this, at] { Announce(at); });
+    if (!engines_[at].up) return;
+    const std::uint32_t load = engines_[at].load();
+    const double as_of = now_;
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      const double delay =
+          scenario_.routers <= 12 ? 0.7 * Uniform() : Uniform() + Uniform();
+      At(now_ + delay, [this, r, at, load, as_of] {
+        const auto index = tables_[r]->IndexOf(endpoint_id(std::to_string(at)));
+        if (!index.has_value()) return;
+        routers_[r]->OnReport(*index, load, TimeOf(as_of));
+      });
+    }
+  }
+
+  void TickRouter(std::size_t r) {
+    At(now_ + 0.1, [this, r] { TickRouter(r); });
+    routers_[r]->Tick(TimeOf(now_));
+  }
+
+  void Churn() {
+    At(now_ + kChurnPeriod, [this] { Churn(); });
+    const auto count = static_cast<std::size_t>(
+        std::ceil(scenario_.churn * static_cast<double>(engines_.size())));
+    for (std::size_t n = 0; n < count; ++n) {
+      const std::size_t at = next_churned_++ * 7 % engines_.size();
+      engines_[at].up = false;
+      At(now_ + kAbsence, [this, at] {
+        engines_[at].up = true;
+        engines_[at].cache.Clear();
+        TellViews();
+      });
+    }
+    TellViews();
+  }
+
+  // Views of the routers differ for up to two seconds.
+  void TellViews() {
+    const auto table = MakeTable();
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      At(now_ + 2.0 * Uniform(), [this, r, table] {
+        routers_[r]->SetPlacement(table);
+        tables_[r] = table;
+        routers_[r]->Tick(TimeOf(now_));
+      });
+    }
+  }
+
+  choice_scenario scenario_;
+  bool ideal_;
+  std::mt19937_64 random_;
+  std::mt19937_64 noise_;
+  std::vector<fake_engine> engines_;
+  std::vector<chat_state> chats_;
+  std::vector<double> popularity_;
+  std::vector<std::unique_ptr<routing_policy>> routers_;
+  std::vector<std::shared_ptr<const placement>> tables_;
+  std::map<std::size_t, std::uint32_t> sent_ = [this] {
+    std::map<std::size_t, std::uint32_t> all;
+    for (std::size_t i = 0; i < scenario_.endpoints; ++i) all[i] = 0;
+    return all;
+  }();
+  std::priority_queue<event> events_;
+  std::uint64_t next_event_ = 0;
+  std::uint64_t next_chat_ = 1;
+  std::size_t next_churned_ = 1;
+  std::uint64_t slots_ = 0;
+  double now_ = 0;
+  double end_ = 0;
+  choice_figures figures_;
+};
+
+}  // namespace
+
+choice_figures RunChoice(const choice_scenario& scenario,
+                         const std::string& policy) {
+  return choice_simulation(scenario, policy).Run();
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/benchmarks/choice/routing_policy.cc
@@ -0,0 +1,221 @@
+#include "routing_policy.h"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+constexpr steady_time kAlways = steady_time::max();
+
+std::uint64_t KeyOf(const engine_request& request) {
+  return PlacementKey("chat-" + std::to_string(request.chat));
+}
+
+class chooser_policy : public routing_policy {
+ public:
+  chooser_policy(const failure_domain_id& domain,
+                 std::shared_ptr<const placement> table, double margin)
+      : chooser_(Settings(domain, margin), table) {
+    SetPlacement(std::move(table));
+  }
+
+  void SetPlacement(std::shared_ptr<const placement> table) override {
+    chooser_.SetPlacement(std::move(table));
+    for (endpoint_index i = 0; i < chooser_.table().endpoints().size(); ++i) {
+      chooser_.SetCondition(i, {kAlways, true});
+    }
+  }
+  void Tick(steady_time now) override { chooser_.Tick(now); }
+  void OnReport(endpoint_index index, std::uint32_t requests,
+                steady_time as_of) override {
+    chooser_.OnReport(index, requests, as_of);
+  }
+  endpoint_index Choose(const engine_request& request,
+                        steady_time now) override {
+    choice_request asked;
+    asked.key = KeyOf(request);
+    asked.prefix_tokens = token_count(request.prompt_tokens);
+    const auto choice = chooser_.Choose(asked, now);
+    // The simulation has no queue in the router.
+    return choice ? choice.value().index
+                  : static_cast<endpoint_index>(
+                        asked.key % chooser_.table().endpoints().size());
+  }
+  void OnSent(const engine_request& request, endpoint_index index,
+              steady_time now) override {
+    chooser_.OnSent(KeyOf(request), index, now);
+  }
+  void OnFinished(endpoint_index index, steady_time now) override {
+    chooser_.OnFinished(index, now);
+  }
+
+ private:
+  static endpoint_chooser_settings Settings(const failure_domain_id& domain,
+                                            double margin) {
+    endpoint_chooser_settings settings;
+    settings.own_domain = domain;
+    settings.load.margin_deviations = margin;
+    return settings;
+  }
+
+  endpoint_chooser chooser_;
+};
+
+/// Candidates and baselines that rank single endpoints.
+class table_policy : public routing_policy {
+ public:
+  table_policy(std::string name, failure_domain_id domain,
+               std::shared_ptr<const placement> table, std::uint64_t seed)
+      : name_(std::move(name)), domain_(std::move(domain)), random_(seed) {
+    SetPlacement(std::move(table));
+  }
+
+  void SetPlacement(std::shared_ptr<const placement> table) override {
+    loads_.Assign(table_.get(), *table);
+    table_ = std::move(table);
+    ids_.clear();
+    for (endpoint_index i = 0; i < table_->endpoints().size(); ++i) {
+      ids_.push_back(PlacementKey(table_->endpoints()[i].id.value()));
+      loads_.SetCondition(i, {kAlways, true});
+    }
+  }
+  void Tick(steady_time now) override { loads_.Tick(now); }
+  void OnReport(endpoint_index index, std::uint32_t requests,
+                steady_time as_of) override {
+    loads_.OnReport(index, requests, as_of);
+    if (reported_.size() <= index) reported_.resize(index + 1);
+    reported_[index] = requests;
+  }
+  void OnSent(const engine_request&, endpoint_index index,
+              steady_time now) override {
+    loads_.OnSent(index, now);
+  }
+  void OnFinished(endpoint_index index, steady_time now) override {
+    loads_.OnFinished(index, now);
+  }
+
+  endpoint_index Choose(const engine_request& request,
+                        steady_time now) override {
+    const std::vector<endpoint_index> own = Candidates(now);
+    if (name_ == "round_robin") return own[turn_++ % own.size()];
+    if (name_ == "least_reported") return LeastReported(own);
+    std::vector<endpoint_index> order = Order(own, KeyOf(request));
+    if (name_ == "plain_hash") return order[0];
+    order.resize(std::min<std::size_t>(order.size(), 3));
+    if (name_ == "rendezvous_p2c") return LessLoaded(order, now);
+    return Cheapest(order, request, now);
+  }
+
+ private:
+  // Own failure domain first; others when no own endpoint has room.
+  std::vector<endpoint_index> Candidates(steady_time now) const {
+    std::vector<endpoint_index> own;
+    bool room = false;
+    for (endpoint_index i = 0; i < ids_.size(); ++i) {
+      if (table_->endpoints()[i].domain != domain_) continue;
+      own.push_back(i);
+      room = room || loads_.HasRoom(i, now);
+    }
+    const bool bounded = name_ == "rendezvous_p2c" || name_ == "estimated_cost";
+    if (!own.empty() && (room || !bounded)) return own;
+    own.clear();
+    for (endpoint_index i = 0; i < ids_.size(); ++i) {
+      if (loads_.HasRoom(i, now)) own.push_back(i);
+    }
+    if (own.empty()) own.push_back(0);
+    return own;
+  }
+
+  std::vector<endpoint_index> Order(std::vector<endpoint_index> from,
+                                    std::uint64_t key) const {
+    const auto score = [&](endpoint_index i) {
+      std::uint64_t mixed = (ids_[i] ^ key) * 0x9e3779b97f4a7c15U;
+      return (mixed ^ (mixed >> 29)) * 0xbf58476d1ce4e5b9U;
+    };
+    std::sort(from.begin(), from.end(),
+              [&](auto a, auto b) { return score(a) > score(b); });
+    return from;
+  }
+
+  endpoint_index LeastReported(const std::vector<endpoint_index>& own) {
+    std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+    std::vector<endpoint_index> best;
+    for (endpoint_index i : own) {
+      const std::uint32_t load = i < reported_.size() ? reported_[i] : 0;
+      if (load < least) best.clear();
+      if (load <= least) best.push_back(i);
+      least = std::min(least, load);
+    }
+    return best[random_() % best.size()];
+  }
+
+  // The first choice unless the second one is less loaded and the first one
+  // is at its bound; taking the less loaded one always would split each chat
+  // between two caches.
+  endpoint_index LessLoaded(const std::vector<endpoint_index>& order,
+                            steady_time now) const {
+    if (order.size() < 2 || loads_.HasRoom(order[0], now)) return order[0];
+    return loads_.Estimate(order[1]) < loads_.Estimate(order[0]) ? order[1]
+                                                                 : order[0];
+  }
+
+  endpoint_index Cheapest(const std::vector<endpoint_index>& order,
+                          const engine_request& request,
+                          steady_time now) const {
+    double least = std::numeric_limits<double>::max();
+    endpoint_index best = order[0];
+    for (std::size_t i = 0; i < order.size(); ++i) {
+      const placement_endpoint& endpoint = table_->endpoints()[order[i]];
+      const double load = loads_.Estimate(order[i]);
+      const double over = std::max(0.0, load + 1 - loads_.Bound(order[i], now));
+      const double recompute =
+          i == 0 ? 0
+                 : static_cast<double>(request.prompt_tokens) /
+                       endpoint.prefill_rate;
+      // Each request over the bound waits for about a slot's turn.
+      const double cost = recompute + over * 5.0 / endpoint.capacity +
+                          load / endpoint.capacity * 0.01;
+      if (cost < least) {
+        least = cost;
+        best = order[i];
+      }
+    }
+    return best;
+  }
+
+  std::string name_;
+  failure_domain_id domain_;
+  std::mt19937_64 random_;
+  std::shared_ptr<const placement> table_;
+  load_table loads_;
+  std::vector<std::uint64_t> ids_;
+  std::vector<std::uint32_t> reported_;
+  std::uint64_t turn_ = 0;
+};
+
+}  // namespace
+
+const std::vector<std::string>& PolicyNames() {
+  static const std::vector<std::string> names = {
+      "bounded_ring", "rendezvous_p2c", "estimated_cost",
+      "round_robin",  "least_reported", "plain_hash"};
+  return names;
+}
+
+std::unique_ptr<routing_policy> MakePolicy(
+    const std::string& name, const failure_domain_id& domain,
+    std::shared_ptr<const placement> table, std::uint64_t seed) {
+  if (name.rfind("bounded_ring", 0) == 0) {
+    const std::string margin = name.substr(12);
+    return std::make_unique<chooser_policy>(
+        domain, std::move(table),
+        margin.empty() ? load_table_settings{}.margin_deviations
+                       : std::stod(margin));
+  }
+  return std::make_unique<table_policy>(name, domain, std::move(table), seed);
+}
+
+}  // namespace marjoramsill
