--- a/source/commands/control_client.h
+++ b/source/commands/control_client.h
@@ -20,10 +20,10 @@
 struct control_request {
   std::string method = "GET";
   /// IP:PORT.
-  std::string address;
+  std::string address{};
   /// Path with query.
-  std::string target;
-  std::string body;
+  std::string target{};
+  std::string body{};
   std::chrono::milliseconds timeout{10'000};
 };
 
