--- a/tests/claims/claim_flow_test.cc
+++ b/tests/claims/claim_flow_test.cc
@@ -4,20 +4,14 @@
 
 #include <chrono>
 
+#include "request/find_action.h"
+
 namespace marjoramsill {
 namespace {
 
 using std::chrono::milliseconds;
 using kind = claim_command_kind;
 
-template <class Action>
-const Action* Find(const call_actions& actions) {
-  for (const auto& action : actions) {
-    if (const auto* found = std::get_if<Action>(&action)) return found;
-  }
-  return nullptr;
-}
-
 bool Sends(const call_actions& actions, kind what) {
   const auto* claim = Find<send_claim>(actions);
   return claim != nullptr && claim->command.kind == what;
@@ -67,14 +61,14 @@
     CPPUNIT_ASSERT(Sends(actions, kind::kClaim));
     CPPUNIT_ASSERT(Find<start_attempt>(actions) == nullptr);
     actions = flow_.OnClaimReply(Reply(claim_outcome::kGranted), At(5));
-    CPPUNIT_ASSERT(Find<start_attempt>(actions)->fresh_connection);
+    CPPUNIT_ASSERT(Get<start_attempt>(actions).fresh_connection);
     CPPUNIT_ASSERT(flow_.ConfirmSend(attempt_id("t1"), At(6)));
     flow_.OnHead(attempt_id("t1"), Head("t1", 6), At(7));
     flow_.OnData(attempt_id("t1"), "booked", At(8));
     actions = flow_.OnEnd(attempt_id("t1"), At(9));
     CPPUNIT_ASSERT_EQUAL(std::string("booked"),
-                         Find<deliver_whole>(actions)->response.body);
-    const auto& stored = Find<send_claim>(actions)->command.response;
+                         Get<deliver_whole>(actions).response.body);
+    const auto& stored = Get<send_claim>(actions).command.response;
     CPPUNIT_ASSERT_EQUAL(std::string("booked"), stored.body);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored.headers.size());
     flow_.OnClaimReply(Reply(claim_outcome::kDone, kind::kFinish), At(10));
@@ -87,7 +81,7 @@
     const auto actions = flow_.OnTimer(At(3000));
     CPPUNIT_ASSERT(Fails(actions, failure_kind::kClaimUnavailable,
                          run_certainty::kNotRun));
-    CPPUNIT_ASSERT(Find<deliver_failure>(actions)->failure.retry_after >=
+    CPPUNIT_ASSERT(Get<deliver_failure>(actions).failure.retry_after >=
                    std::chrono::seconds(1));
     CPPUNIT_ASSERT(Sends(actions, kind::kRelease));
   }
@@ -112,7 +106,7 @@
   void unavailable_claim_is_sent_again() {
     flow_.Start(At(0));
     const auto actions = flow_.OnClaimUnavailable(At(10));
-    CPPUNIT_ASSERT(Find<wake_at>(actions)->at == At(260));
+    CPPUNIT_ASSERT(Get<wake_at>(actions).at == At(260));
     CPPUNIT_ASSERT(Sends(flow_.OnTimer(At(260)), kind::kClaim));
   }
 
@@ -138,7 +132,7 @@
     finished.response = MakeStoredResponse({201, {{"ETag", "x"}}, "booked"});
     flow_.Start(At(0));
     const auto actions = flow_.OnClaimReply(finished, At(1));
-    CPPUNIT_ASSERT(Find<deliver_whole>(actions)->response ==
+    CPPUNIT_ASSERT(Get<deliver_whole>(actions).response ==
                    whole_response({201, {{"ETag", "x"}}, "booked"}));
   }
 
@@ -161,7 +155,7 @@
     flow_.Start(At(0));
     flow_.OnClaimReply(Reply(claim_outcome::kGranted), At(1));
     auto actions = flow_.OnFailure(attempt_id("t1"), At(2));
-    CPPUNIT_ASSERT(Find<start_attempt>(actions)->attempt == attempt_id("t2"));
+    CPPUNIT_ASSERT(Get<start_attempt>(actions).attempt == attempt_id("t2"));
     CPPUNIT_ASSERT(flow_.OnFailure(attempt_id("t1"), At(3)).empty());
     CPPUNIT_ASSERT(!flow_.ConfirmSend(attempt_id("t1"), At(3)));
     actions = flow_.OnFailure(attempt_id("t2"), At(4));
@@ -244,7 +238,7 @@
     const auto actions = flow_.OnClaimReply(reply, At(1));
     CPPUNIT_ASSERT(
         Fails(actions, failure_kind::kResponseNotStored, run_certainty::kRun));
-    CPPUNIT_ASSERT(Find<deliver_failure>(actions)->failure.stored_body_hash ==
+    CPPUNIT_ASSERT(Get<deliver_failure>(actions).failure.stored_body_hash ==
                    HashContent(body));
   }
 
@@ -285,7 +279,7 @@
     const auto actions =
         flow_.OnClaimReply(Reply(claim_outcome::kGranted), At(1));
     CPPUNIT_ASSERT(
-        flow_.ConfirmSend(Find<start_attempt>(actions)->attempt, At(2)));
+        flow_.ConfirmSend(Get<start_attempt>(actions).attempt, At(2)));
   }
 
   int attempts_ = 0;
--- a/tests/request/attempt_plan_test.cc
+++ b/tests/request/attempt_plan_test.cc
@@ -4,19 +4,13 @@
 
 #include <set>
 
+#include "request/find_action.h"
+
 namespace marjoramsill {
 namespace {
 
 using std::chrono::milliseconds;
 
-template <class Action>
-const Action* Find(const call_actions& actions) {
-  for (const auto& action : actions) {
-    if (const auto* found = std::get_if<Action>(&action)) return found;
-  }
-  return nullptr;
-}
-
 std::string Event(const std::string& text) {
   return R"(data: {"id":"x","choices":[{"index":0,"delta":{"content":")" +
          text + "\"}}]}\n\n";
@@ -66,7 +60,7 @@
     plan.OnData(Id(1), "abc", At(2));
     auto actions = plan.OnEnd(Id(1), At(3));
     CPPUNIT_ASSERT(Find<deliver_whole>(actions) == nullptr);
-    CPPUNIT_ASSERT(Find<start_attempt>(actions)->kind == attempt_kind::kRetry);
+    CPPUNIT_ASSERT(Get<start_attempt>(actions).kind == attempt_kind::kRetry);
     // A body whose end is not marked could be truncated as well.
     head = Head(2);
     head.framing = body_framing::kUntilClose;
@@ -76,7 +70,7 @@
     plan.OnData(Id(3), "abcd", At(6));
     actions = plan.OnEnd(Id(3), At(7));
     CPPUNIT_ASSERT_EQUAL(std::string("abcd"),
-                         Find<deliver_whole>(actions)->response.body);
+                         Get<deliver_whole>(actions).response.body);
     CPPUNIT_ASSERT(plan.ended());
   }
 
@@ -86,9 +80,9 @@
     plan.Start(At(0));
     call_actions actions;
     for (int i = 1; i <= 3; ++i) actions = plan.OnFailure(Id(i), At(i));
-    const auto* answer = Find<deliver_failure>(actions);
-    CPPUNIT_ASSERT(answer->failure.run == run_certainty::kNotRun);
-    CPPUNIT_ASSERT(answer->failure.retry_after >= std::chrono::seconds(1));
+    const auto answer = Get<deliver_failure>(actions);
+    CPPUNIT_ASSERT(answer.failure.run == run_certainty::kNotRun);
+    CPPUNIT_ASSERT(answer.failure.retry_after >= std::chrono::seconds(1));
     CPPUNIT_ASSERT(plan.ended());
   }
 
@@ -99,7 +93,7 @@
     CPPUNIT_ASSERT(plan.ConfirmSend(Id(1), At(1)));
     call_actions actions;
     for (int i = 1; i <= 3; ++i) actions = plan.OnFailure(Id(i), At(i));
-    CPPUNIT_ASSERT(Find<deliver_failure>(actions)->failure.run ==
+    CPPUNIT_ASSERT(Get<deliver_failure>(actions).failure.run ==
                    run_certainty::kOutcomeUnknown);
   }
 
@@ -108,9 +102,9 @@
     endpoints_ = 0;
     attempt_plan plan = Plan(true);
     const auto actions = plan.Start(At(0));
-    const auto* answer = Find<deliver_failure>(actions);
-    CPPUNIT_ASSERT(answer->failure.kind == failure_kind::kNoEndpoint);
-    CPPUNIT_ASSERT(answer->failure.run == run_certainty::kNotRun);
+    const auto answer = Get<deliver_failure>(actions);
+    CPPUNIT_ASSERT(answer.failure.kind == failure_kind::kNoEndpoint);
+    CPPUNIT_ASSERT(answer.failure.run == run_certainty::kNotRun);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, budget_.first_attempts());
   }
 
@@ -124,7 +118,7 @@
     plan.OnData(Id(2), "bad", At(3));
     actions = plan.OnEnd(Id(2), At(4));
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{400},
-                         Find<deliver_whole>(actions)->response.status);
+                         Get<deliver_whole>(actions).response.status);
   }
 
   // Guards against lost or repeated text when a stream breaks.
@@ -132,28 +126,28 @@
     attempt_plan plan = StreamBrokenAfter("hello");
     plan.OnData(Id(1), "data: half", At(3));
     auto actions = plan.OnFailure(Id(1), At(4));
-    const auto* start = Find<start_attempt>(actions);
-    CPPUNIT_ASSERT(start->kind == attempt_kind::kResume);
-    CPPUNIT_ASSERT(start->endpoint == endpoint_id("e0"));
-    CPPUNIT_ASSERT(start->resume_attempt == Id(1));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, start->resume_offset);
+    auto start = Get<start_attempt>(actions);
+    CPPUNIT_ASSERT(start.kind == attempt_kind::kResume);
+    CPPUNIT_ASSERT(start.endpoint == endpoint_id("e0"));
+    CPPUNIT_ASSERT(start.resume_attempt == Id(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, start.resume_offset);
     response_head head = Head(2);
     head.resume_offset = 1;
     plan.OnHead(Id(2), head, At(5));
     plan.OnData(Id(2), Event(" big"), At(6));
     actions = plan.OnFailure(Id(2), At(7));
-    start = Find<start_attempt>(actions);
-    CPPUNIT_ASSERT(start->resume_attempt == Id(1));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, start->resume_offset);
+    start = Get<start_attempt>(actions);
+    CPPUNIT_ASSERT(start.resume_attempt == Id(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, start.resume_offset);
     actions = plan.OnFailure(Id(3), At(8));
-    start = Find<start_attempt>(actions);
-    CPPUNIT_ASSERT(start->kind == attempt_kind::kReplay);
-    CPPUNIT_ASSERT(start->endpoint == endpoint_id("e1"));
-    CPPUNIT_ASSERT_EQUAL(std::string("hello big"), start->text_so_far);
+    start = Get<start_attempt>(actions);
+    CPPUNIT_ASSERT(start.kind == attempt_kind::kReplay);
+    CPPUNIT_ASSERT(start.endpoint == endpoint_id("e1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("hello big"), start.text_so_far);
     plan.OnHead(Id(4), Head(4), At(9));
     actions = plan.OnData(Id(4), Event(" world") + "data: [DONE]\n\n", At(10));
     CPPUNIT_ASSERT_EQUAL(Event(" world") + "data: [DONE]\n\n",
-                         Find<deliver_bytes>(actions)->bytes);
+                         Get<deliver_bytes>(actions).bytes);
     CPPUNIT_ASSERT(Find<end_delivery>(actions) != nullptr);
   }
 
@@ -162,7 +156,7 @@
     attempt_plan plan = StreamBrokenAfter("hello");
     plan.OnFailure(Id(1), At(4));
     const auto actions = plan.OnHead(Id(2), Head(2), At(5));
-    CPPUNIT_ASSERT(Find<start_attempt>(actions)->kind == attempt_kind::kReplay);
+    CPPUNIT_ASSERT(Get<start_attempt>(actions).kind == attempt_kind::kReplay);
   }
 
   // Guards against a caller that takes half a response for the whole.
@@ -191,8 +185,8 @@
     attempt_plan plan = Plan(true);
     plan.Start(At(0));
     const auto actions = plan.OnHead(Id(1), Head(7), At(1));
-    CPPUNIT_ASSERT(Find<cancel_attempt>(actions)->attempt == Id(1));
-    CPPUNIT_ASSERT(Find<start_attempt>(actions)->kind == attempt_kind::kRetry);
+    CPPUNIT_ASSERT(Get<cancel_attempt>(actions).attempt == Id(1));
+    CPPUNIT_ASSERT(Get<start_attempt>(actions).kind == attempt_kind::kRetry);
   }
 
   // Guards against a stuck endpoint that holds a request until its deadline,
@@ -200,16 +194,16 @@
   void timeout_tries_another_endpoint_or_waits_on() {
     endpoints_ = 2;
     attempt_plan plan = Plan(true);
-    const auto wake = Find<wake_at>(plan.Start(At(0)))->at;
+    const auto wake = Get<wake_at>(plan.Start(At(0))).at;
     CPPUNIT_ASSERT(wake == At(4000));  // Half of the time to the deadline.
     auto actions = plan.OnTimer(At(3999));
     CPPUNIT_ASSERT(Find<start_attempt>(actions) == nullptr);
     actions = plan.OnTimer(At(4000));
-    CPPUNIT_ASSERT(Find<cancel_attempt>(actions)->attempt == Id(1));
-    CPPUNIT_ASSERT(Find<start_attempt>(actions)->attempt == Id(2));
+    CPPUNIT_ASSERT(Get<cancel_attempt>(actions).attempt == Id(1));
+    CPPUNIT_ASSERT(Get<start_attempt>(actions).attempt == Id(2));
     actions = plan.OnTimer(At(6000));
     CPPUNIT_ASSERT(Find<cancel_attempt>(actions) == nullptr);
-    CPPUNIT_ASSERT(Find<wake_at>(actions)->at == At(8000));
+    CPPUNIT_ASSERT(Get<wake_at>(actions).at == At(8000));
     plan.OnHead(Id(2), Head(2), At(6001));
     actions = plan.OnData(Id(2), Event("hello"), At(6002));
     CPPUNIT_ASSERT(Find<deliver_bytes>(actions) != nullptr);
@@ -221,8 +215,8 @@
     plan.Start(At(0));
     CPPUNIT_ASSERT(plan.ConfirmSend(Id(1), At(1)));
     const auto actions = plan.OnTimer(At(8000));
-    const auto* answer = Find<deliver_failure>(actions);
-    CPPUNIT_ASSERT(answer->failure.kind == failure_kind::kDeadlineExceeded);
+    const auto answer = Get<deliver_failure>(actions);
+    CPPUNIT_ASSERT(answer.failure.kind == failure_kind::kDeadlineExceeded);
     CPPUNIT_ASSERT(Find<cancel_attempt>(actions) != nullptr);
     CPPUNIT_ASSERT(plan.OnTimer(At(8001)).empty());
   }
@@ -231,7 +225,7 @@
   void caller_gone_cancels_engine_work() {
     attempt_plan plan = StreamBrokenAfter("hello");
     const auto actions = plan.OnCallerGone(At(4));
-    CPPUNIT_ASSERT(Find<cancel_attempt>(actions)->attempt == Id(1));
+    CPPUNIT_ASSERT(Get<cancel_attempt>(actions).attempt == Id(1));
     CPPUNIT_ASSERT(plan.ended());
     CPPUNIT_ASSERT(plan.OnData(Id(1), Event("x"), At(5)).empty());
   }
@@ -291,7 +285,7 @@
     plan.ConfirmSend(Id(1), At(0));
     plan.OnHead(Id(1), Head(1), At(1));
     const auto actions = plan.OnData(Id(1), Event(text), At(2));
-    CPPUNIT_ASSERT_EQUAL(Event(text), Find<deliver_bytes>(actions)->bytes);
+    CPPUNIT_ASSERT_EQUAL(Event(text), Get<deliver_bytes>(actions).bytes);
     return plan;
   }
 
