request: let an endpoint that ignores a resume start again

Cause: a trial that accepted an unconfirmed resume was caught by a focused test but not by the schedules. Change: the fake endpoint then sends its stream from the first event. build/tests/request/test_attempts: OK (27), three runs.

--- a/tests/request/attempt_world.cc
+++ b/tests/request/attempt_world.cc
@@ -165,6 +165,10 @@
   for (attempt& each : attempts_) {
     if (each.start.attempt == target.start.attempt) {
       each.headed = true;
+      // An endpoint that does not confirm the offset starts again.
+      if (!confirm_offset && each.start.kind == attempt_kind::kResume) {
+        each.bytes = attempts_.front().bytes;
+      }
       if (crossed) each.bytes = Event(head.echoed, R"({"content":"alien"})");
     }
   }
