--- a/source/process/admission/drain_rate.cc
+++ b/source/process/admission/drain_rate.cc
@@ -8,8 +8,9 @@
 
 // Long against one service time, short against a flood.
 constexpr double kMeasureSeconds = 10;
-// The split between ranks changes within a second or two at a flood's start.
-constexpr double kAdmittedSeconds = 2;
+// A flood changes the split between ranks within seconds. Over a shorter time
+// the estimate for a lower rank varies so much that it rejects needlessly.
+constexpr double kAdmittedSeconds = 5;
 // Below this the first admissions after a pause would look like a high rate.
 constexpr double kMinAdmittedSeconds = 0.25;
 
@@ -17,6 +18,12 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+double DecayFactor(double passed, double time) {
+  const double x = passed / time;
+  // exp() takes a good part of an admission's time; the error is below 1e-6.
+  return x < 0.01 ? 1 - x + x * x / 2 : std::exp(-x);
+}
+
 double ServiceSeconds(std::chrono::microseconds service) {
   // A caller that knows no service time must not divide by 0.
   return std::max(Seconds(service), 1e-3);
@@ -36,7 +43,7 @@
   }
   saturated_for_ += passed;
   if (measuring_ && passed > 0) {
-    const double kept = std::exp(-passed / kMeasureSeconds);
+    const double kept = DecayFactor(passed, kMeasureSeconds);
     ended_cost_ *= kept;
     used_seconds_ = used_seconds_ * kept + used * passed;
   }
@@ -46,7 +53,7 @@
 }
 
 void drain_rate::Decay(double passed) {
-  const double kept = std::exp(-passed / kAdmittedSeconds);
+  const double kept = DecayFactor(passed, kAdmittedSeconds);
   for (double& cost : admitted_cost_) cost *= kept;
   admitted_seconds_ = admitted_seconds_ * kept + passed;
 }
--- a/source/process/admission/entry_pool.h
+++ b/source/process/admission/entry_pool.h
@@ -15,8 +15,9 @@
 
 enum class entry_state : std::uint8_t { kFree, kQueued, kRunning };
 
-/// One accepted offer. `next` and `previous` link the queue of a workspace.
-struct admission_entry {
+/// One accepted offer, in one cache line. `next` and `previous` link the queue
+/// of a workspace.
+struct alignas(64) admission_entry {
   request_handle request;
   std::uint64_t cost = 0;
   steady_time deadline;
--- a/source/process/admission/fair_queue.h
+++ b/source/process/admission/fair_queue.h
@@ -45,8 +45,8 @@
   static constexpr flow_index kNoFlow = 0xffffffff;
 
   /// A workspace that has requests queued, or whose tag is still ahead of the
-  /// virtual time.
-  struct flow {
+  /// virtual time. In one cache line: with many workspaces every access misses.
+  struct alignas(64) flow {
     double tag = 0;
     double weight = 1;
     std::uint64_t cost = 0;
--- a/source/process/admission/limit_allocator.cc
+++ b/source/process/admission/limit_allocator.cc
@@ -80,7 +80,7 @@
   if (!licensed(now)) return AskLicence(now, send);
   const fair_level level = Level(now);
   const std::uint32_t recalls =
-      IsShort(of, level, now) ? Recall(of, level, now, send) : 0;
+      IsShort(of, now) ? Recall(of, level, now, send) : 0;
   Grant(of, level, true, recalls, now, send);
   GrantWaiting(now, send);
 }
@@ -212,12 +212,9 @@
           .concurrent = std::max(0.0, free.concurrent)};
 }
 
-bool limit_allocator::IsShort(const holder& of, const fair_level& level,
-                              steady_time now) const {
+bool limit_allocator::IsShort(const holder& of, steady_time now) const {
   const fair_level free = Free(of, now);
-  return free.tokens < std::min(level.tokens, of.wants_tokens) ||
-         free.concurrent <
-             std::min<double>(level.concurrent, of.wants_concurrent);
+  return free.tokens < of.wants_tokens || free.concurrent < of.wants_concurrent;
 }
 
 void limit_allocator::Grant(holder& to, const fair_level& level, bool answer,
--- a/source/process/admission/limit_allocator.h
+++ b/source/process/admission/limit_allocator.h
@@ -71,8 +71,7 @@
   void GrantWaiting(steady_time now, std::vector<limit_send>& send);
   /// Part of the limit that the others do not hold.
   fair_level Free(const holder& without, steady_time now) const;
-  bool IsShort(const holder& of, const fair_level& level,
-               steady_time now) const;
+  bool IsShort(const holder& of, steady_time now) const;
   /// Recalls shares above the fair level; returns how many.
   std::uint32_t Recall(const holder& asker, const fair_level& level,
                        steady_time now, std::vector<limit_send>& send);
--- a/source/process/admission/limit_holder.cc
+++ b/source/process/admission/limit_holder.cc
@@ -122,7 +122,11 @@
                     leased_concurrent_ < asked_concurrent_;
   if (answer) contended_ = less && grant.recalls == 0;
   if (answer) expecting_ = less && grant.recalls > 0;
-  if (!less) contended_ = false;
+  if (!less) {
+    contended_ = false;
+    expecting_ = false;
+  }
+  reported_concurrent_ = std::max(reported_concurrent_, grant.concurrent);
   // The allocator gives the rest to others once the lower share is confirmed.
   ask_again_ = ask_again_ || lowered;
 }
@@ -159,13 +163,19 @@
       WantedTokens(now) < leased_tokens_ * kReturnPart) {
     return true;
   }
-  if (!IsEngaged()) return false;
+  // A share that merely ended would count as in use until the longest request
+  // that it could have admitted has ended.
+  if (!IsEngaged()) {
+    return reported_concurrent_ > 0 && running_ <= fixed_concurrent_ &&
+           now >= asked_at_ + settings_.lease / 2;
+  }
   if (now >= leased_until_ || now >= asked_at_ + settings_.lease / 2) {
     return true;
   }
   if (contended_) return now >= asked_at_ + kContendedInterval;
   if (expecting_ && now < asked_at_ + kExpectedTime) {
-    return WantedTokens(now) > asked_tokens_ * kHeadroom;
+    return WantedTokens(now) > asked_tokens_ * kHeadroom ||
+           WantedConcurrent() > asked_concurrent_ * kHeadroom;
   }
   return !waiting_.empty() || WantedTokens(now) > leased_tokens_ * kHeadroom ||
          WantedConcurrent() > leased_concurrent_;
@@ -176,6 +186,12 @@
   recalled_ = false;
   asked_tokens_ = WantedTokens(now);
   asked_concurrent_ = WantedConcurrent();
+  // The fixed share covers what still runs.
+  const bool ends = !IsEngaged() && running_ <= fixed_concurrent_;
+  if (ends) {
+    asked_tokens_ = 0;
+    asked_concurrent_ = 0;
+  }
   const bool leased = now < leased_until_;
   leased_tokens_ = leased ? std::min(leased_tokens_, asked_tokens_) : 0;
   leased_concurrent_ =
@@ -187,7 +203,8 @@
   ask.tokens_per_second = asked_tokens_;
   ask.concurrent = asked_concurrent_;
   ask.held_tokens_per_second = leased_tokens_;
-  ask.held_concurrent = std::max(running_, leased_concurrent_);
+  ask.held_concurrent = ends ? 0 : std::max(running_, leased_concurrent_);
+  reported_concurrent_ = ask.held_concurrent;
   double waiting_cost = 0;
   for (const waiting_request& of : waiting_) waiting_cost += of.cost;
   if (!waiting_.empty()) {
@@ -242,7 +259,7 @@
 
 bool limit_holder::quiet(steady_time now) const {
   return waiting_.empty() && !outstanding_ && !IsEngaged() &&
-         now >= leased_until_;
+         now >= leased_until_ && reported_concurrent_ == 0;
 }
 
 std::size_t limit_holder::MemoryBytes() const {
--- a/source/process/admission/limit_holder.h
+++ b/source/process/admission/limit_holder.h
@@ -94,6 +94,8 @@
   steady_time asked_at_;
   double asked_tokens_ = 0;
   std::uint32_t asked_concurrent_ = 0;
+  /// What the allocator believes to be in use here at most.
+  std::uint32_t reported_concurrent_ = 0;
   bool asked_ = false;
   bool outstanding_ = false;
   /// Asks without an answer since the last answer.
