--- a/source/process/control/version_follower.cc
+++ b/source/process/control/version_follower.cc
@@ -23,7 +23,8 @@
       floor_(start.floor),
       held_(std::move(start.document)),
       peers_(std::move(start.self)),
-      bucket_(options.bytes_per_second, options.burst_bytes) {}
+      bucket_(options.bytes_per_second, options.burst_bytes),
+      next_fetch_(random_()) {}
 
 follower_actions version_follower::Start(steady_time now) {
   follower_actions out;
--- a/source/process/control/version_follower.h
+++ b/source/process/control/version_follower.h
@@ -4,11 +4,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
 
 #include "process/control/distribution_messages.h"
+#include "process/control/fetch_progress.h"
 #include "process/control/follower_action.h"
 #include "process/control/held_document.h"
 #include "process/control/peer_table.h"
@@ -31,6 +33,9 @@
   std::chrono::microseconds fetch_timeout = std::chrono::seconds(1);
   /// How long a peer that did not answer or could not is passed over.
   std::chrono::microseconds avoid = std::chrono::seconds(2);
+  /// Replies collected for one version are given up when no peer that could
+  /// complete it answered for so long; the collection starts again.
+  std::chrono::microseconds staging_timeout = std::chrono::seconds(10);
   /// Leaves a third of 3,000 bytes a second to heartbeats and probes.
   std::int64_t bytes_per_second = 2000;
   std::int64_t burst_bytes = 4096;
@@ -82,23 +87,8 @@
   const held_document& held() const { return held_; }
 
  private:
-  /// One request under way.
-  struct open_fetch {
-    std::uint64_t id = 0;
-    vm_id peer;
-    steady_time deadline{};
-    fetch_request request;
-  };
   using fetch_slot = std::optional<open_fetch>;
 
-  /// Replies collected until they lead exactly to a peer's version.
-  struct staged_changes {
-    fetch_scope scope = fetch_scope::kChanges;
-    section_version after;
-    document_version newest;
-    std::vector<section_ptr> records;
-  };
-
   void Proceed(steady_time now, follower_actions& out);
   void Publish(follower_actions& out);
   void AcceptChange(steady_time now, const change_push& push,
@@ -115,9 +105,12 @@
   void FetchChanges(steady_time now, follower_actions& out);
   void FetchWorkspaces(steady_time now, follower_actions& out);
   void FetchNamed(steady_time now, follower_actions& out);
-  void TakeChanges(steady_time now, const fetch_reply& reply,
-                   follower_actions& out);
-  void TakeWorkspaces(const fetch_reply& reply, follower_actions& out);
+  /// The request that a reply answers, taken out of its slot.
+  std::optional<fetch_request> TakeRequest(const vm_id& from, std::uint64_t id);
+  void TakeChanges(steady_time now, const fetch_request& request,
+                   const fetch_reply& reply, follower_actions& out);
+  void TakeWorkspaces(const fetch_request& request, const fetch_reply& reply,
+                      follower_actions& out);
   void TakeNamed(const fetch_request& request, const fetch_reply& reply,
                  follower_actions& out);
   void AnswerFromComplete(follower_actions& out);
@@ -138,7 +131,11 @@
   fetch_slot changes_;
   fetch_slot workspaces_;
   fetch_slot named_;
-  std::uint64_t next_fetch_ = 1;
+  /// Requests whose time has passed but whose replies may still come.
+  std::deque<open_fetch> late_;
+  /// Starts at random, so that a late reply to an earlier life of this VM is
+  /// not taken for the reply to a request of this life.
+  std::uint64_t next_fetch_;
   std::optional<steady_time> first_heard_;
   std::optional<steady_time> behind_since_;
 };
--- a/source/process/control/version_follower_fetch.cc
+++ b/source/process/control/version_follower_fetch.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kNamesOfOneFetch = 8;
+constexpr std::size_t kMostLate = 8;
 
 const section_ptr* FindRecord(const fetch_reply& reply,
                               const section_name& name) {
@@ -30,16 +31,35 @@
 void version_follower::Expire(steady_time now, fetch_slot& slot) {
   if (!slot || now < slot->deadline) return;
   peers_.Avoid(slot->peer, slot->request.scope, now + options_.avoid);
+  // A reply that is late on a slow path has cost its bytes, so it still counts.
+  late_.push_back(std::move(*slot));
+  if (late_.size() > kMostLate) late_.pop_front();
   slot.reset();
 }
 
+std::optional<fetch_request> version_follower::TakeRequest(const vm_id& from,
+                                                           std::uint64_t id) {
+  const auto matches = [&](const open_fetch& fetch) {
+    return fetch.request.id == id && fetch.peer == from;
+  };
+  for (fetch_slot* slot : {&changes_, &workspaces_, &named_}) {
+    if (!*slot || !matches(**slot)) continue;
+    return std::exchange(*slot, std::nullopt)->request;
+  }
+  const auto late = std::find_if(late_.begin(), late_.end(), matches);
+  if (late == late_.end()) return std::nullopt;
+  fetch_request request = std::move(late->request);
+  late_.erase(late);
+  return request;
+}
+
 bool version_follower::Send(steady_time now, fetch_slot& slot,
                             document_version least, fetch_request request,
                             follower_actions& out) {
   auto peer = peers_.Choose(now, request.scope, least, random_);
   if (!peer) return false;
   request.id = next_fetch_++;
-  slot = open_fetch{request.id, *peer, now + options_.fetch_timeout, request};
+  slot = open_fetch{*peer, now + options_.fetch_timeout, request};
   out.push_back(send_fetch{std::move(*peer), std::move(request)});
   return true;
 }
@@ -47,6 +67,7 @@
 bool version_follower::MayFetchChanges(steady_time now) {
   if (peers_.newest() <= held_.version()) {
     behind_since_.reset();
+    staged_.reset();
     return false;
   }
   if (!behind_since_) behind_since_ = now;
@@ -60,8 +81,13 @@
 
 void version_follower::FetchChanges(steady_time now, follower_actions& out) {
   if (changes_ || !MayFetchChanges(now)) return;
+  // The peers that could complete the staged version may be out of reach.
+  if (staged_ && now >= staged_->progressed + options_.staging_timeout) {
+    staged_.reset();
+  }
   if (!staged_) {
     staged_.emplace();
+    staged_->progressed = now;
     const bool fresh = held_.version().value() == 0;
     staged_->scope = fresh ? fetch_scope::kBase : fetch_scope::kChanges;
     staged_->after = section_version(held_.version().value());
@@ -75,8 +101,7 @@
       std::max(staged_->newest, held_.version().Next());
   const document_version newest = std::max(least, peers_.newest());
   if (Send(now, changes_, newest, request, out)) return;
-  if (Send(now, changes_, least, request, out)) return;
-  staged_.reset();
+  Send(now, changes_, least, request, out);
 }
 
 void version_follower::FetchWorkspaces(steady_time now, follower_actions& out) {
@@ -123,37 +148,45 @@
                                                 const fetch_reply& reply) {
   follower_actions out;
   bucket_.Debit(now, SizeOf(reply));
-  for (fetch_slot* slot : {&changes_, &workspaces_, &named_}) {
-    if (!*slot || (*slot)->id != reply.id || (*slot)->peer != from) continue;
-    const fetch_request request = (*slot)->request;
-    slot->reset();
-    const bool usable = Fits(request, reply);
-    if (!usable || reply.status != fetch_status::kOk) {
-      peers_.Avoid(from, request.scope, now + options_.avoid);
+  if (const auto request = TakeRequest(from, reply.id)) {
+    // A peer that is busy can still complete the staged version.
+    if (staged_ && reply.version >= staged_->newest) {
+      staged_->progressed = now;
     }
-    if (!usable) break;
-    if (request.scope == fetch_scope::kNamed) {
-      TakeNamed(request, reply, out);
-    } else if (reply.status != fetch_status::kOk) {
-      break;
-    } else if (request.scope == fetch_scope::kWorkspaces) {
-      TakeWorkspaces(reply, out);
-    } else {
-      TakeChanges(now, reply, out);
+    const bool usable = Fits(*request, reply);
+    const bool complete = usable && reply.status == fetch_status::kOk;
+    if (!complete) {
+      peers_.Avoid(from, request->scope, now + options_.avoid);
+    }
+    if (usable && request->scope == fetch_scope::kNamed) {
+      TakeNamed(*request, reply, out);
+    } else if (complete && request->scope == fetch_scope::kWorkspaces) {
+      TakeWorkspaces(*request, reply, out);
+    } else if (complete) {
+      TakeChanges(now, *request, reply, out);
     }
-    break;
   }
   Proceed(now, out);
   return out;
 }
 
-void version_follower::TakeChanges(steady_time now, const fetch_reply& reply,
+void version_follower::TakeChanges(steady_time now,
+                                   const fetch_request& request,
+                                   const fetch_reply& reply,
                                    follower_actions& out) {
-  if (!staged_) return;
-  if (reply.version < staged_->newest) {
+  if (!staged_ || staged_->scope != request.scope ||
+      staged_->after != request.after) {
+    return;
+  }
+  // A VM that meanwhile installed the first versions from pushes holds
+  // workspace sections, which a base would leave at old versions.
+  const bool needless_base =
+      staged_->scope == fetch_scope::kBase && held_.version().value() > 0;
+  if (needless_base || reply.version < staged_->newest) {
     staged_.reset();
     return;
   }
+  staged_->progressed = now;
   staged_->newest = reply.version;
   staged_->after = reply.through;
   auto& records = staged_->records;
@@ -171,8 +204,10 @@
   Publish(out);
 }
 
-void version_follower::TakeWorkspaces(const fetch_reply& reply,
+void version_follower::TakeWorkspaces(const fetch_request& request,
+                                      const fetch_reply& reply,
                                       follower_actions& out) {
+  if (request.after > held_.filled_through()) return;
   held_.Fill(reply.records, reply.through, reply.version);
   Publish(out);
 }
