--- a/tests/request/stream_relay_test.cc
+++ b/tests/request/stream_relay_test.cc
@@ -111,6 +111,11 @@
     CPPUNIT_ASSERT_EQUAL(Event("a", kWorld), output);
     CPPUNIT_ASSERT_EQUAL(std::string("hello world"), relay.text());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, relay.events());
+    // Some engines send the role together with the first text.
+    output.clear();
+    const std::string both = R"({"role":"assistant","content":" world"})";
+    CPPUNIT_ASSERT(relay.Feed(Event("b", both), output).has_value());
+    CPPUNIT_ASSERT_EQUAL(Event("a", kWorld), output);
   }
 
   // Guards against an endpoint's fault being passed on as part of the response.
