--- a/source/process/admission/limit_types.h
+++ b/source/process/admission/limit_types.h
@@ -37,7 +37,7 @@
   std::chrono::microseconds fleet_settle = std::chrono::seconds(30);
   /// Size of a token bucket, as time at its rate. With 1 s, a demand of a few
   /// requests a second on each of 330 VMs varies so much that 12% are refused
-  /// at 0.9 of the limit; with 4 s 0.3% are (benchmark scenario wide_demand).
+  /// at 0.9 of the limit; with 4 s 0.5% are (benchmark scenario wide_demand).
   std::chrono::microseconds burst = std::chrono::seconds(4);
   /// Bound of the bytes per second that this VM sends for limits.
   double bytes_per_second = 1000;
