--- a/tests/replication/group_test.cc
+++ b/tests/replication/group_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(isolated_leader_steps_down_and_refuses_proposals);
   CPPUNIT_TEST(read_without_lease_is_confirmed_by_a_majority);
   CPPUNIT_TEST(lost_voter_is_replaced_and_second_loss_survived);
+  CPPUNIT_TEST(lost_failure_domain_is_survived_and_one_more_vm);
   CPPUNIT_TEST(leaving_leader_hands_over_and_is_removed);
   CPPUNIT_TEST(older_disk_is_detected_before_it_votes);
   CPPUNIT_TEST(first_vm_with_new_disk_joins_and_founds_no_group);
@@ -139,6 +140,30 @@
     CPPUNIT_ASSERT(c.committed() > before);
   }
 
+  // Guards against voters placed so that one failure domain holds a majority:
+  // the first domain, which holds two voters, is lost, then another VM.
+  void lost_failure_domain_is_survived_and_one_more_vm() {
+    for (std::size_t domains : {3, 4}) {
+      cluster_options options;
+      options.domains = domains;
+      cluster c(options);
+      WaitForLeader(c);
+      c.Run(seconds(5));
+      c.Kill(0);
+      c.Kill(domains);
+      WaitForLeader(c);
+      c.Run(seconds(20));
+      c.Kill(1);
+      const std::uint64_t before = c.committed();
+      CPPUNIT_ASSERT(c.RunUntil(
+          [&] {
+            if (auto leader = c.Leader()) c.Propose(*leader, "x");
+            return c.committed() > before;
+          },
+          seconds(5)));
+    }
+  }
+
   // Guards against a planned shutdown that costs an election timeout.
   void leaving_leader_hands_over_and_is_removed() {
     cluster c = Started();
