replication: test the promise of a restarted voter

Cause: a mutant that votes at once after a restart passed 10,000 schedules. Change: a directed test cuts one member off and restarts the voter that supports the lease; the mutant fails it with two leases.

--- a/tests/replication/group_test.cc
+++ b/tests/replication/group_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(isolated_member_returning_leaves_leader_and_term);
   CPPUNIT_TEST(leader_lost_next_commit_comes_within_two_seconds);
   CPPUNIT_TEST(frozen_leader_resuming_holds_no_lease);
+  CPPUNIT_TEST(restarted_voter_keeps_its_promise_to_the_leader);
   CPPUNIT_TEST(isolated_leader_steps_down_and_refuses_proposals);
   CPPUNIT_TEST(read_without_lease_is_confirmed_by_a_majority);
   CPPUNIT_TEST(lost_voter_is_replaced_and_second_loss_survived);
@@ -96,6 +97,28 @@
                    propose_error::kNotLeader);
   }
 
+  // Guards against two leases: a voter that supports the leader's lease
+  // restarts, forgets that, and votes for a member cut off from the leader.
+  void restarted_voter_keeps_its_promise_to_the_leader() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      cluster_options options;
+      options.vms = options.voters = 3;
+      options.seed = seed;
+      cluster c(options);
+      const std::size_t leader = WaitForLeader(c);
+      c.Run(seconds(2));
+      const std::size_t other = (leader + 1) % 3;
+      const std::size_t voter = (leader + 2) % 3;
+      c.Cut(leader, other);
+      c.Cut(other, leader);
+      c.Run(seconds(3));
+      c.Kill(voter);
+      c.Start(voter);
+      c.Run(milliseconds(1200));
+      CPPUNIT_ASSERT_EQUAL(std::string(), c.violation());
+    }
+  }
+
   // Guards against a cut-off leader that keeps accepting work.
   void isolated_leader_steps_down_and_refuses_proposals() {
     cluster c = Started();
