--- a/tests/replication/group_test.cc
+++ b/tests/replication/group_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(lost_voter_is_replaced_and_second_loss_survived);
   CPPUNIT_TEST(lost_failure_domain_is_survived_and_one_more_vm);
   CPPUNIT_TEST(leaving_leader_hands_over_and_is_removed);
+  CPPUNIT_TEST(vote_request_to_an_earlier_disk_is_not_answered);
   CPPUNIT_TEST(older_disk_is_detected_before_it_votes);
   CPPUNIT_TEST(first_vm_with_new_disk_joins_and_founds_no_group);
   CPPUNIT_TEST(standby_far_behind_receives_a_snapshot_in_parts);
@@ -200,6 +201,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{5}, Voters(c));
   }
 
+  // Guards against a vote under an identity whose promises are unknown here.
+  void vote_request_to_an_earlier_disk_is_not_answered() {
+    raft_start start;
+    start.self = {vm_id("a"), disk_id(2)};
+    steady_time now;
+    raft_node node(
+        {}, start, [] { return std::uint64_t{1}; }, now);
+    node.SyncCompleted(node.TakeOutput().writes->ticket, now);
+    now += seconds(10);
+    raft_message request{Member("b"),
+                         {vm_id("a"), disk_id(1)},
+                         log_term(2),
+                         vote_request{false, false, log_index(1), log_term(1)}};
+    node.Receive(request, now);
+    raft_output output = node.TakeOutput();
+    CPPUNIT_ASSERT(output.messages.empty() && !output.writes);
+    request.to.disk = disk_id(2);
+    node.Receive(request, now);
+    output = node.TakeOutput();
+    // The vote itself is sent only after its sync.
+    CPPUNIT_ASSERT(output.messages.empty() && output.writes);
+    node.SyncCompleted(output.writes->ticket, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node.TakeOutput().messages.size());
+  }
+
   // Guards against a vote that a restored disk has forgotten.
   void older_disk_is_detected_before_it_votes() {
     cluster c = Started();
