--- a/source/process/replication/raft_membership.cc
+++ b/source/process/replication/raft_membership.cc
@@ -66,7 +66,10 @@
   std::vector<member_health> health;
   for (const auto& [id, progress] : progress_) {
     const std::chrono::microseconds silent = now - progress.last_heard;
-    const bool caught_up = progress.match.value() > 0 &&
+    // A standby is promoted only when heard from lately, although it is asked
+    // seldom: a lost one would raise the quorum for nothing.
+    const bool caught_up = silent < settings_.election_timeout_min &&
+                           progress.match.value() > 0 &&
                            progress.match.value() + settings_.promotion_lag >=
                                log_.last_index().value();
     health.push_back(
