choice: weigh recomputing against waiting and bound loads with a margin

Walking on at the first endpoint over its bound cost cached prefixes whenever reports lagged. The first three endpoints of the order are now compared by the seconds to recompute the prompt and to wait, within the bound. Endpoints without recent reports no longer pull the mean down. test_choice passes.

--- a/source/process/choice/endpoint_chooser.cc
+++ b/source/process/choice/endpoint_chooser.cc
@@ -1,13 +1,17 @@
 #include "process/choice/endpoint_chooser.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace marjoramsill {
 namespace {
 
 /// Ring points read before the members are scanned in turn.
-constexpr std::uint32_t kMostSteps = 48;
+constexpr std::uint32_t kMostSteps = 64;
+/// Endpoints in the order of a key whose costs are compared.
+constexpr std::uint32_t kRanks = 3;
+constexpr std::size_t kMostRanks = 16;
 constexpr std::size_t kCounts = 1024;
 /// Counts of keys fall by half in this time.
 constexpr std::chrono::seconds kHalfLife{10};
@@ -60,12 +64,7 @@
   for (key_count& known : counts_) known.count /= 2;
 }
 
-double endpoint_chooser::Relative(endpoint_index index) const {
-  return loads_.Estimate(index) /
-         static_cast<double>(table_->endpoints()[index].capacity);
-}
-
-bool endpoint_chooser::Accepts(search& found, endpoint_index index) const {
+bool endpoint_chooser::IsUsable(search& found, endpoint_index index) const {
   ++found.examined;
   const auto& excluded = found.request.excluded;
   if (std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
@@ -80,41 +79,76 @@
     return false;
   }
   found.any_fresh = true;
-  return loads_.HasRoom(index, found.now);
+  return true;
+}
+
+bool endpoint_chooser::IsWithin(search& found, endpoint_index index,
+                                bool safely) const {
+  const std::uint32_t bound =
+      safely ? loads_.SafeBound(index, found.now) : loads_.Bound(index);
+  return loads_.Expected(index, found.now) <= bound;
 }
 
-// Several homes share the load of a hot key; the others overflow to the next
-// endpoint on the ring, which is the same one on every VM.
-std::optional<endpoint_index> endpoint_chooser::Walk(
-    search& found, const placement::domain_ring& ring,
-    std::uint32_t homes) const {
+// Seconds until the first token: computing the prompt where no cache holds
+// it, and waiting for the requests above the safe bound to end.
+double endpoint_chooser::CostOf(const search& found, endpoint_index index,
+                                std::uint32_t rank) const {
+  const double recompute =
+      rank < found.homes
+          ? 0
+          : static_cast<double>(found.request.prefix_tokens.value()) /
+                table_->endpoints()[index].prefill_rate;
+  const double expected = loads_.Expected(index, found.now);
+  const double over =
+      std::max(0.0, expected - loads_.SafeBound(index, found.now));
+  // Among equal homes of a hot key the less loaded one is taken.
+  const double relative = 0.01 * expected / table_->endpoints()[index].capacity;
+  return recompute + over * loads_.SecondsPerRequest(index) + relative;
+}
+
+// The first endpoints in the order of the key; overflow goes to the next one
+// on the ring, which is the same one on every VM.
+std::optional<endpoint_index> endpoint_chooser::Cheapest(
+    search& found, const placement::domain_ring& ring, bool safely) const {
   const std::size_t count = ring.points.size();
   auto at = static_cast<std::size_t>(std::lower_bound(ring.points.begin(),
                                                       ring.points.end(),
                                                       found.request.key) -
                                      ring.points.begin());
+  std::array<endpoint_index, kMostRanks> seen{};
+  std::uint32_t ranks = 0;
   std::optional<endpoint_index> best;
-  endpoint_index last = ~endpoint_index{0};
-  std::uint32_t accepted = 0;
+  double least = 0;
+  const std::uint32_t wanted = std::max(kRanks, found.homes);
   for (std::uint32_t step = 0; step < kMostSteps && step < count; ++step) {
     if (at >= count) at = 0;
     const endpoint_index index = ring.owners[at++];
-    if (index == last || index == best) continue;
-    last = index;
-    if (!Accepts(found, index)) continue;
-    if (!best.has_value() || Relative(index) < Relative(*best)) best = index;
-    if (++accepted >= homes) break;
+    if (std::find(seen.begin(), seen.begin() + ranks, index) !=
+        seen.begin() + ranks) {
+      continue;
+    }
+    if (!IsUsable(found, index)) continue;
+    seen.at(ranks) = index;
+    const std::uint32_t rank = ranks++;
+    if (IsWithin(found, index, safely)) {
+      const double cost = CostOf(found, index, rank);
+      if (!best.has_value() || cost < least) {
+        best = index;
+        least = cost;
+      }
+    }
+    if (ranks >= wanted) break;
   }
   return best;
 }
 
 std::optional<endpoint_index> endpoint_chooser::Scan(
-    search& found, const placement::domain_ring& ring) const {
+    search& found, const placement::domain_ring& ring, bool safely) const {
   const std::size_t count = ring.members.size();
   std::size_t at = found.request.key % count;
   for (std::size_t i = 0; i < count; ++i) {
     const endpoint_index index = ring.members[at];
-    if (Accepts(found, index)) return index;
+    if (IsUsable(found, index) && IsWithin(found, index, safely)) return index;
     if (++at == count) at = 0;
   }
   return std::nullopt;
@@ -125,10 +159,12 @@
   if (hint.tag != TagOf(found.request.key)) return std::nullopt;
   const placement_endpoint& endpoint = table_->endpoints()[hint.index];
   if (endpoint.domain != settings_.own_domain) return std::nullopt;
-  search probe = found;
-  const bool accepted = Accepts(probe, hint.index);
+  // Judged apart: a hint says nothing about the order of the key.
+  search apart = found;
+  const bool taken =
+      IsUsable(apart, hint.index) && IsWithin(apart, hint.index, true);
   ++found.examined;
-  return accepted ? std::optional(hint.index) : std::nullopt;
+  return taken ? std::optional(hint.index) : std::nullopt;
 }
 
 std::uint32_t endpoint_chooser::HomesOf(std::uint64_t key) const {
@@ -138,24 +174,50 @@
       own_ring_.has_value() ? table_->rings()[*own_ring_].members.size()
                             : table_->endpoints().size());
   const double homes = known.count / sent_ * endpoints / settings_.hot_share;
-  return static_cast<std::uint32_t>(
-      std::clamp(homes, 1.0, static_cast<double>(settings_.most_homes)));
+  return static_cast<std::uint32_t>(std::clamp(
+      homes, 1.0, std::min<double>(settings_.most_homes, kMostRanks)));
+}
+
+// Empty when every endpoint of the own failure domain is at its safe bound.
+// Above it the VMs' views no longer keep the real load within the bound.
+std::optional<endpoint_index> endpoint_chooser::InOwnDomain(
+    search& found) const {
+  if (!own_ring_.has_value()) return std::nullopt;
+  const auto& ring = table_->rings()[*own_ring_];
+  const auto cheapest = Cheapest(found, ring, false);
+  if (cheapest.has_value() && IsWithin(found, *cheapest, true)) {
+    return cheapest;
+  }
+  const auto other = Scan(found, ring, true);
+  return cheapest.has_value() && other.has_value() ? cheapest : other;
+}
+
+std::optional<endpoint_index> endpoint_chooser::InOtherDomains(
+    search& found, bool safely) const {
+  const auto& rings = table_->rings();
+  const std::size_t first = own_ring_.value_or(0);
+  for (std::size_t i = 0; i < rings.size(); ++i) {
+    const std::size_t at = (first + i) % rings.size();
+    if (at == own_ring_) continue;
+    auto chosen = Cheapest(found, rings[at], safely);
+    if (!chosen.has_value()) chosen = Scan(found, rings[at], safely);
+    if (chosen.has_value()) return chosen;
+  }
+  return std::nullopt;
 }
 
 result<endpoint_choice, choice_failure> endpoint_chooser::Choose(
     const choice_request& request, steady_time now) {
-  search found{request, now, 0, false, std::nullopt, std::nullopt};
-  const std::uint32_t homes = HomesOf(request.key);
+  search found{request, now,          HomesOf(request.key), 0,
+               false,   std::nullopt, std::nullopt};
   std::optional<endpoint_index> chosen;
-  if (homes == 1) chosen = Hinted(found);
-  const std::size_t rings = table_->rings().size();
-  const std::size_t first =
-      own_ring_.value_or(request.key % std::max<std::size_t>(rings, 1));
-  for (std::size_t i = 0; i < rings && !chosen.has_value(); ++i) {
-    const auto& ring = table_->rings()[(first + i) % rings];
-    chosen = Walk(found, ring, homes);
-    if (!chosen.has_value()) chosen = Scan(found, ring);
+  if (found.homes == 1) chosen = Hinted(found);
+  if (!chosen.has_value()) chosen = InOwnDomain(found);
+  if (!chosen.has_value()) chosen = InOtherDomains(found, true);
+  if (!chosen.has_value() && own_ring_.has_value()) {
+    chosen = Scan(found, table_->rings()[*own_ring_], false);
   }
+  if (!chosen.has_value()) chosen = InOtherDomains(found, false);
   if (chosen.has_value()) {
     return endpoint_choice{*chosen, found.examined, found.first == chosen,
                            found.probe};
--- a/source/process/choice/endpoint_chooser.h
+++ b/source/process/choice/endpoint_chooser.h
@@ -106,21 +106,28 @@
   struct search {
     const choice_request& request;
     steady_time now;
+    std::uint32_t homes = 1;
     std::uint32_t examined = 0;
     bool any_fresh = false;
     std::optional<endpoint_index> first;
     std::optional<endpoint_index> probe;
   };
 
-  bool Accepts(search& found, endpoint_index index) const;
-  std::optional<endpoint_index> Walk(search& found,
-                                     const placement::domain_ring& ring,
-                                     std::uint32_t homes) const;
+  bool IsUsable(search& found, endpoint_index index) const;
+  bool IsWithin(search& found, endpoint_index index, bool safely) const;
+  std::optional<endpoint_index> Cheapest(search& found,
+                                         const placement::domain_ring& ring,
+                                         bool safely) const;
+  std::optional<endpoint_index> InOwnDomain(search& found) const;
+  std::optional<endpoint_index> InOtherDomains(search& found,
+                                               bool safely) const;
+  double CostOf(const search& found, endpoint_index index,
+                std::uint32_t rank) const;
   std::optional<endpoint_index> Scan(search& found,
-                                     const placement::domain_ring& ring) const;
+                                     const placement::domain_ring& ring,
+                                     bool safely) const;
   std::optional<endpoint_index> Hinted(search& found) const;
   std::uint32_t HomesOf(std::uint64_t key) const;
-  double Relative(endpoint_index index) const;
 
   endpoint_chooser_settings settings_;
   std::shared_ptr<const placement> table_;
--- a/source/process/choice/load_table.cc
+++ b/source/process/choice/load_table.cc
@@ -91,54 +91,77 @@
     finished_ = 0;
   }
   last_tick_ = now;
+  // An endpoint without a recent report would pull the mean towards zero.
+  Sum(now, true);
+  if (total_capacity_ == 0) Sum(now, false);
+  // Part of the requests in flight that ends in a second, by Little's law
+  // from this VM's own requests.
+  turnover_ = own_in_flight_ == 0
+                  ? 0
+                  : finish_rate_ / static_cast<double>(own_in_flight_);
+}
+
+void load_table::Sum(steady_time now, bool reported_only) {
   total_load_ = 0;
   total_capacity_ = 0;
   for (endpoint_index i = 0; i < entries_.size(); ++i) {
     entry& known = entries_[i];
-    known.counted = known.admitted && now < known.fresh_until;
+    known.counted =
+        known.admitted && now < known.fresh_until &&
+        (!reported_only || (known.reported_at != steady_time::min() &&
+                            now - known.reported_at < settings_.mean_report));
     if (!known.counted) continue;
     total_load_ += Estimate(i);
     total_capacity_ += known.capacity;
   }
-  // Part of the requests in flight that ends in a second, by Little's law
-  // from this VM's own requests.
-  turnover_ = own_in_flight_ == 0
-                  ? 0
-                  : finish_rate_ / static_cast<double>(own_in_flight_);
 }
 
-double load_table::MeanPerSlot() const {
-  if (total_capacity_ == 0) return 0;
-  return static_cast<double>(total_load_) /
+double load_table::ShareOf(endpoint_index index) const {
+  if (total_capacity_ == 0) return 1;
+  return static_cast<double>(total_load_ + 1) * entries_[index].capacity /
          static_cast<double>(total_capacity_);
 }
 
+std::chrono::microseconds load_table::ReportAge(endpoint_index index,
+                                                steady_time now) const {
+  const steady_time at = entries_[index].reported_at;
+  if (at == steady_time::min()) return settings_.oldest_report;
+  return std::clamp<std::chrono::microseconds>(
+      now - at, std::chrono::microseconds(0), settings_.oldest_report);
+}
+
+std::uint32_t load_table::Bound(endpoint_index index) const {
+  return static_cast<std::uint32_t>(
+      std::ceil(settings_.load_multiple * ShareOf(index)));
+}
+
 // Since the report about share * turnover * age requests of other VMs have
 // come and as many have gone; the difference has a deviation of the square
 // root of their sum.
-std::uint32_t load_table::Bound(endpoint_index index, steady_time now) const {
-  if (total_capacity_ == 0) return 1;
-  const entry& known = entries_[index];
-  const double share = static_cast<double>(total_load_ + 1) * known.capacity /
-                       static_cast<double>(total_capacity_);
-  const auto age = std::min<std::chrono::microseconds>(
-      known.reported_at == steady_time::min()
-          ? std::chrono::microseconds(settings_.oldest_report)
-          : now - known.reported_at,
-      settings_.oldest_report);
+std::uint32_t load_table::SafeBound(endpoint_index index,
+                                    steady_time now) const {
+  const double share = ShareOf(index);
   const double seconds =
-      std::max(0.0, std::chrono::duration<double>(age).count());
-  const double others =
-      total_load_ == 0
-          ? 0
-          : 1.0 - std::min(1.0, static_cast<double>(own_in_flight_) /
-                                    static_cast<double>(total_load_));
-  const double margin =
-      settings_.margin_deviations *
-      std::sqrt(2.0 * share * others * std::min(2.0, turnover_ * seconds));
-  const double bound =
-      std::ceil(settings_.load_multiple * share) - std::ceil(margin);
+      std::chrono::duration<double>(ReportAge(index, now)).count();
+  const double own = static_cast<double>(own_in_flight_) /
+                     std::max(1.0, static_cast<double>(total_load_));
+  const double changed =
+      2.0 * share * std::max(0.0, 1.0 - own) * turnover_ * seconds;
+  const double margin = settings_.margin_deviations * std::sqrt(changed);
+  const double bound = std::ceil(settings_.load_multiple * share - margin);
   return static_cast<std::uint32_t>(std::max(bound, std::ceil(share)));
 }
 
+std::uint32_t load_table::Expected(endpoint_index index,
+                                   steady_time now) const {
+  const std::uint32_t estimate = Estimate(index);
+  if (ReportAge(index, now) < settings_.oldest_report) return estimate + 1;
+  return std::max(estimate, static_cast<std::uint32_t>(ShareOf(index))) + 1;
+}
+
+double load_table::SecondsPerRequest(endpoint_index index) const {
+  if (turnover_ <= 0) return 0.1;
+  return 1.0 / (turnover_ * entries_[index].capacity);
+}
+
 }  // namespace marjoramsill
--- a/source/process/choice/load_table.h
+++ b/source/process/choice/load_table.h
@@ -16,9 +16,13 @@
   double load_multiple = 1.25;
   /// Margin for work of other VMs that no report shows yet, in standard
   /// deviations of its expected change since the report.
-  double margin_deviations = 1.0;
+  double margin_deviations = 1.5;
   /// Reports older than this widen the margin no further.
   std::chrono::milliseconds oldest_report{3000};
+  /// Reports up to this age count in the mean. Loads of other failure domains
+  /// come tens of seconds late, and without them a failure domain that has
+  /// lost endpoints takes its own high load for the mean.
+  std::chrono::milliseconds mean_report{60000};
 };
 
 /// What the membership module knows about one endpoint.
@@ -44,7 +48,8 @@
                 steady_time as_of);
   void OnSent(endpoint_index index, steady_time now);
   void OnFinished(endpoint_index index, steady_time now);
-  /// Recomputes the sums over the usable endpoints; call every 100 ms.
+  /// Recomputes the sums over the usable endpoints with recent reports; call
+  /// every 100 ms.
   void Tick(steady_time now);
 
   bool IsFresh(endpoint_index index, steady_time now) const {
@@ -59,13 +64,16 @@
   }
   /// Requests that the endpoint may hold, a new one included: its share of
   /// the multiple of the mean, rounded up, where the mean counts the new one.
-  /// The margin lowers this at most to the share of the mean, rounded up.
-  std::uint32_t Bound(endpoint_index index, steady_time now) const;
-  /// True when one more request keeps the endpoint within its bound.
-  bool HasRoom(endpoint_index index, steady_time now) const {
-    return Estimate(index) + 1 <= Bound(index, now);
-  }
-  double MeanPerSlot() const;
+  std::uint32_t Bound(endpoint_index index) const;
+  /// The bound less the margin, but at least the share of the mean, rounded
+  /// up; work above this costs queueing on some VM's view.
+  std::uint32_t SafeBound(endpoint_index index, steady_time now) const;
+  /// Estimate with a new request; a report that is too old counts as at least
+  /// the mean, because an endpoint that nobody has reported looks idle.
+  std::uint32_t Expected(endpoint_index index, steady_time now) const;
+  /// Expected wait for each request above the safe bound, in seconds: the
+  /// time until the endpoint ends one request.
+  double SecondsPerRequest(endpoint_index index) const;
 
  private:
   static constexpr std::size_t kEvents = 16;
@@ -87,6 +95,10 @@
     std::array<own_event, kEvents> events{};
   };
 
+  void Sum(steady_time now, bool reported_only);
+  double ShareOf(endpoint_index index) const;
+  std::chrono::microseconds ReportAge(endpoint_index index,
+                                      steady_time now) const;
   void Change(endpoint_index index, std::int32_t change, steady_time now);
   void Recount(endpoint_index index, std::uint32_t before);
 
--- a/source/process/choice/placement.cc
+++ b/source/process/choice/placement.cc
@@ -10,9 +10,9 @@
 
 /// Ring points for each batching slot. With 64 points or more the shares of
 /// equal endpoints differ by about an eighth.
-constexpr std::uint32_t kPointsPerSlot = 4;
+constexpr std::uint32_t kPointsPerSlot = 8;
 constexpr std::uint32_t kFewestPoints = 64;
-constexpr std::uint32_t kMostPoints = 256;
+constexpr std::uint32_t kMostPoints = 512;
 
 struct ring_point {
   std::uint64_t at;
--- /dev/null
+++ b/tests/choice/allocation_counter.h
@@ -0,0 +1,13 @@
+#ifndef MARJORAMSILL_TESTS_CHOICE_ALLOCATION_COUNTER_H_
+#define MARJORAMSILL_TESTS_CHOICE_ALLOCATION_COUNTER_H_
+
+#include <cstdint>
+
+namespace marjoramsill {
+
+/// Calls of operator new in this process so far.
+std::uint64_t AllocationCount();
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_TESTS_CHOICE_ALLOCATION_COUNTER_H_
