--- a/source/process/choice/placement.cc
+++ b/source/process/choice/placement.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace marjoramsill {
@@ -10,15 +11,17 @@
 
 /// Ring points for each batching slot. With 64 points or more the shares of
 /// equal endpoints differ by about an eighth.
-constexpr std::uint32_t kPointsPerSlot = 4;
+constexpr std::uint32_t kPointsPerSlot = 8;
 constexpr std::uint32_t kFewestPoints = 64;
-constexpr std::uint32_t kMostPoints = 256;
+constexpr std::uint32_t kMostPoints = 512;
 
 struct ring_point {
   std::uint64_t at;
   endpoint_index owner;
 
-  friend auto operator<=>(const ring_point&, const ring_point&) = default;
+  friend bool operator<(const ring_point& a, const ring_point& b) {
+    return std::tie(a.at, a.owner) < std::tie(b.at, b.owner);
+  }
 };
 
 placement::domain_ring BuildRing(
