daemon: follow the policy in load bound, retries, retention and fetching

Cause: a read-through found policy values that were accepted but not in force (load bound after the first version, retry budget, claim retention), workspaces that a fresh VM refused as unknown while it was still fetching them, admission that ignored the first-token target, a status that could not show leaving endpoints, and a settings bound too small for 330 VMs.

--- a/source/commands/command_line.cc
+++ b/source/commands/command_line.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "commands/command.h"
+#include "connection/socket_address.h"
 
 namespace marjoramsill {
 namespace {
@@ -95,9 +96,16 @@
 }  // namespace
 
 void AddControlOption(options::options_description& described) {
-  described.add_options()(
-      "control", options::value<std::string>()->default_value("127.0.0.1:8200"),
-      "IP:PORT of a VM's control address");
+  described.add_options()("control",
+                          options::value<std::string>()
+                              ->default_value("127.0.0.1:8200")
+                              ->notifier([](const std::string& text) {
+                                if (ParseSocketAddress(text)) return;
+                                throw options::error("--control: found \"" +
+                                                     text +
+                                                     "\", allowed is IP:PORT");
+                              }),
+                          "IP:PORT of a VM's control address");
 }
 
 int RunCommandLine(int argc, char** argv) {
--- a/source/commands/control_client.cc
+++ b/source/commands/control_client.cc
@@ -8,16 +8,10 @@
 
 #include "connection/endpoint_call.h"
 #include "connection/endpoint_client.h"
-#include "connection/socket_address.h"
 
 namespace marjoramsill {
 
 std::optional<control_answer> Fetch(const control_request& request) {
-  if (!ParseSocketAddress(request.address)) {
-    std::cerr << "marjoramsill: --control: found \"" << request.address
-              << "\", allowed is IP:PORT\n";
-    return std::nullopt;
-  }
   const auto answer = std::make_shared<control_answer>();
   const auto ended = std::make_shared<std::promise<endpoint_call_end>>();
   endpoint_call call;
--- a/source/connection/http2_session.cc
+++ b/source/connection/http2_session.cc
@@ -106,11 +106,13 @@
 
 http2_session::http2_session(role side, std::unique_ptr<byte_stream> stream,
                              message_handler handle,
-                             std::function<void()> on_closed)
+                             std::function<void()> on_closed,
+                             std::atomic<std::uint64_t>& sent_bytes)
     : role_(side),
       stream_(std::move(stream)),
       handle_(std::move(handle)),
-      on_closed_(std::move(on_closed)) {
+      on_closed_(std::move(on_closed)),
+      sent_bytes_(sent_bytes) {
   CreateSession();
 }
 
@@ -235,7 +237,7 @@
           self->Close();
           return;
         }
-        self->received_bytes_ += count;
+
         self->in_nghttp2_ = true;
         const ssize_t used = nghttp2_session_mem_recv(
             self->session_, self->input_.data(), count);
--- a/source/connection/http2_session.h
+++ b/source/connection/http2_session.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_CONNECTION_HTTP2_SESSION_H_
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -30,8 +31,11 @@
   using answer_handler = std::function<void(result<std::string, peer_error>)>;
 
   /// The handler is used by a server session only. `on_closed` runs once.
+  /// Bytes of HTTP/2 frames, before TLS, are added to `sent_bytes`, which
+  /// outlives the session.
   http2_session(role side, std::unique_ptr<byte_stream> stream,
-                message_handler handle, std::function<void()> on_closed);
+                message_handler handle, std::function<void()> on_closed,
+                std::atomic<std::uint64_t>& sent_bytes);
   ~http2_session();
   http2_session(const http2_session&) = delete;
   http2_session& operator=(const http2_session&) = delete;
@@ -44,9 +48,6 @@
   void Close();
 
   bool is_closed() const { return closed_; }
-  /// Bytes of HTTP/2 frames, before TLS.
-  std::uint64_t sent_bytes() const { return sent_bytes_; }
-  std::uint64_t received_bytes() const { return received_bytes_; }
 
  private:
   friend struct http2_callbacks;
@@ -79,8 +80,7 @@
   bool writing_ = false;
   bool in_nghttp2_ = false;
   bool closed_ = false;
-  std::uint64_t sent_bytes_ = 0;
-  std::uint64_t received_bytes_ = 0;
+  std::atomic<std::uint64_t>& sent_bytes_;
 };
 
 }  // namespace marjoramsill
--- a/source/connection/peer_channel.cc
+++ b/source/connection/peer_channel.cc
@@ -41,8 +41,13 @@
 
 peer_channel::peer_channel(asio::io_context& io,
                            const peer_transport_settings& settings,
-                           socket_address remote, tls_context_source* tls)
-    : io_(io), settings_(settings), remote_(std::move(remote)), tls_(tls) {}
+                           socket_address remote, tls_context_source* tls,
+                           std::atomic<std::uint64_t>& sent_bytes)
+    : io_(io),
+      settings_(settings),
+      remote_(std::move(remote)),
+      tls_(tls),
+      sent_bytes_(sent_bytes) {}
 
 peer_channel::~peer_channel() = default;
 
@@ -149,8 +154,9 @@
 
 void peer_channel::OnConnected(std::unique_ptr<byte_stream> stream) {
   connecting_ = false;
-  session_ = std::make_shared<http2_session>(
-      http2_session::role::kClient, std::move(stream), nullptr, nullptr);
+  session_ = std::make_shared<http2_session>(http2_session::role::kClient,
+                                             std::move(stream), nullptr,
+                                             nullptr, sent_bytes_);
   session_->Start();
   auto waiting = std::move(waiting_);
   waiting_.clear();
--- a/source/connection/peer_channel.h
+++ b/source/connection/peer_channel.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -28,9 +29,10 @@
  public:
   using answer_handler = std::function<void(result<std::string, peer_error>)>;
 
-  /// `tls` is null for plaintext. It must outlive the channel.
+  /// `tls` is null for plaintext. It and `sent_bytes` outlive the channel.
   peer_channel(asio::io_context& io, const peer_transport_settings& settings,
-               socket_address remote, tls_context_source* tls);
+               socket_address remote, tls_context_source* tls,
+               std::atomic<std::uint64_t>& sent_bytes);
   ~peer_channel();
   peer_channel(const peer_channel&) = delete;
   peer_channel& operator=(const peer_channel&) = delete;
@@ -56,6 +58,7 @@
   const peer_transport_settings settings_;
   const socket_address remote_;
   tls_context_source* const tls_;
+  std::atomic<std::uint64_t>& sent_bytes_;
   std::shared_ptr<http2_session> session_;
   std::vector<std::shared_ptr<pending_message>> waiting_;
   bool connecting_ = false;
--- a/source/connection/peer_transport.cc
+++ b/source/connection/peer_transport.cc
@@ -72,7 +72,6 @@
 
   void Send(const socket_address& remote, vm_message message,
             std::chrono::milliseconds timeout, answer_handler done) {
-    sent_bytes_ += message.body.size();
     message.from = settings_.vm;
     asio::post(io_, [this, remote, message = std::move(message), timeout,
                      done = std::move(done)]() mutable {
@@ -109,8 +108,8 @@
     const std::string name = FormatSocketAddress(remote);
     std::shared_ptr<peer_channel>& channel = channels_[name];
     if (!channel) {
-      channel = std::make_shared<peer_channel>(io_, settings_, remote,
-                                               tls_ ? &*tls_ : nullptr);
+      channel = std::make_shared<peer_channel>(
+          io_, settings_, remote, tls_ ? &*tls_ : nullptr, sent_bytes_);
     }
     return *channel;
   }
@@ -158,7 +157,7 @@
         [this](vm_message message, const reply& answer) {
           Handle(std::move(message), answer);
         },
-        [this, holder] { sessions_.erase(holder->lock()); });
+        [this, holder] { sessions_.erase(holder->lock()); }, sent_bytes_);
     *holder = session;
     sessions_.insert(session);
     session->Start();
@@ -166,7 +165,6 @@
 
   void Handle(vm_message message, const reply& answer) {
     handle_(std::move(message), [this, answer](std::string body) {
-      sent_bytes_ += body.size();
       asio::post(io_, [answer, body = std::move(body)]() mutable {
         answer(std::move(body));
       });
--- a/source/connection/peer_transport.h
+++ b/source/connection/peer_transport.h
@@ -39,7 +39,7 @@
   /// Closes all connections and ends the I/O thread.
   void Stop();
 
-  /// Message bytes sent since start, with answers, before HTTP/2 framing.
+  /// Bytes of HTTP/2 frames sent to other VMs since start, before TLS.
   std::uint64_t sent_bytes() const;
 
  private:
--- a/source/process/choice/endpoint_chooser.h
+++ b/source/process/choice/endpoint_chooser.h
@@ -73,6 +73,7 @@
   /// Replaces the placement after a change of the membership view; loads of
   /// endpoints that stay are kept.
   void SetPlacement(std::shared_ptr<const placement> table);
+  void SetLoadMultiple(double multiple) { loads_.SetLoadMultiple(multiple); }
   void SetCondition(endpoint_index index, const endpoint_condition& condition);
   /// A load report: requests in the engine at `as_of`, those of this VM
   /// included.
--- a/source/process/choice/load_table.h
+++ b/source/process/choice/load_table.h
@@ -42,6 +42,8 @@
   /// Starts anew for this placement; entries of endpoints that stay are kept.
   void Assign(const placement* before, const placement& table);
 
+  /// A new policy version; takes effect with the next choice.
+  void SetLoadMultiple(double multiple) { settings_.load_multiple = multiple; }
   void SetCondition(endpoint_index index, const endpoint_condition& condition);
   /// Requests in the engine at `as_of`, those of this VM included.
   void OnReport(endpoint_index index, std::uint32_t requests,
--- a/source/process/daemon/call_executor.cc
+++ b/source/process/daemon/call_executor.cc
@@ -33,12 +33,14 @@
   return events;
 }
 
-/// What a failure counts as; nothing when the caller's own requests with one
-/// key collide.
+/// What a failure counts as; nothing when an earlier request with the same key
+/// decides the answer, because that one is counted already.
 std::optional<service_event> EventOf(failure_kind kind) {
   switch (kind) {
     case failure_kind::kInProgress:
     case failure_kind::kKeyReused:
+    case failure_kind::kOutcomeUnknown:
+    case failure_kind::kResponseNotStored:
       return std::nullopt;
     case failure_kind::kNoEndpoint:
     case failure_kind::kClaimUnavailable:
@@ -70,8 +72,13 @@
   const bool late = rejection.kind == rejection_kind::kDeadline;
   refusal.kind =
       late ? problem_kind::kDeadlineExceeded : problem_kind::kOverloaded;
-  refusal.detail = late ? "the queue is longer than the deadline allows"
-                        : "the queue of this rank or workspace is full";
+  if (late) {
+    refusal.detail = "the queue is longer than the target or deadline allows";
+  } else if (rejection.kind == rejection_kind::kNoCapacity) {
+    refusal.detail = "no endpoint has offered capacity";
+  } else {
+    refusal.detail = "the queue of this rank or workspace is full";
+  }
   refusal.retry_after =
       std::chrono::ceil<std::chrono::milliseconds>(rejection.retry_after);
   return refusal;
@@ -107,9 +114,13 @@
   offer.workspace = workspace;
   offer.weight = std::max<double>(1, classified_.limits.weight);
   offer.cost = classified_.cost;
-  offer.deadline = arrived_ + classified_.deadline;
   offer.expected_service =
       std::chrono::microseconds(static_cast<std::int64_t>(service_us));
+  // A request that would start after its rank's target for the first token
+  // only takes capacity from one that can still meet it.
+  offer.deadline = std::min(
+      arrived_ + classified_.deadline,
+      arrived_ + classified_.first_token_target + offer.expected_service);
   return offer;
 }
 
@@ -383,20 +394,22 @@
 }
 
 void call_executor::Do(const send_claim& action) {
-  services_.send_claim(action.command, [self = shared_from_this()](
-                                           std::optional<claim_reply> reply) {
-    asio::post(self->strand_, [self, reply = std::move(reply)] {
-      self->Drive([&reply](auto& plan, steady_time now) -> call_actions {
-        using plan_type = std::decay_t<decltype(plan)>;
-        if constexpr (std::is_same_v<plan_type, claim_flow>) {
-          return reply ? plan.OnClaimReply(*reply, now)
-                       : plan.OnClaimUnavailable(now);
-        } else {
-          return {};
-        }
+  claim_command command = action.command;
+  command.retention = classified_.claim_retention;
+  services_.send_claim(
+      command, [self = shared_from_this()](std::optional<claim_reply> reply) {
+        asio::post(self->strand_, [self, reply = std::move(reply)] {
+          self->Drive([&reply](auto& plan, steady_time now) -> call_actions {
+            using plan_type = std::decay_t<decltype(plan)>;
+            if constexpr (std::is_same_v<plan_type, claim_flow>) {
+              return reply ? plan.OnClaimReply(*reply, now)
+                           : plan.OnClaimUnavailable(now);
+            } else {
+              return {};
+            }
+          });
+        });
       });
-    });
-  });
 }
 
 void call_executor::Do(const wake_at& action) {
--- a/source/process/daemon/claim_group.cc
+++ b/source/process/daemon/claim_group.cc
@@ -48,7 +48,7 @@
   if (!decoded) return std::nullopt;
   claim_command stamped = std::move(decoded).assume_value();
   stamped.time = clock_.Stamp(SteadyNow());
-  stamped.retention = kDefaultClaimRetention;
+
   return EncodeClaimCommand(stamped);
 }
 
--- a/source/process/daemon/fleet_membership.cc
+++ b/source/process/daemon/fleet_membership.cc
@@ -232,7 +232,7 @@
 std::vector<endpoint_status> fleet_membership::EndpointsOf(
     const model_id& pool) const {
   const std::lock_guard lock(mutex_);
-  return registry_.ForModel(pool);
+  return registry_.AllOfModel(pool);
 }
 
 bool fleet_membership::IsReachable(const vm_id& vm) const {
--- a/source/process/daemon/policy_distribution.cc
+++ b/source/process/daemon/policy_distribution.cc
@@ -225,6 +225,12 @@
   std::_Exit(EXIT_FAILURE);
 }
 
+void policy_distribution::WantWorkspace(const workspace_id& workspace) {
+  Run([&](version_follower& follower, steady_time now) {
+    return follower.OnWorkspaceWanted(now, workspace);
+  });
+}
+
 document_version policy_distribution::version() const {
   const std::lock_guard lock(mutex_);
   return follower_->version();
--- a/source/process/daemon/policy_distribution.h
+++ b/source/process/daemon/policy_distribution.h
@@ -39,6 +39,9 @@
   void OnPush(std::string_view body);
   std::string OnFetch(const vm_id& from, std::string_view body);
 
+  /// A request names a workspace that this VM may not hold yet; fetches it.
+  void WantWorkspace(const workspace_id& workspace);
+
   document_version version() const;
   section_ptr FindSection(const section_name& name) const;
   std::vector<section_ptr> Sections() const;
--- a/source/process/daemon/process_metrics.cc
+++ b/source/process/daemon/process_metrics.cc
@@ -27,6 +27,11 @@
                         .Help("Bytes sent for membership and probes")
                         .Register(*registry_)
                         .Add({});
+  peer_bytes_ = &prometheus::BuildGauge()
+                     .Name("marjoramsill_peer_sent_bytes")
+                     .Help("Bytes of HTTP/2 frames sent to other VMs")
+                     .Register(*registry_)
+                     .Add({});
   policy_version_ = &prometheus::BuildGauge()
                          .Name("marjoramsill_policy_version")
                          .Help("Document version in force")
@@ -51,6 +56,10 @@
   control_bytes_->Set(static_cast<double>(bytes));
 }
 
+void process_metrics::SetPeerBytes(std::uint64_t bytes) {
+  peer_bytes_->Set(static_cast<double>(bytes));
+}
+
 void process_metrics::SetPolicyVersion(std::uint64_t version) {
   policy_version_->Set(static_cast<double>(version));
 }
--- a/source/process/daemon/process_metrics.h
+++ b/source/process/daemon/process_metrics.h
@@ -26,6 +26,8 @@
 
   void CountRequest(rank of, service_event event);
   void SetControlBytes(std::uint64_t bytes);
+  /// Bytes of HTTP/2 frames sent to other VMs.
+  void SetPeerBytes(std::uint64_t bytes);
   void SetPolicyVersion(std::uint64_t version);
   void SetOpenRequests(std::size_t count);
   std::string Text() const;
@@ -35,6 +37,7 @@
   std::array<std::array<prometheus::Counter*, kServiceEventCount>, kRankCount>
       requests_{};
   prometheus::Gauge* control_bytes_ = nullptr;
+  prometheus::Gauge* peer_bytes_ = nullptr;
   prometheus::Gauge* policy_version_ = nullptr;
   prometheus::Gauge* open_requests_ = nullptr;
 };
--- a/source/process/daemon/request_front.cc
+++ b/source/process/daemon/request_front.cc
@@ -6,6 +6,7 @@
 #include "process/daemon/call_executor.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/limits_service.h"
+#include "process/daemon/policy_distribution.h"
 #include "process/daemon/policy_store.h"
 #include "process/daemon/pool_shards.h"
 #include "process/daemon/steady_clock.h"
@@ -16,11 +17,13 @@
 request_front::request_front(call_services& services,
                              const policy_store& policy,
                              const pool_shards& shards, limits_service& limits,
+                             policy_distribution& distribution,
                              classifier_limits bounds)
     : services_(services),
       policy_(policy),
       shards_(shards),
       limits_(limits),
+      distribution_(distribution),
       bounds_(bounds) {}
 
 void request_front::Handle(caller_request request,
@@ -35,7 +38,7 @@
   }
   auto classified = Classify(request, *policy, bounds_);
   if (!classified) {
-    Refuse(classified.assume_error(), responder);
+    Refuse(CheckHeld(*policy, classified.assume_error(), request), responder);
     return;
   }
   const auto shard = shards_.Find(classified.assume_value().pool);
@@ -72,6 +75,20 @@
                 });
 }
 
+problem request_front::CheckHeld(const policy_snapshot& policy,
+                                 const problem& reason,
+                                 const caller_request& request) {
+  const http_field* workspace = FindField(request.fields, "X-Workspace");
+  if (reason.kind != problem_kind::kUnknownWorkspace ||
+      policy.workspaces_complete() || workspace == nullptr) {
+    return reason;
+  }
+  distribution_.WantWorkspace(workspace_id(workspace->value));
+  return {problem_kind::kNotReady, run_certainty::kNotRun,
+          "this VM is fetching the section of the workspace",
+          std::chrono::seconds(1)};
+}
+
 void request_front::Refuse(
     const problem& reason,
     const std::shared_ptr<http_responder>& responder) const {
--- a/source/process/daemon/request_front.h
+++ b/source/process/daemon/request_front.h
@@ -13,7 +13,9 @@
 
 class http_responder;
 class limits_service;
+class policy_distribution;
 class policy_store;
+class policy_snapshot;
 class pool_shards;
 struct call_services;
 
@@ -23,7 +25,7 @@
  public:
   request_front(call_services& services, const policy_store& policy,
                 const pool_shards& shards, limits_service& limits,
-                classifier_limits bounds);
+                policy_distribution& distribution, classifier_limits bounds);
 
   void Handle(caller_request request,
               const std::shared_ptr<http_responder>& responder);
@@ -31,6 +33,10 @@
   std::size_t open_calls() const { return *open_calls_; }
 
  private:
+  /// A workspace that is unknown because this VM does not hold all sections yet
+  /// is fetched; the caller is told to come back.
+  problem CheckHeld(const policy_snapshot& policy, const problem& reason,
+                    const caller_request& request);
   void Refuse(const problem& reason,
               const std::shared_ptr<http_responder>& responder) const;
 
@@ -38,6 +44,7 @@
   const policy_store& policy_;
   const pool_shards& shards_;
   limits_service& limits_;
+  policy_distribution& distribution_;
   const classifier_limits bounds_;
   workspace_handles workspaces_;
   std::shared_ptr<std::atomic<std::size_t>> open_calls_ =
--- a/source/process/daemon/router_process.cc
+++ b/source/process/daemon/router_process.cc
@@ -96,7 +96,7 @@
             settings_, peers_,
             [this](const auto& snapshot) { InstallPolicy(snapshot); }),
         limits_(settings_, life_, peers_),
-        front_(services_, policy_, shards_, limits_,
+        front_(services_, policy_, shards_, limits_, distribution_,
                classifier_limits{settings_.max_body_bytes}),
         callers_(io_, ServerSettings(settings_.callers, settings_),
                  [this](caller_request request, const auto& responder) {
@@ -210,6 +210,7 @@
     const auto [holder, version] = membership_.NewestPeerVersion();
     distribution_.Tick(holder, version);
     metrics_.SetControlBytes(membership_.sent_bytes());
+    metrics_.SetPeerBytes(peers_.sent_bytes());
     metrics_.SetOpenRequests(callers_.open_requests());
   }
 
--- a/source/process/daemon/settings.cc
+++ b/source/process/daemon/settings.cc
@@ -13,6 +13,9 @@
 
 using text_rule = field_reader::text_rule;
 
+// About 3,000 VMs in the list of the fleet.
+constexpr std::size_t kMostSettingsBytes = 256UL * 1024;
+
 const text_rule kName{IsPolicyName, std::string(kPolicyNameAllowed)};
 const text_rule kAddress{
     [](std::string_view text) { return ParseSocketAddress(text).has_value(); },
@@ -132,7 +135,7 @@
 result<settings, section_error> ParseSettings(const std::string& file,
                                               std::string_view text) {
   const section_name name(file);
-  auto root = ReadYaml(name, text);
+  auto root = ReadYaml(name, text, kMostSettingsBytes);
   if (!root) return failure(std::move(root).assume_error());
   parse_report report(name);
   field_reader reader(root.assume_value(), "", report);
--- a/source/process/membership/endpoint_registry.cc
+++ b/source/process/membership/endpoint_registry.cc
@@ -279,18 +279,24 @@
   return status;
 }
 
-std::vector<endpoint_status> endpoint_registry::ForModel(
+std::vector<endpoint_status> endpoint_registry::AllOfModel(
     const model_id& model) const {
-  std::vector<endpoint_status> serving;
+  std::vector<endpoint_status> all;
   for (const auto& [id, known] : entries_) {
     const auto& serves = known.record.endpoint.serves;
-    if (known.record.silent ||
-        known.record.endpoint.state == endpoint_state::kLeaving ||
-        std::find(serves.begin(), serves.end(), model) == serves.end()) {
-      continue;
+    if (std::find(serves.begin(), serves.end(), model) != serves.end()) {
+      all.push_back(*Find(id));
     }
-    serving.push_back(*Find(id));
   }
+  return all;
+}
+
+std::vector<endpoint_status> endpoint_registry::ForModel(
+    const model_id& model) const {
+  std::vector<endpoint_status> serving = AllOfModel(model);
+  std::erase_if(serving, [](const endpoint_status& status) {
+    return status.silent || status.endpoint.state == endpoint_state::kLeaving;
+  });
   return serving;
 }
 
--- a/source/process/membership/endpoint_registry.h
+++ b/source/process/membership/endpoint_registry.h
@@ -142,6 +142,8 @@
   std::uint64_t own_change() const { return own_change_; }
 
   std::optional<endpoint_status> Find(const endpoint_id& id) const;
+  /// Endpoints of a model, silent and leaving ones included, by id.
+  std::vector<endpoint_status> AllOfModel(const model_id& model) const;
   /// Endpoints of a model that are neither silent nor leaving, by id.
   std::vector<endpoint_status> ForModel(const model_id& model) const;
   /// Incremented whenever a placement built from ForModel() may change.
--- a/source/process/replication/message_fields.cc
+++ b/source/process/replication/message_fields.cc
@@ -37,9 +37,10 @@
   PackBytes(out, entry.payload);
 }
 
-raft_field_reader::raft_field_reader(const msgpack::object& array, const char* name,
-                           const codec_limits& limits,
-                           std::optional<codec_error>& error)
+raft_field_reader::raft_field_reader(const msgpack::object& array,
+                                     const char* name,
+                                     const codec_limits& limits,
+                                     std::optional<codec_error>& error)
     : limits_(limits), error_(error) {
   if (array.type == msgpack::type::ARRAY) {
     array_ = &array;
@@ -106,7 +107,7 @@
 }
 
 const msgpack::object* raft_field_reader::Array(const char* name,
-                                           std::size_t max_size) {
+                                                std::size_t max_size) {
   const msgpack::object* object = Next(name);
   if (object == nullptr) return nullptr;
   if (object->type != msgpack::type::ARRAY) {
@@ -125,7 +126,8 @@
   const msgpack::object* members = Array(name, limits_.max_members);
   if (members == nullptr) return configuration;
   for (std::uint32_t i = 0; i < members->via.array.size; ++i) {
-    raft_field_reader fields(members->via.array.ptr[i], "member", limits_, error_);
+    raft_field_reader fields(members->via.array.ptr[i], "member", limits_,
+                             error_);
     group_member member;
     member.id.vm = fields.TextAs<vm_id>("member.vm");
     member.id.disk = fields.NumberAs<disk_id>("member.disk");
--- a/source/process/replication/message_fields.h
+++ b/source/process/replication/message_fields.h
@@ -25,7 +25,8 @@
 class raft_field_reader {
  public:
   raft_field_reader(const msgpack::object& array, const char* name,
-               const codec_limits& limits, std::optional<codec_error>& error);
+                    const codec_limits& limits,
+                    std::optional<codec_error>& error);
 
   std::uint64_t Number(const char* name);
   bool Flag(const char* name);
--- a/source/process/replication/storage_codec.cc
+++ b/source/process/replication/storage_codec.cc
@@ -156,8 +156,8 @@
     const msgpack::object* starts = in.Array("known_starts", 1024);
     if (starts == nullptr) return;
     for (std::uint32_t i = 0; i < starts->via.array.size; ++i) {
-      raft_field_reader fields(starts->via.array.ptr[i], "known_start", in.limits(),
-                          in.error());
+      raft_field_reader fields(starts->via.array.ptr[i], "known_start",
+                               in.limits(), in.error());
       known_start known;
       known.member = ReadMember(fields);
       known.number = fields.Number("number");
--- a/source/request/classified_request.h
+++ b/source/request/classified_request.h
@@ -29,6 +29,8 @@
   std::chrono::microseconds between_tokens_target{0};
   idempotency_key key;
   bool repeatable = true;
+  /// How long the claim of a non-repeatable call is retained.
+  std::chrono::seconds claim_retention{0};
   bool streamed = false;
   /// Estimates from the body's size and max_tokens.
   token_count prompt_tokens;
--- a/source/request/classifier.cc
+++ b/source/request/classifier.cc
@@ -229,6 +229,7 @@
   }
   if (out.is_service)
     out.repeatable = pool->IsRepeatable(out.method, out.target);
+  out.claim_retention = pool->claim_retention;
   if (!out.repeatable && out.key.empty()) {
     return failure(Refusal(
         problem_kind::kMissingIdempotencyKey,
--- a/source/request/retry_budget.cc
+++ b/source/request/retry_budget.cc
@@ -1,20 +1,28 @@
 #include "request/retry_budget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marjoramsill {
 
+void retry_budget::SetShare(double share) {
+  constexpr double kMostShare = 1.0 / kFirstPerExtra;
+  const double scaled = std::clamp(share / kMostShare, 0.0, 1.0);
+  earned_per_first_ = static_cast<std::uint64_t>(
+      std::llround(scaled * static_cast<double>(kCreditPerFirst)));
+}
+
 void retry_budget::CountFirstAttempt() {
   ++first_;
-  credit_ = std::min(credit_ + 1, kFirstPerExtra * kRetryReserve);
+  credit_ = std::min(credit_ + earned_per_first_, kMostCredit);
 }
 
 bool retry_budget::TakeExtraAttempt() {
-  if (credit_ < kFirstPerExtra) {
+  if (credit_ < kCreditPerExtra || earned_per_first_ == 0) {
     ++denied_;
     return false;
   }
-  credit_ -= kFirstPerExtra;
+  credit_ -= kCreditPerExtra;
   ++extra_;
   return true;
 }
--- a/source/request/retry_budget.h
+++ b/source/request/retry_budget.h
@@ -16,6 +16,9 @@
   /// Lets a shard with little traffic repeat its first few failures.
   static constexpr std::uint64_t kRetryReserve = 10;
 
+  /// Extra attempts per first attempt, 0 to 0.10, from a policy version. Zero
+  /// allows none.
+  void SetShare(double share);
   void CountFirstAttempt();
   /// Takes one extra attempt; false if none is left.
   bool TakeExtraAttempt();
@@ -27,7 +30,14 @@
   std::uint64_t reserve_used() const;
 
  private:
-  std::uint64_t credit_ = kFirstPerExtra * kRetryReserve;
+  /// Credit is counted in parts, so that shares below a tenth are exact.
+  static constexpr std::uint64_t kCreditPerFirst = 1000;
+  static constexpr std::uint64_t kCreditPerExtra =
+      kFirstPerExtra * kCreditPerFirst;
+  static constexpr std::uint64_t kMostCredit = kRetryReserve * kCreditPerExtra;
+
+  std::uint64_t credit_ = kMostCredit;
+  std::uint64_t earned_per_first_ = kCreditPerFirst;
   std::uint64_t first_ = 0;
   std::uint64_t extra_ = 0;
   std::uint64_t denied_ = 0;
--- a/source/version/yaml_reader.cc
+++ b/source/version/yaml_reader.cc
@@ -138,11 +138,12 @@
 };
 
 std::optional<section_error> CheckBytes(const section_name& section,
-                                        std::string_view bytes) {
-  if (bytes.size() > kMaximumSectionBytes) {
-    return section_error{
-        section, 0, "", std::to_string(bytes.size()) + " bytes",
-        "at most " + std::to_string(kMaximumSectionBytes) + " bytes"};
+                                        std::string_view bytes,
+                                        std::size_t most_bytes) {
+  if (bytes.size() > most_bytes) {
+    return section_error{section, 0, "",
+                         std::to_string(bytes.size()) + " bytes",
+                         "at most " + std::to_string(most_bytes) + " bytes"};
   }
   if (const auto at = FirstInvalidByte(bytes)) {
     const auto line = 1 + std::count(bytes.begin(), bytes.begin() + *at, '\n');
@@ -194,8 +195,10 @@
 }
 
 result<yaml_node, section_error> ReadYaml(const section_name& section,
-                                          std::string_view bytes) {
-  if (auto error = CheckBytes(section, bytes)) return failure(*error);
+                                          std::string_view bytes,
+                                          std::size_t most_bytes) {
+  if (auto error = CheckBytes(section, bytes, most_bytes))
+    return failure(*error);
   auto root = Parse(section, bytes);
   if (root && root.value().type != yaml_node::kind::kMap) {
     return failure(section_error{section, root.value().line, "",
--- a/source/version/yaml_reader.h
+++ b/source/version/yaml_reader.h
@@ -19,8 +19,9 @@
 /// that are not scalars, a second document, bytes that are not plain UTF-8
 /// text, more than `kMaximumSectionBytes`, more than `kMaximumYamlDepth`
 /// nested levels.
-result<yaml_node, section_error> ReadYaml(const section_name& section,
-                                          std::string_view bytes);
+result<yaml_node, section_error> ReadYaml(
+    const section_name& section, std::string_view bytes,
+    std::size_t most_bytes = kMaximumSectionBytes);
 
 }  // namespace marjoramsill
 
