--- a/source/request/classifier.cc
+++ b/source/request/classifier.cc
@@ -128,9 +128,12 @@
 /// Parses the body; discarded when it is no JSON or nested too deeply.
 json ParseBody(const std::string& body) {
   bool too_deep = false;
-  const auto watch = [&too_deep](int depth, json::parse_event_t /*event*/,
+  // The depth of a start event counts the levels around it, without its own.
+  const auto watch = [&too_deep](int depth, json::parse_event_t event,
                                  json& /*parsed*/) {
-    too_deep = too_deep || depth > kMaxJsonDepth;
+    const bool is_start = event == json::parse_event_t::object_start ||
+                          event == json::parse_event_t::array_start;
+    too_deep = too_deep || (is_start && depth >= kMaxJsonDepth);
     return !too_deep;
   };
   json parsed = json::parse(body, watch, false);
