daemon: test settings and codecs, drop fields named in Connection

Two faults that the tests found are fixed. A caller's fields that its Connection field names were forwarded to the endpoint, against RFC 9110 section 7.6.1. An IPv4 address in brackets was accepted as a socket address.

The tests cover errors of the settings file, the request to an endpoint and the framing of its answer, every single-bit damage and truncation of the document file, the messages to a leader, log escaping and socket addresses. build/tests/daemon/test_daemon: all OK; before the fixes request_fields_named_in_connection_are_not_forwarded and address_of_another_form_is_refused failed.

--- a/source/connection/socket_address.cc
+++ b/source/connection/socket_address.cc
@@ -12,14 +12,15 @@
   if (colon == std::string_view::npos) return std::nullopt;
   std::string_view host = text.substr(0, colon);
   const std::string_view port_text = text.substr(colon + 1);
-  if (host.starts_with('[') && host.ends_with(']')) {
+  const bool bracketed = host.starts_with('[') && host.ends_with(']');
+  if (bracketed) {
     host = host.substr(1, host.size() - 2);
   } else if (host.find(':') != std::string_view::npos) {
     return std::nullopt;
   }
   std::error_code error;
   const auto address = asio::ip::make_address(std::string(host), error);
-  if (error) return std::nullopt;
+  if (error || address.is_v6() != bracketed) return std::nullopt;
   unsigned port = 0;
   const char* end = port_text.data() + port_text.size();
   const auto parsed = std::from_chars(port_text.data(), end, port);
--- a/source/process/daemon/endpoint_request.cc
+++ b/source/process/daemon/endpoint_request.cc
@@ -40,6 +40,25 @@
       [name](std::string_view other) { return SameFieldName(name, other); });
 }
 
+/// Whether a Connection field lists the name among its options. Such a field
+/// is meant for the connection it arrived on.
+bool IsConnectionOption(const http_field_list& fields, std::string_view name) {
+  constexpr std::string_view kSpace = " \t";
+  for (const http_field& field : fields) {
+    if (!SameFieldName(field.name, "Connection")) continue;
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      std::string_view option = rest.substr(0, rest.find(','));
+      rest.remove_prefix(std::min(rest.size(), option.size() + 1));
+      option.remove_prefix(
+          std::min(option.size(), option.find_first_not_of(kSpace)));
+      option = option.substr(0, option.find_last_not_of(kSpace) + 1);
+      if (SameFieldName(option, name)) return true;
+    }
+  }
+  return false;
+}
+
 std::chrono::milliseconds Remaining(steady_time deadline, steady_time now) {
   return std::max(
       std::chrono::milliseconds(1),
@@ -70,7 +89,10 @@
   call.total_timeout = Remaining(attempt.deadline, now);
   call.connect_timeout = std::min(call.connect_timeout, call.total_timeout);
   for (const http_field& field : request.fields) {
-    if (IsForwarded(field.name)) call.fields.push_back(field);
+    if (IsForwarded(field.name) &&
+        !IsConnectionOption(request.fields, field.name)) {
+      call.fields.push_back(field);
+    }
   }
   const int priority = static_cast<int>(classified.rank);
   call.fields.push_back({"X-Request-Id", id.value()});
