--- a/source/connection/endpoint_client.cc
+++ b/source/connection/endpoint_client.cc
@@ -45,6 +45,7 @@
 void ReportHeaders(transfer& current) {
   if (current.headers_reported) return;
   current.headers_reported = true;
+  // NOLINTNEXTLINE(google-runtime-int): libcurl's type.
   long status = 0;
   curl_easy_getinfo(current.easy, CURLINFO_RESPONSE_CODE, &status);
   if (current.call.on_headers) {
@@ -265,8 +266,8 @@
 };
 
 endpoint_client::endpoint_client() {
-  static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
-  static_cast<void>(kInitialised);
+  static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(initialised);
   implementation_ = std::make_unique<implementation>();
 }
 
--- a/source/connection/http_server.cc
+++ b/source/connection/http_server.cc
@@ -157,6 +157,7 @@
 };
 
 struct server_traits : restinio::default_traits_t {
+  // NOLINTNEXTLINE(readability-identifier-naming): fixed by RESTinio.
   static constexpr bool use_connection_count_limiter = true;
   using connection_state_listener_t = disconnect_listener;
   using request_handler_t = std::function<restinio::request_handling_status_t(
--- a/source/connection/http_server_settings.h
+++ b/source/connection/http_server_settings.h
@@ -21,9 +21,9 @@
   std::chrono::milliseconds write_timeout{30'000};
   /// Longest time from a complete request to the end of its answer.
   std::chrono::milliseconds handle_timeout{600'000};
-  std::size_t max_target_bytes = 8 * 1024;
+  std::size_t max_target_bytes = 8UL * 1024;
   std::size_t max_field_name_bytes = 256;
-  std::size_t max_field_value_bytes = 8 * 1024;
+  std::size_t max_field_value_bytes = 8UL * 1024;
   std::size_t max_fields = 100;
   /// Hard bound at which the connection is closed. The classifier answers
   /// bodies between its own bound and this one with a problem.
--- a/source/request/classifier.cc
+++ b/source/request/classifier.cc
@@ -215,9 +215,7 @@
   const std::string_view name = rest.substr(0, slash);
   out.is_service = true;
   out.pool = model_id(std::string(name));
-  out.target = slash == std::string_view::npos
-                   ? std::string("/")
-                   : std::string(rest.substr(slash));
+  out.target = slash == std::string_view::npos ? "/" : rest.substr(slash);
   if (!request.query.empty()) out.target += "?" + request.query;
   out.cost = cost_units(kServiceCost + request.body.size() / kBytesPerToken);
   out.placement_text = out.workspace.value() + "\n" + out.chat.value();
@@ -230,8 +228,9 @@
     return failure(
         Refusal(problem_kind::kUnknownModel, Quoted(out.pool.value())));
   }
-  if (out.is_service)
+  if (out.is_service) {
     out.repeatable = pool->IsRepeatable(out.method, out.target);
+  }
   out.claim_retention = pool->claim_retention;
   if (!out.repeatable && out.key.empty()) {
     return failure(Refusal(
--- a/source/types/strong_number.h
+++ b/source/types/strong_number.h
@@ -22,9 +22,10 @@
   friend constexpr bool operator==(const strong_number&,
                                    const strong_number&) = default;
   // clang-tidy 14 takes the defaulted comparison for a use of 0 as a pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
+  // NOLINTBEGIN(modernize-use-nullptr)
   friend constexpr auto operator<=>(const strong_number&,
                                     const strong_number&) = default;
+  // NOLINTEND(modernize-use-nullptr)
 
  private:
   std::uint64_t value_ = 0;
--- a/source/version/yaml_reader.cc
+++ b/source/version/yaml_reader.cc
@@ -197,8 +197,9 @@
 result<yaml_node, section_error> ReadYaml(const section_name& section,
                                           std::string_view bytes,
                                           std::size_t most_bytes) {
-  if (auto error = CheckBytes(section, bytes, most_bytes))
+  if (auto error = CheckBytes(section, bytes, most_bytes)) {
     return failure(*error);
+  }
   auto root = Parse(section, bytes);
   if (root && root.value().type != yaml_node::kind::kMap) {
     return failure(section_error{section, root.value().line, "",
