membership: pass endpoint conditions on in one pass without copies

Cause: every 100 ms each pool's shard update copied the announcements of all endpoints of the pool after a search through all endpoints; measured 0.09 ms/s an endpoint, 189 ms/s at 2,100 against a budget of 49 ms/s. Change: the registry is visited once for all pools, and indexes, times and loads are collected instead of whole announcements.

--- a/source/process/daemon/fleet_membership.cc
+++ b/source/process/daemon/fleet_membership.cc
@@ -161,46 +161,64 @@
 }
 
 void fleet_membership::UpdateShards(steady_time now) {
-  for (const auto& [pool, shard] : shards_.All()) {
-    UpdateShard(pool, *shard, now);
-  }
-}
-
-void fleet_membership::UpdateShard(const model_id& pool, pool_shard& shard,
-                                   steady_time now) {
-  std::vector<endpoint_status> endpoints;
-  std::uint64_t view = 0;
+  const std::vector<pool_shards::named_shard> shards = shards_.All();
   std::size_t vms = 1;
   {
     const std::lock_guard lock(mutex_);
-    endpoints = registry_.ForModel(pool);
-    view = registry_.view_number();
+    for (const auto& [pool, shard] : shards) PlacePool(pool);
+    CollectUpdates();
     for (const fleet_vm& vm : settings_.fleet) {
       if (vm.id != settings_.vm && membership_.IsReachable(vm.id, now)) ++vms;
     }
   }
-  std::shared_ptr<const placement> table;
-  std::uint64_t& placed = placed_views_[pool];
-  if (placed != view) {
-    std::vector<placement_endpoint> members;
-    members.reserve(endpoints.size());
-    for (const endpoint_status& status : endpoints) {
-      const endpoint_announcement& said = status.endpoint;
-      members.push_back(
-          {.id = said.id, .domain = said.domain, .capacity = said.capacity});
-    }
-    table = placement::Build(std::move(members), view);
-    placed = view;
+  for (const auto& [pool, shard] : shards) {
+    UpdateShard(pools_.at(pool), *shard, now, vms);
+  }
+}
+
+void fleet_membership::PlacePool(const model_id& pool) {
+  pool_view& known = pools_[pool];
+  const std::uint64_t view = registry_.view_number();
+  if (known.table && known.table->view_number() == view) return;
+  std::vector<placement_endpoint> members;
+  for (const endpoint_status& status : registry_.ForModel(pool)) {
+    const endpoint_announcement& said = status.endpoint;
+    members.push_back(
+        {.id = said.id, .domain = said.domain, .capacity = said.capacity});
   }
+  known.table = placement::Build(std::move(members), view);
+  known.is_new = true;
+}
+
+void fleet_membership::CollectUpdates() {
+  for (auto& [pool, view] : pools_) view.updates.clear();
+  registry_.VisitServing([this](const endpoint_announcement& said,
+                                const endpoint_vitals& vitals) {
+    for (const model_id& pool : said.serves) {
+      const auto found = pools_.find(pool);
+      if (found == pools_.end()) continue;
+      const auto index = found->second.table->IndexOf(said.id);
+      if (!index) continue;
+      found->second.updates.push_back({*index,
+                                       {vitals.fresh_until, vitals.admitted},
+                                       said.load.total(),
+                                       vitals.load_at});
+    }
+  });
+}
+
+void fleet_membership::UpdateShard(pool_view& view, pool_shard& shard,
+                                   steady_time now, std::size_t vms) {
   admission_actions actions;
   {
     const std::lock_guard lock(shard.mutex);
-    if (table) shard.chooser.SetPlacement(std::move(table));
-    ApplyConditions(shard, endpoints);
+    if (view.is_new) shard.chooser.SetPlacement(view.table);
+    ApplyUpdates(shard, view.updates);
     shard.chooser.Tick(now);
     shard.admission.SetCapacity(CapacityShare(shard, vms), now, actions);
     shard.admission.Tick(now, actions);
   }
+  view.is_new = false;
   CarryOut(shard, actions);
 }
 
--- a/source/process/daemon/fleet_membership.h
+++ b/source/process/daemon/fleet_membership.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "process/daemon/shard_actions.h"
 #include "process/membership/endpoint_registry.h"
 #include "process/membership/peer_membership.h"
 #include "types/result.h"
@@ -61,10 +62,23 @@
   std::uint64_t sent_bytes() const;
 
  private:
+  /// What Tick() passes on to the shard of one pool.
+  struct pool_view {
+    std::shared_ptr<const placement> table;
+    /// The shard does not have the table yet.
+    bool is_new = false;
+    std::vector<endpoint_update> updates;
+  };
+
   void SendHeartbeats(const std::vector<peer_request>& requests);
   void SendProbes(const std::vector<probe_request>& probes);
   void UpdateShards(steady_time now);
-  void UpdateShard(const model_id& pool, pool_shard& shard, steady_time now);
+  /// Under the membership lock: renews the pool's placement after a change.
+  void PlacePool(const model_id& pool);
+  /// Under the membership lock: one pass over all endpoints for all pools.
+  void CollectUpdates();
+  static void UpdateShard(pool_view& view, pool_shard& shard, steady_time now,
+                          std::size_t vms);
 
   const settings& settings_;
   peer_transport& peers_;
@@ -73,8 +87,8 @@
   mutable std::mutex mutex_;
   endpoint_registry registry_;
   peer_membership membership_;
-  /// View number of the placement that each pool's shard has. Used by Tick().
-  std::unordered_map<model_id, std::uint64_t> placed_views_;
+  /// Used by Tick() only.
+  std::unordered_map<model_id, pool_view> pools_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/daemon/shard_actions.cc
+++ b/source/process/daemon/shard_actions.cc
@@ -7,7 +7,6 @@
 
 #include "process/daemon/call_executor.h"
 #include "process/daemon/pool_shard.h"
-#include "process/membership/endpoint_registry.h"
 
 namespace marjoramsill {
 namespace {
@@ -17,14 +16,11 @@
 
 }  // namespace
 
-void ApplyConditions(pool_shard& shard,
-                     const std::vector<endpoint_status>& endpoints) {
-  for (const endpoint_status& status : endpoints) {
-    const auto index = shard.chooser.table().IndexOf(status.endpoint.id);
-    if (!index) continue;
-    shard.chooser.SetCondition(*index, {status.fresh_until, status.admitted});
-    shard.chooser.OnReport(*index, status.endpoint.load.total(),
-                           status.load_at);
+void ApplyUpdates(pool_shard& shard,
+                  const std::vector<endpoint_update>& updates) {
+  for (const endpoint_update& update : updates) {
+    shard.chooser.SetCondition(update.index, update.condition);
+    shard.chooser.OnReport(update.index, update.load, update.load_at);
   }
 }
 
--- a/source/process/daemon/shard_actions.h
+++ b/source/process/daemon/shard_actions.h
@@ -2,19 +2,30 @@
 #define MARJORAMSILL_PROCESS_DAEMON_SHARD_ACTIONS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "process/admission/admission_types.h"
+#include "process/choice/load_table.h"
+#include "process/choice/placement.h"
+#include "types/steady_time.h"
 
 namespace marjoramsill {
 
-struct endpoint_status;
 struct pool_shard;
 
-/// Passes what membership knows on to the shard's chooser. Called under the
-/// shard's lock.
-void ApplyConditions(pool_shard& shard,
-                     const std::vector<endpoint_status>& endpoints);
+/// What membership knows of one endpoint of a placement.
+struct endpoint_update {
+  endpoint_index index = 0;
+  endpoint_condition condition;
+  std::uint32_t load = 0;
+  steady_time load_at;
+};
+
+/// Passes updates on to the shard's chooser, whose placement they index. Called
+/// under the shard's lock.
+void ApplyUpdates(pool_shard& shard,
+                  const std::vector<endpoint_update>& updates);
 
 /// The capacity of the pool's endpoints that this VM may use: what it uses
 /// already and its part of what is free, so that capacity goes where the
--- a/source/process/membership/endpoint_registry.cc
+++ b/source/process/membership/endpoint_registry.cc
@@ -268,15 +268,35 @@
   endpoint_status status;
   status.endpoint = known.record.endpoint;
   status.silent = known.record.silent;
+  const endpoint_vitals vitals = VitalsOf(known);
+  status.admitted = vitals.admitted;
+  status.fresh_until = vitals.fresh_until;
+  status.load_at = vitals.load_at;
+  return status;
+}
+
+endpoint_vitals endpoint_registry::VitalsOf(const entry& known) const {
   const steady_time now = last_event_.value_or(steady_time{});
   const dispatch_verdict verdict = Judge(known, now);
-  status.admitted = verdict == dispatch_verdict::kUsable ||
+  endpoint_vitals vitals;
+  vitals.admitted = verdict == dispatch_verdict::kUsable ||
                     verdict == dispatch_verdict::kNeedsProbe;
-  status.fresh_until = known.evidence.has_value()
+  vitals.fresh_until = known.evidence.has_value()
                            ? *known.evidence + settings_.evidence_limit
                            : kNever;
-  status.load_at = known.load_at;
-  return status;
+  vitals.load_at = known.load_at;
+  return vitals;
+}
+
+void endpoint_registry::VisitServing(
+    const std::function<void(const endpoint_announcement&,
+                             const endpoint_vitals&)>& visit) const {
+  for (const auto& [id, known] : entries_) {
+    const endpoint_announcement& said = known.record.endpoint;
+    const bool serves =
+        !known.record.silent && said.state != endpoint_state::kLeaving;
+    if (serves) visit(said, VitalsOf(known));
+  }
 }
 
 std::vector<endpoint_status> endpoint_registry::AllOfModel(
--- a/source/process/membership/endpoint_registry.h
+++ b/source/process/membership/endpoint_registry.h
@@ -14,6 +14,7 @@
 #include "process/membership/byte_budget.h"
 #include "process/membership/circuit_breaker.h"
 #include "process/membership/endpoint_announcement.h"
+#include "process/membership/endpoint_vitals.h"
 #include "process/membership/flap_damper.h"
 #include "process/membership/lease_record.h"
 #include "types/ids.h"
@@ -142,6 +143,11 @@
   std::uint64_t own_change() const { return own_change_; }
 
   std::optional<endpoint_status> Find(const endpoint_id& id) const;
+  /// Calls the hook for each endpoint that is neither silent nor leaving, by
+  /// id, without copying its announcement.
+  void VisitServing(
+      const std::function<void(const endpoint_announcement&,
+                               const endpoint_vitals&)>& visit) const;
   /// Endpoints of a model, silent and leaving ones included, by id.
   std::vector<endpoint_status> AllOfModel(const model_id& model) const;
   /// Endpoints of a model that are neither silent nor leaving, by id.
@@ -190,6 +196,7 @@
   std::vector<entry*> ProbesDue(steady_time now);
   void AddLoads(const std::set<endpoint_id>& held, lease_vouch& vouch);
   std::uint16_t LeaseDigest(const std::set<endpoint_id>& held) const;
+  endpoint_vitals VitalsOf(const entry& known) const;
   bool IsOwn(const entry& known) const;
   bool IsFresh(const entry& known, steady_time now) const;
   bool IsNewer(const entry& known, const holder_id& holder,
