--- a/source/request/classifier.cc
+++ b/source/request/classifier.cc
@@ -209,8 +209,8 @@
 }
 
 check ReadService(const caller_request& request, classified_request& out) {
-  const std::string_view rest =
-      std::string_view(request.path).substr(kServicePrefix.size());
+  std::string_view rest = request.path;
+  rest.remove_prefix(kServicePrefix.size());
   const std::size_t slash = rest.find('/');
   const std::string_view name = rest.substr(0, slash);
   out.is_service = true;
