--- a/source/connection/http_server.h
+++ b/source/connection/http_server.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "connection/http_server_settings.h"
+#include "connection/listen_error.h"
 #include "request/caller_request.h"
 #include "types/result.h"
 
@@ -18,12 +19,6 @@
 
 class http_responder;
 
-/// Failure to listen on an address.
-struct listen_error {
-  socket_address address;
-  std::string reason;
-};
-
 /// HTTP/1.1 server on one address (RESTinio). The handler may run on any
 /// thread of the I/O context and must not block.
 class http_server {
--- a/source/connection/peer_transport.h
+++ b/source/connection/peer_transport.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "connection/http_server.h"
+#include "connection/listen_error.h"
 #include "connection/peer_error.h"
 #include "connection/peer_transport_settings.h"
 #include "connection/vm_message.h"
--- a/source/connection/tls_context_source.h
+++ b/source/connection/tls_context_source.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "connection/tls_error.h"
 #include "connection/tls_settings.h"
 #include "types/result.h"
 
@@ -14,12 +15,6 @@
 
 namespace marjoramsill {
 
-/// Failure to load a TLS file.
-struct tls_error {
-  std::string file;
-  std::string reason;
-};
-
 /// Gives the TLS context for new connections and loads the files again when
 /// one of them has changed, so that certificates are renewed without restart.
 /// Used on one thread.
