--- a/examples/fake_endpoint/fake_endpoint.h
+++ b/examples/fake_endpoint/fake_endpoint.h
@@ -11,6 +11,7 @@
 #include "connection/endpoint_client.h"
 #include "connection/http_server.h"
 #include "fake_endpoint/fake_model.h"
+#include "fake_endpoint/fake_prefix_cache.h"
 #include "fake_endpoint/fake_settings.h"
 
 namespace marjoramsill {
--- a/examples/fake_endpoint/fake_model.cc
+++ b/examples/fake_endpoint/fake_model.cc
@@ -1,4 +1,5 @@
 #include "fake_endpoint/fake_model.h"
+#include "fake_endpoint/fake_prefix_cache.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/examples/fake_endpoint/fake_model.h
+++ b/examples/fake_endpoint/fake_model.h
@@ -2,10 +2,8 @@
 #define MARJORAMSILL_EXAMPLES_FAKE_ENDPOINT_FAKE_MODEL_H_
 
 #include <cstdint>
-#include <list>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
-#include <unordered_map>
 
 namespace marjoramsill {
 
@@ -22,26 +20,6 @@
 /// continue_final_message is text that the completion continues.
 fake_completion PlanCompletion(const nlohmann::json& request);
 
-/// Prefix cache of limited size, least recently used first out. One entry is
-/// the number of prompt words that were computed for a chat.
-class fake_prefix_cache {
- public:
-  explicit fake_prefix_cache(std::size_t capacity) : capacity_(capacity) {}
-
-  /// Returns the cached prefix of the chat and stores the new one.
-  std::uint32_t Use(const std::string& chat, std::uint32_t prompt_words);
-
- private:
-  struct entry {
-    std::string chat;
-    std::uint32_t words;
-  };
-
-  std::size_t capacity_;
-  std::list<entry> order_;
-  std::unordered_map<std::string, std::list<entry>::iterator> entries_;
-};
-
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_EXAMPLES_FAKE_ENDPOINT_FAKE_MODEL_H_
--- /dev/null
+++ b/examples/fake_endpoint/fake_prefix_cache.h
@@ -0,0 +1,34 @@
+#ifndef MARJORAMSILL_EXAMPLES_FAKE_ENDPOINT_FAKE_PREFIX_CACHE_H_
+#define MARJORAMSILL_EXAMPLES_FAKE_ENDPOINT_FAKE_PREFIX_CACHE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+namespace marjoramsill {
+
+/// Prefix cache of limited size, least recently used first out. One entry is
+/// the number of prompt words that were computed for a chat.
+class fake_prefix_cache {
+ public:
+  explicit fake_prefix_cache(std::size_t capacity) : capacity_(capacity) {}
+
+  /// Returns the cached prefix of the chat and stores the new one.
+  std::uint32_t Use(const std::string& chat, std::uint32_t prompt_words);
+
+ private:
+  struct entry {
+    std::string chat;
+    std::uint32_t words;
+  };
+
+  std::size_t capacity_;
+  std::list<entry> order_;
+  std::unordered_map<std::string, std::list<entry>::iterator> entries_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_EXAMPLES_FAKE_ENDPOINT_FAKE_PREFIX_CACHE_H_
--- a/source/commands/load_result.h
+++ b/source/commands/load_result.h
@@ -3,27 +3,12 @@
 
 #include <array>
 #include <cstdint>
-#include <vector>
 
+#include "commands/load_rank_result.h"
 #include "types/rank.h"
 
 namespace marjoramsill {
 
-/// Answers of one rank.
-struct load_rank_result {
-  std::uint64_t sent = 0;
-  std::uint64_t whole = 0;
-  /// Problem answers with "not run".
-  std::uint64_t refused = 0;
-  /// Other problem answers and streams that ended with an error event.
-  std::uint64_t failed = 0;
-  /// No HTTP answer at all, for example because the entry VM was killed.
-  std::uint64_t lost = 0;
-  /// Milliseconds from the planned time of sending.
-  std::vector<double> first_output_ms;
-  std::vector<double> total_ms;
-};
-
 struct load_result {
   std::array<load_rank_result, kRankCount> ranks;
   /// Answers that said they were whole and were not, or not the own one.
