--- a/source/commands/command.h
+++ b/source/commands/command.h
@@ -10,6 +10,9 @@
 
 namespace marjoramsill {
 
+struct control_dialect;
+struct request_dialect;
+
 /// One subcommand, for example "policy submit". `options` and `arguments` are
 /// the same for parsing and for the help page.
 struct command {
@@ -28,12 +31,16 @@
 command ReportBurnCommand();
 command LoadCommand();
 command VersionCommand();
+/// The processes of a fleet that finds its members by itself.
+std::vector<command> FleetCommands(const request_dialect& requests,
+                                   const control_dialect& control);
 
 /// Adds --control, the address of a VM's control listener.
 void AddControlOption(boost::program_options::options_description& options);
 
 /// Runs the command that the arguments name; prints help and usage errors.
-int RunCommandLine(int argc, char** argv);
+/// `fleet`: the commands of FleetCommands().
+int RunCommandLine(int argc, char** argv, const std::vector<command>& fleet);
 
 }  // namespace marjoramsill
 
--- a/source/commands/command_line.cc
+++ b/source/commands/command_line.cc
@@ -10,8 +10,9 @@
 
 namespace options = boost::program_options;
 
-std::vector<command> AllCommands() {
+std::vector<command> AllCommands(const std::vector<command>& fleet) {
   std::vector<command> all = {ServeCommand(), SettingsCheckCommand()};
+  all.insert(all.end(), fleet.begin(), fleet.end());
   for (command& each : PolicyCommands()) all.push_back(std::move(each));
   all.push_back(StatusCommand());
   all.push_back(ReportBurnCommand());
@@ -108,8 +109,8 @@
                           "IP:PORT of a VM's control address");
 }
 
-int RunCommandLine(int argc, char** argv) {
-  const std::vector<command> all = AllCommands();
+int RunCommandLine(int argc, char** argv, const std::vector<command>& fleet) {
+  const std::vector<command> all = AllCommands(fleet);
   const std::vector<std::string> words(argv + 1, argv + argc);
   if (words.empty() || words[0] == "--help" || words[0] == "help") {
     PrintOverview(all, words.empty() ? std::cerr : std::cout);
--- /dev/null
+++ b/source/connection/answer_head.h
@@ -0,0 +1,21 @@
+#ifndef MARJORAMSILL_CONNECTION_ANSWER_HEAD_H_
+#define MARJORAMSILL_CONNECTION_ANSWER_HEAD_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "request/http_field.h"
+
+namespace marjoramsill {
+
+/// Status and fields of an endpoint's answer.
+struct answer_head {
+  int status = 0;
+  http_field_list fields;
+  /// Length of the body, where the endpoint has declared it.
+  std::optional<std::uint64_t> length;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_ANSWER_HEAD_H_
--- /dev/null
+++ b/source/connection/answer_parser.cc
@@ -0,0 +1,129 @@
+#include "connection/answer_parser.h"
+
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+constexpr int kGoOn = 0;
+constexpr int kStop = 1;
+/// http_parser: the answer has no body, whatever its fields say.
+constexpr int kNoBody = 1;
+constexpr std::size_t kMaxHeadBytes = std::size_t{64} * 1024;
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+answer_parser::answer_parser(body_hook on_body) : on_body_(std::move(on_body)) {
+  Begin(false);
+}
+
+void answer_parser::Begin(bool head_request) {
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  head_request_ = head_request;
+  reading_value_ = false;
+  allows_reuse_ = false;
+  head_bytes_ = 0;
+  state_ = parse_state::kIdle;
+  head_ = {};
+}
+
+std::size_t answer_parser::Read(std::string_view bytes) {
+  if (state_ == parse_state::kComplete || bytes.empty()) return 0;
+  const std::size_t used =
+      http_parser_execute(&parser_, &Settings(), bytes.data(), bytes.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+  if (error == HPE_PAUSED) {
+    http_parser_pause(&parser_, 0);
+  } else if (error != HPE_OK || parser_.upgrade != 0) {
+    if (state_ != parse_state::kComplete) state_ = parse_state::kMalformed;
+  }
+  return used;
+}
+
+bool answer_parser::ReadEnd() {
+  if (state_ != parse_state::kInBody) return false;
+  http_parser_execute(&parser_, &Settings(), nullptr, 0);
+  return state_ == parse_state::kComplete;
+}
+
+answer_parser& answer_parser::Self(http_parser* parser) {
+  return *static_cast<answer_parser*>(parser->data);
+}
+
+int answer_parser::OnBegin(http_parser* parser) {
+  answer_parser& self = Self(parser);
+  self.state_ = parse_state::kInHead;
+  self.reading_value_ = false;
+  self.head_ = {};
+  return kGoOn;
+}
+
+int answer_parser::OnField(http_parser* parser, const char* at,
+                           std::size_t length) {
+  answer_parser& self = Self(parser);
+  http_field_list& fields = self.head_.fields;
+  if (fields.empty() || self.reading_value_) fields.emplace_back();
+  self.reading_value_ = false;
+  fields.back().name.append(at, length);
+  self.head_bytes_ += length;
+  return self.head_bytes_ <= kMaxHeadBytes ? kGoOn : kStop;
+}
+
+int answer_parser::OnValue(http_parser* parser, const char* at,
+                           std::size_t length) {
+  answer_parser& self = Self(parser);
+  self.reading_value_ = true;
+  self.head_.fields.back().value.append(at, length);
+  self.head_bytes_ += length;
+  return self.head_bytes_ <= kMaxHeadBytes ? kGoOn : kStop;
+}
+
+int answer_parser::OnHeadEnd(http_parser* parser) {
+  answer_parser& self = Self(parser);
+  if (parser->status_code < kFirstFinalStatus) return kGoOn;
+  self.head_.status = static_cast<int>(parser->status_code);
+  if ((parser->flags & F_CONTENTLENGTH) != 0) {
+    self.head_.length = parser->content_length;
+  }
+  self.state_ = parse_state::kInBody;
+  // The reader looks at the head before any byte of the body is passed on.
+  http_parser_pause(parser, 1);
+  return self.head_request_ ? kNoBody : kGoOn;
+}
+
+int answer_parser::OnBody(http_parser* parser, const char* at,
+                          std::size_t length) {
+  Self(parser).on_body_(std::string_view(at, length));
+  return kGoOn;
+}
+
+int answer_parser::OnEnd(http_parser* parser) {
+  answer_parser& self = Self(parser);
+  if (parser->status_code < kFirstFinalStatus) {
+    self.state_ = parse_state::kIdle;
+    return kGoOn;
+  }
+  self.state_ = parse_state::kComplete;
+  self.allows_reuse_ = http_should_keep_alive(parser) != 0;
+  http_parser_pause(parser, 1);
+  return kGoOn;
+}
+
+const http_parser_settings& answer_parser::Settings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_message_begin = OnBegin;
+    made.on_header_field = OnField;
+    made.on_header_value = OnValue;
+    made.on_headers_complete = OnHeadEnd;
+    made.on_body = OnBody;
+    made.on_message_complete = OnEnd;
+    return made;
+  }();
+  return settings;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/connection/answer_parser.h
@@ -0,0 +1,62 @@
+#ifndef MARJORAMSILL_CONNECTION_ANSWER_PARSER_H_
+#define MARJORAMSILL_CONNECTION_ANSWER_PARSER_H_
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <functional>
+#include <string_view>
+
+#include "connection/answer_head.h"
+#include "connection/parse_state.h"
+
+namespace marjoramsill {
+
+/// Reads the answers on a connection to an endpoint (http_parser). Interim
+/// answers (1xx) are skipped.
+class answer_parser {
+ public:
+  /// Called for each piece of the body, without its transfer coding.
+  using body_hook = std::function<void(std::string_view)>;
+
+  explicit answer_parser(body_hook on_body);
+  answer_parser(const answer_parser&) = delete;
+  answer_parser& operator=(const answer_parser&) = delete;
+
+  /// Prepares for the next answer. `head_request`: it has no body.
+  void Begin(bool head_request);
+  /// Reads up to the end of the head or of the answer; returns the number of
+  /// bytes used. Call again with the rest until it is used or the answer is
+  /// complete.
+  std::size_t Read(std::string_view bytes);
+  /// The endpoint has closed its side. True if that completes the answer.
+  bool ReadEnd();
+
+  parse_state state() const { return state_; }
+  const answer_head& head() const { return head_; }
+  /// The endpoint keeps the connection open after the complete answer.
+  bool allows_reuse() const { return allows_reuse_; }
+
+ private:
+  static answer_parser& Self(http_parser* parser);
+  static int OnBegin(http_parser* parser);
+  static int OnField(http_parser* parser, const char* at, std::size_t length);
+  static int OnValue(http_parser* parser, const char* at, std::size_t length);
+  static int OnHeadEnd(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* at, std::size_t length);
+  static int OnEnd(http_parser* parser);
+  static const http_parser_settings& Settings();
+
+  const body_hook on_body_;
+  http_parser parser_;
+  bool head_request_ = false;
+  bool reading_value_ = false;
+  bool allows_reuse_ = false;
+  std::size_t head_bytes_ = 0;
+  parse_state state_ = parse_state::kIdle;
+  answer_head head_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_ANSWER_PARSER_H_
--- /dev/null
+++ b/source/connection/caller_connection.cc
@@ -0,0 +1,303 @@
+#include "connection/caller_connection.h"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <charconv>
+#include <utility>
+
+#include "connection/status_text.h"
+
+namespace marjoramsill {
+namespace {
+
+/// A caller that does not read an answer of this size is disconnected.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{4} * 1024 * 1024;
+/// Pipelined bytes that are kept while a request is answered.
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+/// After the last answer the connection is read on for this long. Closing it
+/// with unread bytes would reset it and may destroy the answer on its way.
+constexpr std::chrono::milliseconds kLingerTime{1'000};
+/// Callers stop reusing a connection before its idle limit. The margin covers
+/// a request that was on its way when the limit passed.
+constexpr std::chrono::milliseconds kIdleMargin{2'000};
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusRequestTimeout = 408;
+constexpr int kStatusContentTooLarge = 413;
+constexpr int kStatusFieldsTooLarge = 431;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotModified = 304;
+
+int StatusFor(parse_state state) {
+  switch (state) {
+    case parse_state::kHeadTooLarge:
+      return kStatusFieldsTooLarge;
+    case parse_state::kBodyTooLarge:
+      return kStatusContentTooLarge;
+    default:
+      return kStatusBadRequest;
+  }
+}
+
+void AppendNumber(std::string& text, std::uint64_t number, int base) {
+  char digits[24];
+  const auto end =
+      std::to_chars(digits, digits + sizeof(digits), number, base).ptr;
+  text.append(digits, end);
+}
+
+bool HasNoBody(int status) {
+  return status == kStatusNoContent || status == kStatusNotModified;
+}
+
+}  // namespace
+
+caller_connection::caller_connection(asio::ip::tcp::socket socket,
+                                     const caller_connection_hooks& hooks,
+                                     const caller_limits& limits,
+                                     steady_time now)
+    : socket_(std::move(socket)),
+      hooks_(hooks),
+      parser_(limits.max_header_bytes, limits.max_body_bytes),
+      now_(now),
+      quiet_since_(now) {}
+
+void caller_connection::Start() {
+  std::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  ReadNext();
+}
+
+void caller_connection::ReadNext() {
+  if (reading_ || !is_open_ || input_.size() > kMaxPipelinedBytes) return;
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](std::error_code error, std::size_t bytes) {
+        self->reading_ = false;
+        self->OnRead(error, bytes);
+      });
+}
+
+void caller_connection::OnRead(std::error_code error, std::size_t bytes) {
+  if (!is_open_) return;
+  if (error) {
+    OnCallerEnd();
+    return;
+  }
+  if (!is_lingering_) {
+    input_.append(buffer_.data(), bytes);
+    if (!has_request_) Parse();
+  }
+  ReadNext();
+}
+
+void caller_connection::Parse() {
+  while (is_open_ && !has_request_ && !is_lingering_ && !input_.empty()) {
+    if (parser_.state() == parse_state::kIdle) quiet_since_ = now_;
+    const std::size_t used = parser_.Read(input_);
+    input_.erase(0, used);
+    switch (parser_.state()) {
+      case parse_state::kComplete:
+        TakeRequest();
+        break;
+      case parse_state::kMalformed:
+      case parse_state::kHeadTooLarge:
+      case parse_state::kBodyTooLarge:
+        RefuseUnreadable();
+        return;
+      default:
+        if (parser_.TakeExpectContinue()) {
+          output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+          Send();
+        }
+        if (used == 0) return;
+    }
+  }
+}
+
+void caller_connection::RefuseUnreadable() {
+  const parse_state state = parser_.state();
+  const int status = StatusFor(state);
+  hooks_.on_unreadable(state, status);
+  has_request_ = true;
+  keep_alive_ = false;
+  input_.clear();
+  Respond(status, {}, "");
+}
+
+void caller_connection::TakeRequest() {
+  caller_message message = parser_.Take();
+  has_request_ = true;
+  keep_alive_ = message.keep_alive;
+  accepts_chunks_ = message.accepts_chunks;
+  hooks_.on_request(shared_from_this(), std::move(message));
+}
+
+void caller_connection::OnCallerEnd() {
+  const std::function<void()> gone = std::exchange(on_gone_, nullptr);
+  if (has_request_ && gone) gone();
+  Close();
+}
+
+void caller_connection::AppendHead(int status, const http_field_list& fields) {
+  output_ += "HTTP/1.1 ";
+  AppendNumber(output_, static_cast<std::uint64_t>(status), 10);
+  output_ += ' ';
+  output_ += StatusText(status);
+  output_ += "\r\n";
+  for (const http_field& field : fields) {
+    output_ += field.name;
+    output_ += ": ";
+    output_ += field.value;
+    output_ += "\r\n";
+  }
+  if (!keep_alive_ || close_after_answer_) output_ += "Connection: close\r\n";
+}
+
+void caller_connection::Respond(int status, const http_field_list& fields,
+                                std::string_view body) {
+  if (!is_open_ || !has_request_) return;
+  Begin(status, fields, body.size());
+  Write(body);
+  End();
+}
+
+void caller_connection::Begin(int status, const http_field_list& fields,
+                              std::optional<std::uint64_t> length) {
+  if (!is_open_) return;
+  // Without chunks the end of the connection ends the body.
+  if (!length && !accepts_chunks_) keep_alive_ = false;
+  AppendHead(status, fields);
+  is_chunked_ = !length && accepts_chunks_;
+  if (is_chunked_) {
+    output_ += "Transfer-Encoding: chunked\r\n";
+  } else if (length && !HasNoBody(status)) {
+    output_ += "Content-Length: ";
+    AppendNumber(output_, *length, 10);
+    output_ += "\r\n";
+  }
+  output_ += "\r\n";
+}
+
+void caller_connection::Write(std::string_view data) {
+  if (!is_open_ || data.empty()) return;
+  if (is_chunked_) {
+    AppendNumber(output_, data.size(), 16);
+    output_ += "\r\n";
+  }
+  output_ += data;
+  if (is_chunked_) output_ += "\r\n";
+}
+
+void caller_connection::Flush() {
+  if (is_open_) Send();
+}
+
+void caller_connection::End() {
+  if (!is_open_) return;
+  if (is_chunked_) output_ += "0\r\n\r\n";
+  FinishAnswer();
+}
+
+void caller_connection::FinishAnswer() {
+  on_gone_ = nullptr;
+  has_request_ = false;
+  is_chunked_ = false;
+  quiet_since_ = now_;
+  if (!keep_alive_ || close_after_answer_) is_lingering_ = true;
+  Send();
+  if (!is_open_ || is_lingering_ || input_.empty()) return;
+  // The next pipelined request is taken from the event loop, not from within
+  // the answer to the previous one.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->has_request_) return;
+    self->Parse();
+    self->ReadNext();
+  });
+}
+
+void caller_connection::Abort() {
+  on_gone_ = nullptr;
+  Close();
+}
+
+void caller_connection::Send() {
+  if (waiting_writable_) {
+    if (output_.size() - written_ > kMaxUnsentBytes) OnCallerEnd();
+    return;
+  }
+  while (written_ < output_.size()) {
+    std::error_code error;
+    written_ += socket_.send(
+        asio::buffer(output_.data() + written_, output_.size() - written_), 0,
+        error);
+    if (error == asio::error::would_block) {
+      WaitWritable();
+      return;
+    }
+    if (error) {
+      OnCallerEnd();
+      return;
+    }
+  }
+  output_.clear();
+  written_ = 0;
+  if (is_lingering_) StartLinger();
+}
+
+void caller_connection::WaitWritable() {
+  waiting_writable_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                     [self = shared_from_this()](std::error_code error) {
+                       self->waiting_writable_ = false;
+                       if (!error && self->is_open_) self->Send();
+                     });
+}
+
+void caller_connection::StartLinger() {
+  quiet_since_ = now_;
+  std::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void caller_connection::CheckTime(const caller_limits& limits,
+                                  steady_time now) {
+  now_ = now;
+  if (!is_open_) return;
+  const auto quiet = now - quiet_since_;
+  if (is_lingering_) {
+    if (quiet > kLingerTime) Close();
+    return;
+  }
+  if (has_request_) return;
+  parser_.SetLimits(limits.max_header_bytes, limits.max_body_bytes);
+  if (parser_.state() == parse_state::kIdle) {
+    if (quiet > limits.idle_timeout + kIdleMargin) Close();
+    return;
+  }
+  if (parser_.state() == parse_state::kInHead &&
+      quiet > limits.header_timeout) {
+    hooks_.on_unreadable(parse_state::kInHead, kStatusRequestTimeout);
+    has_request_ = true;
+    keep_alive_ = false;
+    Respond(kStatusRequestTimeout, {}, "");
+  }
+}
+
+void caller_connection::CloseIfIdle() {
+  const bool is_idle = is_open_ && !has_request_ && !is_lingering_ &&
+                       parser_.state() == parse_state::kIdle && input_.empty();
+  if (is_idle) Close();
+}
+
+void caller_connection::Close() {
+  if (!is_open_) return;
+  is_open_ = false;
+  std::error_code ignored;
+  socket_.close(ignored);
+  hooks_.on_end(*this);
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/connection/caller_listener.cc
@@ -0,0 +1,112 @@
+#include "connection/caller_listener.h"
+
+#include <asio/ip/address.hpp>
+#include <chrono>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+#include "connection/caller_connection.h"
+
+namespace marjoramsill {
+namespace {
+
+/// Pause after a failed accept, for example without free descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+/// Connections that wait to be accepted; a full queue costs callers a second.
+constexpr int kBacklog = 1'024;
+
+}  // namespace
+
+caller_listener::caller_listener(
+    asio::io_context& io, settings with,
+    std::function<void(const std::shared_ptr<caller_connection>&,
+                       caller_message)>
+        on_request,
+    std::function<void(parse_state, int)> on_unreadable,
+    std::function<steady_time()> clock)
+    : io_(io),
+      settings_(std::move(with)),
+      clock_(std::move(clock)),
+      acceptor_(io),
+      retry_timer_(io) {
+  hooks_.on_request = std::move(on_request);
+  hooks_.on_unreadable = std::move(on_unreadable);
+  hooks_.on_end = [this](caller_connection& ended) {
+    connections_.erase(&ended);
+  };
+}
+
+caller_listener::~caller_listener() = default;
+
+result<void, listen_error> caller_listener::Listen() {
+  try {
+    const asio::ip::tcp::endpoint local(
+        asio::ip::make_address(settings_.listen.ip), settings_.listen.port);
+    acceptor_.open(local.protocol());
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor_.bind(local);
+    acceptor_.listen(kBacklog);
+  } catch (const std::system_error& error) {
+    return failure(listen_error{settings_.listen, error.what()});
+  }
+  Accept();
+  return success();
+}
+
+void caller_listener::Accept() {
+  acceptor_.async_accept(
+      [this](std::error_code error, asio::ip::tcp::socket socket) {
+        OnAccept(error, std::move(socket));
+      });
+}
+
+void caller_listener::OnAccept(std::error_code error,
+                               asio::ip::tcp::socket socket) {
+  if (!acceptor_.is_open()) return;
+  if (error) {
+    retry_timer_.expires_after(kAcceptPause);
+    retry_timer_.async_wait([this](std::error_code cancelled) {
+      if (!cancelled && acceptor_.is_open()) Accept();
+    });
+    return;
+  }
+  // Beyond the bound the connection is closed, so that its caller turns to
+  // another entry VM instead of waiting.
+  if (connections_.size() < settings_.max_connections) {
+    auto connection = std::make_shared<caller_connection>(
+        std::move(socket), hooks_, limits_, clock_());
+    if (closes_after_answers_) connection->CloseAfterAnswer();
+    connections_.emplace(connection.get(), connection);
+    connection->Start();
+  }
+  Accept();
+}
+
+void caller_listener::Tick(steady_time now) {
+  // A connection that is closed meanwhile removes itself.
+  std::vector<std::shared_ptr<caller_connection>> all;
+  all.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) all.push_back(connection);
+  for (const auto& connection : all) connection->CheckTime(limits_, now);
+}
+
+void caller_listener::CloseAfterAnswers() {
+  closes_after_answers_ = true;
+  for (const auto& [key, connection] : connections_) {
+    connection->CloseAfterAnswer();
+  }
+}
+
+void caller_listener::StopAccepting() {
+  std::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void caller_listener::CloseIdle() {
+  std::vector<std::shared_ptr<caller_connection>> all;
+  for (const auto& [key, connection] : connections_) all.push_back(connection);
+  for (const auto& connection : all) connection->CloseIfIdle();
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/connection/caller_listener.h
@@ -0,0 +1,70 @@
+#ifndef MARJORAMSILL_CONNECTION_CALLER_LISTENER_H_
+#define MARJORAMSILL_CONNECTION_CALLER_LISTENER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "connection/caller_connection_hooks.h"
+#include "connection/listen_error.h"
+#include "connection/socket_address.h"
+#include "types/result.h"
+#include "types/steady_time.h"
+#include "version/routing/caller_limits.h"
+
+namespace marjoramsill {
+
+class caller_connection;
+
+/// Accepts the connections of callers and keeps them. Used from the thread of
+/// its I/O context only.
+class caller_listener {
+ public:
+  struct settings {
+    socket_address listen;
+    std::size_t max_connections = 0;
+  };
+
+  caller_listener(asio::io_context& io, settings with,
+                  std::function<void(const std::shared_ptr<caller_connection>&,
+                                     caller_message)>
+                      on_request,
+                  std::function<void(parse_state, int)> on_unreadable,
+                  std::function<steady_time()> clock);
+  ~caller_listener();
+  caller_listener(const caller_listener&) = delete;
+  caller_listener& operator=(const caller_listener&) = delete;
+
+  result<void, listen_error> Listen();
+  void SetLimits(const caller_limits& limits) { limits_ = limits; }
+  /// Checks the time bounds of all connections.
+  void Tick(steady_time now);
+  /// From now on every answer ends its connection.
+  void CloseAfterAnswers();
+  void StopAccepting();
+  void CloseIdle();
+  std::size_t size() const { return connections_.size(); }
+
+ private:
+  void Accept();
+  void OnAccept(std::error_code error, asio::ip::tcp::socket socket);
+
+  asio::io_context& io_;
+  const settings settings_;
+  const std::function<steady_time()> clock_;
+  caller_connection_hooks hooks_;
+  caller_limits limits_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer retry_timer_;
+  std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>>
+      connections_;
+  bool closes_after_answers_ = false;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_CALLER_LISTENER_H_
--- /dev/null
+++ b/source/connection/endpoint_call_hooks.h
@@ -0,0 +1,29 @@
+#ifndef MARJORAMSILL_CONNECTION_ENDPOINT_CALL_HOOKS_H_
+#define MARJORAMSILL_CONNECTION_ENDPOINT_CALL_HOOKS_H_
+
+#include <functional>
+#include <string_view>
+
+#include "connection/answer_head.h"
+#include "connection/call_failure.h"
+
+namespace marjoramsill {
+
+/// What happens to one call on an endpoint_connection. All hooks are set.
+/// Exactly one of `on_end` and `on_failure` is called, unless the owner closes
+/// the connection.
+struct endpoint_call_hooks {
+  /// True if the answer with this head belongs to the call. Otherwise it is
+  /// skipped and the next answer is awaited.
+  std::function<bool(const answer_head&)> accepts;
+  std::function<void(const answer_head&)> on_head;
+  std::function<void(std::string_view)> on_body;
+  /// What one read brought was passed on.
+  std::function<void()> on_read_end;
+  std::function<void()> on_end;
+  std::function<void(call_failure)> on_failure;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_ENDPOINT_CALL_HOOKS_H_
--- /dev/null
+++ b/source/connection/endpoint_connection.cc
@@ -0,0 +1,270 @@
+#include "connection/endpoint_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
+#include <cerrno>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+/// Assumed where the endpoint does not say how long it keeps an idle
+/// connection.
+constexpr std::chrono::milliseconds kDefaultIdleLimit{4'000};
+/// Sent data that is not acknowledged for this long ends the connection, so
+/// that a silent partition is noticed. Several retransmissions fit into it.
+constexpr unsigned kUserTimeoutMs = 1'500;
+/// Keep-alive probes find a silent partition while an answer is awaited.
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void SetSocketOption(int socket, int level, int name, int value) {
+  // A kernel without the option only notices a partition later.
+  ::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+/// The seconds of "timeout=5" in a Keep-Alive field.
+std::optional<int> KeepAliveSeconds(const answer_head& head) {
+  const http_field* field = FindField(head.fields, "Keep-Alive");
+  if (field == nullptr) return std::nullopt;
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = field->value.find(kName);
+  if (at == std::string::npos) return std::nullopt;
+  const char* begin = field->value.data() + at + kName.size();
+  int seconds = 0;
+  const auto [end, error] = std::from_chars(
+      begin, field->value.data() + field->value.size(), seconds);
+  if (error != std::errc() || end == begin) return std::nullopt;
+  return seconds;
+}
+
+}  // namespace
+
+endpoint_connection::endpoint_connection(asio::io_context& io,
+                                         socket_address remote,
+                                         idle_end_hook on_idle_end)
+    : socket_(io),
+      remote_(std::move(remote)),
+      on_idle_end_(std::move(on_idle_end)),
+      parser_([this](std::string_view body) {
+        if (in_call_ && !skipping_) hooks_.on_body(body);
+      }),
+      idle_limit_(kDefaultIdleLimit) {}
+
+endpoint_connection::~endpoint_connection() = default;
+
+void endpoint_connection::Connect(std::function<void(bool)> done) {
+  std::error_code error;
+  const asio::ip::address address = asio::ip::make_address(remote_.ip, error);
+  if (error) {
+    done(false);
+    return;
+  }
+  const asio::ip::tcp::endpoint target(address, remote_.port);
+  socket_.async_connect(target,
+                        [self = shared_from_this(),
+                         done = std::move(done)](std::error_code failed) {
+                          if (!failed) {
+                            self->is_open_ = true;
+                            self->SetOptions();
+                          }
+                          done(!failed);
+                        });
+}
+
+void endpoint_connection::SetOptions() {
+  std::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  const int handle = socket_.native_handle();
+  SetSocketOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPINTVL,
+                  kKeepAliveIntervalSeconds);
+  SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetSocketOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+void endpoint_connection::Send(std::string bytes, bool head_request,
+                               endpoint_call_hooks hooks) {
+  hooks_ = std::move(hooks);
+  in_call_ = true;
+  has_sent_ = false;
+  head_request_ = head_request;
+  output_ = std::move(bytes);
+  written_ = 0;
+  BeginAnswer();
+  Write();
+  if (in_call_) ReadNext();
+}
+
+void endpoint_connection::Write() {
+  while (written_ < output_.size()) {
+    std::error_code error;
+    const std::size_t sent = socket_.send(
+        asio::buffer(output_.data() + written_, output_.size() - written_), 0,
+        error);
+    if (error == asio::error::would_block) {
+      WaitWritable();
+      return;
+    }
+    if (error) {
+      Fail(call_failure::kBroken);
+      return;
+    }
+    has_sent_ = true;
+    written_ += sent;
+  }
+  output_.clear();
+  written_ = 0;
+}
+
+void endpoint_connection::WaitWritable() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                     [self = shared_from_this()](std::error_code error) {
+                       if (!error && self->is_open_) self->Write();
+                     });
+}
+
+void endpoint_connection::ReadNext() {
+  if (reading_ || !is_open_) return;
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](std::error_code error, std::size_t bytes) {
+        self->reading_ = false;
+        self->OnRead(error, bytes);
+      });
+}
+
+void endpoint_connection::OnRead(std::error_code error, std::size_t bytes) {
+  if (!is_open_) return;
+  if (error) {
+    OnEnd(error);
+    return;
+  }
+  if (!in_call_) {
+    // Bytes without a request belong to no call; the connection is unusable.
+    Shutdown();
+    on_idle_end_(*this);
+    return;
+  }
+  OnBytes(std::string_view(buffer_.data(), bytes));
+  if (is_open_) ReadNext();
+}
+
+void endpoint_connection::OnBytes(std::string_view bytes) {
+  while (!bytes.empty() && in_call_) {
+    bytes.remove_prefix(parser_.Read(bytes));
+    if (!in_call_) return;
+    if (parser_.state() == parse_state::kMalformed) {
+      Fail(call_failure::kMalformed);
+      return;
+    }
+    const bool has_head = parser_.state() == parse_state::kInBody ||
+                          parser_.state() == parse_state::kComplete;
+    if (has_head && !head_seen_) OnHeadRead();
+    if (!in_call_) return;
+    if (parser_.state() != parse_state::kComplete) continue;
+    if (skipping_) {
+      BeginAnswer();
+      continue;
+    }
+    if (!bytes.empty()) is_out_of_step_ = true;
+    FinishCall();
+    return;
+  }
+  if (in_call_ && head_seen_ && !skipping_) hooks_.on_read_end();
+}
+
+void endpoint_connection::BeginAnswer() {
+  head_seen_ = false;
+  skipping_ = false;
+  parser_.Begin(head_request_);
+}
+
+void endpoint_connection::OnHeadRead() {
+  head_seen_ = true;
+  if (!hooks_.accepts(parser_.head())) {
+    // A second answer to an earlier request. The own one follows; later ones
+    // may be shifted as well, so the connection ends with this call.
+    is_out_of_step_ = true;
+    skipping_ = true;
+    return;
+  }
+  NoteIdleLimit(parser_.head());
+  hooks_.on_head(parser_.head());
+}
+
+void endpoint_connection::NoteIdleLimit(const answer_head& head) {
+  if (const auto seconds = KeepAliveSeconds(head)) {
+    idle_limit_ = std::chrono::seconds(*seconds);
+  }
+}
+
+void endpoint_connection::OnEnd(std::error_code error) {
+  const bool clean = error == asio::error::eof;
+  if (!in_call_) {
+    Shutdown();
+    on_idle_end_(*this);
+    return;
+  }
+  if (clean && head_seen_ && !skipping_ && parser_.ReadEnd()) {
+    is_out_of_step_ = true;
+    FinishCall();
+    return;
+  }
+  Fail(call_failure::kBroken);
+}
+
+void endpoint_connection::Fail(call_failure failure) {
+  if (!in_call_) return;
+  in_call_ = false;
+  const endpoint_call_hooks hooks = std::move(hooks_);
+  hooks_ = {};
+  Shutdown();
+  hooks.on_failure(failure);
+}
+
+void endpoint_connection::FinishCall() {
+  in_call_ = false;
+  // A request that is not fully sent must not be followed by another one.
+  const bool reusable =
+      parser_.allows_reuse() && !is_out_of_step_ && output_.empty();
+  const endpoint_call_hooks hooks = std::move(hooks_);
+  hooks_ = {};
+  if (!reusable) Shutdown();
+  hooks.on_end();
+}
+
+bool endpoint_connection::IsReusable() const { return is_open_ && !in_call_; }
+
+bool endpoint_connection::CheckIdle() {
+  if (!IsReusable()) return false;
+  char byte = 0;
+  const ssize_t got = ::recv(socket_.native_handle(), &byte, sizeof(byte),
+                             MSG_PEEK | MSG_DONTWAIT);
+  const bool is_quiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (!is_quiet) Shutdown();
+  return is_quiet;
+}
+
+void endpoint_connection::Shutdown() {
+  is_open_ = false;
+  std::error_code ignored;
+  socket_.close(ignored);
+}
+
+void endpoint_connection::Close() {
+  in_call_ = false;
+  hooks_ = {};
+  Shutdown();
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/connection/endpoint_connection_pool.cc
@@ -0,0 +1,95 @@
+#include "connection/endpoint_connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+/// Parts of an endpoint's idle limit, in percent, up to which a connection is
+/// used again. The request needs some time to get there.
+constexpr int kReusePercent = 80;
+constexpr int kFreshPercent = 50;
+
+bool IsWithin(const endpoint_connection& connection, int percent,
+              steady_time now) {
+  const auto idle = now - connection.idle_since();
+  return idle * 100 < connection.idle_limit() * percent;
+}
+
+}  // namespace
+
+endpoint_connection_pool::endpoint_connection_pool(asio::io_context& io)
+    : io_(io) {}
+
+endpoint_connection_pool::~endpoint_connection_pool() {
+  for (auto& [endpoint, idle] : idle_) {
+    for (const auto& connection : idle) connection->Close();
+  }
+}
+
+std::shared_ptr<endpoint_connection> endpoint_connection_pool::TakeIdle(
+    const endpoint_id& endpoint, bool must_be_fresh, steady_time now) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) return nullptr;
+  idle_list& idle = found->second;
+  while (!idle.empty()) {
+    std::shared_ptr<endpoint_connection> newest = idle.back();
+    const int percent = must_be_fresh ? kFreshPercent : kReusePercent;
+    // The others have been idle for longer.
+    if (!IsWithin(*newest, percent, now)) return nullptr;
+    idle.pop_back();
+    if (newest->CheckIdle()) return newest;
+  }
+  return nullptr;
+}
+
+std::shared_ptr<endpoint_connection> endpoint_connection_pool::Open(
+    const endpoint_id& endpoint, const std::string& address) {
+  ++opened_;
+  return std::make_shared<endpoint_connection>(
+      io_, ParseSocketAddress(address).value_or(socket_address{}),
+      [this, endpoint](endpoint_connection& ended) {
+        Forget(endpoint, ended);
+      });
+}
+
+void endpoint_connection_pool::Release(
+    const endpoint_id& endpoint,
+    std::shared_ptr<endpoint_connection> connection, steady_time now) {
+  if (!connection->IsReusable() || connection->idle_limit().count() == 0) {
+    connection->Close();
+    return;
+  }
+  connection->set_idle_since(now);
+  idle_[endpoint].push_back(std::move(connection));
+}
+
+void endpoint_connection_pool::Drop(const endpoint_id& endpoint) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) return;
+  for (const auto& connection : found->second) connection->Close();
+  idle_.erase(found);
+}
+
+void endpoint_connection_pool::Expire(steady_time now) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [now](const auto& connection) {
+      if (IsWithin(*connection, kReusePercent, now)) return false;
+      connection->Close();
+      return true;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+void endpoint_connection_pool::Forget(const endpoint_id& endpoint,
+                                      endpoint_connection& ended) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) return;
+  std::erase_if(found->second, [&ended](const auto& connection) {
+    return connection.get() == &ended;
+  });
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/connection/endpoint_connection_pool.h
@@ -0,0 +1,56 @@
+#ifndef MARJORAMSILL_CONNECTION_ENDPOINT_CONNECTION_POOL_H_
+#define MARJORAMSILL_CONNECTION_ENDPOINT_CONNECTION_POOL_H_
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/endpoint_connection.h"
+#include "types/ids.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+/// Idle connections to endpoints, newest first, so that the surplus of a burst
+/// runs into its idle limit. Used from one thread.
+class endpoint_connection_pool {
+ public:
+  explicit endpoint_connection_pool(asio::io_context& io);
+  ~endpoint_connection_pool();
+  endpoint_connection_pool(const endpoint_connection_pool&) = delete;
+  endpoint_connection_pool& operator=(const endpoint_connection_pool&) = delete;
+
+  /// An idle connection to the endpoint, or null. `must_be_fresh`: only one
+  /// that the endpoint is sure to keep, for requests that may run only once.
+  std::shared_ptr<endpoint_connection> TakeIdle(const endpoint_id& endpoint,
+                                                bool must_be_fresh,
+                                                steady_time now);
+  /// A new connection, not yet established.
+  std::shared_ptr<endpoint_connection> Open(const endpoint_id& endpoint,
+                                            const std::string& address);
+  /// Takes back a connection after a call.
+  void Release(const endpoint_id& endpoint,
+               std::shared_ptr<endpoint_connection> connection,
+               steady_time now);
+  /// Closes the idle connections to an endpoint that has left.
+  void Drop(const endpoint_id& endpoint);
+  /// Closes connections shortly before their endpoints do.
+  void Expire(steady_time now);
+
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  using idle_list = std::vector<std::shared_ptr<endpoint_connection>>;
+  void Forget(const endpoint_id& endpoint, endpoint_connection& ended);
+
+  asio::io_context& io_;
+  std::map<endpoint_id, idle_list> idle_;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_CONNECTION_ENDPOINT_CONNECTION_POOL_H_
--- a/source/connection/http_server.cc
+++ b/source/connection/http_server.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "connection/http_responder.h"
+#include "connection/status_text.h"
 
 namespace marjoramsill {
 namespace {
@@ -91,7 +92,7 @@
   static restinio::http_status_line_t Status(int status) {
     const auto code =
         restinio::http_status_code_t(static_cast<std::uint16_t>(status));
-    return {code, status < 400 ? "OK" : "Error"};
+    return {code, StatusText(status)};
   }
 
   template <class Builder>
--- /dev/null
+++ b/source/process/controller/controller_process.cc
@@ -0,0 +1,335 @@
+#include "process/controller/controller_process.h"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "connection/http_responder.h"
+#include "connection/http_server.h"
+#include "connection/http_server_settings.h"
+#include "connection/peer_transport.h"
+#include "process/controller/document_service.h"
+#include "process/controller/document_store.h"
+#include "process/controller/endpoint_service.h"
+#include "process/controller/settings_watch.h"
+#include "process/controller/watch_hub.h"
+#include "process/daemon/event_log.h"
+#include "process/daemon/peer_kinds.h"
+#include "process/daemon/steady_clock.h"
+#include "process/directory/control_watcher.h"
+#include "process/directory/endpoint_directory.h"
+#include "process/directory/watch_codec.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The replicated group wants a tick at least every 50 ms.
+constexpr milliseconds kTick{50};
+/// Time for handing over leadership and for answers on their way.
+constexpr milliseconds kStopTime{700};
+/// Three intervals: one late or lost heartbeat changes nothing.
+constexpr int kSilentIntervals = 3;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+directory_settings DirectorySettings(const node_settings& settings) {
+  directory_settings directory;
+  directory.silent_after = kSilentIntervals * settings.heartbeat_interval;
+  return directory;
+}
+
+peer_transport_settings PeerSettings(const node_settings& settings) {
+  peer_transport_settings peers;
+  peers.vm = settings.vm.value();
+  peers.listen = settings.peers;
+  return peers;
+}
+
+int StatusOf(document_answer::kind what) {
+  switch (what) {
+    case document_answer::kind::kAccepted:
+    case document_answer::kind::kDocument:
+      return kStatusOk;
+    case document_answer::kind::kInvalid:
+      return kStatusBadRequest;
+    case document_answer::kind::kNone:
+      return kStatusNotFound;
+    case document_answer::kind::kUnavailable:
+      return kStatusUnavailable;
+  }
+  return kStatusUnavailable;
+}
+
+void RespondJson(const std::shared_ptr<http_responder>& responder, int status,
+                 std::string body) {
+  responder->Respond(status, {{"Content-Type", "application/json"}},
+                     std::move(body));
+}
+
+}  // namespace
+
+class controller_process::implementation {
+ public:
+  implementation(node_settings settings, std::string settings_file,
+                 control_dialect dialect)
+      : settings_(std::move(settings)),
+        dialect_(std::move(dialect)),
+        timer_(io_),
+        signals_(io_, SIGTERM, SIGINT, SIGHUP),
+        peers_(PeerSettings(settings_),
+               [this](const vm_message& message, auto reply) {
+                 OnPeerMessage(message, std::move(reply));
+               }),
+        directory_(DirectorySettings(settings_)),
+        hub_({.directory = &directory_,
+              .document = [this] { return held_version_; },
+              .members = [this] { return Members(); }},
+             SystemRandom()() | 1U),
+        watcher_(io_, peers_, settings_.vm, false, WatcherHooks()),
+        settings_watch_(
+            std::move(settings_file),
+            [this](const node_settings& changed) { OnSettings(changed); }) {}
+
+  ~implementation() { peers_.Stop(); }
+
+  result<void, start_error> Start() {
+    auto opened = document_store::Open(settings_, peers_, [this] {
+      asio::post(io_, [this] { OnDocumentChange(); });
+    });
+    if (!opened) return failure(std::move(opened).assume_error());
+    store_ = std::move(opened).assume_value();
+    documents_.emplace(dialect_, *store_, watcher_);
+    const std::string address = FormatSocketAddress(*settings_.control);
+    endpoints_.emplace(dialect_, hub_, directory_, watcher_, address,
+                       SteadyNow());
+    http_server_settings http;
+    http.listen = *settings_.control;
+    server_.emplace(io_, http,
+                    [this](const caller_request& request,
+                           const std::shared_ptr<http_responder>& responder) {
+                      OnRequest(request, responder);
+                    });
+    if (auto listening = peers_.Listen(); !listening) {
+      return failure(Error(listening.assume_error()));
+    }
+    if (auto listening = server_->Listen(); !listening) {
+      return failure(Error(listening.assume_error()));
+    }
+    held_version_ = store_->Held().version;
+    watcher_.SetSeeds(SeedVms(settings_));
+    store_->Start();
+    LogEvent(log_level::kInfo, "started",
+             {{"role", "control"},
+              {"vm", settings_.vm.value()},
+              {"document", std::to_string(held_version_.value())},
+              {"founds_group", settings_.founds_group ? "yes" : "no"}});
+    return success();
+  }
+
+  void Run() {
+    WaitForSignal();
+    ScheduleTick();
+    io_.run();
+    LogEvent(log_level::kInfo, "stopped", {{"role", "control"}});
+  }
+
+ private:
+  static start_error Error(const listen_error& error) {
+    return {FormatSocketAddress(error.address), error.reason};
+  }
+
+  control_watcher::hooks WatcherHooks() {
+    control_watcher::hooks hooks;
+    hooks.on_records = [this](const std::vector<endpoint_record>& records) {
+      endpoints_->OnRecords(records, SteadyNow());
+    };
+    // Documents come through the replicated group.
+    hooks.on_newer_document = [](const vm_id& /*vm*/,
+                                 document_version /*version*/) {};
+    hooks.on_contact = [](const vm_id& vm, bool reachable) {
+      LogEvent(log_level::kInfo, "control_contact",
+               {{"vm", vm.value()}, {"state", reachable ? "up" : "lost"}});
+    };
+    // Never asks for documents, so that requests are held without them.
+    hooks.document = [] { return document_version(~std::uint64_t{0}); };
+    hooks.clock = SteadyNow;
+    return hooks;
+  }
+
+  std::vector<vm_id> Members() const {
+    std::vector<vm_id> members;
+    if (!store_) return members;
+    for (const group_member& member : store_->Status().members) {
+      members.push_back(member.id.vm);
+    }
+    return members;
+  }
+
+  void WaitForSignal() {
+    signals_.async_wait([this](std::error_code error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        settings_watch_.Reload();
+        WaitForSignal();
+        return;
+      }
+      Stop();
+    });
+  }
+
+  void ScheduleTick() {
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](std::error_code error) {
+      if (error) return;
+      Tick();
+      ScheduleTick();
+    });
+  }
+
+  void Tick() {
+    const steady_time now = SteadyNow();
+    if (stop_at_ && now >= *stop_at_) {
+      io_.stop();
+      return;
+    }
+    store_->Tick();
+    watcher_.Tick(now);
+    endpoints_->Tick(now);
+    hub_.Tick(now);
+    settings_watch_.Tick(now);
+  }
+
+  void Stop() {
+    LogEvent(log_level::kInfo, "stopping", {{"role", "control"}});
+    store_->TransferLeadership();
+    server_->StopAccepting();
+    server_->CloseAfterAnswers();
+    stop_at_ = SteadyNow() + kStopTime;
+  }
+
+  void OnSettings(const node_settings& changed) {
+    watcher_.SetSeeds(SeedVms(changed));
+    store_->SetPeers(SeedVms(changed));
+  }
+
+  void OnDocumentChange() {
+    const document_version version = store_->Held().version;
+    if (version <= held_version_) return;
+    held_version_ = version;
+    LogEvent(log_level::kInfo, "document_committed",
+             {{"version", std::to_string(version.value())}});
+    hub_.Notify(SteadyNow());
+  }
+
+  /// On the transport's thread.
+  void OnPeerMessage(const vm_message& message, peer_transport::reply reply) {
+    if (message.kind == kRaftKind) {
+      if (store_) store_->OnRaftMessage(message.body);
+      reply("");
+      return;
+    }
+    asio::post(io_, [this, message, reply = std::move(reply)] {
+      OnProcessMessage(message, reply);
+    });
+  }
+
+  void OnProcessMessage(const vm_message& message,
+                        const peer_transport::reply& reply) {
+    if (message.kind == kWatchKind) {
+      const auto request = DecodeWatchRequest(message.body);
+      if (request) {
+        hub_.OnWatch(*request, reply, SteadyNow());
+      } else {
+        reply("");
+      }
+    } else if (message.kind == kDocumentKind) {
+      documents_->OnDocumentMessage(reply);
+    } else if (message.kind == kReadDocumentKind) {
+      documents_->OnReadMessage(reply);
+    } else if (message.kind == kSubmitDocumentKind) {
+      documents_->OnSubmitMessage(message.body, reply);
+    } else {
+      reply("");
+    }
+  }
+
+  void OnRequest(const caller_request& request,
+                 const std::shared_ptr<http_responder>& responder) {
+    const std::string_view prefix = dialect_.endpoint_prefix;
+    const auto answer = [responder](int status, std::string body) {
+      RespondJson(responder, status, std::move(body));
+    };
+    if (request.path == dialect_.document_path) {
+      OnDocumentRequest(request, responder);
+    } else if (request.path.starts_with(prefix)) {
+      const endpoint_id id(request.path.substr(prefix.size()));
+      if (request.method == "PUT") {
+        endpoints_->OnHeartbeat(id, request.body, answer, SteadyNow());
+      } else if (request.method == "DELETE") {
+        endpoints_->OnEnd(id, answer, SteadyNow());
+      } else {
+        answer(kStatusNotFound, "");
+      }
+    } else {
+      answer(kStatusNotFound, "");
+    }
+  }
+
+  void OnDocumentRequest(const caller_request& request,
+                         const std::shared_ptr<http_responder>& responder) {
+    const auto answer = [responder](document_answer result) {
+      RespondJson(responder, StatusOf(result.what), std::move(result.text));
+    };
+    if (request.method == "PUT") {
+      documents_->Submit(request.body, answer);
+    } else if (request.method == "GET") {
+      documents_->Read(answer);
+    } else {
+      RespondJson(responder, kStatusNotFound, "");
+    }
+  }
+
+  const node_settings settings_;
+  const control_dialect dialect_;
+  asio::io_context io_{1};
+  asio::steady_timer timer_;
+  asio::signal_set signals_;
+  peer_transport peers_;
+  endpoint_directory directory_;
+  watch_hub hub_;
+  control_watcher watcher_;
+  settings_watch settings_watch_;
+  std::unique_ptr<document_store> store_;
+  std::optional<document_service> documents_;
+  std::optional<endpoint_service> endpoints_;
+  std::optional<http_server> server_;
+  document_version held_version_;
+  std::optional<steady_time> stop_at_;
+};
+
+controller_process::controller_process(node_settings settings,
+                                       std::string settings_file,
+                                       control_dialect dialect)
+    : implementation_(std::make_unique<implementation>(
+          std::move(settings), std::move(settings_file), std::move(dialect))) {}
+
+controller_process::~controller_process() = default;
+
+result<void, start_error> controller_process::Start() {
+  return implementation_->Start();
+}
+
+void controller_process::Run() { implementation_->Run(); }
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/controller/document_service.cc
@@ -0,0 +1,130 @@
+#include "process/controller/document_service.h"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "process/controller/document_store.h"
+#include "process/controller/text_compression.h"
+#include "process/daemon/event_log.h"
+#include "process/daemon/peer_kinds.h"
+#include "process/directory/control_watcher.h"
+#include "version/routing/routing_check.h"
+
+namespace marjoramsill {
+namespace {
+
+/// Shorter than the time after which operators turn to another process.
+constexpr std::chrono::milliseconds kLeaderTimeout{900};
+constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
+constexpr const char* kAcceptedText = "accepted";
+
+std::optional<routing_error> ErrorOf(
+    const result<routing_document, routing_error>& parsed) {
+  if (!parsed) return parsed.assume_error();
+  return CheckRouting(parsed.assume_value());
+}
+
+}  // namespace
+
+document_service::document_service(const control_dialect& dialect,
+                                   document_store& store,
+                                   control_watcher& members)
+    : dialect_(dialect), store_(store), members_(members) {}
+
+void document_service::Submit(const std::string& text,
+                              const document_answer_hook& done) {
+  const auto parsed = dialect_.read_document(text);
+  if (const auto error = ErrorOf(parsed)) {
+    LogEvent(
+        log_level::kInfo, "document_refused",
+        {{"reason", RoutingErrorText(error->kind)}, {"where", error->where}});
+    done({document_answer::kind::kInvalid,
+          std::string(RoutingErrorText(error->kind)) + ": " + error->where});
+    return;
+  }
+  stored_document document;
+  document.version = parsed.assume_value().version;
+  document.packed = std::make_shared<const std::string>(PackText(text));
+  const auto finish = [done, version = document.version](bool accepted) {
+    LogEvent(log_level::kInfo, "document_submitted",
+             {{"version", std::to_string(version.value())},
+              {"accepted", accepted ? "yes" : "unknown"}});
+    done({accepted ? document_answer::kind::kAccepted
+                   : document_answer::kind::kUnavailable,
+          ""});
+  };
+  std::string command = EncodeStoredDocument(document);
+  const auto leader = store_.leader();
+  if (store_.IsLeading() || !leader) {
+    Accept(std::move(command), finish);
+    return;
+  }
+  members_.Ask(*leader, std::string(kSubmitDocumentKind), std::move(command),
+               kLeaderTimeout, [finish](const auto& answer) {
+                 finish(answer && *answer == kAcceptedText);
+               });
+}
+
+/// A version that is not above the one held changes nothing and is accepted
+/// without a log entry.
+void document_service::Accept(std::string command,
+                              const std::function<void(bool)>& done) {
+  const auto document = DecodeStoredDocument(command);
+  if (!document || !store_.IsLeading()) {
+    done(false);
+    return;
+  }
+  if (document->version <= store_.Held().version) {
+    done(store_.IsLeading());
+    return;
+  }
+  store_.Propose(std::move(command),
+                 [done](const std::optional<std::string>& held) {
+                   done(held.has_value());
+                 });
+}
+
+void document_service::OnSubmitMessage(
+    std::string command, const std::function<void(std::string)>& reply) {
+  Accept(std::move(command), [reply](bool accepted) {
+    reply(accepted ? kAcceptedText : std::string());
+  });
+}
+
+document_answer document_service::AnswerWith(const std::string& encoded) {
+  const auto document = DecodeStoredDocument(encoded);
+  if (!document) return {document_answer::kind::kUnavailable, ""};
+  if (!document->packed) return {document_answer::kind::kNone, ""};
+  auto text = UnpackText(*document->packed, kMaxDocumentBytes);
+  if (!text) return {document_answer::kind::kUnavailable, ""};
+  return {document_answer::kind::kDocument, std::move(*text)};
+}
+
+void document_service::Read(const document_answer_hook& done) {
+  const auto leader = store_.leader();
+  if (store_.IsLeading() || !leader) {
+    OnReadMessage(
+        [done](const std::string& encoded) { done(AnswerWith(encoded)); });
+    return;
+  }
+  members_.Ask(
+      *leader, std::string(kReadDocumentKind), "", kLeaderTimeout,
+      [done](const auto& answer) { done(AnswerWith(answer.value_or(""))); });
+}
+
+void document_service::OnReadMessage(
+    const std::function<void(std::string)>& reply) const {
+  // The lease is checked after the state was read: what is held then is the
+  // newest that was acknowledged before this moment.
+  std::string encoded = EncodeStoredDocument(store_.Held());
+  reply(store_.IsLeading() ? std::move(encoded) : std::string());
+}
+
+void document_service::OnDocumentMessage(
+    const std::function<void(std::string)>& reply) const {
+  reply(EncodeStoredDocument(store_.Held()));
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/controller/document_store.cc
@@ -0,0 +1,174 @@
+#include "process/controller/document_store.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "connection/peer_transport.h"
+#include "process/controller/node_settings.h"
+#include "process/daemon/event_log.h"
+#include "process/daemon/peer_kinds.h"
+#include "process/daemon/steady_clock.h"
+#include "process/replication/posix_folder.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kGroupNumber = 0;
+constexpr const char* kGroupName = "document";
+constexpr milliseconds kRaftTimeout{700};
+/// Largest document after compression.
+constexpr std::size_t kMaxCommandBytes = std::size_t{4} * 1024 * 1024;
+
+/// Control processes are few, so heartbeats can be frequent and a lost leader
+/// be replaced well within the time that operators and endpoints wait.
+raft_settings GroupSettings(const node_settings& settings) {
+  raft_settings group;
+  group.heartbeat_interval = milliseconds(200);
+  group.election_timeout_min = milliseconds(900);
+  group.election_timeout_max = milliseconds(1'300);
+  group.commit_notice_delay = milliseconds(5);
+  group.max_command_bytes = kMaxCommandBytes;
+  group.compaction_entries = 512;
+  group.compaction_bytes = std::size_t{4} * 1024 * 1024;
+  group.retained_entries = 64;
+  // A majority has to be left after the losses.
+  group.target_voters = 2UL * settings.tolerated_losses + 1;
+  group.demote_after = milliseconds(3'000);
+  group.remove_after = milliseconds(20'000);
+  // Disks are lost or kept, never set back, so that the check of older disks
+  // need not delay a group that has just its majority.
+  group.start_check_patience = milliseconds(800);
+  return group;
+}
+
+start_error ErrorOf(const storage_error& error) {
+  return {error.file, error.detail};
+}
+
+[[noreturn]] void ExitOnStorageError(const storage_error& error) {
+  LogEvent(log_level::kError, "storage_failed",
+           {{"file", error.file}, {"detail", error.detail}});
+  std::_Exit(EXIT_FAILURE);
+}
+
+}  // namespace
+
+result<std::unique_ptr<document_store>, start_error> document_store::Open(
+    const node_settings& settings, peer_transport& peers,
+    std::function<void()> on_change) {
+  std::unique_ptr<document_store> store(
+      new document_store(peers, std::move(on_change)));
+  auto folder = data_folder::Open(settings.data_folder, SystemRandom());
+  if (!folder) return failure(ErrorOf(folder.assume_error()));
+  store->folder_ = std::move(folder).assume_value();
+  auto opened = store->OpenGroup(settings);
+  if (!opened) return failure(std::move(opened).assume_error());
+  return store;
+}
+
+document_store::document_store(peer_transport& peers,
+                               std::function<void()> on_change)
+    : peers_(peers),
+      on_change_(std::move(on_change)),
+      disk_(
+          [this](std::uint32_t /*group*/, std::uint64_t ticket) {
+            Send(group_->SyncCompleted(ticket));
+          },
+          [](std::uint32_t /*group*/, const storage_error& error) {
+            ExitOnStorageError(error);
+          }) {}
+
+document_store::~document_store() { disk_.Stop(); }
+
+result<void, start_error> document_store::OpenGroup(
+    const node_settings& settings) {
+  auto folder = folder_->OpenGroup(kGroupName);
+  if (!folder) return failure(ErrorOf(folder.assume_error()));
+  group_folder_ = std::move(folder).assume_value();
+  auto store = std::make_unique<log_store>(*group_folder_);
+  auto stored = store->Open();
+  if (!stored) return failure(ErrorOf(stored.assume_error()));
+  raft_start start;
+  start.self = member_id{settings.vm, folder_->disk()};
+  start.domain = settings.failure_domain;
+  start.stored = std::move(stored).assume_value();
+  start.peers = SeedVms(settings);
+  if (settings.founds_group) start.bootstrap_voters = SeedVms(settings);
+  disk_.AddGroup(kGroupNumber, std::move(store));
+  group_ = std::make_unique<group_runner>(kGroupNumber, GroupSettings(settings),
+                                          std::move(start), Machine(), disk_);
+  return success();
+}
+
+group_machine document_store::Machine() {
+  group_machine machine;
+  machine.apply = [this](std::string_view command) {
+    return register_.Apply(command);
+  };
+  machine.take_snapshot = [this] { return register_.Snapshot(); };
+  machine.install_snapshot = [this](std::string_view bytes) {
+    if (register_.Restore(bytes)) return;
+    LogEvent(log_level::kError, "document_snapshot_damaged");
+    std::_Exit(EXIT_FAILURE);
+  };
+  machine.after_unlock = [this] { on_change_(); };
+  return machine;
+}
+
+void document_store::Start() {
+  disk_.Start();
+  Tick();
+}
+
+void document_store::Tick() { Send(group_->Tick()); }
+
+void document_store::OnRaftMessage(std::string_view body) {
+  auto bundle = DecodeBundle(body);
+  if (!bundle) {
+    LogEvent(log_level::kWarning, "raft_message_refused",
+             {{"field", bundle.assume_error().field}});
+    return;
+  }
+  for (const group_message& each : bundle.assume_value()) {
+    if (each.group == kGroupNumber) Send(group_->Receive(each.message));
+  }
+}
+
+void document_store::Send(const group_runner::messages& messages) {
+  // A bundle has one sender and one receiver.
+  std::map<member_id, group_runner::messages> by_receiver;
+  for (const group_message& each : messages) {
+    by_receiver[each.message.to].push_back(each);
+  }
+  for (const auto& [to, bundle] : by_receiver) {
+    const auto address = ParseSocketAddress(to.vm.value());
+    if (!address) continue;
+    peers_.Send(*address, {std::string(kRaftKind), EncodeBundle(bundle), {}},
+                kRaftTimeout, [](const auto& /*answer*/) {});
+  }
+}
+
+void document_store::Propose(std::string command, committed_hook done) {
+  Send(group_->Propose(
+      [&command]() -> std::optional<std::string> { return std::move(command); },
+      std::move(done)));
+}
+
+void document_store::TransferLeadership() {
+  Send(group_->TransferLeadership());
+}
+
+void document_store::SetPeers(std::vector<vm_id> peers) {
+  group_->SetPeers(std::move(peers));
+}
+
+stored_document document_store::Held() const {
+  return group_->Locked([this] { return register_.held(); });
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/controller/endpoint_service.cc
@@ -0,0 +1,133 @@
+#include "process/controller/endpoint_service.h"
+
+#include <chrono>
+#include <utility>
+
+#include "process/daemon/event_log.h"
+#include "process/directory/control_watcher.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusUnavailable = 503;
+/// Endpoints turn to another process after a second without an answer.
+constexpr milliseconds kAcknowledgeTime{700};
+/// A process that has just started knows few endpoints: the end of one that it
+/// does not know is not acknowledged before it has learnt from the others.
+constexpr milliseconds kLearningTime{2'500};
+
+const char* PhaseText(endpoint_phase phase) {
+  switch (phase) {
+    case endpoint_phase::kReady:
+      return "ready";
+    case endpoint_phase::kSilent:
+      return "silent";
+    case endpoint_phase::kLeaving:
+      return "leaving";
+    case endpoint_phase::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+endpoint_service::endpoint_service(const control_dialect& dialect,
+                                   watch_hub& hub,
+                                   endpoint_directory& directory,
+                                   const control_watcher& members,
+                                   std::string own_address, steady_time started)
+    : dialect_(dialect),
+      hub_(hub),
+      directory_(directory),
+      members_(members),
+      own_address_(std::move(own_address)),
+      started_(started) {}
+
+void endpoint_service::Log(const endpoint_record& record) const {
+  LogEvent(log_level::kInfo, "endpoint",
+           {{"endpoint", record.id.value()},
+            {"phase", PhaseText(record.phase)},
+            {"address", record.address},
+            {"pool", record.pool.value()},
+            {"born", std::to_string(record.born.value())},
+            {"sequence", std::to_string(record.sequence)}});
+}
+
+void endpoint_service::OnHeartbeat(const endpoint_id& id,
+                                   const std::string& body,
+                                   const answer_hook& done, steady_time now) {
+  const auto record = dialect_.read_heartbeat(id, body);
+  if (!record) {
+    LogEvent(log_level::kWarning, "heartbeat_refused",
+             {{"endpoint", id.value()}});
+    done(kStatusBadRequest, "");
+    return;
+  }
+  if (directory_.Hear(*record, now)) {
+    Log(*record);
+    hub_.Notify(now);
+  }
+  if (record->phase == endpoint_phase::kReady) {
+    done(kStatusOk, dialect_.heartbeat_answer(own_address_));
+    return;
+  }
+  AcknowledgeEnd(id, done, now);
+}
+
+void endpoint_service::OnEnd(const endpoint_id& id, const answer_hook& done,
+                             steady_time now) {
+  const endpoint_record* known = directory_.Find(id);
+  if (known == nullptr && now - started_ < kLearningTime) {
+    done(kStatusUnavailable, "");
+    return;
+  }
+  if (directory_.End(id, incarnation(), now)) {
+    Log(*directory_.Find(id));
+    hub_.Notify(now);
+  }
+  AcknowledgeEnd(id, done, now);
+}
+
+void endpoint_service::AcknowledgeEnd(const endpoint_id& id,
+                                      const answer_hook& done,
+                                      steady_time now) {
+  // Cut off from the others, this process cannot tell the entry VMs.
+  if (!IsInMajority(now)) {
+    LogEvent(log_level::kWarning, "end_not_acknowledged",
+             {{"endpoint", id.value()}, {"reason", "no_majority"}});
+    done(kStatusUnavailable, "");
+    return;
+  }
+  const std::string body = dialect_.heartbeat_answer(own_address_);
+  hub_.AwaitSeen(
+      directory_.last_change(), now + kAcknowledgeTime,
+      [done, body](bool /*seen*/) {
+        // Entry VMs that have not seen it by now are down or cut
+        // off, and are told when they return.
+        done(kStatusOk, body);
+      },
+      now);
+}
+
+bool endpoint_service::IsInMajority(steady_time now) const {
+  const std::size_t members = members_.members().size();
+  return 2 * (members_.ReachableCount(now) + 1) > members;
+}
+
+void endpoint_service::OnRecords(const std::vector<endpoint_record>& records,
+                                 steady_time now) {
+  // The process that heard of a change tells the entry VMs itself; from here
+  // they learn it with their next request.
+  for (const endpoint_record& record : records) directory_.Merge(record, now);
+}
+
+void endpoint_service::Tick(steady_time now) {
+  if (directory_.Expire(now)) hub_.Notify(now);
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/controller/node_settings.h
@@ -0,0 +1,56 @@
+#ifndef MARJORAMSILL_PROCESS_CONTROLLER_NODE_SETTINGS_H_
+#define MARJORAMSILL_PROCESS_CONTROLLER_NODE_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "connection/socket_address.h"
+#include "process/placement/retry_settings.h"
+#include "types/ids.h"
+#include "types/result.h"
+#include "version/section_error.h"
+
+namespace marjoramsill {
+
+/// Settings of a process of a fleet that finds its members by itself: an
+/// entry process or a control process.
+struct node_settings {
+  vm_id vm;
+  failure_domain_id failure_domain;
+  /// Address for the fleet's other processes. Its port is the same on all VMs.
+  socket_address peers;
+  /// For callers and for the load balancer; entry processes only.
+  std::optional<socket_address> callers;
+  std::optional<socket_address> readiness;
+  /// For operators and endpoints; control processes only.
+  std::optional<socket_address> control;
+  std::optional<socket_address> metrics;
+  /// Control addresses of some control processes.
+  std::vector<socket_address> seeds;
+  /// Durable state of a control process.
+  std::string data_folder;
+  /// The fleet starts for the first time: the seeds found the control group.
+  bool founds_group = false;
+  /// Control processes that may be lost at once.
+  std::uint32_t tolerated_losses = 1;
+  /// Time from SIGTERM to SIGKILL.
+  std::chrono::milliseconds grace{8'000};
+  /// Between two heartbeats of an endpoint.
+  std::chrono::milliseconds heartbeat_interval{1'200};
+  retry_settings retries;
+};
+
+/// Reads settings in YAML. `file` is for messages.
+result<node_settings, section_error> ParseNodeSettings(const std::string& file,
+                                                       std::string_view text);
+
+/// Peer addresses of the seeds, as names of VMs.
+std::vector<vm_id> SeedVms(const node_settings& settings);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CONTROLLER_NODE_SETTINGS_H_
--- a/source/process/daemon/group_runner.cc
+++ b/source/process/daemon/group_runner.cc
@@ -142,6 +142,11 @@
   return Process([this] { group_.Leave(); });
 }
 
+void group_runner::SetPeers(std::vector<vm_id> peers) {
+  const std::lock_guard lock(mutex_);
+  group_.SetPeers(std::move(peers));
+}
+
 bool group_runner::IsLeading() const {
   const std::lock_guard lock(mutex_);
   return leading_ && group_.HoldsLease();
--- a/source/process/daemon/group_runner.h
+++ b/source/process/daemon/group_runner.h
@@ -62,6 +62,8 @@
       proposal_done done);
   messages TransferLeadership();
   messages Leave();
+  /// Replaces the VMs that are asked for membership.
+  void SetPeers(std::vector<vm_id> peers);
 
   /// Runs a function on the state machine under the group's lock.
   template <class Function>
--- a/source/process/daemon/peer_kinds.h
+++ b/source/process/daemon/peer_kinds.h
@@ -14,6 +14,11 @@
 inline constexpr std::string_view kPolicyFetchKind = "policy/fetch";
 inline constexpr std::string_view kLimitsKind = "limits";
 inline constexpr std::string_view kCountersKind = "counters";
+/// Of fleets that find their members by themselves (docs/platform.md).
+inline constexpr std::string_view kWatchKind = "watch";
+inline constexpr std::string_view kDocumentKind = "document";
+inline constexpr std::string_view kReadDocumentKind = "document/read";
+inline constexpr std::string_view kSubmitDocumentKind = "document/submit";
 
 }  // namespace marjoramsill
 
--- a/source/process/daemon/steady_clock.cc
+++ b/source/process/daemon/steady_clock.cc
@@ -6,9 +6,13 @@
 namespace marjoramsill {
 
 steady_time SteadyNow() {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return steady_time(
-      std::chrono::duration_cast<std::chrono::microseconds>(since_start));
+  // CLOCK_MONOTONIC stands still while a machine is suspended, so that a lease
+  // would outlive its holder's suspension. CLOCK_BOOTTIME counts that time.
+  timespec since_boot{};
+  ::clock_gettime(CLOCK_BOOTTIME, &since_boot);
+  return steady_time(std::chrono::seconds(since_boot.tv_sec) +
+                     std::chrono::duration_cast<std::chrono::microseconds>(
+                         std::chrono::nanoseconds(since_boot.tv_nsec)));
 }
 
 random_source SystemRandom() {
--- /dev/null
+++ b/source/process/directory/watch_codec.cc
@@ -0,0 +1,120 @@
+#include "process/directory/watch_codec.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace marjoramsill {
+namespace {
+
+using record_fields = std::tuple<std::string, std::string, std::string,
+                                 std::string, std::uint32_t, std::uint8_t,
+                                 std::uint64_t, std::uint64_t, std::uint32_t>;
+using request_fields =
+    std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t>;
+using reply_fields =
+    std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
+               std::uint64_t, std::vector<std::string>, std::uint32_t>;
+
+template <class Fields>
+std::string Pack(const Fields& fields) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, fields);
+  return std::string(buffer.data(), buffer.size());
+}
+
+template <class Fields>
+std::optional<Fields> Unpack(std::string_view bytes) {
+  try {
+    Fields fields;
+    msgpack::unpack(bytes.data(), bytes.size()).get().convert(fields);
+    return fields;
+  } catch (const std::exception&) {
+    // msgpack reports malformed bytes only by exceptions.
+    return std::nullopt;
+  }
+}
+
+record_fields ToFields(const endpoint_record& record) {
+  return {record.id.value(),   record.pool.value(),
+          record.address,      record.domain.value(),
+          record.slots,        static_cast<std::uint8_t>(record.phase),
+          record.born.value(), record.sequence,
+          record.cold_ms};
+}
+
+std::optional<endpoint_record> ToRecord(record_fields&& fields) {
+  endpoint_record record;
+  record.id = endpoint_id(std::move(std::get<0>(fields)));
+  record.pool = model_id(std::move(std::get<1>(fields)));
+  record.address = std::move(std::get<2>(fields));
+  record.domain = failure_domain_id(std::move(std::get<3>(fields)));
+  record.slots = std::get<4>(fields);
+  const std::uint8_t phase = std::get<5>(fields);
+  if (phase > static_cast<std::uint8_t>(endpoint_phase::kGone)) {
+    return std::nullopt;
+  }
+  record.phase = static_cast<endpoint_phase>(phase);
+  record.born = incarnation(std::get<6>(fields));
+  record.sequence = std::get<7>(fields);
+  record.cold_ms = std::get<8>(fields);
+  return record;
+}
+
+}  // namespace
+
+std::string EncodeWatchRequest(const watch_request& request) {
+  return Pack(request_fields{request.watcher.value(), request.is_entry,
+                             request.epoch, request.seen_change,
+                             request.document.value()});
+}
+
+std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
+  auto fields = Unpack<request_fields>(bytes);
+  if (!fields) return std::nullopt;
+  watch_request request;
+  request.watcher = vm_id(std::move(std::get<0>(*fields)));
+  request.is_entry = std::get<1>(*fields);
+  request.epoch = std::get<2>(*fields);
+  request.seen_change = std::get<3>(*fields);
+  request.document = document_version(std::get<4>(*fields));
+  return request;
+}
+
+std::string EncodeWatchReply(const watch_reply& reply) {
+  reply_fields fields;
+  std::get<0>(fields) = reply.epoch;
+  std::get<1>(fields) = reply.last_change;
+  for (const endpoint_record& record : reply.records) {
+    std::get<2>(fields).push_back(ToFields(record));
+  }
+  std::get<3>(fields) = reply.document.value();
+  for (const vm_id& member : reply.members) {
+    std::get<4>(fields).push_back(member.value());
+  }
+  std::get<5>(fields) = reply.entry_count;
+  return Pack(fields);
+}
+
+std::optional<watch_reply> DecodeWatchReply(std::string_view bytes) {
+  auto fields = Unpack<reply_fields>(bytes);
+  if (!fields) return std::nullopt;
+  watch_reply reply;
+  reply.epoch = std::get<0>(*fields);
+  reply.last_change = std::get<1>(*fields);
+  for (record_fields& each : std::get<2>(*fields)) {
+    auto record = ToRecord(std::move(each));
+    if (!record) return std::nullopt;
+    reply.records.push_back(std::move(*record));
+  }
+  reply.document = document_version(std::get<3>(*fields));
+  for (std::string& member : std::get<4>(*fields)) {
+    reply.members.emplace_back(std::move(member));
+  }
+  reply.entry_count = std::get<5>(*fields);
+  return reply;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/entry/call_environment.h
@@ -0,0 +1,41 @@
+#ifndef MARJORAMSILL_PROCESS_ENTRY_CALL_ENVIRONMENT_H_
+#define MARJORAMSILL_PROCESS_ENTRY_CALL_ENVIRONMENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "request/request_dialect.h"
+#include "types/ids.h"
+#include "types/random_source.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+class decision_log;
+class endpoint_connection_pool;
+class endpoint_pool;
+class entry_metrics;
+class retry_window;
+class routing_table;
+
+/// What the requests of one entry process share.
+struct call_environment {
+  request_dialect dialect;
+  endpoint_connection_pool* connections = nullptr;
+  entry_metrics* metrics = nullptr;
+  decision_log* log = nullptr;
+  /// The routing table in force; null before the first document.
+  std::function<std::shared_ptr<const routing_table>()> table;
+  /// Endpoints of a pool; never null.
+  std::function<endpoint_pool*(const model_id&)> pool;
+  std::function<retry_window*(const model_id&)> retries;
+  /// Entry VMs in the fleet, as far as known.
+  std::function<std::uint32_t()> entry_count;
+  std::function<steady_time()> clock;
+  random_source random;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ENTRY_CALL_ENVIRONMENT_H_
--- /dev/null
+++ b/source/process/entry/decision_log.h
@@ -0,0 +1,47 @@
+#ifndef MARJORAMSILL_PROCESS_ENTRY_DECISION_LOG_H_
+#define MARJORAMSILL_PROCESS_ENTRY_DECISION_LOG_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace marjoramsill {
+
+/// Log lines on standard output, written by a thread of its own. A line never
+/// waits for the output: at most `kMaxLinesPerSecond` lines are taken, and
+/// lines beyond a bounded buffer are dropped and counted.
+class decision_log {
+ public:
+  decision_log();
+  ~decision_log();
+  decision_log(const decision_log&) = delete;
+  decision_log& operator=(const decision_log&) = delete;
+
+  /// Writes "time=... event=EVENT FIELDS". `fields` is key=value pairs.
+  void Write(std::string_view event, std::string_view fields);
+  std::uint64_t dropped() const;
+
+ private:
+  void Run();
+  bool AllowsLine(std::uint64_t now_ms);
+
+  static constexpr std::uint32_t kMaxLinesPerSecond = 180;
+  static constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
+
+  mutable std::mutex mutex_;
+  std::condition_variable wake_;
+  std::string buffer_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t reported_dropped_ = 0;
+  std::uint64_t second_ = 0;
+  std::uint32_t lines_in_second_ = 0;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ENTRY_DECISION_LOG_H_
--- /dev/null
+++ b/source/process/entry/entry_metrics.cc
@@ -0,0 +1,138 @@
+#include "process/entry/entry_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+
+namespace marjoramsill {
+namespace {
+
+prometheus::Counter* MakeCounter(prometheus::Registry& registry,
+                                 const std::string& name,
+                                 const std::string& help) {
+  return &prometheus::BuildCounter()
+              .Name(name)
+              .Help(help)
+              .Register(registry)
+              .Add({});
+}
+
+prometheus::Gauge* MakeGauge(prometheus::Registry& registry,
+                             const std::string& name, const std::string& help) {
+  return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
+}
+
+prometheus::Histogram* MakeHistogram(prometheus::Registry& registry,
+                                     const std::string& name,
+                                     const std::string& help) {
+  const prometheus::Histogram::BucketBoundaries seconds{
+      0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 16};
+  return &prometheus::BuildHistogram()
+              .Name(name)
+              .Help(help)
+              .Register(registry)
+              .Add({}, seconds);
+}
+
+}  // namespace
+
+entry_metrics::entry_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()) {
+  auto& requests = prometheus::BuildCounter()
+                       .Name("marjoramsill_entry_requests_total")
+                       .Help("Requests of callers by rank and outcome")
+                       .Register(*registry_);
+  for (std::size_t rank = 0; rank < kRanks; ++rank) {
+    for (std::size_t i = 0; i < kCallOutcomeCount; ++i) {
+      const auto outcome = static_cast<call_outcome>(i);
+      outcomes_[rank][i] =
+          &requests.Add({{"rank", std::to_string(rank)},
+                         {"outcome", CallOutcomeText(outcome)}});
+    }
+  }
+  attempts_ = MakeCounter(*registry_, "marjoramsill_entry_attempts_total",
+                          "Requests sent to endpoints");
+  retries_ = MakeCounter(*registry_, "marjoramsill_entry_retries_total",
+                         "Requests sent to a further endpoint");
+  retries_denied_ =
+      MakeCounter(*registry_, "marjoramsill_entry_retries_denied_total",
+                  "Further attempts that the retry budget did not allow");
+  connections_ = MakeCounter(*registry_, "marjoramsill_entry_connections_total",
+                             "Connections opened to endpoints");
+  unreadable_ = MakeCounter(*registry_, "marjoramsill_entry_unreadable_total",
+                            "Requests of callers that could not be read");
+  first_byte_ =
+      MakeHistogram(*registry_, "marjoramsill_entry_first_byte_seconds",
+                    "Time from a request to the start of its answer");
+  gap_ = MakeHistogram(*registry_, "marjoramsill_entry_gap_seconds",
+                       "Longest pause within a streamed answer");
+  document_version_ =
+      MakeGauge(*registry_, "marjoramsill_entry_document_version",
+                "Version of the routing document in force");
+  endpoints_ready_ = MakeGauge(*registry_, "marjoramsill_entry_endpoints_ready",
+                               "Endpoints believed ready");
+  endpoints_silent_ =
+      MakeGauge(*registry_, "marjoramsill_entry_endpoints_silent",
+                "Endpoints without recent heartbeats");
+  endpoints_leaving_ =
+      MakeGauge(*registry_, "marjoramsill_entry_endpoints_leaving",
+                "Endpoints that announced their end");
+  open_calls_ = MakeGauge(*registry_, "marjoramsill_entry_open_calls",
+                          "Requests in progress");
+  dropped_lines_ = MakeGauge(*registry_, "marjoramsill_entry_dropped_lines",
+                             "Log lines dropped since the start");
+}
+
+entry_metrics::~entry_metrics() = default;
+
+void entry_metrics::CountOutcome(int rank, call_outcome outcome) {
+  const std::size_t row = std::min<std::size_t>(
+      static_cast<std::size_t>(std::max(rank, 0)), kRanks - 1);
+  outcomes_[row][static_cast<std::size_t>(outcome)]->Increment();
+}
+
+void entry_metrics::CountAttempt() { attempts_->Increment(); }
+
+void entry_metrics::CountRetry(bool allowed) {
+  (allowed ? retries_ : retries_denied_)->Increment();
+}
+
+void entry_metrics::CountConnection() { connections_->Increment(); }
+
+void entry_metrics::CountUnreadable() { unreadable_->Increment(); }
+
+void entry_metrics::ObserveFirstByte(double seconds) {
+  first_byte_->Observe(seconds);
+}
+
+void entry_metrics::ObserveGap(double seconds) { gap_->Observe(seconds); }
+
+void entry_metrics::SetDocumentVersion(std::uint64_t version) {
+  document_version_->Set(static_cast<double>(version));
+}
+
+void entry_metrics::SetEndpoints(std::size_t ready, std::size_t silent,
+                                 std::size_t leaving) {
+  endpoints_ready_->Set(static_cast<double>(ready));
+  endpoints_silent_->Set(static_cast<double>(silent));
+  endpoints_leaving_->Set(static_cast<double>(leaving));
+}
+
+void entry_metrics::SetOpenCalls(std::size_t count) {
+  open_calls_->Set(static_cast<double>(count));
+}
+
+void entry_metrics::SetDroppedLines(std::uint64_t count) {
+  dropped_lines_->Set(static_cast<double>(count));
+}
+
+std::string entry_metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/entry/entry_metrics.h
@@ -0,0 +1,68 @@
+#ifndef MARJORAMSILL_PROCESS_ENTRY_ENTRY_METRICS_H_
+#define MARJORAMSILL_PROCESS_ENTRY_ENTRY_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "process/entry/call_outcome.h"
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+}  // namespace prometheus
+
+namespace marjoramsill {
+
+/// Metrics of an entry process. Label values come from fixed sets.
+class entry_metrics {
+ public:
+  entry_metrics();
+  ~entry_metrics();
+  entry_metrics(const entry_metrics&) = delete;
+  entry_metrics& operator=(const entry_metrics&) = delete;
+
+  void CountOutcome(int rank, call_outcome outcome);
+  void CountAttempt();
+  void CountRetry(bool allowed);
+  void CountConnection();
+  void CountUnreadable();
+  /// From the request to the first byte of the answer.
+  void ObserveFirstByte(double seconds);
+  /// Longest pause between two parts of an answer.
+  void ObserveGap(double seconds);
+  void SetDocumentVersion(std::uint64_t version);
+  void SetEndpoints(std::size_t ready, std::size_t silent, std::size_t leaving);
+  void SetOpenCalls(std::size_t count);
+  void SetDroppedLines(std::uint64_t count);
+  /// The Prometheus text format.
+  std::string Text() const;
+
+ private:
+  /// Ranks above this one share its series.
+  static constexpr std::size_t kRanks = 4;
+
+  std::shared_ptr<prometheus::Registry> registry_;
+  std::array<std::array<prometheus::Counter*, kCallOutcomeCount>, kRanks>
+      outcomes_{};
+  prometheus::Counter* attempts_ = nullptr;
+  prometheus::Counter* retries_ = nullptr;
+  prometheus::Counter* retries_denied_ = nullptr;
+  prometheus::Counter* connections_ = nullptr;
+  prometheus::Counter* unreadable_ = nullptr;
+  prometheus::Histogram* first_byte_ = nullptr;
+  prometheus::Histogram* gap_ = nullptr;
+  prometheus::Gauge* document_version_ = nullptr;
+  prometheus::Gauge* endpoints_ready_ = nullptr;
+  prometheus::Gauge* endpoints_silent_ = nullptr;
+  prometheus::Gauge* endpoints_leaving_ = nullptr;
+  prometheus::Gauge* open_calls_ = nullptr;
+  prometheus::Gauge* dropped_lines_ = nullptr;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ENTRY_ENTRY_METRICS_H_
--- /dev/null
+++ b/source/process/entry/entry_process.cc
@@ -0,0 +1,386 @@
+#include "process/entry/entry_process.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "connection/caller_connection.h"
+#include "connection/caller_listener.h"
+#include "connection/endpoint_connection_pool.h"
+#include "connection/http_responder.h"
+#include "connection/http_server.h"
+#include "connection/http_server_settings.h"
+#include "connection/peer_transport.h"
+#include "process/controller/settings_watch.h"
+#include "process/controller/stored_document.h"
+#include "process/controller/text_compression.h"
+#include "process/daemon/peer_kinds.h"
+#include "process/daemon/steady_clock.h"
+#include "process/directory/control_watcher.h"
+#include "process/entry/call_environment.h"
+#include "process/entry/decision_log.h"
+#include "process/entry/entry_metrics.h"
+#include "process/entry/log_fields.h"
+#include "process/entry/pool_table.h"
+#include "request/proxied_call.h"
+#include "version/routing/routing_table.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Resolution of deadlines and stalls.
+constexpr milliseconds kTick{25};
+/// Connections and endpoints are looked over less often.
+constexpr int kTicksPerSweep = 8;
+/// After SIGTERM the load balancer takes some seconds to notice; until then
+/// new connections are served.
+constexpr milliseconds kUnreadyTime{2'800};
+/// Before SIGKILL what is left is answered and the process ends.
+constexpr milliseconds kStopMargin{700};
+constexpr milliseconds kDocumentTimeout{1'500};
+constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
+/// Descriptors that are not for callers: endpoints, peers, files.
+constexpr std::size_t kOtherDescriptors = 1'500;
+constexpr std::size_t kMinCallerConnections = 500;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+peer_transport_settings PeerSettings(const node_settings& settings) {
+  peer_transport_settings peers;
+  peers.vm = settings.vm.value();
+  peers.listen = settings.peers;
+  return peers;
+}
+
+placement_settings PlacementSettings(const node_settings& settings) {
+  placement_settings placement;
+  placement.domain = settings.failure_domain;
+  return placement;
+}
+
+/// From the process's limit of open files.
+std::size_t MaxCallerConnections() {
+  rlimit files{};
+  if (::getrlimit(RLIMIT_NOFILE, &files) != 0) return kMinCallerConnections;
+  const auto limit = static_cast<std::size_t>(files.rlim_cur);
+  if (limit < kOtherDescriptors + kMinCallerConnections) {
+    return kMinCallerConnections;
+  }
+  return limit - kOtherDescriptors;
+}
+
+}  // namespace
+
+class entry_process::implementation {
+ public:
+  implementation(node_settings settings, std::string settings_file,
+                 request_dialect requests, control_dialect control)
+      : settings_(std::move(settings)),
+        control_dialect_(std::move(control)),
+        timer_(io_),
+        signals_(io_, SIGTERM, SIGINT, SIGHUP),
+        peers_(PeerSettings(settings_), [](const vm_message& /*message*/,
+                                           const auto& reply) { reply(""); }),
+        watcher_(io_, peers_, settings_.vm, true, WatcherHooks()),
+        connections_(io_),
+        pools_(PlacementSettings(settings_), settings_.retries, SystemRandom(),
+               [this](const endpoint_id& id) { connections_.Drop(id); }),
+        listener_(
+            io_, {*settings_.callers, MaxCallerConnections()},
+            [this](const auto& caller, caller_message message) {
+              OnRequest(caller, std::move(message));
+            },
+            [this](parse_state state, int status) {
+              OnUnreadable(state, status);
+            },
+            SteadyNow),
+        settings_watch_(std::move(settings_file),
+                        [this](const node_settings& changed) {
+                          watcher_.SetSeeds(SeedVms(changed));
+                        }) {
+    environment_.dialect = std::move(requests);
+    environment_.connections = &connections_;
+    environment_.metrics = &metrics_;
+    environment_.log = &log_;
+    environment_.table = [this] { return table_; };
+    environment_.pool = [this](const model_id& id) { return pools_.Pool(id); };
+    environment_.retries = [this](const model_id& id) {
+      return pools_.Retries(id);
+    };
+    environment_.entry_count = [this] { return watcher_.entry_count(); };
+    environment_.clock = SteadyNow;
+    environment_.random = SystemRandom();
+  }
+
+  ~implementation() { peers_.Stop(); }
+
+  result<void, start_error> Start() {
+    if (auto listening = peers_.Listen(); !listening) {
+      return failure(Error(listening.assume_error()));
+    }
+    if (auto listening = listener_.Listen(); !listening) {
+      return failure(Error(listening.assume_error()));
+    }
+    if (auto listening = ListenHttp(readiness_, settings_.readiness);
+        !listening) {
+      return listening;
+    }
+    if (auto listening = ListenHttp(metrics_server_, settings_.metrics);
+        !listening) {
+      return listening;
+    }
+    watcher_.SetSeeds(SeedVms(settings_));
+    log_.Write("started", log_fields()
+                              .Add("role", "entry")
+                              .Add("vm", settings_.vm.value())
+                              .Add("seeds", settings_.seeds.size())
+                              .text());
+    return success();
+  }
+
+  void Run() {
+    WaitForSignal();
+    Tick();
+    io_.run();
+    log_.Write("stopped", "role=entry");
+  }
+
+ private:
+  static start_error Error(const listen_error& error) {
+    return {FormatSocketAddress(error.address), error.reason};
+  }
+
+  result<void, start_error> ListenHttp(
+      std::optional<http_server>& server,
+      const std::optional<socket_address>& address) {
+    if (!address) return success();
+    http_server_settings http;
+    http.listen = *address;
+    server.emplace(io_, http,
+                   [this](const caller_request& request,
+                          const std::shared_ptr<http_responder>& responder) {
+                     OnStatusRequest(request, responder);
+                   });
+    if (auto listening = server->Listen(); !listening) {
+      return failure(Error(listening.assume_error()));
+    }
+    return success();
+  }
+
+  control_watcher::hooks WatcherHooks() {
+    control_watcher::hooks hooks;
+    hooks.on_records = [this](const std::vector<endpoint_record>& records) {
+      OnRecords(records);
+    };
+    hooks.on_newer_document = [this](const vm_id& vm,
+                                     document_version version) {
+      FetchDocument(vm, version);
+    };
+    hooks.on_contact = [this](const vm_id& vm, bool reachable) {
+      log_.Write("control_contact", log_fields()
+                                        .Add("vm", vm.value())
+                                        .Add("state", reachable ? "up" : "lost")
+                                        .text());
+    };
+    hooks.document = [this] {
+      return std::max(HeldVersion(), fetching_version_);
+    };
+    hooks.clock = SteadyNow;
+    return hooks;
+  }
+
+  document_version HeldVersion() const {
+    return table_ ? table_->version() : document_version();
+  }
+
+  void OnRecords(const std::vector<endpoint_record>& records) {
+    for (const endpoint_record& record : records) {
+      log_.Write("endpoint", log_fields()
+                                 .Add("endpoint", record.id.value())
+                                 .Add("phase", static_cast<int>(record.phase))
+                                 .Add("pool", record.pool.value())
+                                 .Add("address", record.address)
+                                 .Add("born", record.born.value())
+                                 .Add("sequence", record.sequence)
+                                 .text());
+    }
+    pools_.Merge(records, SteadyNow());
+  }
+
+  void FetchDocument(const vm_id& vm, document_version version) {
+    if (version <= fetching_version_) return;
+    fetching_version_ = version;
+    watcher_.Ask(vm, std::string(kDocumentKind), "", kDocumentTimeout,
+                 [this, version](const std::optional<std::string>& answer) {
+                   OnDocument(answer.value_or(""));
+                   // After a failure the next reply to a watch starts anew.
+                   if (HeldVersion() < version) fetching_version_ = {};
+                 });
+  }
+
+  void OnDocument(const std::string& encoded) {
+    const auto document = DecodeStoredDocument(encoded);
+    if (!document || !document->packed) return;
+    if (document->version <= HeldVersion()) return;
+    const auto text = UnpackText(*document->packed, kMaxDocumentBytes);
+    if (!text) return;
+    auto parsed = control_dialect_.read_document(*text);
+    if (!parsed) {
+      log_.Write("document_unreadable",
+                 log_fields()
+                     .Add("version", document->version.value())
+                     .Add("where", parsed.assume_error().where)
+                     .text());
+      return;
+    }
+    listener_.SetLimits(parsed.assume_value().limits);
+    table_ =
+        std::make_shared<const routing_table>(std::move(parsed).assume_value());
+    pools_.SetDocument(table_);
+    metrics_.SetDocumentVersion(table_->version().value());
+    log_.Write("document_in_force",
+               log_fields()
+                   .Add("version", table_->version().value())
+                   .Add("routes", table_->document().routes.size())
+                   .text());
+  }
+
+  void OnRequest(const std::shared_ptr<caller_connection>& caller,
+                 caller_message message) {
+    auto call = std::make_shared<proxied_call>(environment_, caller,
+                                               std::move(message));
+    call->Start();
+    if (!call->is_done()) calls_.push_back(std::move(call));
+  }
+
+  void OnUnreadable(parse_state state, int status) {
+    metrics_.CountUnreadable();
+    log_.Write("unreadable_request", log_fields()
+                                         .Add("state", static_cast<int>(state))
+                                         .Add("status", status)
+                                         .text());
+  }
+
+  bool IsReady() const {
+    return table_ != nullptr && watcher_.HasHadContact() && !stopping_since_;
+  }
+
+  void OnStatusRequest(const caller_request& request,
+                       const std::shared_ptr<http_responder>& responder) {
+    if (request.path == "/readyz") {
+      responder->Respond(IsReady() ? kStatusOk : kStatusUnavailable, {}, "");
+    } else if (request.path == "/metrics") {
+      responder->Respond(kStatusOk, {{"Content-Type", "text/plain"}},
+                         metrics_.Text());
+    } else {
+      responder->Respond(kStatusNotFound, {}, "");
+    }
+  }
+
+  void WaitForSignal() {
+    signals_.async_wait([this](std::error_code error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        settings_watch_.Reload();
+        WaitForSignal();
+        return;
+      }
+      BeginStop();
+    });
+  }
+
+  void BeginStop() {
+    stopping_since_ = SteadyNow();
+    log_.Write(
+        "stopping",
+        log_fields().Add("role", "entry").Add("calls", calls_.size()).text());
+    listener_.CloseAfterAnswers();
+  }
+
+  void Tick() {
+    const steady_time now = SteadyNow();
+    for (const auto& call : calls_) call->Tick(now);
+    std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
+    watcher_.Tick(now);
+    if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
+    if (stopping_since_ && ContinueStop(now)) return;
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](std::error_code error) {
+      if (!error) Tick();
+    });
+  }
+
+  void Sweep(steady_time now) {
+    listener_.Tick(now);
+    connections_.Expire(now);
+    pools_.Tick(now);
+    settings_watch_.Tick(now);
+    const auto phases = pools_.CountPhases();
+    metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
+    metrics_.SetOpenCalls(calls_.size());
+    metrics_.SetDroppedLines(log_.dropped());
+  }
+
+  /// True once the process has ended its work.
+  bool ContinueStop(steady_time now) {
+    const auto since = now - *stopping_since_;
+    if (since < kUnreadyTime) return false;
+    listener_.StopAccepting();
+    listener_.CloseIdle();
+    const bool is_late = since >= settings_.grace - kStopMargin;
+    if (!calls_.empty() && !is_late) return false;
+    for (const auto& call : calls_) call->Stop();
+    io_.stop();
+    return true;
+  }
+
+  const node_settings settings_;
+  const control_dialect control_dialect_;
+  asio::io_context io_{1};
+  asio::steady_timer timer_;
+  asio::signal_set signals_;
+  decision_log log_;
+  entry_metrics metrics_;
+  call_environment environment_;
+  std::shared_ptr<const routing_table> table_;
+  document_version fetching_version_;
+  peer_transport peers_;
+  control_watcher watcher_;
+  endpoint_connection_pool connections_;
+  pool_table pools_;
+  caller_listener listener_;
+  settings_watch settings_watch_;
+  std::optional<http_server> readiness_;
+  std::optional<http_server> metrics_server_;
+  std::vector<std::shared_ptr<proxied_call>> calls_;
+  int ticks_ = 0;
+  std::optional<steady_time> stopping_since_;
+};
+
+entry_process::entry_process(node_settings settings, std::string settings_file,
+                             request_dialect requests, control_dialect control)
+    : implementation_(std::make_unique<implementation>(
+          std::move(settings), std::move(settings_file), std::move(requests),
+          std::move(control))) {}
+
+entry_process::~entry_process() = default;
+
+result<void, start_error> entry_process::Start() {
+  return implementation_->Start();
+}
+
+void entry_process::Run() { implementation_->Run(); }
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/entry/log_fields.h
@@ -0,0 +1,32 @@
+#ifndef MARJORAMSILL_PROCESS_ENTRY_LOG_FIELDS_H_
+#define MARJORAMSILL_PROCESS_ENTRY_LOG_FIELDS_H_
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace marjoramsill {
+
+/// Collects the key=value pairs of a log line.
+class log_fields {
+ public:
+  log_fields& Add(std::string_view key, std::string_view value);
+  template <std::integral Number>
+  log_fields& Add(std::string_view key, Number value) {
+    return AddPlain(key, std::to_string(value));
+  }
+  /// With one decimal.
+  log_fields& Add(std::string_view key, double value);
+
+  const std::string& text() const { return text_; }
+
+ private:
+  log_fields& AddPlain(std::string_view key, std::string_view value);
+
+  std::string text_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ENTRY_LOG_FIELDS_H_
--- /dev/null
+++ b/source/process/entry/pool_table.cc
@@ -0,0 +1,102 @@
+#include "process/entry/pool_table.h"
+
+#include <cstdint>
+#include <utility>
+
+#include "version/routing/routing_table.h"
+
+namespace marjoramsill {
+namespace {
+
+/// Part of an engine's memory that is expected to hold cached prefixes, in
+/// percent; the rest belongs to running requests.
+constexpr std::uint64_t kCachedPercent = 80;
+
+}  // namespace
+
+pool_table::pool_table(placement_settings placement, retry_settings retries,
+                       random_source random, end_hook on_end)
+    : placement_(std::move(placement)),
+      retry_settings_(retries),
+      random_(std::move(random)),
+      on_end_(std::move(on_end)) {}
+
+void pool_table::SetDocument(std::shared_ptr<const routing_table> table) {
+  table_ = std::move(table);
+}
+
+token_count pool_table::CacheCapacity(const model_id& id) const {
+  const pool_spec* spec = table_ ? table_->FindPool(id) : nullptr;
+  if (spec == nullptr || !spec->engine) return token_count(0);
+  return token_count(spec->engine->cache_capacity.value() * kCachedPercent /
+                     100);
+}
+
+endpoint_pool* pool_table::Pool(const model_id& id) {
+  std::unique_ptr<endpoint_pool>& pool = pools_[id];
+  if (!pool) {
+    pool = std::make_unique<endpoint_pool>(placement_, random_);
+  }
+  pool->SetCacheCapacity(CacheCapacity(id));
+  return pool.get();
+}
+
+retry_window* pool_table::Retries(const model_id& id) {
+  std::unique_ptr<retry_window>& window = retries_[id];
+  if (!window) window = std::make_unique<retry_window>(retry_settings_);
+  return window.get();
+}
+
+void pool_table::Merge(const std::vector<endpoint_record>& records,
+                       steady_time now) {
+  for (const endpoint_record& record : records) directory_.Merge(record, now);
+  for (const endpoint_record& record :
+       directory_.ChangesAfter(applied_change_)) {
+    Apply(record);
+  }
+  applied_change_ = directory_.last_change();
+}
+
+void pool_table::Apply(const endpoint_record& record) {
+  const auto [known, added] = pool_of_.try_emplace(record.id, record.pool);
+  if (!added && known->second != record.pool) {
+    endpoint_record ended = record;
+    ended.phase = endpoint_phase::kGone;
+    Pool(known->second)->Apply(ended);
+    known->second = record.pool;
+  }
+  Pool(record.pool)->Apply(record);
+  const bool ends = record.phase == endpoint_phase::kLeaving ||
+                    record.phase == endpoint_phase::kGone;
+  if (ends) on_end_(record.id);
+}
+
+void pool_table::Tick(steady_time now) {
+  directory_.Expire(now);
+  for (const auto& [id, pool] : pools_) pool->Sweep();
+  std::erase_if(pool_of_, [this](const auto& entry) {
+    return directory_.Find(entry.first) == nullptr;
+  });
+}
+
+pool_table::phase_counts pool_table::CountPhases() const {
+  phase_counts counts;
+  for (const endpoint_record& record : directory_.ChangesAfter(0)) {
+    switch (record.phase) {
+      case endpoint_phase::kReady:
+        ++counts.ready;
+        break;
+      case endpoint_phase::kSilent:
+        ++counts.silent;
+        break;
+      case endpoint_phase::kLeaving:
+        ++counts.leaving;
+        break;
+      case endpoint_phase::kGone:
+        break;
+    }
+  }
+  return counts;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/entry/pool_table.h
@@ -0,0 +1,64 @@
+#ifndef MARJORAMSILL_PROCESS_ENTRY_POOL_TABLE_H_
+#define MARJORAMSILL_PROCESS_ENTRY_POOL_TABLE_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "process/directory/endpoint_directory.h"
+#include "process/placement/endpoint_pool.h"
+#include "process/placement/placement_settings.h"
+#include "process/placement/retry_window.h"
+#include "types/ids.h"
+#include "types/random_source.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+class routing_table;
+
+/// The pools of an entry process: what the control processes tell of
+/// endpoints, sorted by pool, with each pool's retry budget.
+class pool_table {
+ public:
+  /// Called when an endpoint takes no more requests.
+  using end_hook = std::function<void(const endpoint_id&)>;
+
+  pool_table(placement_settings placement, retry_settings retries,
+             random_source random, end_hook on_end);
+
+  void Merge(const std::vector<endpoint_record>& records, steady_time now);
+  /// Takes the sizes of the engines' memory from a new document.
+  void SetDocument(std::shared_ptr<const routing_table> table);
+  endpoint_pool* Pool(const model_id& id);
+  retry_window* Retries(const model_id& id);
+  void Tick(steady_time now);
+
+  struct phase_counts {
+    std::size_t ready = 0;
+    std::size_t silent = 0;
+    std::size_t leaving = 0;
+  };
+  phase_counts CountPhases() const;
+
+ private:
+  token_count CacheCapacity(const model_id& id) const;
+  void Apply(const endpoint_record& record);
+
+  const placement_settings placement_;
+  const retry_settings retry_settings_;
+  const random_source random_;
+  const end_hook on_end_;
+  std::shared_ptr<const routing_table> table_;
+  endpoint_directory directory_;
+  std::uint64_t applied_change_ = 0;
+  std::map<endpoint_id, model_id> pool_of_;
+  std::map<model_id, std::unique_ptr<endpoint_pool>> pools_;
+  std::map<model_id, std::unique_ptr<retry_window>> retries_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ENTRY_POOL_TABLE_H_
--- /dev/null
+++ b/source/process/placement/endpoint_belief.cc
@@ -0,0 +1,89 @@
+#include "process/placement/endpoint_belief.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+/// Weight of one answer in the failure rate: about the last ten count.
+constexpr double kFailureGain = 0.1;
+/// A load report says nothing about the load after this time.
+constexpr std::chrono::milliseconds kReportLifetime{3'000};
+/// Pause after the first broken call; it doubles with each further one.
+constexpr std::chrono::milliseconds kFirstPause{200};
+constexpr std::uint32_t kMaxPauseDoublings = 4;
+/// Pause after a refusal because the endpoint was full.
+constexpr std::chrono::milliseconds kFullPause{50};
+/// Assumed until the endpoint has said how many requests it runs at once.
+constexpr std::uint32_t kDefaultSlots = 8;
+
+}  // namespace
+
+endpoint_belief::endpoint_belief(endpoint_record record,
+                                 token_count cache_capacity)
+    : record_(std::move(record)),
+      prefixes_(cache_capacity),
+      failures_(kFailureGain) {}
+
+void endpoint_belief::Update(const endpoint_record& record) {
+  if (record.born != record_.born) {
+    prefixes_.Clear();
+    failures_ = smoothed_value(kFailureGain);
+    has_report_ = false;
+    broken_in_row_ = 0;
+    avoid_until_ = {};
+    is_misdirected_ = false;
+  }
+  if (record.address != record_.address) is_misdirected_ = false;
+  record_ = record;
+}
+
+void endpoint_belief::NoteEnded() {
+  if (in_flight_ > 0) --in_flight_;
+}
+
+void endpoint_belief::NoteLoad(const load_report& report, steady_time now) {
+  report_ = report;
+  in_flight_at_report_ = in_flight_;
+  reported_at_ = now;
+  has_report_ = true;
+}
+
+void endpoint_belief::NoteAnswer(bool success) {
+  failures_.Add(success ? 0 : 1);
+  broken_in_row_ = 0;
+  if (success) avoid_until_ = {};
+}
+
+void endpoint_belief::NoteBroken(steady_time now) {
+  failures_.Add(1);
+  const std::uint32_t doublings = std::min(broken_in_row_, kMaxPauseDoublings);
+  ++broken_in_row_;
+  avoid_until_ = now + kFirstPause * (1U << doublings);
+}
+
+void endpoint_belief::NoteTimeout() { failures_.Add(1); }
+
+void endpoint_belief::NoteFull(steady_time now) {
+  avoid_until_ = std::max(avoid_until_, now + kFullPause);
+}
+
+double endpoint_belief::EstimatedLoad(steady_time now) const {
+  const double own = in_flight_;
+  if (!has_report_ || now - reported_at_ > kReportLifetime) return own;
+  const double since = own - in_flight_at_report_;
+  return std::max(own, report_.running + report_.waiting + since);
+}
+
+std::uint32_t endpoint_belief::slots() const {
+  if (record_.slots > 0) return record_.slots;
+  return has_report_ && report_.slots > 0 ? report_.slots : kDefaultSlots;
+}
+
+bool endpoint_belief::IsServing() const {
+  return !is_misdirected_ && (record_.phase == endpoint_phase::kReady ||
+                              record_.phase == endpoint_phase::kSilent);
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/placement/endpoint_pool.cc
@@ -0,0 +1,174 @@
+#include "process/placement/endpoint_pool.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+/// Weight of one call in the mean duration.
+constexpr double kDurationGain = 0.05;
+/// Assumed until the first call has ended.
+constexpr double kInitialDurationMs = 100;
+
+std::uint64_t HomeScore(const endpoint_record& record, std::uint64_t session) {
+  const std::string& id = record.id.value();
+  return XXH3_64bits_withSeed(id.data(), id.size(), session);
+}
+
+}  // namespace
+
+endpoint_pool::endpoint_pool(placement_settings settings, random_source random)
+    : settings_(std::move(settings)),
+      random_(std::move(random)),
+      duration_ms_(kDurationGain, kInitialDurationMs) {}
+
+void endpoint_pool::SetCacheCapacity(token_count capacity) {
+  if (capacity == cache_capacity_) return;
+  cache_capacity_ = capacity;
+  for (const auto& [id, endpoint] : endpoints_) {
+    endpoint->prefixes().SetCapacity(capacity);
+  }
+}
+
+void endpoint_pool::Apply(const endpoint_record& record) {
+  const auto found = endpoints_.find(record.id);
+  if (found != endpoints_.end()) {
+    found->second->Update(record);
+    return;
+  }
+  if (record.phase == endpoint_phase::kGone) return;
+  endpoints_[record.id] =
+      std::make_unique<endpoint_belief>(record, cache_capacity_);
+}
+
+endpoint_belief* endpoint_pool::Find(const endpoint_id& id) {
+  const auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? nullptr : found->second.get();
+}
+
+bool endpoint_pool::CanServe() const {
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(),
+      [](const auto& entry) { return entry.second->IsServing(); });
+}
+
+void endpoint_pool::Sweep() {
+  std::erase_if(endpoints_, [](const auto& entry) {
+    return entry.second->record().phase == endpoint_phase::kGone &&
+           entry.second->in_flight() == 0;
+  });
+}
+
+std::vector<endpoint_pool::candidate> endpoint_pool::Candidates(
+    const std::vector<endpoint_id>& tried, bool also_avoided, steady_time now) {
+  std::vector<candidate> found;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint->IsServing()) continue;
+    if (!also_avoided && endpoint->IsAvoided(now)) continue;
+    if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
+    found.push_back({endpoint.get(), endpoint->EstimatedLoad(now)});
+  }
+  return found;
+}
+
+void endpoint_pool::DropOverloaded(std::vector<candidate>& candidates) const {
+  double total = 0;
+  for (const candidate& each : candidates) total += each.load;
+  const double mean = total / static_cast<double>(candidates.size());
+  const double most = settings_.load_cap * mean + settings_.load_allowance;
+  std::erase_if(candidates,
+                [most](const candidate& each) { return each.load > most; });
+}
+
+const endpoint_belief* endpoint_pool::Home(const request_demand& demand) const {
+  if (demand.parts.empty()) return nullptr;
+  const std::uint64_t session = demand.parts.back().hash;
+  const endpoint_belief* best = nullptr;
+  std::uint64_t best_score = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const endpoint_record& record = endpoint->record();
+    if (!endpoint->IsServing() || record.domain != settings_.domain) continue;
+    const std::uint64_t score = HomeScore(record, session);
+    if (best == nullptr || score > best_score) {
+      best = endpoint.get();
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+placement_choice endpoint_pool::Rate(const candidate& each,
+                                     const request_demand& demand,
+                                     const endpoint_belief* home) const {
+  const endpoint_belief& endpoint = *each.endpoint;
+  placement_choice choice;
+  choice.endpoint = each.endpoint;
+  choice.load = each.load;
+  choice.cached = endpoint.prefixes().CachedTokens(demand.parts);
+  double uncached = static_cast<double>(demand.prompt.value()) -
+                    static_cast<double>(choice.cached.value());
+  if (&endpoint == home && choice.cached.value() == 0) {
+    uncached *= 1 - settings_.home_cached_share;
+  }
+  const double slots = endpoint.slots();
+  const double over = std::max(0.0, each.load - slots + 1);
+  choice.wait_ms = over * duration_ms_.value() / slots;
+  choice.cost_ms = choice.wait_ms + uncached / settings_.prefill_tokens_per_ms +
+                   settings_.running_cost_ms * each.load +
+                   settings_.failure_cost_ms * endpoint.failure_rate();
+  if (endpoint.record().domain != settings_.domain) {
+    choice.cost_ms += settings_.remote_cost_ms;
+  }
+  if (endpoint.record().phase == endpoint_phase::kSilent) {
+    choice.cost_ms += settings_.silent_cost_ms;
+  }
+  return choice;
+}
+
+std::optional<placement_choice> endpoint_pool::Choose(
+    const request_demand& demand, const std::vector<endpoint_id>& tried,
+    steady_time now) {
+  std::vector<candidate> candidates = Candidates(tried, false, now);
+  // Trying an endpoint that failed lately is better than not trying at all.
+  if (candidates.empty()) candidates = Candidates(tried, true, now);
+  if (candidates.empty()) return std::nullopt;
+  const std::size_t found = candidates.size();
+  DropOverloaded(candidates);
+  const endpoint_belief* home = Home(demand);
+  std::optional<placement_choice> best;
+  // Starting anywhere makes equal costs take turns.
+  const std::size_t start = random_() % candidates.size();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const candidate& each = candidates[(start + i) % candidates.size()];
+    const placement_choice rated = Rate(each, demand, home);
+    if (!best || rated.cost_ms < best->cost_ms) best = rated;
+  }
+  best->candidates = found;
+  return best;
+}
+
+void endpoint_pool::NoteDuration(std::chrono::microseconds duration) {
+  constexpr double kMicrosPerMilli = 1'000;
+  duration_ms_.Add(static_cast<double>(duration.count()) / kMicrosPerMilli);
+}
+
+double endpoint_pool::TotalLoad(steady_time now) const {
+  double total = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint->IsServing()) total += endpoint->EstimatedLoad(now);
+  }
+  return total;
+}
+
+std::uint32_t endpoint_pool::TotalSlots() const {
+  std::uint32_t total = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint->IsServing()) total += endpoint->slots();
+  }
+  return total;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/placement/placement_choice.h
@@ -0,0 +1,26 @@
+#ifndef MARJORAMSILL_PROCESS_PLACEMENT_PLACEMENT_CHOICE_H_
+#define MARJORAMSILL_PROCESS_PLACEMENT_PLACEMENT_CHOICE_H_
+
+#include <cstddef>
+
+#include "types/units.h"
+
+namespace marjoramsill {
+
+class endpoint_belief;
+
+/// The endpoint chosen for a request, and what decided.
+struct placement_choice {
+  endpoint_belief* endpoint = nullptr;
+  /// Endpoints that could have been chosen.
+  std::size_t candidates = 0;
+  double cost_ms = 0;
+  /// Time until a place is free there.
+  double wait_ms = 0;
+  double load = 0;
+  token_count cached;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_PLACEMENT_PLACEMENT_CHOICE_H_
--- /dev/null
+++ b/source/process/placement/prefix_memory.cc
@@ -0,0 +1,66 @@
+#include "process/placement/prefix_memory.h"
+
+#include <xxhash.h>
+#include <array>
+
+namespace marjoramsill {
+
+std::uint64_t ChainHash(std::uint64_t before, std::uint64_t part) {
+  const std::array<std::uint64_t, 2> pair{before, part};
+  return XXH3_64bits(pair.data(), sizeof(pair));
+}
+
+prefix_memory::prefix_memory(token_count capacity) : capacity_(capacity) {}
+
+token_count prefix_memory::CachedTokens(
+    const std::vector<prompt_part>& parts) const {
+  std::uint64_t chain = 0;
+  std::uint64_t tokens = 0;
+  for (const prompt_part& part : parts) {
+    chain = ChainHash(chain, part.hash);
+    if (entries_.find(chain) == entries_.end()) break;
+    tokens += part.tokens.value();
+  }
+  return token_count(tokens);
+}
+
+void prefix_memory::Note(const std::vector<prompt_part>& parts) {
+  std::uint64_t chain = 0;
+  for (const prompt_part& part : parts) {
+    chain = ChainHash(chain, part.hash);
+    Touch(chain, part.tokens);
+  }
+  DropOldest();
+}
+
+void prefix_memory::SetCapacity(token_count capacity) {
+  capacity_ = capacity;
+  DropOldest();
+}
+
+void prefix_memory::DropOldest() {
+  while (held_tokens_ > capacity_.value() && !order_.empty()) {
+    held_tokens_ -= order_.back().tokens.value();
+    entries_.erase(order_.back().hash);
+    order_.pop_back();
+  }
+}
+
+void prefix_memory::Touch(std::uint64_t hash, token_count tokens) {
+  const auto found = entries_.find(hash);
+  if (found != entries_.end()) {
+    order_.splice(order_.begin(), order_, found->second);
+    return;
+  }
+  order_.push_front({hash, tokens});
+  entries_[hash] = order_.begin();
+  held_tokens_ += tokens.value();
+}
+
+void prefix_memory::Clear() {
+  order_.clear();
+  entries_.clear();
+  held_tokens_ = 0;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/placement/retry_window.cc
@@ -0,0 +1,56 @@
+#include "process/placement/retry_window.h"
+
+#include <algorithm>
+
+namespace marjoramsill {
+namespace {
+
+/// Part of the budget that is used. The rest covers the uneven spread of the
+/// requests over windows, and entry VMs that are counted late.
+constexpr double kUsedShare = 0.7;
+
+}  // namespace
+
+retry_window::retry_window(retry_settings settings) : settings_(settings) {}
+
+void retry_window::Advance(steady_time now) {
+  const std::uint64_t present = static_cast<std::uint64_t>(
+      now.time_since_epoch() * kBuckets / settings_.window);
+  if (present <= current_) return;
+  const std::uint64_t passed =
+      std::min<std::uint64_t>(present - current_, kBuckets);
+  for (std::uint64_t i = 1; i <= passed; ++i) {
+    buckets_[(current_ + i) % kBuckets] = {};
+  }
+  // After a long pause all buckets are empty, whatever their position.
+  current_ = present;
+  if (passed == kBuckets) buckets_.fill({});
+}
+
+void retry_window::NoteRequest(steady_time now) {
+  Advance(now);
+  ++buckets_[current_ % kBuckets].requests;
+}
+
+bool retry_window::TakeRetry(std::uint32_t entry_count, steady_time now) {
+  Advance(now);
+  bucket total;
+  for (const bucket& each : buckets_) {
+    total.requests += each.requests;
+    total.retries += each.retries;
+  }
+  const double entries = std::max<double>(1, entry_count);
+  const double budget =
+      kUsedShare * (settings_.ratio * static_cast<double>(total.requests) +
+                    settings_.allowance / entries);
+  if (static_cast<double>(total.retries) + 1 > budget) return false;
+  ++buckets_[current_ % kBuckets].retries;
+  return true;
+}
+
+void retry_window::ReturnRetry() {
+  bucket& present = buckets_[current_ % kBuckets];
+  if (present.retries > 0) --present.retries;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/placement/retry_window.h
@@ -0,0 +1,42 @@
+#ifndef MARJORAMSILL_PROCESS_PLACEMENT_RETRY_WINDOW_H_
+#define MARJORAMSILL_PROCESS_PLACEMENT_RETRY_WINDOW_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+#include "process/placement/retry_settings.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+/// Share of the fleet's retry budget that this process may use for one pool.
+/// The budget holds for any window of time, so both requests and retries are
+/// counted over a sliding one.
+class retry_window {
+ public:
+  explicit retry_window(retry_settings settings);
+
+  void NoteRequest(steady_time now);
+  /// Takes one retry from the budget; false if it is used up. `entry_count`:
+  /// entry VMs that share the fixed part of the budget.
+  bool TakeRetry(std::uint32_t entry_count, steady_time now);
+  /// A retry that was counted and not made.
+  void ReturnRetry();
+
+ private:
+  static constexpr std::size_t kBuckets = 10;
+  struct bucket {
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+  };
+  void Advance(steady_time now);
+
+  const retry_settings settings_;
+  std::array<bucket, kBuckets> buckets_{};
+  std::uint64_t current_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_PLACEMENT_RETRY_WINDOW_H_
--- a/source/process/replication/raft_node.h
+++ b/source/process/replication/raft_node.h
@@ -76,6 +76,9 @@
   bool TransferLeadership(steady_time now);
   /// Planned shutdown: transfers leadership and asks to be removed.
   void Leave(steady_time now);
+  /// Replaces the VMs that are asked for membership, because those known at
+  /// the start may have been replaced.
+  void SetPeers(std::vector<vm_id> peers) { start_.peers = std::move(peers); }
 
   raft_output TakeOutput();
 
--- a/source/process/replication/replicated_group.h
+++ b/source/process/replication/replicated_group.h
@@ -67,6 +67,8 @@
   void SyncCompleted(std::uint64_t ticket);
   bool TransferLeadership();
   void Leave();
+  /// Replaces the VMs that are asked for membership.
+  void SetPeers(std::vector<vm_id> peers) { node_.SetPeers(std::move(peers)); }
   group_output TakeOutput();
 
   /// Reads the clock and tells whether this member may act as the leader now.
--- /dev/null
+++ b/source/request/proxied_call.cc
@@ -0,0 +1,243 @@
+#include "request/proxied_call.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+#include "connection/caller_connection.h"
+#include "connection/endpoint_connection.h"
+#include "process/entry/call_environment.h"
+#include "process/entry/decision_log.h"
+#include "process/entry/entry_metrics.h"
+#include "process/entry/log_fields.h"
+#include "process/placement/endpoint_pool.h"
+#include "process/placement/retry_window.h"
+#include "request/http_field.h"
+#include "version/routing/routing_table.h"
+
+namespace marjoramsill {
+namespace {
+
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusBadGateway = 502;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusGatewayTimeout = 504;
+
+/// Bounds of the time after which a refused caller may come back.
+constexpr double kMinRetryAfterMs = 100;
+constexpr double kMaxRetryAfterMs = 5'000;
+/// One of this many successful requests is logged.
+constexpr std::uint64_t kLogSample = 64;
+constexpr std::size_t kMaxLoggedSteps = 24;
+
+std::optional<std::uint64_t> ReadNumber(const http_field* field) {
+  if (field == nullptr) return std::nullopt;
+  std::uint64_t number = 0;
+  const char* end = field->value.data() + field->value.size();
+  const auto [stop, error] = std::from_chars(field->value.data(), end, number);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return number;
+}
+
+std::string FormatSeconds(double milliseconds) {
+  constexpr double kMillisPerSecond = 1'000;
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", milliseconds / kMillisPerSecond);
+  return text;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+double Millis(std::chrono::microseconds duration) {
+  constexpr double kMicrosPerMilli = 1'000;
+  return static_cast<double>(duration.count()) / kMicrosPerMilli;
+}
+
+}  // namespace
+
+proxied_call::proxied_call(const call_environment& environment,
+                           std::shared_ptr<caller_connection> caller,
+                           caller_message message)
+    : environment_(environment),
+      caller_(std::move(caller)),
+      message_(std::move(message)),
+      arrived_(environment.clock()) {}
+
+proxied_call::~proxied_call() { DropConnection(); }
+
+void proxied_call::Start() {
+  caller_->OnCallerGone([self = weak_from_this()] {
+    if (const auto call = self.lock()) call->OnCallerGone();
+  });
+  const http_field* id =
+      FindField(message_.fields, environment_.dialect.request_id);
+  if (id != nullptr) request_id_ = id->value;
+  table_ = environment_.table();
+  if (!table_) {
+    Refuse("no_document", kMinRetryAfterMs);
+    return;
+  }
+  if (!FindRoute() || !FindWorkspace()) return;
+  SetDeadline();
+  if (route_->uses_prefix_cache) {
+    demand_ = environment_.dialect.read_demand(message_.fields);
+  }
+  PickPool();
+  environment_.retries(pool_id_)->NoteRequest(arrived_);
+  Attempt();
+}
+
+bool proxied_call::FindRoute() {
+  const http_field* host = FindField(message_.fields, "Host");
+  route_ = table_->FindRoute(host->value, PathOf(message_.target));
+  if (route_ != nullptr) return true;
+  Deny(kStatusNotFound, "no_route");
+  return false;
+}
+
+bool proxied_call::FindWorkspace() {
+  const http_field* key = FindField(message_.fields, environment_.dialect.key);
+  if (key != nullptr) workspace_ = table_->FindWorkspace(key->value);
+  const bool needs_key = table_->document().requires_keys && !route_->is_public;
+  if (workspace_ != nullptr || !needs_key) return true;
+  Deny(kStatusUnauthorized, key == nullptr ? "no_key" : "unknown_key");
+  return false;
+}
+
+void proxied_call::SetDeadline() {
+  std::chrono::milliseconds allowed = route_->timeout;
+  const auto asked =
+      ReadNumber(FindField(message_.fields, environment_.dialect.remaining_ms));
+  if (asked && std::chrono::milliseconds(*asked) < allowed) {
+    allowed = std::chrono::milliseconds(*asked);
+  }
+  deadline_ = arrived_ + allowed;
+}
+
+/// Draws a pool by weight; one without endpoints yields to another target.
+void proxied_call::PickPool() {
+  pool_id_ = routing_table::PickPool(*route_, environment_.random());
+  pool_ = environment_.pool(pool_id_);
+  if (pool_->CanServe()) return;
+  for (const route_target& target : route_->targets) {
+    endpoint_pool* other = environment_.pool(target.pool);
+    if (target.weight == 0 || !other->CanServe()) continue;
+    pool_id_ = target.pool;
+    pool_ = other;
+    return;
+  }
+}
+
+int proxied_call::Rank() const {
+  if (workspace_ != nullptr && workspace_->rank) return *workspace_->rank;
+  return route_ == nullptr ? 0 : route_->rank;
+}
+
+void proxied_call::Refuse(std::string_view reason, double retry_after_ms) {
+  // Spread, so that refused callers do not come back at the same moment.
+  const double spread =
+      0.75 + 0.5 * static_cast<double>(environment_.random() % 1024) / 1024;
+  const double wait =
+      std::clamp(retry_after_ms * spread, kMinRetryAfterMs, kMaxRetryAfterMs);
+  caller_->Respond(kStatusUnavailable, {{"Retry-After", FormatSeconds(wait)}},
+                   "");
+  Finish(call_outcome::kRefused, reason);
+}
+
+void proxied_call::Deny(int status, std::string_view reason) {
+  caller_->Respond(status, {}, "");
+  Finish(call_outcome::kDenied, reason);
+}
+
+void proxied_call::Fail(std::string_view reason) {
+  if (answer_begun_) {
+    caller_->Abort();
+    Finish(call_outcome::kCutOff, reason);
+    return;
+  }
+  caller_->Respond(kStatusBadGateway, {}, "");
+  Finish(call_outcome::kFailed, reason);
+}
+
+void proxied_call::GiveUp() {
+  if (state_ == state::kAwaitingHead || state_ == state::kReceiving) {
+    may_have_run_ = true;
+    if (endpoint_belief* endpoint = pool_->Find(endpoint_)) {
+      if (!answer_begun_) endpoint->NoteTimeout();
+    }
+  }
+  if (answer_begun_) {
+    caller_->Abort();
+    Finish(call_outcome::kCutOff, "deadline");
+  } else if (may_have_run_) {
+    caller_->Respond(kStatusGatewayTimeout, {}, "");
+    Finish(call_outcome::kTimedOut, "deadline");
+  } else {
+    Refuse("deadline", kMinRetryAfterMs);
+  }
+}
+
+void proxied_call::OnCallerGone() {
+  if (is_done()) return;
+  Finish(call_outcome::kAbandoned, "caller_gone");
+}
+
+void proxied_call::Stop() {
+  if (is_done()) return;
+  GiveUp();
+}
+
+void proxied_call::Tick(steady_time now) {
+  if (is_done()) return;
+  if (now >= deadline_) {
+    GiveUp();
+    return;
+  }
+  CheckStall(now);
+}
+
+void proxied_call::LogStep(std::string_view event, const log_fields& fields) {
+  if (steps_.size() >= kMaxLoggedSteps) return;
+  std::string line(event);
+  line += " request=";
+  line += request_id_;
+  line += ' ';
+  line += fields.text();
+  steps_.push_back(std::move(line));
+}
+
+void proxied_call::Finish(call_outcome outcome, std::string_view reason) {
+  if (is_done()) return;
+  state_ = state::kDone;
+  DropConnection();
+  environment_.metrics->CountOutcome(Rank(), outcome);
+  if (answer_begun_)
+    environment_.metrics->ObserveGap(Millis(longest_gap_) / 1'000);
+  const bool is_ordinary =
+      outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
+  if (is_ordinary && environment_.random() % kLogSample != 0) return;
+  for (const std::string& step : steps_) {
+    const std::size_t space = step.find(' ');
+    environment_.log->Write(step.substr(0, space),
+                            std::string_view(step).substr(space + 1));
+  }
+  const auto taken = environment_.clock() - arrived_;
+  environment_.log->Write(
+      "ended", log_fields()
+                   .Add("request", request_id_)
+                   .Add("outcome", CallOutcomeText(outcome))
+                   .Add("reason", reason)
+                   .Add("route", route_ == nullptr ? "" : route_->name)
+                   .Add("rank", Rank())
+                   .Add("sent", sent_)
+                   .Add("took_ms", Millis(taken))
+                   .Add("gap_ms", Millis(longest_gap_))
+                   .Add("document", table_ ? table_->version().value() : 0)
+                   .text());
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/request/proxied_call_attempt.cc
@@ -0,0 +1,345 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "connection/endpoint_connection.h"
+#include "connection/endpoint_connection_pool.h"
+#include "process/entry/call_environment.h"
+#include "process/entry/entry_metrics.h"
+#include "process/entry/log_fields.h"
+#include "process/placement/endpoint_pool.h"
+#include "process/placement/retry_window.h"
+#include "request/attempt_rules.h"
+#include "request/forwarded_head.h"
+#include "request/proxied_call.h"
+#include "version/routing/routing_table.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A connection takes about a millisecond within a deployment; this leaves
+/// time for one lost packet to be sent again.
+constexpr milliseconds kConnectTimeout{450};
+/// Least time without an answer, or without a further event, after which a
+/// repeatable request is tried elsewhere. Longer than any pause of a healthy
+/// endpoint that is not overloaded.
+constexpr milliseconds kMinAnswerPatience{600};
+constexpr milliseconds kMinEventPatience{900};
+/// Multiples of the operator's targets for the same.
+constexpr int kAnswerPatienceFactor = 3;
+constexpr int kEventPatienceFactor = 3;
+/// Share of the remaining time that the wait for a place may take.
+constexpr double kMaxWaitShare = 0.6;
+/// Refusals when no endpoint is known.
+constexpr double kNoEndpointRetryMs = 400;
+constexpr int kStatusMisdirected = 421;
+constexpr int kFirstServerError = 500;
+constexpr int kTooManyRequests = 429;
+constexpr int kRequestTimeout = 408;
+constexpr int kMaxEnginePriority = 9;
+
+double Millis(std::chrono::microseconds duration) {
+  constexpr double kMicrosPerMilli = 1'000;
+  return static_cast<double>(duration.count()) / kMicrosPerMilli;
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+/// Failures after which a repeatable request may succeed elsewhere.
+bool IsPassing(int status) {
+  return status >= kFirstServerError || status == kTooManyRequests ||
+         status == kRequestTimeout;
+}
+
+/// The engine's queue puts lower numbers first; ranks in between leave room.
+int EnginePriority(int rank) {
+  return std::min(2 * std::max(rank, 0) + 1, kMaxEnginePriority);
+}
+
+}  // namespace
+
+void proxied_call::Attempt() {
+  const steady_time now = environment_.clock();
+  const auto choice = pool_->Choose(demand_, tried_, now);
+  if (!choice) {
+    if (may_have_run_ || answer_begun_) {
+      Fail("no_endpoint");
+    } else {
+      Refuse("no_endpoint", kNoEndpointRetryMs);
+    }
+    return;
+  }
+  LogStep("placed", log_fields()
+                        .Add("endpoint", choice->endpoint->record().id.value())
+                        .Add("candidates", choice->candidates)
+                        .Add("cost_ms", choice->cost_ms)
+                        .Add("load", choice->load)
+                        .Add("wait_ms", choice->wait_ms)
+                        .Add("cached", choice->cached.value()));
+  const double allowed = kMaxWaitShare * Millis(deadline_ - now);
+  if (sent_ == 0 && choice->wait_ms > allowed) {
+    Refuse("overload", choice->wait_ms - allowed);
+    return;
+  }
+  OpenConnection(*choice);
+}
+
+void proxied_call::OpenConnection(const placement_choice& choice) {
+  const steady_time now = environment_.clock();
+  endpoint_ = choice.endpoint->record().id;
+  tried_.push_back(endpoint_);
+  attempt_started_ = now;
+  last_progress_ = now;
+  choice.endpoint->NoteSent();
+  is_counted_ = true;
+  head_ = {};
+  body_.clear();
+  is_rejected_ = false;
+  is_stream_ = false;
+  connection_ = environment_.connections->TakeIdle(
+      endpoint_, !route_->IsRepeatable(), now);
+  is_new_connection_ = connection_ == nullptr;
+  if (!is_new_connection_) {
+    Send();
+    return;
+  }
+  state_ = state::kConnecting;
+  environment_.metrics->CountConnection();
+  connection_ = environment_.connections->Open(
+      endpoint_, choice.endpoint->record().address);
+  connection_->Connect(
+      [self = weak_from_this(), opened = connection_.get()](bool connected) {
+        const auto call = self.lock();
+        if (call && call->connection_.get() == opened) {
+          call->OnConnected(connected);
+        }
+      });
+}
+
+void proxied_call::OnConnected(bool connected) {
+  if (state_ != state::kConnecting) return;
+  if (connected) {
+    Send();
+  } else {
+    OnFailure(call_failure::kNotConnected);
+  }
+}
+
+std::string proxied_call::RequestBytes() const {
+  const request_dialect& dialect = environment_.dialect;
+  std::string bytes;
+  bytes.reserve(1024 + message_.body.size());
+  bytes += message_.method;
+  bytes += ' ';
+  bytes += message_.target;
+  bytes += " HTTP/1.1\r\n";
+  const bool resumes = !events_.last_id().empty();
+  bytes += ForwardedLines(message_.fields, dialect, !resumes);
+  if (resumes) AppendField(bytes, dialect.last_event_id, events_.last_id());
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      deadline_ - environment_.clock());
+  AppendField(bytes, dialect.remaining_ms,
+              std::to_string(std::max<std::int64_t>(left.count(), 1)));
+  AppendField(bytes, dialect.endpoint, endpoint_.value());
+  if (workspace_ != nullptr) {
+    AppendField(bytes, dialect.workspace, workspace_->id.value());
+  }
+  if (route_->uses_prefix_cache) {
+    AppendField(bytes, dialect.engine_priority,
+                std::to_string(EnginePriority(Rank())));
+  }
+  const bool has_body = !message_.body.empty() || message_.method != "GET";
+  if (has_body) {
+    AppendField(bytes, "Content-Length", std::to_string(message_.body.size()));
+  }
+  bytes += "\r\n";
+  bytes += message_.body;
+  return bytes;
+}
+
+void proxied_call::Send() {
+  state_ = state::kAwaitingHead;
+  ++sent_;
+  last_progress_ = environment_.clock();
+  environment_.metrics->CountAttempt();
+  if (endpoint_belief* endpoint = pool_->Find(endpoint_)) {
+    endpoint->prefixes().Note(demand_.parts);
+  }
+  // The connection is owned by this call and forgets the hooks when the call
+  // drops it, so they may refer to the call without owning it.
+  endpoint_call_hooks hooks;
+  hooks.accepts = [this](const answer_head& head) { return Accepts(head); };
+  hooks.on_head = [this](const answer_head& head) { OnHead(head); };
+  hooks.on_body = [this](std::string_view data) { OnBody(data); };
+  hooks.on_read_end = [this] { OnReadEnd(); };
+  hooks.on_end = [this] { OnEnd(); };
+  hooks.on_failure = [this](call_failure failure) { OnFailure(failure); };
+  const auto self = shared_from_this();
+  const auto connection = connection_;
+  connection->Send(RequestBytes(), message_.method == "HEAD", std::move(hooks));
+}
+
+/// Endpoints repeat the request's id; a refusal may come without one.
+bool proxied_call::Accepts(const answer_head& head) const {
+  const http_field* id =
+      FindField(head.fields, environment_.dialect.request_id);
+  if (id == nullptr) return !IsSuccess(head.status);
+  return id->value == request_id_;
+}
+
+void proxied_call::OnHead(const answer_head& head) {
+  const steady_time now = environment_.clock();
+  state_ = state::kReceiving;
+  last_progress_ = now;
+  head_ = head;
+  endpoint_belief* endpoint = pool_->Find(endpoint_);
+  const auto load = environment_.dialect.read_load(head.fields);
+  if (endpoint != nullptr && load) endpoint->NoteLoad(*load, now);
+  is_rejected_ =
+      FindField(head.fields, environment_.dialect.not_run) != nullptr ||
+      head.status == kStatusMisdirected;
+  if (!IsSuccess(head.status) || is_rejected_) return;
+  if (FindField(head.fields, environment_.dialect.answer_proof) == nullptr) {
+    OnFailure(call_failure::kMalformed);
+    return;
+  }
+  is_stream_ = route_->kind == route_kind::kStreaming;
+  if (is_stream_ && !route_->is_resumable) BeginAnswer();
+}
+
+void proxied_call::OnBody(std::string_view data) {
+  last_progress_ = environment_.clock();
+  if (is_stream_) {
+    PassStream(data);
+  } else if (!is_rejected_) {
+    body_ += data;
+  }
+}
+
+void proxied_call::ReleaseEndpoint() {
+  if (!is_counted_) return;
+  is_counted_ = false;
+  if (endpoint_belief* endpoint = pool_->Find(endpoint_)) endpoint->NoteEnded();
+}
+
+void proxied_call::DropConnection() {
+  ReleaseEndpoint();
+  if (!connection_) return;
+  connection_->Close();
+  connection_.reset();
+}
+
+void proxied_call::OnEnd() {
+  const steady_time now = environment_.clock();
+  const auto self = shared_from_this();
+  endpoint_belief* endpoint = pool_->Find(endpoint_);
+  environment_.connections->Release(endpoint_, std::move(connection_), now);
+  connection_.reset();
+  ReleaseEndpoint();
+  if (is_rejected_) {
+    if (endpoint != nullptr && head_.status == kStatusMisdirected) {
+      endpoint->NoteMisdirected();
+    } else if (endpoint != nullptr) {
+      endpoint->NoteFull(now);
+    }
+    AfterAttempt(attempt_end::kNotRun, "rejected");
+    return;
+  }
+  if (endpoint != nullptr) endpoint->NoteAnswer(IsSuccess(head_.status));
+  if (IsSuccess(head_.status)) {
+    pool_->NoteDuration(now - attempt_started_);
+    if (is_stream_) {
+      EndStream();
+    } else {
+      PassBuffered();
+    }
+    return;
+  }
+  may_have_run_ = true;
+  if (IsPassing(head_.status)) {
+    AfterAttempt(attempt_end::kFailed, "endpoint_failure");
+  } else {
+    PassBuffered();
+  }
+}
+
+void proxied_call::OnFailure(call_failure failure) {
+  const steady_time now = environment_.clock();
+  const auto self = shared_from_this();
+  const bool was_sent =
+      state_ != state::kConnecting && connection_ && connection_->has_sent();
+  if (endpoint_belief* endpoint = pool_->Find(endpoint_)) {
+    endpoint->NoteBroken(now);
+  }
+  DropConnection();
+  if (was_sent) may_have_run_ = true;
+  AfterAttempt(was_sent ? attempt_end::kUnknown : attempt_end::kNotSent,
+               CallFailureText(failure));
+}
+
+void proxied_call::AfterAttempt(attempt_end end, std::string_view cause) {
+  if (is_done()) return;
+  const steady_time now = environment_.clock();
+  events_.DropRest();
+  attempt_facts facts;
+  facts.end = end;
+  facts.is_repeatable = route_->IsRepeatable();
+  facts.answer_begun = answer_begun_;
+  facts.sent = sent_;
+  facts.max_attempts = route_->max_attempts;
+  facts.may_have_run = may_have_run_;
+  facts.has_time = now < deadline_;
+  const attempt_step step = NextStep(facts, [this, now] {
+    const bool allowed = environment_.retries(pool_id_)->TakeRetry(
+        environment_.entry_count(), now);
+    environment_.metrics->CountRetry(allowed);
+    return allowed;
+  });
+  LogStep("attempt_ended", log_fields()
+                               .Add("endpoint", endpoint_.value())
+                               .Add("cause", cause)
+                               .Add("status", head_.status)
+                               .Add("took_ms", Millis(now - attempt_started_))
+                               .Add("step", static_cast<int>(step)));
+  switch (step) {
+    case attempt_step::kTryAgain:
+      Attempt();
+      return;
+    case attempt_step::kRefuse:
+      Refuse(cause, kNoEndpointRetryMs);
+      return;
+    case attempt_step::kPassOn:
+      PassBuffered();
+      return;
+    case attempt_step::kFail:
+    case attempt_step::kCutOff:
+      Fail(cause);
+      return;
+  }
+}
+
+bool proxied_call::CanTryElsewhere() const {
+  return route_->IsRepeatable() && sent_ < route_->max_attempts &&
+         pool_->size() > tried_.size();
+}
+
+void proxied_call::CheckStall(steady_time now) {
+  if (state_ == state::kConnecting) {
+    if (now - attempt_started_ > kConnectTimeout) {
+      OnFailure(call_failure::kNotConnected);
+    }
+    return;
+  }
+  if (!CanTryElsewhere()) return;
+  const milliseconds answer_patience = std::max(
+      kMinAnswerPatience, kAnswerPatienceFactor * route_->latency_target);
+  const milliseconds event_patience =
+      std::max(kMinEventPatience, kEventPatienceFactor * route_->gap_target);
+  const bool in_stream = state_ == state::kReceiving;
+  const milliseconds patience = in_stream ? event_patience : answer_patience;
+  if (now - last_progress_ > patience) OnFailure(call_failure::kStalled);
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/request/request_dialect.h
@@ -0,0 +1,45 @@
+#ifndef MARJORAMSILL_REQUEST_REQUEST_DIALECT_H_
+#define MARJORAMSILL_REQUEST_REQUEST_DIALECT_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "process/placement/load_report.h"
+#include "process/placement/request_demand.h"
+#include "request/http_field.h"
+
+namespace marjoramsill {
+
+/// Names of the header fields that callers, entry VMs and endpoints exchange,
+/// and how their values are read. A deployment may replace them.
+struct request_dialect {
+  /// Identifies one attempt of a caller. Endpoints repeat it in their answers.
+  std::string request_id = "X-Request-Id";
+  /// Milliseconds that the sender still waits.
+  std::string remaining_ms = "X-Remaining-Ms";
+  /// Selects the workspace. Never passed to an endpoint.
+  std::string key = "X-Api-Key";
+  /// Workspace of the key, for endpoints.
+  std::string workspace = "X-Workspace";
+  /// Endpoint that is meant; any other one refuses the request.
+  std::string endpoint = "X-Endpoint";
+  /// Urgency for an engine's queue, 0 to 9; 0 is the most urgent.
+  std::string engine_priority = "X-Engine-Priority";
+  /// Marks an answer of an endpoint, as opposed to one of an entry VM.
+  std::string answer_proof = "X-Endpoint-Proof";
+  /// Present in an answer if the endpoint has not run the request.
+  std::string not_run = "X-Not-Run";
+  /// Id of the last event that the caller has received.
+  std::string last_event_id = "Last-Event-Id";
+  /// Fields that only entry VMs may set; callers' ones are dropped.
+  std::vector<std::string> reserved;
+
+  std::function<request_demand(const http_field_list&)> read_demand;
+  std::function<std::optional<load_report>(const http_field_list&)> read_load;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_REQUEST_REQUEST_DIALECT_H_
--- /dev/null
+++ b/source/version/routing/pool_spec.h
@@ -0,0 +1,25 @@
+#ifndef MARJORAMSILL_VERSION_ROUTING_POOL_SPEC_H_
+#define MARJORAMSILL_VERSION_ROUTING_POOL_SPEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "types/ids.h"
+#include "version/routing/engine_spec.h"
+
+namespace marjoramsill {
+
+/// Endpoints that serve the same requests.
+struct pool_spec {
+  model_id id;
+  std::string health_path;
+  /// Connections that an endpoint accepts from all callers together.
+  std::uint32_t max_connections = 0;
+  /// Set for pools of model engines.
+  std::optional<engine_spec> engine;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_VERSION_ROUTING_POOL_SPEC_H_
