placement: send requests to the one endpoint that keeps their shared prefix

Each entry VM chose by its own sends and kept to its failure domain, and the last part of a prompt, which belongs to one request only, was taken for part of the session. Ruled out: the load bound (busiest/mean stayed at 1.1 to 1.4). Change: one rendezvous choice over all failure domains by the parts that other requests share; whether the last part returns is learnt.

--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -83,15 +83,12 @@
                 [most](const candidate& each) { return each.load > most; });
 }
 
-const endpoint_belief* endpoint_pool::Home(const request_demand& demand) const {
-  if (demand.parts.empty()) return nullptr;
-  const std::uint64_t session = demand.parts.back().hash;
+const endpoint_belief* endpoint_pool::Home(std::uint64_t chain) const {
   const endpoint_belief* best = nullptr;
   std::uint64_t best_score = 0;
   for (const auto& [id, endpoint] : endpoints_) {
-    const endpoint_record& record = endpoint->record();
-    if (!endpoint->IsServing() || record.domain != settings_.domain) continue;
-    const std::uint64_t score = HomeScore(record, session);
+    if (!endpoint->IsServing()) continue;
+    const std::uint64_t score = HomeScore(endpoint->record(), chain);
     if (best == nullptr || score > best_score) {
       best = endpoint.get();
       best_score = score;
@@ -100,23 +97,45 @@
   return best;
 }
 
+endpoint_pool::shared_prefix endpoint_pool::FindShared(
+    const request_demand& demand) const {
+  shared_prefix shared;
+  if (demand.parts.empty()) return shared;
+  const std::size_t parts = sessions_.SharedParts(demand.parts);
+  std::uint64_t tokens = 0;
+  for (std::size_t i = 0; i < parts; ++i) {
+    tokens += demand.parts[i].tokens.value();
+  }
+  shared.tokens = token_count(tokens);
+  shared.home = Home(ChainOf(demand.parts, parts));
+  return shared;
+}
+
+void endpoint_pool::NoteDemand(const request_demand& demand) {
+  sessions_.Note(demand.parts);
+}
+
 placement_choice endpoint_pool::Rate(const candidate& each,
                                      const request_demand& demand,
-                                     const endpoint_belief* home) const {
+                                     const shared_prefix& shared) const {
   const endpoint_belief& endpoint = *each.endpoint;
   placement_choice choice;
   choice.endpoint = each.endpoint;
   choice.load = each.load;
   choice.cached = endpoint.prefixes().CachedTokens(demand.parts);
-  double uncached = static_cast<double>(demand.prompt.value()) -
-                    static_cast<double>(choice.cached.value());
-  if (&endpoint == home && choice.cached.value() == 0) {
-    uncached *= 1 - settings_.home_cached_share;
+  // Other entry VMs send the session to the same first choice.
+  if (&endpoint == shared.home && choice.cached < shared.tokens) {
+    choice.cached = shared.tokens;
   }
+  const auto cached = static_cast<double>(choice.cached.value());
+  const double computed = static_cast<double>(demand.prompt.value()) - cached;
+  const double read_again =
+      std::max(0.0, static_cast<double>(shared.tokens.value()) - cached);
   const double slots = endpoint.slots();
   const double over = std::max(0.0, each.load - slots + 1);
   choice.wait_ms = over * duration_ms_.value() / slots;
-  choice.cost_ms = choice.wait_ms + uncached / settings_.prefill_tokens_per_ms +
+  choice.cost_ms = choice.wait_ms + computed / settings_.prefill_tokens_per_ms +
+                   settings_.reread_cost_ms * read_again +
                    settings_.running_cost_ms * each.load +
                    settings_.failure_cost_ms * endpoint.failure_rate();
   if (endpoint.record().domain != settings_.domain) {
@@ -137,13 +156,13 @@
   if (candidates.empty()) return std::nullopt;
   const std::size_t found = candidates.size();
   DropOverloaded(candidates);
-  const endpoint_belief* home = Home(demand);
+  const shared_prefix shared = FindShared(demand);
   std::optional<placement_choice> best;
   // Starting anywhere makes equal costs take turns.
   const std::size_t start = random_() % candidates.size();
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const candidate& each = candidates[(start + i) % candidates.size()];
-    const placement_choice rated = Rate(each, demand, home);
+    const placement_choice rated = Rate(each, demand, shared);
     if (!best || rated.cost_ms < best->cost_ms) best = rated;
   }
   best->candidates = found;
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -11,6 +11,7 @@
 #include "process/placement/placement_choice.h"
 #include "process/placement/placement_settings.h"
 #include "process/placement/request_demand.h"
+#include "process/placement/session_finder.h"
 #include "process/placement/smoothed_value.h"
 #include "types/ids.h"
 #include "types/random_source.h"
@@ -36,6 +37,8 @@
   std::optional<placement_choice> Choose(const request_demand& demand,
                                          const std::vector<endpoint_id>& tried,
                                          steady_time now);
+  /// A request has arrived, whatever becomes of it.
+  void NoteDemand(const request_demand& demand);
   endpoint_belief* Find(const endpoint_id& id);
   /// Time from sending to the end of a call that succeeded.
   void NoteDuration(std::chrono::microseconds duration);
@@ -58,15 +61,22 @@
   std::vector<candidate> Candidates(const std::vector<endpoint_id>& tried,
                                     bool also_avoided, steady_time now);
   void DropOverloaded(std::vector<candidate>& candidates) const;
+  /// What a request shares with others, and where it is expected.
+  struct shared_prefix {
+    token_count tokens;
+    const endpoint_belief* home = nullptr;
+  };
   placement_choice Rate(const candidate& each, const request_demand& demand,
-                        const endpoint_belief* home) const;
-  const endpoint_belief* Home(const request_demand& demand) const;
+                        const shared_prefix& shared) const;
+  shared_prefix FindShared(const request_demand& demand) const;
+  const endpoint_belief* Home(std::uint64_t chain) const;
 
   const placement_settings settings_;
   token_count cache_capacity_;
   const random_source random_;
   std::map<endpoint_id, std::unique_ptr<endpoint_belief>> endpoints_;
   smoothed_value duration_ms_;
+  session_finder sessions_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -20,13 +20,13 @@
   double running_cost_ms = 1.5;
   /// Prompt tokens that an engine computes in a millisecond.
   double prefill_tokens_per_ms = 100;
-  /// Share of a session's prompt that its first choice is assumed to keep,
-  /// because other entry VMs make the same choice.
-  double home_cached_share = 0.8;
+  /// A token of a shared part that another endpoint keeps already. Computing
+  /// it again delays all requests of the engine and displaces other prefixes.
+  double reread_cost_ms = 0.05;
   /// No endpoint gets more than this multiple of the mean load of its pool,
   /// plus `load_allowance` requests.
-  double load_cap = 1.6;
-  double load_allowance = 2;
+  double load_cap = 1.7;
+  double load_allowance = 2.5;
 };
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -89,6 +89,8 @@
   PickPool();
   environment_.retries(pool_id_)->NoteRequest(arrived_);
   Attempt();
+  // After the choice, which depends on whether the prompt was seen before.
+  pool_->NoteDemand(demand_);
 }
 
 bool proxied_call::FindRoute() {
