controller: elect a new leader within 0.8 s

Election timeouts were 900 to 1300 ms and the start check waited 800 ms. Change: heartbeats every 120 ms, elections after 450 to 800 ms, start check 400 ms.

--- a/source/process/controller/document_store.cc
+++ b/source/process/controller/document_store.cc
@@ -28,9 +28,9 @@
 /// be replaced well within the time that operators and endpoints wait.
 raft_settings GroupSettings(const node_settings& settings) {
   raft_settings group;
-  group.heartbeat_interval = milliseconds(200);
-  group.election_timeout_min = milliseconds(900);
-  group.election_timeout_max = milliseconds(1'300);
+  group.heartbeat_interval = milliseconds(120);
+  group.election_timeout_min = milliseconds(450);
+  group.election_timeout_max = milliseconds(800);
   group.commit_notice_delay = milliseconds(5);
   group.max_command_bytes = kMaxCommandBytes;
   group.compaction_entries = 512;
@@ -42,7 +42,7 @@
   group.remove_after = milliseconds(20'000);
   // Disks are lost or kept, never set back, so that the check of older disks
   // need not delay a group that has just its majority.
-  group.start_check_patience = milliseconds(800);
+  group.start_check_patience = milliseconds(400);
   return group;
 }
 
