placement: avoid endpoints that give no sign of life

Refused callers came back after 0.1 s, while the process still had no document, and were refused again. Change: a broken connection closes the endpoint's idle ones, so that the next request finds out by connecting and can go elsewhere; an endpoint with requests waiting and no byte for 500 ms is avoided; connecting takes 300 ms at most; Retry-After says when a starting process is likely to serve.

--- a/source/process/placement/endpoint_belief.cc
+++ b/source/process/placement/endpoint_belief.cc
@@ -15,6 +15,12 @@
 constexpr std::uint32_t kMaxPauseDoublings = 4;
 /// Pause after a refusal because the endpoint was full.
 constexpr std::chrono::milliseconds kFullPause{50};
+/// An endpoint that is this long without any sign of life while requests wait
+/// there is unresponsive. Busy engines send events of other requests, and
+/// plain services answer, much more often.
+constexpr std::chrono::milliseconds kUnresponsiveAfter{500};
+/// After that time without a further request it is tried again.
+constexpr std::chrono::milliseconds kUnresponsiveFor{2'500};
 /// Assumed until the endpoint has said how many requests it runs at once.
 constexpr std::uint32_t kDefaultSlots = 8;
 
@@ -34,6 +40,7 @@
     broken_in_row_ = 0;
     avoid_until_ = {};
     is_misdirected_ = false;
+    unanswered_since_.reset();
   }
   if (record.address != record_.address) is_misdirected_ = false;
   record_ = record;
@@ -43,6 +50,18 @@
   if (in_flight_ > 0) --in_flight_;
 }
 
+void endpoint_belief::NoteRequestSent(steady_time now) {
+  if (!unanswered_since_) unanswered_since_ = now;
+}
+
+void endpoint_belief::NoteHeard() { unanswered_since_.reset(); }
+
+bool endpoint_belief::IsUnresponsive(steady_time now) const {
+  if (!unanswered_since_) return false;
+  const auto silent = now - *unanswered_since_;
+  return silent > kUnresponsiveAfter && silent < kUnresponsiveFor;
+}
+
 void endpoint_belief::NoteLoad(const load_report& report, steady_time now) {
   report_ = report;
   in_flight_at_report_ = in_flight_;
@@ -57,6 +76,7 @@
 }
 
 void endpoint_belief::NoteBroken(steady_time now) {
+  unanswered_since_.reset();
   failures_.Add(1);
   const std::uint32_t doublings = std::min(broken_in_row_, kMaxPauseDoublings);
   ++broken_in_row_;
--- a/source/process/placement/endpoint_belief.h
+++ b/source/process/placement/endpoint_belief.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "process/directory/endpoint_record.h"
 #include "process/placement/load_report.h"
@@ -25,6 +26,10 @@
 
   void NoteSent() { ++in_flight_; }
   void NoteEnded();
+  /// A request was handed to the network.
+  void NoteRequestSent(steady_time now);
+  /// Some bytes of an answer arrived.
+  void NoteHeard();
   void NoteLoad(const load_report& report, steady_time now);
   /// The endpoint has answered, with a success or a failure of its own.
   void NoteAnswer(bool success);
@@ -43,7 +48,12 @@
   std::uint32_t in_flight() const { return in_flight_; }
   std::uint32_t slots() const;
   /// No request should go there before this time, while others can serve.
-  bool IsAvoided(steady_time now) const { return now < avoid_until_; }
+  bool IsAvoided(steady_time now) const {
+    return now < avoid_until_ || IsUnresponsive(now);
+  }
+  /// Requests were sent a while ago and nothing at all has come since, for
+  /// these or any other request: it hangs, or is cut off from here.
+  bool IsUnresponsive(steady_time now) const;
   bool IsServing() const;
   double failure_rate() const { return failures_.value(); }
   prefix_memory& prefixes() { return prefixes_; }
@@ -58,6 +68,8 @@
   steady_time reported_at_;
   bool has_report_ = false;
   bool is_misdirected_ = false;
+  /// First request that was sent after the last sign of life.
+  std::optional<steady_time> unanswered_since_;
   std::uint32_t broken_in_row_ = 0;
   steady_time avoid_until_;
   smoothed_value failures_;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -28,6 +28,8 @@
 /// Bounds of the time after which a refused caller may come back.
 constexpr double kMinRetryAfterMs = 100;
 constexpr double kMaxRetryAfterMs = 5'000;
+/// A process that has just started gets its document within about this time.
+constexpr double kStartingRetryMs = 800;
 /// One of this many successful requests is logged.
 constexpr std::uint64_t kLogSample = 64;
 constexpr std::size_t kMaxLoggedSteps = 24;
@@ -78,7 +80,7 @@
   if (id != nullptr) request_id_ = id->value;
   table_ = environment_.table();
   if (!table_) {
-    Refuse("no_document", kMinRetryAfterMs);
+    Refuse("no_document", kStartingRetryMs);
     return;
   }
   if (!FindRoute() || !FindWorkspace()) return;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -19,9 +19,9 @@
 
 using std::chrono::milliseconds;
 
-/// A connection takes about a millisecond within a deployment; this leaves
-/// time for one lost packet to be sent again.
-constexpr milliseconds kConnectTimeout{450};
+/// A connection takes a few milliseconds within a deployment; this leaves time
+/// for one lost packet to be sent again.
+constexpr milliseconds kConnectTimeout{300};
 /// Least time without an answer, or without a further event, after which a
 /// repeatable request is tried elsewhere. Longer than any pause of a healthy
 /// endpoint that is not overloaded.
@@ -32,8 +32,10 @@
 constexpr int kEventPatienceFactor = 3;
 /// Share of the remaining time that the wait for a place may take.
 constexpr double kMaxWaitShare = 0.6;
-/// Refusals when no endpoint is known.
-constexpr double kNoEndpointRetryMs = 400;
+/// Without an endpoint callers shall come back after the next heartbeats.
+constexpr double kNoEndpointRetryMs = 1'000;
+/// Another entry VM may reach an endpoint that refused or failed here.
+constexpr double kFailedRetryMs = 300;
 constexpr int kStatusMisdirected = 421;
 constexpr int kFirstServerError = 500;
 constexpr int kTooManyRequests = 429;
@@ -166,6 +168,7 @@
   environment_.metrics->CountAttempt();
   if (endpoint_belief* endpoint = pool_->Find(endpoint_)) {
     endpoint->prefixes().Note(demand_.parts);
+    endpoint->NoteRequestSent(last_progress_);
   }
   // The connection is owned by this call and forgets the hooks when the call
   // drops it, so they may refer to the call without owning it.
@@ -196,6 +199,7 @@
   head_ = head;
   endpoint_belief* endpoint = pool_->Find(endpoint_);
   const auto load = environment_.dialect.read_load(head.fields);
+  if (endpoint != nullptr) endpoint->NoteHeard();
   if (endpoint != nullptr && load) endpoint->NoteLoad(*load, now);
   is_rejected_ =
       FindField(head.fields, environment_.dialect.not_run) != nullptr ||
@@ -211,6 +215,9 @@
 
 void proxied_call::OnBody(std::string_view data) {
   last_progress_ = environment_.clock();
+  if (endpoint_belief* endpoint = pool_->Find(endpoint_)) {
+    endpoint->NoteHeard();
+  }
   if (is_stream_) {
     PassStream(data);
   } else if (!is_rejected_) {
@@ -273,6 +280,9 @@
   if (endpoint_belief* endpoint = pool_->Find(endpoint_)) {
     endpoint->NoteBroken(now);
   }
+  // Other connections to it may be as dead. A new one shows this before
+  // anything is sent, so that the request can go elsewhere.
+  environment_.connections->Drop(endpoint_);
   DropConnection();
   if (was_sent) may_have_run_ = true;
   AfterAttempt(was_sent ? attempt_end::kUnknown : attempt_end::kNotSent,
@@ -308,7 +318,7 @@
       Attempt();
       return;
     case attempt_step::kRefuse:
-      Refuse(cause, kNoEndpointRetryMs);
+      Refuse(cause, kFailedRetryMs);
       return;
     case attempt_step::kPassOn:
       PassBuffered();
