placement: copy shared prefixes from the endpoint that keeps them

Change: a request that goes to an endpoint not known to have its prefix names one that was seen to have it, or else the next choice for the prefix, which is the former first one.

--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -83,11 +83,16 @@
                 [most](const candidate& each) { return each.load > most; });
 }
 
-const endpoint_belief* endpoint_pool::Home(std::uint64_t chain) const {
+const endpoint_belief* endpoint_pool::Home(
+    std::uint64_t chain, bool also_leaving,
+    const endpoint_belief* except) const {
   const endpoint_belief* best = nullptr;
   std::uint64_t best_score = 0;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (!endpoint->IsServing()) continue;
+    const bool is_leaving =
+        endpoint->record().phase == endpoint_phase::kLeaving;
+    if (!endpoint->IsServing() && !(also_leaving && is_leaving)) continue;
+    if (endpoint.get() == except) continue;
     const std::uint64_t score = HomeScore(endpoint->record(), chain);
     if (best == nullptr || score > best_score) {
       best = endpoint.get();
@@ -97,6 +102,29 @@
   return best;
 }
 
+/// An endpoint that was seen to have the prefix, or else the first choice
+/// among the others: it has the prefix if the chosen one is new, or if the
+/// first choice was passed over.
+const endpoint_belief* endpoint_pool::FindKeeper(const request_demand& demand,
+                                                 const shared_prefix& shared,
+                                                 const endpoint_belief& chosen,
+                                                 steady_time now) const {
+  if (shared.tokens < settings_.min_fetch) return nullptr;
+  if (chosen.prefixes().CachedTokens(demand.parts) >= shared.tokens) {
+    return nullptr;
+  }
+  const endpoint_belief* keeper = Home(shared.chain, true, &chosen);
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.get() == &chosen) continue;
+    if (endpoint->record().phase == endpoint_phase::kGone) continue;
+    if (endpoint->IsAvoided(now)) continue;
+    if (endpoint->prefixes().CachedTokens(demand.parts) >= shared.tokens) {
+      keeper = endpoint.get();
+    }
+  }
+  return keeper == nullptr || keeper->IsAvoided(now) ? nullptr : keeper;
+}
+
 endpoint_pool::shared_prefix endpoint_pool::FindShared(
     const request_demand& demand) const {
   shared_prefix shared;
@@ -107,7 +135,8 @@
     tokens += demand.parts[i].tokens.value();
   }
   shared.tokens = token_count(tokens);
-  shared.home = Home(ChainOf(demand.parts, parts));
+  shared.chain = ChainOf(demand.parts, parts);
+  shared.home = Home(shared.chain, false, nullptr);
   return shared;
 }
 
@@ -166,6 +195,9 @@
     if (!best || rated.cost_ms < best->cost_ms) best = rated;
   }
   best->candidates = found;
+  const endpoint_belief* keeper =
+      FindKeeper(demand, shared, *best->endpoint, now);
+  if (keeper != nullptr) best->fetch_from = keeper->record().address;
   return best;
 }
 
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -63,13 +63,21 @@
   void DropOverloaded(std::vector<candidate>& candidates) const;
   /// What a request shares with others, and where it is expected.
   struct shared_prefix {
+    std::uint64_t chain = 0;
     token_count tokens;
     const endpoint_belief* home = nullptr;
   };
   placement_choice Rate(const candidate& each, const request_demand& demand,
                         const shared_prefix& shared) const;
   shared_prefix FindShared(const request_demand& demand) const;
-  const endpoint_belief* Home(std::uint64_t chain) const;
+  /// First choice for a prefix. `leaving` ones still keep theirs.
+  const endpoint_belief* Home(std::uint64_t chain, bool also_leaving,
+                              const endpoint_belief* except) const;
+  /// Endpoint whose memory the chosen one can copy the prefix from.
+  const endpoint_belief* FindKeeper(const request_demand& demand,
+                                    const shared_prefix& shared,
+                                    const endpoint_belief& chosen,
+                                    steady_time now) const;
 
   const placement_settings settings_;
   token_count cache_capacity_;
--- a/source/process/placement/placement_choice.h
+++ b/source/process/placement/placement_choice.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_PROCESS_PLACEMENT_PLACEMENT_CHOICE_H_
 
 #include <cstddef>
+#include <string>
 
 #include "types/units.h"
 
@@ -19,6 +20,9 @@
   double wait_ms = 0;
   double load = 0;
   token_count cached;
+  /// IP:PORT of another endpoint that probably keeps more of the prompt; empty
+  /// if none is known.
+  std::string fetch_from;
 };
 
 }  // namespace marjoramsill
--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "types/ids.h"
+#include "types/units.h"
 
 namespace marjoramsill {
 
@@ -23,6 +24,8 @@
   /// A token of a shared part that another endpoint keeps already. Computing
   /// it again delays all requests of the engine and displaces other prefixes.
   double reread_cost_ms = 0.05;
+  /// Prefixes below this size are computed again rather than copied.
+  token_count min_fetch = token_count(256);
   /// No endpoint gets more than this multiple of the mean load of its pool,
   /// plus `load_allowance` requests.
   double load_cap = 1.7;
--- a/source/request/forwarded_head.cc
+++ b/source/request/forwarded_head.cc
@@ -64,9 +64,10 @@
                            const request_dialect& dialect,
                            bool keeps_position) {
   const std::vector<std::string_view> listed = ListedFields(fields);
-  const std::array<std::string_view, 5> replaced{
-      dialect.remaining_ms, dialect.key, dialect.workspace, dialect.endpoint,
-      dialect.engine_priority};
+  const std::array<std::string_view, 6> replaced{
+      dialect.remaining_ms,    dialect.key,
+      dialect.workspace,       dialect.endpoint,
+      dialect.engine_priority, dialect.cache_source};
   std::string lines;
   for (const http_field& field : fields) {
     if (Contains(kConnectionFields, field.name)) continue;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -116,6 +116,7 @@
   // The present attempt.
   std::shared_ptr<endpoint_connection> connection_;
   endpoint_id endpoint_;
+  std::string fetch_from_;
   bool is_new_connection_ = false;
   bool is_counted_ = false;
   steady_time attempt_started_;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -79,7 +79,8 @@
                         .Add("cost_ms", choice->cost_ms)
                         .Add("load", choice->load)
                         .Add("wait_ms", choice->wait_ms)
-                        .Add("cached", choice->cached.value()));
+                        .Add("cached", choice->cached.value())
+                        .Add("fetch_from", choice->fetch_from));
   const double allowed = kMaxWaitShare * Millis(deadline_ - now);
   if (sent_ == 0 && choice->wait_ms > allowed) {
     Refuse("overload", choice->wait_ms - allowed);
@@ -91,6 +92,7 @@
 void proxied_call::OpenConnection(const placement_choice& choice) {
   const steady_time now = environment_.clock();
   endpoint_ = choice.endpoint->record().id;
+  fetch_from_ = choice.fetch_from;
   tried_.push_back(endpoint_);
   attempt_started_ = now;
   last_progress_ = now;
@@ -152,6 +154,9 @@
     AppendField(bytes, dialect.engine_priority,
                 std::to_string(EnginePriority(Rank())));
   }
+  if (!fetch_from_.empty()) {
+    AppendField(bytes, dialect.cache_source, fetch_from_);
+  }
   const bool has_body = !message_.body.empty() || message_.method != "GET";
   if (has_body) {
     AppendField(bytes, "Content-Length", std::to_string(message_.body.size()));
--- a/source/request/request_dialect.h
+++ b/source/request/request_dialect.h
@@ -27,6 +27,8 @@
   std::string endpoint = "X-Endpoint";
   /// Urgency for an engine's queue, 0 to 9; 0 is the most urgent.
   std::string engine_priority = "X-Engine-Priority";
+  /// IP:PORT of an endpoint from which an engine copies cached prefixes.
+  std::string cache_source = "X-Cache-Source";
   /// Marks an answer of an endpoint, as opposed to one of an entry VM.
   std::string answer_proof = "X-Endpoint-Proof";
   /// Present in an answer if the endpoint has not run the request.
