--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -25,8 +25,7 @@
         on_request,
     std::function<void(parse_state, int)> on_unreadable,
     std::function<steady_time()> clock)
-    : io_(io),
-      settings_(std::move(with)),
+    : settings_(std::move(with)),
       clock_(std::move(clock)),
       acceptor_(io),
       retry_timer_(io) {
--- a/source/connection/caller_listener.h
+++ b/source/connection/caller_listener.h
@@ -53,7 +53,6 @@
   void Accept();
   void OnAccept(std::error_code error, asio::ip::tcp::socket socket);
 
-  asio::io_context& io_;
   const settings settings_;
   const std::function<steady_time()> clock_;
   caller_connection_hooks hooks_;
--- a/source/process/controller/text_compression.cc
+++ b/source/process/controller/text_compression.cc
@@ -2,6 +2,8 @@
 
 #include <zstd.h>
 
+#include <cstdint>
+
 namespace marjoramsill {
 namespace {
 
@@ -20,7 +22,7 @@
 
 std::optional<std::string> UnpackText(std::string_view packed,
                                       std::size_t max_bytes) {
-  const unsigned long long size =
+  const std::uint64_t size =
       ZSTD_getFrameContentSize(packed.data(), packed.size());
   if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
       size > max_bytes) {
--- a/source/process/entry/decision_log.cc
+++ b/source/process/entry/decision_log.cc
@@ -83,8 +83,9 @@
   std::unique_lock lock(mutex_);
   for (;;) {
     wake_.wait(lock, [this] { return stopping_ || !buffer_.empty(); });
-    if (!stopping_)
+    if (!stopping_) {
       wake_.wait_for(lock, kCollectTime, [this] { return stopping_; });
+    }
     std::string text;
     text.swap(buffer_);
     lock.unlock();
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -219,15 +219,16 @@
   state_ = state::kDone;
   DropConnection();
   environment_.metrics->CountOutcome(Rank(), outcome);
-  if (answer_begun_)
-    environment_.metrics->ObserveGap(Millis(longest_gap_) / 1'000);
+  if (answer_begun_) {
+    const std::chrono::duration<double> gap = longest_gap_;
+    environment_.metrics->ObserveGap(gap.count());
+  }
   const bool is_ordinary =
       outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
   if (is_ordinary && environment_.random() % kLogSample != 0) return;
-  for (const std::string& step : steps_) {
+  for (const std::string_view step : steps_) {
     const std::size_t space = step.find(' ');
-    environment_.log->Write(step.substr(0, space),
-                            std::string_view(step).substr(space + 1));
+    environment_.log->Write(step.substr(0, space), step.substr(space + 1));
   }
   const auto taken = environment_.clock() - arrived_;
   environment_.log->Write(
--- /dev/null
+++ b/tests/directory/watch_hub_test.cc
@@ -0,0 +1,139 @@
+#include "process/controller/watch_hub.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "process/directory/endpoint_directory.h"
+#include "process/directory/watch_codec.h"
+
+namespace marjoramsill {
+
+using std::chrono::milliseconds;
+
+class watch_hub_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(watch_hub_test);
+  CPPUNIT_TEST(watcher_new_is_answered_at_once);
+  CPPUNIT_TEST(watcher_without_news_is_answered_after_the_hold);
+  CPPUNIT_TEST(watcher_is_told_of_a_change_at_once);
+  CPPUNIT_TEST(watcher_of_an_earlier_run_gets_everything);
+  CPPUNIT_TEST(change_is_seen_once_all_watchers_have_confirmed_it);
+  CPPUNIT_TEST(change_is_not_awaited_from_a_lost_watcher);
+  CPPUNIT_TEST(change_unconfirmed_is_reported_at_the_deadline);
+  CPPUNIT_TEST(count_of_entries_leaves_control_members_out);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint64_t kEpoch = 77;
+
+  void Watch(const std::string& vm, std::uint64_t seen,
+             std::uint64_t epoch = kEpoch, bool is_entry = true) {
+    watch_request request;
+    request.watcher = vm_id(vm);
+    request.is_entry = is_entry;
+    request.epoch = epoch;
+    request.seen_change = seen;
+    request.document = document_version(1);
+    hub_.OnWatch(
+        request,
+        [this](const std::string& bytes) {
+          replies_.push_back(DecodeWatchReply(bytes));
+        },
+        now_);
+  }
+
+  void AddEndpoint(const std::string& id) {
+    endpoint_record record;
+    record.id = endpoint_id(id);
+    record.address = "10.0.0.9:" + std::to_string(8'000 + directory_.size());
+    record.born = incarnation(1);
+    directory_.Hear(record, now_);
+    hub_.Notify(now_);
+  }
+
+  endpoint_directory directory_;
+  watch_hub hub_{{&directory_, [] { return document_version(1); },
+                  [] { return std::vector<vm_id>(); }},
+                 kEpoch};
+  steady_time now_{milliseconds(1'000)};
+  std::vector<std::optional<watch_reply>> replies_;
+
+ public:
+  void watcher_new_is_answered_at_once() {
+    Watch("a", 0, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies_.size());
+    CPPUNIT_ASSERT_EQUAL(kEpoch, replies_[0]->epoch);
+  }
+
+  void watcher_without_news_is_answered_after_the_hold() {
+    Watch("a", 0);
+    CPPUNIT_ASSERT(replies_.empty());
+    now_ += milliseconds(700);
+    hub_.Tick(now_);
+    CPPUNIT_ASSERT(replies_.empty());
+    now_ += milliseconds(200);
+    hub_.Tick(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies_.size());
+  }
+
+  void watcher_is_told_of_a_change_at_once() {
+    Watch("a", 0);
+    AddEndpoint("e");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies_[0]->records.size());
+  }
+
+  void watcher_of_an_earlier_run_gets_everything() {
+    AddEndpoint("e");
+    // Its number refers to an earlier run of the control process.
+    Watch("a", 1, kEpoch - 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies_[0]->records.size());
+  }
+
+  void change_is_seen_once_all_watchers_have_confirmed_it() {
+    Watch("a", 0);
+    Watch("b", 0);
+    AddEndpoint("e");
+    std::optional<bool> seen;
+    hub_.AwaitSeen(
+        1, now_ + milliseconds(700), [&seen](bool all) { seen = all; }, now_);
+    Watch("a", 1);
+    CPPUNIT_ASSERT(!seen.has_value());
+    Watch("b", 1);
+    CPPUNIT_ASSERT(seen == true);
+  }
+
+  void change_is_not_awaited_from_a_lost_watcher() {
+    Watch("a", 0);
+    now_ += milliseconds(2'000);
+    AddEndpoint("e");
+    std::optional<bool> seen;
+    hub_.AwaitSeen(
+        1, now_ + milliseconds(700), [&seen](bool all) { seen = all; }, now_);
+    CPPUNIT_ASSERT(seen == true);
+  }
+
+  void change_unconfirmed_is_reported_at_the_deadline() {
+    Watch("a", 0);
+    AddEndpoint("e");
+    std::optional<bool> seen;
+    hub_.AwaitSeen(
+        1, now_ + milliseconds(700), [&seen](bool all) { seen = all; }, now_);
+    now_ += milliseconds(750);
+    hub_.Tick(now_);
+    CPPUNIT_ASSERT(seen == false);
+  }
+
+  void count_of_entries_leaves_control_members_out() {
+    Watch("a", 0, kEpoch, true);
+    Watch("b", 0, kEpoch, true);
+    Watch("c", 0, kEpoch, false);
+    CPPUNIT_ASSERT_EQUAL(2U, hub_.EntryCount(now_));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(watch_hub_test);
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/platform/platform_decoder_test.cc
@@ -0,0 +1,180 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "platform/dialect.h"
+#include "platform/document_decoder.h"
+#include "platform/header_decoder.h"
+#include "platform/heartbeat_decoder.h"
+#include "version/routing/routing_check.h"
+
+namespace marjoramsill::platform {
+
+using nlohmann::json;
+
+class platform_decoder_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(platform_decoder_test);
+  CPPUNIT_TEST(document_is_decoded_into_routes_pools_and_keys);
+  CPPUNIT_TEST(document_without_keys_needs_none);
+  CPPUNIT_TEST(document_with_a_field_of_another_type_is_refused);
+  CPPUNIT_TEST(document_cut_short_is_refused);
+  CPPUNIT_TEST(document_damaged_does_no_harm);
+  CPPUNIT_TEST(heartbeat_is_decoded);
+  CPPUNIT_TEST(heartbeat_of_another_writer_names_no_endpoint);
+  CPPUNIT_TEST(demand_is_decoded_with_its_parts);
+  CPPUNIT_TEST(demand_of_another_model_shares_nothing);
+  CPPUNIT_TEST(load_malformed_is_no_load);
+  CPPUNIT_TEST_SUITE_END();
+
+  static json Document() {
+    return json::parse(R"({"version":7,"routes":[
+      {"name":"a","host":"F.example:80","pathPrefix":"/p/",
+       "routeType":"streaming","timeoutMs":15000,"targetLatencyMs":1200,
+       "priority":2,"backends":[{"service":"s1","weight":90},
+       {"service":"s2","weight":10}],"maxAttempts":2,"public":false,
+       "sticky":true,"resumable":true,"gapAimMs":250},
+      {"name":"b","host":"f.example","pathPrefix":"/q/",
+       "routeType":"non_idempotent","timeoutMs":800,"service":"s2",
+       "public":true}],
+      "services":[{"name":"s1","healthPath":"/h","maxConns":610,
+       "runtime":{"slots":128,"kvCapacity":849553}},{"name":"s2"}],
+      "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,
+       "headerTimeoutMs":300,"idleTimeoutMs":400},
+      "tenants":[{"name":"t","apiKeys":["k"],"priority":1}]})");
+  }
+
+  static json Heartbeat() {
+    return json{{"service", "s1"},       {"address", "10.0.0.1:8080"},
+                {"zone", "perth"},       {"version", "v1"},
+                {"slots", 128},          {"state", "ready"},
+                {"coldRemainingMs", 40}, {"sequence", 4},
+                {"born", 1700000000000}};
+  }
+
+  static bool IsEndpoint(const json& body) {
+    return DecodeHeartbeat(endpoint_id("e"), body.dump()).has_value();
+  }
+
+ public:
+  void document_is_decoded_into_routes_pools_and_keys() {
+    const auto decoded = DecodeDocument(Document().dump());
+    CPPUNIT_ASSERT(decoded.has_value());
+    const routing_document& document = decoded.assume_value();
+    CPPUNIT_ASSERT(document.version == document_version(7));
+    const route_rule& route = document.routes.front();
+    CPPUNIT_ASSERT_EQUAL(std::string("f.example"), route.host);
+    CPPUNIT_ASSERT(route.kind == route_kind::kStreaming);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, route.targets.size());
+    CPPUNIT_ASSERT_EQUAL(9U, route.targets[0].weight / route.targets[1].weight);
+    CPPUNIT_ASSERT(route.IsRepeatable());
+    CPPUNIT_ASSERT(document.routes[1].is_public);
+    CPPUNIT_ASSERT(!document.routes[1].IsRepeatable());
+    CPPUNIT_ASSERT_EQUAL(1, document.routes[1].max_attempts);
+    CPPUNIT_ASSERT_EQUAL(128U, document.pools[0].engine->slots);
+    CPPUNIT_ASSERT(!document.pools[1].engine.has_value());
+    CPPUNIT_ASSERT(document.requires_keys);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{200}, document.limits.max_body_bytes);
+    CPPUNIT_ASSERT(!CheckRouting(document).has_value());
+  }
+
+  void document_without_keys_needs_none() {
+    json document = Document();
+    document.erase("tenants");
+    CPPUNIT_ASSERT(
+        !DecodeDocument(document.dump()).assume_value().requires_keys);
+  }
+
+  void document_with_a_field_of_another_type_is_refused() {
+    for (const char* path :
+         {"/version", "/routes", "/services", "/tenants", "/limits",
+          "/routes/0/host", "/routes/0/routeType", "/routes/0/timeoutMs",
+          "/routes/0/backends", "/routes/0/backends/0/weight",
+          "/routes/0/sticky", "/services/0/name", "/tenants/0/apiKeys",
+          "/limits/maxBodyBytes"}) {
+      json document = Document();
+      document[json::json_pointer(path)] = json::array({nullptr});
+      CPPUNIT_ASSERT_MESSAGE(path, !DecodeDocument(document.dump()));
+      document[json::json_pointer(path)] = -1;
+      CPPUNIT_ASSERT_MESSAGE(path, !DecodeDocument(document.dump()));
+    }
+  }
+
+  void document_cut_short_is_refused() {
+    const std::string text = Document().dump();
+    for (std::size_t length = 0; length < text.size(); ++length) {
+      CPPUNIT_ASSERT(!DecodeDocument(text.substr(0, length)));
+    }
+  }
+
+  void document_damaged_does_no_harm() {
+    const std::string sound = Document().dump();
+    std::mt19937 random(20261203);
+    for (int i = 0; i < 5'000; ++i) {
+      std::string text = sound;
+      text[random() % text.size()] = static_cast<char>(random());
+      CPPUNIT_ASSERT_NO_THROW(DecodeDocument(text).has_value());
+      CPPUNIT_ASSERT_NO_THROW(DecodeHeartbeat(endpoint_id("e"), text));
+    }
+  }
+
+  void heartbeat_is_decoded() {
+    const auto record = DecodeHeartbeat(endpoint_id("e"), Heartbeat().dump());
+    CPPUNIT_ASSERT(record.has_value());
+    CPPUNIT_ASSERT(record->phase == endpoint_phase::kReady);
+    CPPUNIT_ASSERT(record->born == incarnation(1'700'000'000'000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, record->sequence);
+    json leaving = Heartbeat();
+    leaving["state"] = "draining";
+    CPPUNIT_ASSERT(DecodeHeartbeat(endpoint_id("e"), leaving.dump())->phase ==
+                   endpoint_phase::kLeaving);
+  }
+
+  void heartbeat_of_another_writer_names_no_endpoint() {
+    for (const char* field :
+         {"service", "address", "zone", "slots", "state", "sequence", "born"}) {
+      json missing = Heartbeat();
+      missing.erase(field);
+      CPPUNIT_ASSERT_MESSAGE(field, !IsEndpoint(missing));
+      json other = Heartbeat();
+      other[field] = json::object();
+      CPPUNIT_ASSERT_MESSAGE(field, !IsEndpoint(other));
+    }
+    json unknown = Heartbeat();
+    unknown["state"] = "resting";
+    CPPUNIT_ASSERT(!IsEndpoint(unknown));
+    json nowhere = Heartbeat();
+    nowhere["address"] = "somewhere";
+    CPPUNIT_ASSERT(!IsEndpoint(nowhere));
+    CPPUNIT_ASSERT(!DecodeHeartbeat(endpoint_id("e"), "\xff{").has_value());
+  }
+
+  void demand_is_decoded_with_its_parts() {
+    const request_demand demand =
+        DecodeDemand({{"Token-Usage", "1460,80"},
+                      {"Prompt-Prefix", "5c:800,91:410,e4:250"}});
+    CPPUNIT_ASSERT(demand.prompt == token_count(1'460));
+    CPPUNIT_ASSERT(demand.output == token_count(80));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, demand.parts.size());
+    CPPUNIT_ASSERT(demand.parts[1].tokens == token_count(410));
+  }
+
+  void demand_of_another_model_shares_nothing() {
+    const http_field prefix{"Prompt-Prefix", "5c:800"};
+    const auto a = DecodeDemand({{"Model", "m"}, prefix});
+    const auto b = DecodeDemand({{"Model", "n"}, prefix});
+    CPPUNIT_ASSERT(a.parts[0].hash != b.parts[0].hash);
+  }
+
+  void load_malformed_is_no_load() {
+    CPPUNIT_ASSERT_EQUAL(3U, DecodeLoad({{"Server-Load", "3,0,8"}})->running);
+    for (const char* text : {"", "3", "3,0", "a,b,c", "3,-1,8"}) {
+      CPPUNIT_ASSERT(!DecodeLoad({{"Server-Load", text}}).has_value());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_decoder_test);
+
+}  // namespace marjoramsill::platform
--- /dev/null
+++ b/tests/proxy/event_splitter_test.cc
@@ -0,0 +1,67 @@
+#include "request/event_splitter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+#include <string>
+
+namespace marjoramsill {
+
+class event_splitter_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(event_splitter_test);
+  CPPUNIT_TEST(event_cut_off_is_held_back);
+  CPPUNIT_TEST(event_cut_off_is_dropped_before_a_resumption);
+  CPPUNIT_TEST(lines_with_carriage_returns_end_events);
+  CPPUNIT_TEST(bytes_cut_anywhere_come_out_unchanged);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void event_cut_off_is_held_back() {
+    event_splitter splitter;
+    const std::string whole("id: 1\ndata: a\n\n");
+    CPPUNIT_ASSERT_EQUAL(whole,
+                         std::string(splitter.Add(whole + "id: 2\ndata: b")));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), splitter.last_id());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: b"),
+                         std::string(splitter.rest()));
+  }
+
+  void event_cut_off_is_dropped_before_a_resumption() {
+    // The endpoint that goes on sends the event again from its beginning.
+    event_splitter splitter;
+    splitter.Add("id: 1\ndata: a\n\nid: 2\nda");
+    splitter.DropRest();
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: b\n\n"),
+                         std::string(splitter.Add("id: 2\ndata: b\n\n")));
+  }
+
+  void lines_with_carriage_returns_end_events() {
+    event_splitter splitter;
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 7\r\ndata: a\r\n\r\n"),
+                         std::string(splitter.Add("id: 7\r\ndata: a\r\n\r\n")));
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), splitter.last_id());
+  }
+
+  void bytes_cut_anywhere_come_out_unchanged() {
+    std::string stream;
+    for (int i = 1; i <= 40; ++i) {
+      stream += "id: " + std::to_string(i) + "\ndata: piece\n\n";
+    }
+    std::mt19937 random(20261203);
+    for (int round = 0; round < 200; ++round) {
+      event_splitter splitter;
+      std::string passed;
+      for (std::size_t at = 0; at < stream.size();) {
+        const std::size_t length = 1 + random() % 40;
+        passed += splitter.Add(std::string_view(stream).substr(at, length));
+        at += length;
+      }
+      CPPUNIT_ASSERT_EQUAL(stream, passed);
+      CPPUNIT_ASSERT_EQUAL(std::string("40"), splitter.last_id());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(event_splitter_test);
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/proxy/message_parser_test.cc
@@ -0,0 +1,155 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+#include <string>
+
+#include "connection/answer_parser.h"
+#include "connection/request_parser.h"
+
+namespace marjoramsill {
+
+class message_parser_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(message_parser_test);
+  CPPUNIT_TEST(request_cut_anywhere_is_read_whole);
+  CPPUNIT_TEST(requests_pipelined_are_read_one_by_one);
+  CPPUNIT_TEST(request_with_ambiguous_framing_is_malformed);
+  CPPUNIT_TEST(request_too_large_is_told_apart);
+  CPPUNIT_TEST(answer_stops_at_its_head_and_at_its_end);
+  CPPUNIT_TEST(answer_interim_is_skipped);
+  CPPUNIT_TEST(answer_without_length_ends_with_its_connection);
+  CPPUNIT_TEST(answer_cut_off_is_not_complete);
+  CPPUNIT_TEST(bytes_random_do_no_harm);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::size_t kHead = 4'096;
+  static constexpr std::size_t kBody = 1'024;
+
+  static parse_state ReadRequest(const std::string& bytes) {
+    request_parser parser(kHead, kBody);
+    parser.Read(bytes);
+    return parser.state();
+  }
+
+ public:
+  void request_cut_anywhere_is_read_whole() {
+    const std::string bytes =
+        "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+      request_parser parser(kHead, kBody);
+      const std::size_t used = parser.Read(bytes.substr(0, cut));
+      CPPUNIT_ASSERT_EQUAL(cut, used);
+      parser.Read(bytes.substr(cut));
+      CPPUNIT_ASSERT(parser.state() == parse_state::kComplete);
+      const caller_message message = parser.Take();
+      CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), message.target);
+      CPPUNIT_ASSERT_EQUAL(std::string("abcde"), message.body);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, message.fields.size());
+    }
+  }
+
+  void requests_pipelined_are_read_one_by_one() {
+    std::string bytes =
+        "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+    request_parser parser(kHead, kBody);
+    bytes.erase(0, parser.Read(bytes));
+    CPPUNIT_ASSERT_EQUAL(std::string("/1"), parser.Take().target);
+    parser.Read(bytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("/2"), parser.Take().target);
+  }
+
+  void request_with_ambiguous_framing_is_malformed() {
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    for (const std::string& fields :
+         {std::string("Content-Length: 3\r\nContent-Length: 4\r\n"),
+          std::string("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+          std::string("Transfer-Encoding: chunked\r\n"
+                      "Transfer-Encoding: identity\r\n"),
+          std::string("Transfer-Encoding: gzip, chunked\r\n"),
+          std::string("Host: other\r\n"), std::string("A: b\0c\r\n", 8)}) {
+      CPPUNIT_ASSERT(ReadRequest(start + fields + "\r\nabcd") ==
+                     parse_state::kMalformed);
+    }
+    CPPUNIT_ASSERT(ReadRequest("GET / HTTP/1.1\r\n\r\n") ==
+                   parse_state::kMalformed);
+  }
+
+  void request_too_large_is_told_apart() {
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    CPPUNIT_ASSERT(ReadRequest(start + "A: " + std::string(5'000, 'a') +
+                               "\r\n\r\n") == parse_state::kHeadTooLarge);
+    CPPUNIT_ASSERT(ReadRequest(start + "Content-Length: 1025\r\n\r\n") ==
+                   parse_state::kBodyTooLarge);
+    CPPUNIT_ASSERT(ReadRequest(start +
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "401\r\n" +
+                               std::string(1'025, 'a') + "\r\n") ==
+                   parse_state::kBodyTooLarge);
+  }
+
+  void answer_stops_at_its_head_and_at_its_end() {
+    std::string body;
+    answer_parser parser([&body](std::string_view data) { body += data; });
+    std::string bytes =
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 503";
+    bytes.erase(0, parser.Read(bytes));
+    CPPUNIT_ASSERT(parser.state() == parse_state::kInBody);
+    CPPUNIT_ASSERT_EQUAL(std::string(), body);
+    while (parser.state() == parse_state::kInBody) {
+      bytes.erase(0, parser.Read(bytes));
+    }
+    CPPUNIT_ASSERT(parser.state() == parse_state::kComplete);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), body);
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), bytes);
+    CPPUNIT_ASSERT(parser.allows_reuse());
+  }
+
+  void answer_interim_is_skipped() {
+    answer_parser parser([](std::string_view) {});
+    std::string bytes =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    while (!bytes.empty() && parser.state() != parse_state::kComplete) {
+      bytes.erase(0, parser.Read(bytes));
+    }
+    CPPUNIT_ASSERT(parser.state() == parse_state::kComplete);
+    CPPUNIT_ASSERT_EQUAL(204, parser.head().status);
+  }
+
+  void answer_without_length_ends_with_its_connection() {
+    answer_parser parser([](std::string_view) {});
+    std::string bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
+    while (!bytes.empty()) bytes.erase(0, parser.Read(bytes));
+    CPPUNIT_ASSERT(parser.state() == parse_state::kInBody);
+    CPPUNIT_ASSERT(parser.ReadEnd());
+  }
+
+  void answer_cut_off_is_not_complete() {
+    answer_parser parser([](std::string_view) {});
+    std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
+    while (!bytes.empty()) bytes.erase(0, parser.Read(bytes));
+    CPPUNIT_ASSERT(!parser.ReadEnd());
+  }
+
+  void bytes_random_do_no_harm() {
+    std::mt19937 random(20261203);
+    for (int round = 0; round < 5'000; ++round) {
+      std::string bytes =
+          "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
+      for (int i = 0; i < 3; ++i) {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      }
+      ReadRequest(bytes);
+      answer_parser parser([](std::string_view) {});
+      std::string rest = "HTTP/1.1 200 OK\r\n" + bytes;
+      rest[random() % rest.size()] = static_cast<char>(random());
+      while (!rest.empty() && parser.state() != parse_state::kMalformed &&
+             parser.state() != parse_state::kComplete) {
+        rest.erase(0, parser.Read(rest));
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(message_parser_test);
+
+}  // namespace marjoramsill
