controller: relay large documents between entry processes

Change: a control process sends as many copies as half of its link allows and names VMs that have got it to the others; entry processes pass it on in the same way.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -109,7 +109,7 @@
     });
     if (!opened) return failure(std::move(opened).assume_error());
     store_ = std::move(opened).assume_value();
-    documents_.emplace(dialect_, *store_, watcher_);
+    documents_.emplace(dialect_, *store_, watcher_, settings_.link_mbps);
     const std::string address = FormatSocketAddress(*settings_.control);
     endpoints_.emplace(dialect_, hub_, directory_, watcher_, address,
                        SteadyNow());
@@ -254,7 +254,8 @@
         reply("");
       }
     } else if (message.kind == kDocumentKind) {
-      documents_->OnDocumentMessage(reply);
+      documents_->OnDocumentMessage(vm_id(message.from),
+                                    failure_domain_id(message.body), reply);
     } else if (message.kind == kReadDocumentKind) {
       documents_->OnReadMessage(reply);
     } else if (message.kind == kSubmitDocumentKind) {
--- a/source/process/controller/document_service.cc
+++ b/source/process/controller/document_service.cc
@@ -9,6 +9,7 @@
 #include "process/controller/text_compression.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
+#include "process/daemon/steady_clock.h"
 #include "process/directory/control_watcher.h"
 #include "version/routing/routing_check.h"
 
@@ -30,8 +31,11 @@
 
 document_service::document_service(const control_dialect& dialect,
                                    document_store& store,
-                                   control_watcher& members)
-    : dialect_(dialect), store_(store), members_(members) {}
+                                   control_watcher& members, double link_mbps)
+    : dialect_(dialect),
+      store_(store),
+      members_(members),
+      relay_(link_mbps, SystemRandom()) {}
 
 void document_service::Submit(const std::string& text,
                               const document_answer_hook& done) {
@@ -123,8 +127,10 @@
 }
 
 void document_service::OnDocumentMessage(
-    const std::function<void(std::string)>& reply) const {
-  reply(EncodeStoredDocument(store_.Held()));
+    const vm_id& asker, const failure_domain_id& domain,
+    const std::function<void(std::string)>& reply) {
+  reply(EncodeDocumentOffer(
+      relay_.Offer(store_.Held(), asker, domain, SteadyNow())));
 }
 
 }  // namespace marjoramsill
--- a/source/process/controller/document_service.h
+++ b/source/process/controller/document_service.h
@@ -6,6 +6,7 @@
 
 #include "process/controller/control_dialect.h"
 #include "process/controller/document_answer.h"
+#include "process/controller/document_relay.h"
 
 namespace marjoramsill {
 
@@ -18,7 +19,7 @@
 class document_service {
  public:
   document_service(const control_dialect& dialect, document_store& store,
-                   control_watcher& members);
+                   control_watcher& members, double link_mbps);
 
   /// An operator submits a document.
   void Submit(const std::string& text, const document_answer_hook& done);
@@ -29,8 +30,10 @@
   void OnSubmitMessage(std::string command,
                        const std::function<void(std::string)>& reply);
   void OnReadMessage(const std::function<void(std::string)>& reply) const;
-  /// The committed document as this process has it, leading or not.
-  void OnDocumentMessage(const std::function<void(std::string)>& reply) const;
+  /// The committed document as this process has it, leading or not, or a VM
+  /// that has it. `domain`: failure domain of the asker.
+  void OnDocumentMessage(const vm_id& asker, const failure_domain_id& domain,
+                         const std::function<void(std::string)>& reply);
 
  private:
   void Accept(std::string command, const std::function<void(bool)>& done);
@@ -39,6 +42,7 @@
   const control_dialect& dialect_;
   document_store& store_;
   control_watcher& members_;
+  document_relay relay_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -15,6 +15,7 @@
 constexpr std::uint64_t kMostLosses = 4;
 constexpr double kMostRatio = 10;
 constexpr double kMostAllowance = 1'000'000;
+constexpr double kMostMbps = 1'000'000;
 
 const text_rule kText{[](std::string_view text) { return !text.empty(); },
                       "a text that is not empty"};
@@ -78,6 +79,7 @@
   parsed.grace = Millis(reader, "grace_ms", parsed.grace);
   parsed.heartbeat_interval =
       Millis(reader, "heartbeat_interval_ms", parsed.heartbeat_interval);
+  parsed.link_mbps = reader.Number("link_mbps", 0, kMostMbps, 0);
   ReadRetries(reader, parsed.retries);
   reader.Finish();
   if (report.error()) return failure(*report.error());
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -41,6 +41,8 @@
   std::chrono::milliseconds grace{8'000};
   /// Between two heartbeats of an endpoint.
   std::chrono::milliseconds heartbeat_interval{1'200};
+  /// Speed of the VM's link in Mbit/s; 0 if it is not known.
+  double link_mbps = 0;
   retry_settings retries;
 };
 
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
@@ -19,6 +20,8 @@
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
 #include "connection/peer_transport.h"
+#include "process/controller/document_offer.h"
+#include "process/controller/document_relay.h"
 #include "process/controller/settings_watch.h"
 #include "process/controller/stored_document.h"
 #include "process/controller/text_compression.h"
@@ -27,6 +30,7 @@
 #include "process/directory/control_watcher.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/decision_log.h"
+#include "process/entry/document_fetcher.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/pool_table.h"
@@ -47,7 +51,6 @@
 constexpr milliseconds kUnreadyTime{2'800};
 /// Before SIGKILL what is left is answered and the process ends.
 constexpr milliseconds kStopMargin{700};
-constexpr milliseconds kDocumentTimeout{1'500};
 constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
 /// Descriptors that are not for callers: endpoints, peers, files.
 constexpr std::size_t kOtherDescriptors = 1'500;
@@ -94,6 +97,11 @@
         peers_(PeerSettings(settings_), [](const vm_message& /*message*/,
                                            const auto& reply) { reply(""); }),
         watcher_(io_, peers_, settings_.vm, true, WatcherHooks()),
+        fetcher_(
+            watcher_, settings_.failure_domain,
+            [this](const stored_document& document) { OnDocument(document); },
+            SteadyNow),
+        relay_(settings_.link_mbps, SystemRandom()),
         connections_(io_),
         pools_(PlacementSettings(settings_), settings_.retries, SystemRandom(),
                [this](const endpoint_id& id) { connections_.Drop(id); }),
@@ -186,7 +194,7 @@
     };
     hooks.on_newer_document = [this](const vm_id& vm,
                                      document_version version) {
-      FetchDocument(vm, version);
+      fetcher_.Start(vm, version);
     };
     hooks.on_contact = [this](const vm_id& vm, bool reachable) {
       log_.Write("control_contact", log_fields()
@@ -195,7 +203,7 @@
                                         .text());
     };
     hooks.document = [this] {
-      return std::max(HeldVersion(), fetching_version_);
+      return std::max(HeldVersion(), fetcher_.wanted());
     };
     hooks.clock = SteadyNow;
     return hooks;
@@ -219,28 +227,28 @@
     pools_.Merge(records, SteadyNow());
   }
 
-  void FetchDocument(const vm_id& vm, document_version version) {
-    if (version <= fetching_version_) return;
-    fetching_version_ = version;
-    watcher_.Ask(vm, std::string(kDocumentKind), "", kDocumentTimeout,
-                 [this, version](const std::optional<std::string>& answer) {
-                   OnDocument(answer.value_or(""));
-                   // After a failure the next reply to a watch starts anew.
-                   if (HeldVersion() < version) fetching_version_ = {};
-                 });
+  /// On the transport's thread: other entry processes ask for the document.
+  void OnPeerMessage(const vm_message& message, peer_transport::reply reply) {
+    if (message.kind != kDocumentKind) {
+      reply("");
+      return;
+    }
+    asio::post(io_, [this, message, reply = std::move(reply)] {
+      reply(EncodeDocumentOffer(relay_.Offer(document_, vm_id(message.from),
+                                             failure_domain_id(message.body),
+                                             SteadyNow())));
+    });
   }
 
-  void OnDocument(const std::string& encoded) {
-    const auto document = DecodeStoredDocument(encoded);
-    if (!document || !document->packed) return;
-    if (document->version <= HeldVersion()) return;
-    const auto text = UnpackText(*document->packed, kMaxDocumentBytes);
+  void OnDocument(const stored_document& document) {
+    if (!document.packed || document.version <= HeldVersion()) return;
+    const auto text = UnpackText(*document.packed, kMaxDocumentBytes);
     if (!text) return;
     auto parsed = control_dialect_.read_document(*text);
     if (!parsed) {
       log_.Write("document_unreadable",
                  log_fields()
-                     .Add("version", document->version.value())
+                     .Add("version", document.version.value())
                      .Add("where", parsed.assume_error().where)
                      .text());
       return;
@@ -248,6 +256,7 @@
     listener_.SetLimits(parsed.assume_value().limits);
     table_ =
         std::make_shared<const routing_table>(std::move(parsed).assume_value());
+    document_ = document;
     pools_.SetDocument(table_);
     metrics_.SetDocumentVersion(table_->version().value());
     log_.Write("document_in_force",
@@ -314,6 +323,7 @@
     for (const auto& call : calls_) call->Tick(now);
     std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
     watcher_.Tick(now);
+    fetcher_.Tick(now);
     if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
     if (stopping_since_ && ContinueStop(now)) return;
     timer_.expires_after(kTick);
@@ -355,9 +365,12 @@
   entry_metrics metrics_;
   call_environment environment_;
   std::shared_ptr<const routing_table> table_;
-  document_version fetching_version_;
+  /// What `table_` was made of, for other entry processes.
+  stored_document document_;
   peer_transport peers_;
   control_watcher watcher_;
+  document_fetcher fetcher_;
+  document_relay relay_;
   endpoint_connection_pool connections_;
   pool_table pools_;
   caller_listener listener_;
