--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -36,7 +36,12 @@
   };
 }
 
-caller_listener::~caller_listener() = default;
+caller_listener::~caller_listener() {
+  // Connections outlive the listener until their handlers have run.
+  std::vector<std::shared_ptr<caller_connection>> all;
+  for (const auto& [key, connection] : connections_) all.push_back(connection);
+  for (const auto& connection : all) connection->Abort();
+}
 
 result<void, listen_error> caller_listener::Listen() {
   try {
@@ -56,6 +61,8 @@
 void caller_listener::Accept() {
   acceptor_.async_accept(
       [this](std::error_code error, asio::ip::tcp::socket socket) {
+        // Aborted by the destructor.
+        if (error == asio::error::operation_aborted) return;
         OnAccept(error, std::move(socket));
       });
 }
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -52,7 +52,7 @@
 peer_transport_settings PeerSettings(const node_settings& settings) {
   peer_transport_settings peers;
   peers.vm = settings.vm.value();
-  peers.listen = settings.peers;
+  peers.listen = settings.peers_bind.value_or(settings.peers);
   return peers;
 }
 
@@ -207,6 +207,7 @@
     watcher_.Tick(now);
     endpoints_->Tick(now);
     hub_.Tick(now);
+    documents_->Tick();
     settings_watch_.Tick(now);
   }
 
@@ -254,8 +255,7 @@
         reply("");
       }
     } else if (message.kind == kDocumentKind) {
-      documents_->OnDocumentMessage(vm_id(message.from),
-                                    failure_domain_id(message.body), reply);
+      documents_->OnDocumentMessage(vm_id(message.from), message.body, reply);
     } else if (message.kind == kReadDocumentKind) {
       documents_->OnReadMessage(reply);
     } else if (message.kind == kSubmitDocumentKind) {
--- a/source/process/controller/document_service.cc
+++ b/source/process/controller/document_service.cc
@@ -32,10 +32,7 @@
 document_service::document_service(const control_dialect& dialect,
                                    document_store& store,
                                    control_watcher& members, double link_mbps)
-    : dialect_(dialect),
-      store_(store),
-      members_(members),
-      relay_(link_mbps, SystemRandom()) {}
+    : dialect_(dialect), store_(store), members_(members), relay_(link_mbps) {}
 
 void document_service::Submit(const std::string& text,
                               const document_answer_hook& done) {
@@ -127,10 +124,21 @@
 }
 
 void document_service::OnDocumentMessage(
-    const vm_id& asker, const failure_domain_id& domain,
+    const vm_id& asker, const std::string& body,
     const std::function<void(std::string)>& reply) {
-  reply(EncodeDocumentOffer(
-      relay_.Offer(store_.Held(), asker, domain, SteadyNow())));
+  const auto request = DecodeDocumentRequest(body);
+  if (!request) {
+    reply("");
+    return;
+  }
+  relay_.Ask(
+      asker, *request,
+      [reply](const document_offer& offer) {
+        reply(EncodeDocumentOffer(offer));
+      },
+      store_.Held(), SteadyNow());
 }
 
+void document_service::Tick() { relay_.Tick(store_.Held(), SteadyNow()); }
+
 }  // namespace marjoramsill
--- a/source/process/controller/document_service.h
+++ b/source/process/controller/document_service.h
@@ -30,10 +30,11 @@
   void OnSubmitMessage(std::string command,
                        const std::function<void(std::string)>& reply);
   void OnReadMessage(const std::function<void(std::string)>& reply) const;
-  /// The committed document as this process has it, leading or not, or a VM
-  /// that has it. `domain`: failure domain of the asker.
-  void OnDocumentMessage(const vm_id& asker, const failure_domain_id& domain,
+  /// A VM wants the committed document, whether this process leads or not.
+  void OnDocumentMessage(const vm_id& asker, const std::string& body,
                          const std::function<void(std::string)>& reply);
+  /// Answers VMs that wait for the document. Call often.
+  void Tick();
 
  private:
   void Accept(std::string command, const std::function<void(bool)>& done);
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -116,7 +116,7 @@
 
 bool endpoint_service::IsInMajority(steady_time now) const {
   const std::size_t members = members_.members().size();
-  return 2 * (members_.ReachableCount(now) + 1) > members;
+  return 2 * (members_.Reachable(now).size() + 1) > members;
 }
 
 void endpoint_service::OnRecords(const std::vector<endpoint_record>& records,
--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -63,6 +63,7 @@
   parsed.peers = ParseSocketAddress(reader.Text("peers", kAddress))
                      .value_or(socket_address{});
   parsed.vm = vm_id(FormatSocketAddress(parsed.peers));
+  parsed.peers_bind = OptionalAddress(reader, "peers_bind");
   parsed.callers = OptionalAddress(reader, "callers");
   parsed.readiness = OptionalAddress(reader, "readiness");
   parsed.control = OptionalAddress(reader, "control");
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -23,6 +23,8 @@
   failure_domain_id failure_domain;
   /// Address for the fleet's other processes. Its port is the same on all VMs.
   socket_address peers;
+  /// Address to bind for `peers`, if others reach it through another one.
+  std::optional<socket_address> peers_bind;
   /// For callers and for the load balancer; entry processes only.
   std::optional<socket_address> callers;
   std::optional<socket_address> readiness;
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -144,12 +144,13 @@
       hooks_.clock() + std::min(kFirstRetry * (1U << doublings), kLongestRetry);
 }
 
-std::size_t control_watcher::ReachableCount(steady_time now) const {
-  return static_cast<std::size_t>(
-      std::count_if(states_.begin(), states_.end(), [now](const auto& entry) {
-        return entry.second.is_reachable &&
-               now - entry.second.last_contact <= kContactLifetime;
-      }));
+std::vector<vm_id> control_watcher::Reachable(steady_time now) const {
+  std::vector<vm_id> found;
+  for (const auto& [vm, member] : states_) {
+    const bool is_recent = now - member.last_contact <= kContactLifetime;
+    if (member.is_reachable && is_recent) found.push_back(vm);
+  }
+  return found;
 }
 
 }  // namespace marjoramsill
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -50,7 +50,7 @@
            std::function<void(std::optional<std::string>)> done);
 
   /// Members, this one not included, that answered lately.
-  std::size_t ReachableCount(steady_time now) const;
+  std::vector<vm_id> Reachable(steady_time now) const;
   bool HasHadContact() const { return has_had_contact_; }
   std::uint32_t entry_count() const { return entry_count_; }
   const std::vector<vm_id>& members() const { return members_; }
--- a/source/process/entry/document_fetcher.cc
+++ b/source/process/entry/document_fetcher.cc
@@ -1,9 +1,12 @@
 #include "process/entry/document_fetcher.h"
 
 #include <chrono>
+#include <functional>
 #include <utility>
+#include <vector>
 
 #include "process/controller/document_offer.h"
+#include "process/controller/document_request.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/directory/control_watcher.h"
 
@@ -12,22 +15,24 @@
 
 using std::chrono::milliseconds;
 
-/// Pause before a busy or failed source is asked again.
+/// Pause before a member is asked again.
 constexpr milliseconds kRetryPause{50};
-/// A large document needs some hundred milliseconds on a slow link.
+/// Members hold a request until it is its turn, for a little less than this.
 constexpr milliseconds kAnswerTimeout{1'500};
 /// After this many failures the next reply to a watch names a member anew.
-constexpr int kMostFailures = 12;
+constexpr int kMostFailures = 5;
 
 }  // namespace
 
-document_fetcher::document_fetcher(control_watcher& members,
+document_fetcher::document_fetcher(control_watcher& members, vm_id self,
                                    failure_domain_id domain,
-                                   arrival_hook on_arrival,
+                                   arrival_hook on_arrival, log_hook log,
                                    std::function<steady_time()> clock)
     : members_(members),
+      self_(std::move(self)),
       domain_(std::move(domain)),
       on_arrival_(std::move(on_arrival)),
+      log_(std::move(log)),
       clock_(std::move(clock)) {}
 
 void document_fetcher::Start(const vm_id& member, document_version version) {
@@ -35,7 +40,13 @@
   wanted_ = version;
   member_ = member;
   failures_ = 0;
-  if (!is_asking_) Ask(member_);
+  if (!is_asking_) Ask(FirstMember(member));
+}
+
+vm_id document_fetcher::FirstMember(const vm_id& announcer) const {
+  const std::vector<vm_id> reachable = members_.Reachable(clock_());
+  if (reachable.empty()) return announcer;
+  return reachable[std::hash<vm_id>()(self_) % reachable.size()];
 }
 
 void document_fetcher::Tick(steady_time now) {
@@ -45,17 +56,20 @@
 
 void document_fetcher::Ask(const vm_id& vm) {
   is_asking_ = true;
-  members_.Ask(vm, std::string(kDocumentKind), domain_.value(), kAnswerTimeout,
-               [this](const std::optional<std::string>& answer) {
+  members_.Ask(vm, std::string(kDocumentKind),
+               EncodeDocumentRequest({wanted_, domain_}), kAnswerTimeout,
+               [this, vm](const std::optional<std::string>& answer) {
                  is_asking_ = false;
-                 OnAnswer(answer);
+                 OnAnswer(vm, answer);
                });
 }
 
-void document_fetcher::OnAnswer(const std::optional<std::string>& answer) {
+void document_fetcher::OnAnswer(const vm_id& asked,
+                                const std::optional<std::string>& answer) {
   const auto offer =
       answer ? DecodeDocumentOffer(*answer) : std::optional<document_offer>();
   if (offer && offer->document) {
+    log_(asked, wanted_, "document");
     on_arrival_(*offer->document);
     if (offer->document->version >= wanted_) {
       wanted_ = {};
@@ -63,9 +77,11 @@
     }
   }
   if (offer && !offer->source.empty()) {
+    log_(asked, wanted_, "source");
     Ask(offer->source);
     return;
   }
+  log_(asked, wanted_, answer ? "nothing" : "no_answer");
   RetryLater();
 }
 
--- a/source/process/entry/document_fetcher.h
+++ b/source/process/entry/document_fetcher.h
@@ -18,9 +18,14 @@
 class document_fetcher {
  public:
   using arrival_hook = std::function<void(const stored_document&)>;
+  /// Outcome of one request, for the log: "document", "source",
+  /// "nothing" or "no_answer".
+  using log_hook = std::function<void(
+      const vm_id& asked, document_version wanted, const char* outcome)>;
 
-  document_fetcher(control_watcher& members, failure_domain_id domain,
-                   arrival_hook on_arrival, std::function<steady_time()> clock);
+  document_fetcher(control_watcher& members, vm_id self,
+                   failure_domain_id domain, arrival_hook on_arrival,
+                   log_hook log, std::function<steady_time()> clock);
 
   /// `member` has the document of that version.
   void Start(const vm_id& member, document_version version);
@@ -30,13 +35,18 @@
   document_version wanted() const { return wanted_; }
 
  private:
+  /// The member that this process asks first, so that all members share the
+  /// work; `announcer` if it is the only one that is known.
+  vm_id FirstMember(const vm_id& announcer) const;
   void Ask(const vm_id& vm);
-  void OnAnswer(const std::optional<std::string>& answer);
+  void OnAnswer(const vm_id& asked, const std::optional<std::string>& answer);
   void RetryLater();
 
   control_watcher& members_;
+  const vm_id self_;
   const failure_domain_id domain_;
   const arrival_hook on_arrival_;
+  const log_hook log_;
   const std::function<steady_time()> clock_;
   document_version wanted_;
   vm_id member_;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -63,7 +63,7 @@
 peer_transport_settings PeerSettings(const node_settings& settings) {
   peer_transport_settings peers;
   peers.vm = settings.vm.value();
-  peers.listen = settings.peers;
+  peers.listen = settings.peers_bind.value_or(settings.peers);
   return peers;
 }
 
@@ -94,14 +94,18 @@
         control_dialect_(std::move(control)),
         timer_(io_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
-        peers_(PeerSettings(settings_), [](const vm_message& /*message*/,
-                                           const auto& reply) { reply(""); }),
+        peers_(PeerSettings(settings_),
+               [this](const vm_message& message, auto reply) {
+                 OnPeerMessage(message, std::move(reply));
+               }),
         watcher_(io_, peers_, settings_.vm, true, WatcherHooks()),
         fetcher_(
-            watcher_, settings_.failure_domain,
+            watcher_, settings_.vm, settings_.failure_domain,
             [this](const stored_document& document) { OnDocument(document); },
+            [this](const vm_id& asked, document_version wanted,
+                   const char* outcome) { LogFetch(asked, wanted, outcome); },
             SteadyNow),
-        relay_(settings_.link_mbps, SystemRandom()),
+        relay_(settings_.link_mbps),
         connections_(io_),
         pools_(PlacementSettings(settings_), settings_.retries, SystemRandom(),
                [this](const endpoint_id& id) { connections_.Drop(id); }),
@@ -227,6 +231,15 @@
     pools_.Merge(records, SteadyNow());
   }
 
+  void LogFetch(const vm_id& asked, document_version wanted,
+                const char* outcome) {
+    log_.Write("document_asked", log_fields()
+                                     .Add("vm", asked.value())
+                                     .Add("version", wanted.value())
+                                     .Add("outcome", outcome)
+                                     .text());
+  }
+
   /// On the transport's thread: other entry processes ask for the document.
   void OnPeerMessage(const vm_message& message, peer_transport::reply reply) {
     if (message.kind != kDocumentKind) {
@@ -234,12 +247,25 @@
       return;
     }
     asio::post(io_, [this, message, reply = std::move(reply)] {
-      reply(EncodeDocumentOffer(relay_.Offer(document_, vm_id(message.from),
-                                             failure_domain_id(message.body),
-                                             SteadyNow())));
+      OnDocumentMessage(message, reply);
     });
   }
 
+  void OnDocumentMessage(const vm_message& message,
+                         const peer_transport::reply& reply) {
+    const auto request = DecodeDocumentRequest(message.body);
+    if (!request) {
+      reply("");
+      return;
+    }
+    relay_.Ask(
+        vm_id(message.from), *request,
+        [reply](const document_offer& offer) {
+          reply(EncodeDocumentOffer(offer));
+        },
+        document_, SteadyNow());
+  }
+
   void OnDocument(const stored_document& document) {
     if (!document.packed || document.version <= HeldVersion()) return;
     const auto text = UnpackText(*document.packed, kMaxDocumentBytes);
@@ -324,6 +350,7 @@
     std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
     watcher_.Tick(now);
     fetcher_.Tick(now);
+    relay_.Tick(document_, now);
     if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
     if (stopping_since_ && ContinueStop(now)) return;
     timer_.expires_after(kTick);
--- /dev/null
+++ b/tests/soak/http_call.h
@@ -0,0 +1,33 @@
+#ifndef MARJORAMSILL_TESTS_SOAK_HTTP_CALL_H_
+#define MARJORAMSILL_TESTS_SOAK_HTTP_CALL_H_
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "connection/answer_head.h"
+#include "connection/socket_address.h"
+
+namespace marjoramsill::soak {
+
+/// The whole answer to a call.
+struct http_answer {
+  answer_head head;
+  std::string body;
+};
+
+/// Sends one request on a new connection. `done` gets nothing after a failure
+/// or a cut answer, and is called once.
+void Call(asio::io_context& io, const socket_address& to,
+          const std::string& bytes, std::chrono::milliseconds timeout,
+          std::function<void(std::optional<http_answer>)> done);
+
+/// Text of a request with a body.
+std::string RequestText(const std::string& method, const std::string& target,
+                        const http_field_list& fields, const std::string& body);
+
+}  // namespace marjoramsill::soak
+
+#endif  // MARJORAMSILL_TESTS_SOAK_HTTP_CALL_H_
--- /dev/null
+++ b/tests/soak/link_proxy.cc
@@ -0,0 +1,140 @@
+#include "link_proxy.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <string>
+#include <utility>
+
+namespace marjoramsill::soak {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kDelay{40};
+
+tcp::endpoint EndpointOf(const socket_address& address) {
+  return {asio::ip::make_address(address.ip), address.port};
+}
+
+}  // namespace
+
+class link_proxy::link : public std::enable_shared_from_this<link> {
+ public:
+  link(tcp::socket caller, asio::io_context& io,
+       std::shared_ptr<link_mode> mode)
+      : caller_(std::move(caller)),
+        target_(io),
+        mode_(std::move(mode)),
+        timers_{asio::steady_timer(io), asio::steady_timer(io)} {}
+
+  void Start(const socket_address& address) {
+    target_.async_connect(EndpointOf(address),
+                          [self = shared_from_this()](std::error_code error) {
+                            if (error) return self->Reset();
+                            self->Pump(0);
+                            self->Pump(1);
+                          });
+  }
+
+  void Reset() {
+    std::error_code ignored;
+    caller_.set_option(asio::socket_base::linger(true, 0), ignored);
+    target_.set_option(asio::socket_base::linger(true, 0), ignored);
+    caller_.close(ignored);
+    target_.close(ignored);
+  }
+
+ private:
+  /// Direction 0 is towards the target.
+  void Pump(std::size_t way) {
+    tcp::socket& from = way == 0 ? caller_ : target_;
+    from.async_read_some(asio::buffer(buffers_[way]),
+                         [self = shared_from_this(), way](std::error_code error,
+                                                          std::size_t bytes) {
+                           if (error) return self->OnEnd(way, error);
+                           self->Deliver(way, bytes);
+                         });
+  }
+
+  /// An orderly end of one side is passed on; a failure resets both.
+  void OnEnd(std::size_t way, std::error_code error) {
+    if (error != asio::error::eof) return Reset();
+    std::error_code ignored;
+    (way == 0 ? target_ : caller_)
+        .shutdown(tcp::socket::shutdown_send, ignored);
+    if (++ended_ == 2) Reset();
+  }
+
+  void Deliver(std::size_t way, std::size_t bytes) {
+    const bool is_lost = *mode_ == link_mode::kSilent ||
+                         (*mode_ == link_mode::kSilentToTarget && way == 0) ||
+                         (*mode_ == link_mode::kSilentFromTarget && way == 1);
+    // Bytes of a connection that went silent never arrive, also afterwards.
+    if (is_lost || silenced_) {
+      silenced_ = true;
+      return Pump(way);
+    }
+    if (*mode_ != link_mode::kDelay) return Forward(way, bytes);
+    timers_[way].expires_after(kDelay);
+    timers_[way].async_wait(
+        [self = shared_from_this(), way, bytes](std::error_code) {
+          self->Forward(way, bytes);
+        });
+  }
+
+  void Forward(std::size_t way, std::size_t bytes) {
+    tcp::socket& to = way == 0 ? target_ : caller_;
+    asio::async_write(
+        to, asio::buffer(buffers_[way], bytes),
+        [self = shared_from_this(), way](std::error_code error, std::size_t) {
+          if (error) return self->Reset();
+          self->Pump(way);
+        });
+  }
+
+  tcp::socket caller_;
+  tcp::socket target_;
+  const std::shared_ptr<link_mode> mode_;
+  std::array<asio::steady_timer, 2> timers_;
+  std::array<std::array<char, 8192>, 2> buffers_;
+  int ended_ = 0;
+  bool silenced_ = false;
+};
+
+link_proxy::link_proxy(asio::io_context& io, const socket_address& listen,
+                       socket_address target)
+    : io_(io),
+      target_(std::move(target)),
+      acceptor_(io, EndpointOf(listen)),
+      mode_(std::make_shared<link_mode>(link_mode::kPass)) {
+  Accept();
+}
+
+link_proxy::~link_proxy() { Reset(); }
+
+void link_proxy::SetMode(link_mode mode) { *mode_ = mode; }
+
+void link_proxy::Reset() {
+  for (const auto& each : links_) {
+    if (const auto open = each.lock()) open->Reset();
+  }
+  links_.clear();
+}
+
+void link_proxy::Accept() {
+  acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
+    if (error) return;
+    std::erase_if(links_, [](const auto& each) { return each.expired(); });
+    if (*mode_ != link_mode::kRefuse) {
+      auto opened = std::make_shared<link>(std::move(socket), io_, mode_);
+      links_.push_back(opened);
+      opened->Start(target_);
+    }
+    Accept();
+  });
+}
+
+}  // namespace marjoramsill::soak
--- /dev/null
+++ b/tests/soak/link_proxy.h
@@ -0,0 +1,53 @@
+#ifndef MARJORAMSILL_TESTS_SOAK_LINK_PROXY_H_
+#define MARJORAMSILL_TESTS_SOAK_LINK_PROXY_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <list>
+#include <memory>
+
+#include "connection/socket_address.h"
+
+namespace marjoramsill::soak {
+
+enum class link_mode {
+  kPass,
+  /// Bytes arrive later.
+  kDelay,
+  /// Nothing arrives, connections stay open, new ones too.
+  kSilent,
+  /// Only bytes towards the target are lost.
+  kSilentToTarget,
+  /// Only bytes from the target are lost.
+  kSilentFromTarget,
+  kRefuse,
+};
+
+/// Loopback proxy in front of one address, which disturbs its connections.
+class link_proxy {
+ public:
+  link_proxy(asio::io_context& io, const socket_address& listen,
+             socket_address target);
+  ~link_proxy();
+  link_proxy(const link_proxy&) = delete;
+  link_proxy& operator=(const link_proxy&) = delete;
+
+  void SetMode(link_mode mode);
+  /// Resets all open connections.
+  void Reset();
+
+ private:
+  class link;
+  void Accept();
+
+  asio::io_context& io_;
+  const socket_address target_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::list<std::weak_ptr<link>> links_;
+  std::shared_ptr<link_mode> mode_;
+};
+
+}  // namespace marjoramsill::soak
+
+#endif  // MARJORAMSILL_TESTS_SOAK_LINK_PROXY_H_
--- /dev/null
+++ b/tests/soak/soak_fleet.cc
@@ -0,0 +1,172 @@
+#include "soak_fleet.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+namespace marjoramsill::soak {
+namespace {
+
+constexpr int kDomains = 3;
+
+// Offsets from the first port.
+constexpr int kPeers = 0;
+constexpr int kPeersBind = 1;
+constexpr int kCallers = 2;
+constexpr int kReadiness = 3;
+constexpr int kControl = 4;
+constexpr int kMetrics = 5;
+constexpr int kEndpoint = 6;
+constexpr int kEndpointBind = 7;
+
+std::string DomainOf(int index) {
+  return "d" + std::to_string(index % kDomains);
+}
+
+}  // namespace
+
+soak_fleet::soak_fleet(asio::io_context& io, soak_settings with,
+                       run_ledger& ledger)
+    : io_(io), settings_(std::move(with)), ledger_(ledger) {
+  const int nodes = settings_.control_processes + settings_.entry_processes;
+  for (int i = 0; i < nodes; ++i) AddNode(i, i < settings_.control_processes);
+  for (int i = 0; i < settings_.endpoints; ++i) AddEndpoint(i);
+}
+
+soak_fleet::~soak_fleet() = default;
+
+/// Each VM has a loopback address of its own, as ports are equal on all VMs.
+std::string soak_fleet::PeerIp(int index) const {
+  return "127.0.1." + std::to_string(index + 1);
+}
+
+void soak_fleet::AddNode(int index, bool is_control) {
+  auto node = std::make_unique<soak_node>();
+  const auto port = [this](int offset) {
+    return static_cast<std::uint16_t>(settings_.port + offset);
+  };
+  node->name = (is_control ? "control-" : "entry-") + std::to_string(index);
+  node->is_control = is_control;
+  node->settings_file = settings_.folder + "/" + node->name + ".yaml";
+  node->data_folder = settings_.folder + "/" + node->name + ".data";
+  node->callers = {PeerIp(index), port(kCallers)};
+  node->control = {PeerIp(index), port(kControl)};
+  node->proxy = std::make_unique<link_proxy>(
+      io_, socket_address{PeerIp(index), port(kPeers)},
+      socket_address{PeerIp(index), port(kPeersBind)});
+  WriteSettings(*node, index, true);
+  nodes_.push_back(std::move(node));
+}
+
+void soak_fleet::WriteSettings(const soak_node& node, int index,
+                               bool founds) const {
+  const std::string ip = PeerIp(index);
+  const auto address = [&](int offset) {
+    return "\"" + ip + ":" + std::to_string(settings_.port + offset) + "\"\n";
+  };
+  std::ofstream file(node.settings_file);
+  file << "failure_domain: " << DomainOf(index) << "\n"
+       << "peers: " << address(kPeers) << "peers_bind: " << address(kPeersBind)
+       << "metrics: " << address(kMetrics);
+  if (node.is_control) {
+    file << "control: " << address(kControl) << "data_folder: \""
+         << node.data_folder << "\"\n"
+         << "founds_group: " << (founds ? "true" : "false") << "\n";
+  } else {
+    file << "callers: " << address(kCallers)
+         << "readiness: " << address(kReadiness);
+  }
+  file << "seeds:\n";
+  for (int i = 0; i < settings_.control_processes; ++i) {
+    file << "  - \"" << PeerIp(i) << ":" << settings_.port + kControl << "\"\n";
+  }
+  file << "heartbeat_interval_ms: 300\ngrace_ms: 4000\nlink_mbps: 0.1\n";
+}
+
+void soak_fleet::AddEndpoint(int index) {
+  const std::string ip = "127.0.2." + std::to_string(index + 1);
+  const socket_address announced{
+      ip, static_cast<std::uint16_t>(settings_.port + kEndpoint)};
+  const socket_address bound{
+      ip, static_cast<std::uint16_t>(settings_.port + kEndpointBind)};
+  endpoint_links_.push_back(
+      std::make_unique<link_proxy>(io_, announced, bound));
+  fake_endpoint_settings with;
+  with.id = "i-" + std::to_string(index);
+  with.pool = "svc";
+  with.listen = bound;
+  with.announced = FormatSocketAddress(announced);
+  with.domain = DomainOf(index);
+  with.control = [this] {
+    next_control_ = (next_control_ + 1) %
+                    static_cast<std::size_t>(settings_.control_processes);
+    return nodes_[next_control_]->control;
+  };
+  endpoints_.push_back(std::make_unique<fake_endpoint>(io_, with, ledger_));
+}
+
+void soak_fleet::Start() {
+  for (const auto& node : nodes_) StartNode(*node);
+  for (const auto& endpoint : endpoints_) endpoint->Start();
+}
+
+void soak_fleet::StartNode(soak_node& node) {
+  node.may_end = false;
+  node.is_paused = false;
+  node.process.Start(
+      {settings_.binary, node.is_control ? "controller" : "entry", "--config",
+       node.settings_file},
+      settings_.folder + "/" + node.name + ".log");
+}
+
+void soak_fleet::KillNode(soak_node& node, bool lose_disk) {
+  node.process.Kill();
+  if (!lose_disk || !node.is_control) return;
+  std::filesystem::remove_all(node.data_folder);
+}
+
+void soak_fleet::CheckNodes() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    soak_node& node = *nodes_[i];
+    int status = 0;
+    if (!node.process.HasEnded(status)) continue;
+    if (!node.may_end) {
+      ledger_.NoteViolation(node.name + " ended by itself, status " +
+                            std::to_string(status));
+    }
+    StartNode(node);
+  }
+}
+
+void soak_fleet::Heal() {
+  for (const auto& node : nodes_) {
+    node->proxy->SetMode(link_mode::kPass);
+    // Connections that went silent stay so; the fleet has to notice itself.
+    if (node->is_paused) node->process.Signal(SIGCONT);
+    node->is_paused = false;
+    if (!node->process.is_running()) StartNode(*node);
+  }
+  for (const auto& link : endpoint_links_) link->SetMode(link_mode::kPass);
+  for (const auto& endpoint : endpoints_) {
+    if (!endpoint->is_running()) endpoint->Start();
+  }
+}
+
+std::vector<soak_node*> soak_fleet::Controls() {
+  std::vector<soak_node*> found;
+  for (const auto& node : nodes_) {
+    if (node->is_control) found.push_back(node.get());
+  }
+  return found;
+}
+
+std::vector<soak_node*> soak_fleet::Entries() {
+  std::vector<soak_node*> found;
+  for (const auto& node : nodes_) {
+    if (!node->is_control) found.push_back(node.get());
+  }
+  return found;
+}
+
+}  // namespace marjoramsill::soak
--- /dev/null
+++ b/tests/soak/soak_load.cc
@@ -0,0 +1,137 @@
+#include "soak_load.h"
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "platform/field_names.h"
+#include "soak_text.h"
+
+namespace marjoramsill::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCallerPatience{3'000};
+constexpr milliseconds kOperatorPatience{1'000};
+constexpr milliseconds kResubmitPause{100};
+constexpr int kServiceUnavailable = 503;
+
+nlohmann::json Route(const std::string& prefix, const std::string& kind,
+                     int attempts, bool resumable) {
+  return {{"name", prefix},          {"host", "soak.example"},
+          {"pathPrefix", prefix},    {"routeType", kind},
+          {"timeoutMs", 2500},       {"targetLatencyMs", 200},
+          {"priority", 1},           {"service", "svc"},
+          {"maxAttempts", attempts}, {"resumable", resumable},
+          {"gapAimMs", 100}};
+}
+
+}  // namespace
+
+soak_load::soak_load(asio::io_context& io, soak_fleet& fleet,
+                     run_ledger& ledger, std::uint64_t seed)
+    : io_(io), fleet_(fleet), ledger_(ledger), random_(seed) {}
+
+std::string soak_load::Document(std::uint64_t version) {
+  nlohmann::json document{{"version", version}};
+  document["routes"] = {Route("/book/", "non_idempotent", 1, false),
+                        Route("/look/", "idempotent", 2, false),
+                        Route("/chat/", "streaming", 3, true),
+                        Route("/once/", "streaming", 1, false)};
+  document["services"] = {{{"name", "svc"}, {"maxConns", 500}}};
+  return document.dump();
+}
+
+void soak_load::SendRequest() {
+  const std::vector<soak_node*> entries = fleet_.Entries();
+  const soak_node& entry = *entries[random_() % entries.size()];
+  static constexpr const char* kPaths[] = {"/book/", "/look/", "/chat/",
+                                           "/once/"};
+  const std::size_t kind = random_() % 4;
+  const bool is_stream = kind >= 2;
+  const bool is_once = kind == 0 || kind == 3;
+  const std::string request =
+      (is_once ? kOncePrefix : "free-") + std::to_string(++next_request_);
+  ++sent_;
+  Call(io_, entry.callers,
+       RequestText(
+           kind == 1 ? "GET" : "POST", kPaths[kind] + request,
+           {{platform::kRequestId, request}, {platform::kRemainingMs, "2500"}},
+           kind == 1 ? "" : "body of " + request),
+       kCallerPatience,
+       [this, request, is_stream, is_once](const auto& answer) {
+         CheckAnswer(request, is_stream, is_once, answer);
+       });
+}
+
+void soak_load::CheckAnswer(const std::string& request, bool is_stream,
+                            bool is_once,
+                            const std::optional<http_answer>& answer) {
+  if (!answer) return;
+  const int status = answer->head.status;
+  if (is_once && status == kServiceUnavailable) ledger_.NoteRefused(request);
+  if (status < 200 || status >= 300) return;
+  const std::string expected =
+      is_stream ? StreamBody(request) : PlainBody(request);
+  if (answer->body != expected) {
+    ledger_.NoteViolation("wrong or cut answer to " + request);
+    return;
+  }
+  const http_field* proof =
+      FindField(answer->head.fields, platform::kAnswerProof);
+  if (proof == nullptr || !proof->value.ends_with("." + request)) {
+    ledger_.NoteViolation("answer without the endpoint's proof: " + request);
+  }
+  ++served_;
+}
+
+socket_address soak_load::RandomControl() {
+  const std::vector<soak_node*> controls = fleet_.Controls();
+  return controls[random_() % controls.size()]->control;
+}
+
+void soak_load::SubmitDocument() {
+  if (is_submitting_) return;
+  is_submitting_ = true;
+  Submit(next_version_++);
+}
+
+void soak_load::Submit(std::uint64_t version) {
+  Call(io_, RandomControl(),
+       RequestText("PUT", "/config", {}, Document(version)), kOperatorPatience,
+       [this, version](const auto& answer) {
+         if (answer && answer->head.status == 200) {
+           acknowledged_ = std::max(acknowledged_, version);
+           is_submitting_ = false;
+           return;
+         }
+         if (answer && answer->head.status < 500) {
+           ledger_.NoteViolation("valid document refused: version " +
+                                 std::to_string(version));
+         }
+         auto timer = std::make_shared<asio::steady_timer>(io_, kResubmitPause);
+         timer->async_wait(
+             [this, version, timer](std::error_code) { Submit(version); });
+       });
+}
+
+void soak_load::ReadDocument() {
+  Call(io_, RandomControl(), RequestText("GET", "/config", {}, ""),
+       kOperatorPatience, [this, known = acknowledged_](const auto& answer) {
+         if (!answer || answer->head.status >= 500) return;
+         const auto read = nlohmann::json::parse(answer->body, nullptr, false);
+         const std::uint64_t version =
+             read.is_object() ? read.value("version", std::uint64_t{0}) : 0;
+         if (version < known) {
+           ledger_.NoteViolation("read version " + std::to_string(version) +
+                                 " after " + std::to_string(known) +
+                                 " was acknowledged");
+         } else if (answer->body != Document(version)) {
+           ledger_.NoteViolation("document read is not the one submitted");
+         }
+       });
+}
+
+}  // namespace marjoramsill::soak
--- /dev/null
+++ b/tests/soak/soak_load.h
@@ -0,0 +1,58 @@
+#ifndef MARJORAMSILL_TESTS_SOAK_SOAK_LOAD_H_
+#define MARJORAMSILL_TESTS_SOAK_SOAK_LOAD_H_
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "connection/socket_address.h"
+#include "http_call.h"
+#include "soak_fleet.h"
+
+namespace marjoramsill::soak {
+
+/// Prefix of the ids of requests that may run once.
+inline constexpr const char* kOncePrefix = "once-";
+
+/// Callers and the operator of a soak, and what they check of the answers.
+class soak_load {
+ public:
+  soak_load(asio::io_context& io, soak_fleet& fleet, run_ledger& ledger,
+            std::uint64_t seed);
+
+  /// Sends one request of a random kind to a random entry process.
+  void SendRequest();
+  /// Submits the next version of the document to a random control process,
+  /// again and again until it is acknowledged.
+  void SubmitDocument();
+  /// Reads the document; an older one than was acknowledged is a violation.
+  void ReadDocument();
+
+  std::uint64_t acknowledged() const { return acknowledged_; }
+  int sent() const { return sent_; }
+  int served() const { return served_; }
+  /// The document of a version.
+  static std::string Document(std::uint64_t version);
+
+ private:
+  void CheckAnswer(const std::string& request, bool is_stream, bool is_once,
+                   const std::optional<http_answer>& answer);
+  void Submit(std::uint64_t version);
+  socket_address RandomControl();
+
+  asio::io_context& io_;
+  soak_fleet& fleet_;
+  run_ledger& ledger_;
+  std::mt19937_64 random_;
+  std::uint64_t next_request_ = 0;
+  std::uint64_t next_version_ = 1;
+  std::uint64_t acknowledged_ = 0;
+  bool is_submitting_ = false;
+  int sent_ = 0;
+  int served_ = 0;
+};
+
+}  // namespace marjoramsill::soak
+
+#endif  // MARJORAMSILL_TESTS_SOAK_SOAK_LOAD_H_
