--- /dev/null
+++ b/source/process/controller/controller_metrics.cc
@@ -0,0 +1,108 @@
+#include "process/controller/controller_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace marjoramsill {
+namespace {
+
+prometheus::Gauge* MakeGauge(prometheus::Registry& registry,
+                             const std::string& name, const std::string& help) {
+  return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
+}
+
+prometheus::Counter* MakeCounter(prometheus::Registry& registry,
+                                 const std::string& name,
+                                 const std::string& help) {
+  return &prometheus::BuildCounter()
+              .Name(name)
+              .Help(help)
+              .Register(registry)
+              .Add({});
+}
+
+}  // namespace
+
+controller_metrics::controller_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()) {
+  heartbeats_ =
+      MakeCounter(*registry_, "marjoramsill_controller_heartbeats_total",
+                  "Heartbeats of endpoints");
+  auto& submissions = prometheus::BuildCounter()
+                          .Name("marjoramsill_controller_submissions_total")
+                          .Help("Routing documents submitted here")
+                          .Register(*registry_);
+  accepted_ = &submissions.Add({{"outcome", "accepted"}});
+  not_accepted_ = &submissions.Add({{"outcome", "not_accepted"}});
+  reads_ = MakeCounter(*registry_, "marjoramsill_controller_reads_total",
+                       "Reads of the routing document");
+  end_time_ = &prometheus::BuildHistogram()
+                   .Name("marjoramsill_controller_end_seconds")
+                   .Help("Time to acknowledge the end of an endpoint")
+                   .Register(*registry_)
+                   .Add({}, prometheus::Histogram::BucketBoundaries{
+                                0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 0.8});
+  leads_ = MakeGauge(*registry_, "marjoramsill_controller_leads",
+                     "1 if this process leads the control group");
+  term_ = MakeGauge(*registry_, "marjoramsill_controller_term",
+                    "Election period of the control group");
+  members_ = MakeGauge(*registry_, "marjoramsill_controller_members",
+                       "Members of the control group");
+  document_version_ =
+      MakeGauge(*registry_, "marjoramsill_controller_document_version",
+                "Newest committed routing document");
+  entries_ = MakeGauge(*registry_, "marjoramsill_controller_entries",
+                       "Entry processes that watch this one");
+  endpoints_ = MakeGauge(*registry_, "marjoramsill_controller_endpoints",
+                         "Endpoints known, ended ones included");
+  dropped_lines_ =
+      MakeGauge(*registry_, "marjoramsill_controller_dropped_lines",
+                "Log lines dropped since the start");
+}
+
+controller_metrics::~controller_metrics() = default;
+
+void controller_metrics::CountHeartbeat() { heartbeats_->Increment(); }
+
+void controller_metrics::CountSubmission(bool accepted) {
+  (accepted ? accepted_ : not_accepted_)->Increment();
+}
+
+void controller_metrics::CountRead() { reads_->Increment(); }
+
+void controller_metrics::ObserveEnd(double seconds) {
+  end_time_->Observe(seconds);
+}
+
+void controller_metrics::SetGroup(bool leads, std::uint64_t term,
+                                  std::size_t members) {
+  leads_->Set(leads ? 1 : 0);
+  term_->Set(static_cast<double>(term));
+  members_->Set(static_cast<double>(members));
+}
+
+void controller_metrics::SetDocumentVersion(std::uint64_t version) {
+  document_version_->Set(static_cast<double>(version));
+}
+
+void controller_metrics::SetEntries(std::size_t count) {
+  entries_->Set(static_cast<double>(count));
+}
+
+void controller_metrics::SetEndpoints(std::size_t count) {
+  endpoints_->Set(static_cast<double>(count));
+}
+
+void controller_metrics::SetDroppedLines(std::uint64_t count) {
+  dropped_lines_->Set(static_cast<double>(count));
+}
+
+std::string controller_metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/controller/controller_metrics.h
@@ -0,0 +1,56 @@
+#ifndef MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
+#define MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+}  // namespace prometheus
+
+namespace marjoramsill {
+
+/// Metrics of a control process. Used from the thread of the process.
+class controller_metrics {
+ public:
+  controller_metrics();
+  ~controller_metrics();
+  controller_metrics(const controller_metrics&) = delete;
+  controller_metrics& operator=(const controller_metrics&) = delete;
+
+  void CountHeartbeat();
+  void CountSubmission(bool accepted);
+  void CountRead();
+  /// From an endpoint's announcement of its end to the acknowledgement.
+  void ObserveEnd(double seconds);
+  void SetGroup(bool leads, std::uint64_t term, std::size_t members);
+  void SetDocumentVersion(std::uint64_t version);
+  void SetEntries(std::size_t count);
+  void SetEndpoints(std::size_t count);
+  void SetDroppedLines(std::uint64_t count);
+  /// The Prometheus text format.
+  std::string Text() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Counter* heartbeats_ = nullptr;
+  prometheus::Counter* accepted_ = nullptr;
+  prometheus::Counter* not_accepted_ = nullptr;
+  prometheus::Counter* reads_ = nullptr;
+  prometheus::Histogram* end_time_ = nullptr;
+  prometheus::Gauge* leads_ = nullptr;
+  prometheus::Gauge* term_ = nullptr;
+  prometheus::Gauge* members_ = nullptr;
+  prometheus::Gauge* document_version_ = nullptr;
+  prometheus::Gauge* entries_ = nullptr;
+  prometheus::Gauge* endpoints_ = nullptr;
+  prometheus::Gauge* dropped_lines_ = nullptr;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -14,6 +14,7 @@
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
 #include "connection/peer_transport.h"
+#include "process/controller/controller_metrics.h"
 #include "process/controller/document_service.h"
 #include "process/controller/document_store.h"
 #include "process/controller/endpoint_service.h"
@@ -25,6 +26,7 @@
 #include "process/directory/control_watcher.h"
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/watch_codec.h"
+#include "process/entry/decision_log.h"
 
 namespace marjoramsill {
 namespace {
@@ -99,9 +101,16 @@
         watcher_(io_, peers_, settings_.vm, false, WatcherHooks()),
         settings_watch_(
             std::move(settings_file),
-            [this](const node_settings& changed) { OnSettings(changed); }) {}
+            [this](const node_settings& changed) { OnSettings(changed); }) {
+    SetLogWriter([this](std::string_view event, std::string_view fields) {
+      log_.Write(event, fields);
+    });
+  }
 
-  ~implementation() { peers_.Stop(); }
+  ~implementation() {
+    peers_.Stop();
+    SetLogWriter(nullptr);
+  }
 
   result<void, start_error> Start() {
     auto opened = document_store::Open(settings_, peers_, [this] {
@@ -120,12 +129,18 @@
                            const std::shared_ptr<http_responder>& responder) {
                       OnRequest(request, responder);
                     });
+    if (settings_.metrics) StartMetrics();
     if (auto listening = peers_.Listen(); !listening) {
       return failure(Error(listening.assume_error()));
     }
     if (auto listening = server_->Listen(); !listening) {
       return failure(Error(listening.assume_error()));
     }
+    if (metrics_server_) {
+      if (auto listening = metrics_server_->Listen(); !listening) {
+        return failure(Error(listening.assume_error()));
+      }
+    }
     held_version_ = store_->Held().version;
     watcher_.SetSeeds(SeedVms(settings_));
     store_->Start();
@@ -149,6 +164,31 @@
     return {FormatSocketAddress(error.address), error.reason};
   }
 
+  void StartMetrics() {
+    http_server_settings http;
+    http.listen = *settings_.metrics;
+    metrics_server_.emplace(
+        io_, http,
+        [this](const caller_request& request,
+               const std::shared_ptr<http_responder>& responder) {
+          const bool known = request.path == "/metrics";
+          if (known) UpdateMetrics();
+          responder->Respond(known ? kStatusOk : kStatusNotFound,
+                             {{"Content-Type", "text/plain"}},
+                             known ? metrics_.Text() : std::string());
+        });
+  }
+
+  void UpdateMetrics() {
+    const group_status status = store_->Status();
+    metrics_.SetGroup(store_->IsLeading(), status.term.value(),
+                      status.members.size());
+    metrics_.SetDocumentVersion(held_version_.value());
+    metrics_.SetEntries(hub_.EntryCount(SteadyNow()));
+    metrics_.SetEndpoints(directory_.size());
+    metrics_.SetDroppedLines(log_.dropped());
+  }
+
   control_watcher::hooks WatcherHooks() {
     control_watcher::hooks hooks;
     hooks.on_records = [this](const std::vector<endpoint_record>& records) {
@@ -276,9 +316,18 @@
     } else if (request.path.starts_with(prefix)) {
       const endpoint_id id(request.path.substr(prefix.size()));
       if (request.method == "PUT") {
+        metrics_.CountHeartbeat();
         endpoints_->OnHeartbeat(id, request.body, answer, SteadyNow());
       } else if (request.method == "DELETE") {
-        endpoints_->OnEnd(id, answer, SteadyNow());
+        const steady_time start = SteadyNow();
+        endpoints_->OnEnd(
+            id,
+            [this, answer, start](int status, std::string body) {
+              const std::chrono::duration<double> taken = SteadyNow() - start;
+              metrics_.ObserveEnd(taken.count());
+              answer(status, std::move(body));
+            },
+            start);
       } else {
         answer(kStatusNotFound, "");
       }
@@ -293,8 +342,15 @@
       RespondJson(responder, StatusOf(result.what), std::move(result.text));
     };
     if (request.method == "PUT") {
-      documents_->Submit(request.body, answer);
+      documents_->Submit(request.body, [this, answer](document_answer result) {
+        // Outcomes arrive on the threads of the group.
+        const bool accepted = result.what == document_answer::kind::kAccepted;
+        asio::post(io_,
+                   [this, accepted] { metrics_.CountSubmission(accepted); });
+        answer(std::move(result));
+      });
     } else if (request.method == "GET") {
+      metrics_.CountRead();
       documents_->Read(answer);
     } else {
       RespondJson(responder, kStatusNotFound, "");
@@ -306,6 +362,8 @@
   asio::io_context io_{1};
   asio::steady_timer timer_;
   asio::signal_set signals_;
+  decision_log log_;
+  controller_metrics metrics_;
   peer_transport peers_;
   endpoint_directory directory_;
   watch_hub hub_;
@@ -315,6 +373,7 @@
   std::optional<document_service> documents_;
   std::optional<endpoint_service> endpoints_;
   std::optional<http_server> server_;
+  std::optional<http_server> metrics_server_;
   document_version held_version_;
   std::optional<steady_time> stop_at_;
 };
--- a/source/process/controller/document_store.cc
+++ b/source/process/controller/document_store.cc
@@ -1,6 +1,7 @@
 #include "process/controller/document_store.h"
 
 #include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <optional>
@@ -51,8 +52,9 @@
 }
 
 [[noreturn]] void ExitOnStorageError(const storage_error& error) {
-  LogEvent(log_level::kError, "storage_failed",
-           {{"file", error.file}, {"detail", error.detail}});
+  // Directly, because the process ends before the log's thread would write.
+  std::fprintf(stderr, "event=storage_failed file=%s detail=\"%s\"\n",
+               error.file.c_str(), error.detail.c_str());
   std::_Exit(EXIT_FAILURE);
 }
 
--- a/source/process/daemon/event_log.cc
+++ b/source/process/daemon/event_log.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdio>
 #include <mutex>
+#include <utility>
 
 namespace marjoramsill {
 namespace {
@@ -16,6 +17,25 @@
 
 std::atomic<bool> debug_enabled{false};
 
+log_writer& Writer() {
+  static log_writer writer;
+  return writer;
+}
+
+const char* LevelText(log_level level) {
+  switch (level) {
+    case log_level::kDebug:
+      return "debug";
+    case log_level::kInfo:
+      return "info";
+    case log_level::kWarning:
+      return "warning";
+    case log_level::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
 /// Counts the lines of the present second.
 class line_limit {
  public:
@@ -97,9 +117,19 @@
   return quoted + "\"";
 }
 
+void SetLogWriter(log_writer writer) { Writer() = std::move(writer); }
+
 void LogEvent(log_level level, std::string_view event,
               const std::vector<log_field>& fields) {
   if (level == log_level::kDebug && !debug_enabled) return;
+  if (const log_writer& writer = Writer()) {
+    std::string pairs = std::string("level=") + LevelText(level);
+    for (const log_field& field : fields) {
+      pairs += " " + std::string(field.key) + "=" + EscapeLogValue(field.value);
+    }
+    writer(event, pairs);
+    return;
+  }
   static line_limit limit;
   std::uint32_t dropped = 0;
   if (!limit.Allow(dropped) && level != log_level::kError) return;
--- a/source/process/daemon/event_log.h
+++ b/source/process/daemon/event_log.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_PROCESS_DAEMON_EVENT_LOG_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,12 @@
 /// Starts glog on standard error. `level` is debug, info, warning or error.
 void StartLog(const char* program, std::string_view level);
 
+/// Gets the lines of LogEvent() instead of glog: the event and its key=value
+/// pairs. Set before threads start; it must not block.
+using log_writer =
+    std::function<void(std::string_view event, std::string_view fields)>;
+void SetLogWriter(log_writer writer);
+
 /// Writes one line: event=NAME key=value... Values with spaces, quotes or
 /// control characters are quoted and escaped. At most 200 lines a second are
 /// written below level error, so that an attack cannot fill a disk; the number
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -25,6 +25,7 @@
 #include "process/controller/settings_watch.h"
 #include "process/controller/stored_document.h"
 #include "process/controller/text_compression.h"
+#include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/daemon/steady_clock.h"
 #include "process/directory/control_watcher.h"
@@ -122,6 +123,9 @@
                         [this](const node_settings& changed) {
                           watcher_.SetSeeds(SeedVms(changed));
                         }) {
+    SetLogWriter([this](std::string_view event, std::string_view fields) {
+      log_.Write(event, fields);
+    });
     environment_.dialect = std::move(requests);
     environment_.connections = &connections_;
     environment_.metrics = &metrics_;
@@ -136,7 +140,10 @@
     environment_.random = SystemRandom();
   }
 
-  ~implementation() { peers_.Stop(); }
+  ~implementation() {
+    peers_.Stop();
+    SetLogWriter(nullptr);
+  }
 
   result<void, start_error> Start() {
     if (auto listening = peers_.Listen(); !listening) {
--- a/source/process/placement/endpoint_belief.cc
+++ b/source/process/placement/endpoint_belief.cc
@@ -96,6 +96,12 @@
   return std::max(own, report_.running + report_.waiting + since);
 }
 
+std::optional<std::chrono::microseconds> endpoint_belief::ReportAge(
+    steady_time now) const {
+  if (!has_report_) return std::nullopt;
+  return now - reported_at_;
+}
+
 std::uint32_t endpoint_belief::slots() const {
   if (record_.slots > 0) return record_.slots;
   return has_report_ && report_.slots > 0 ? report_.slots : kDefaultSlots;
--- a/source/process/placement/endpoint_belief.h
+++ b/source/process/placement/endpoint_belief.h
@@ -45,6 +45,8 @@
 
   /// Requests that run or wait there, those of other entry VMs included.
   double EstimatedLoad(steady_time now) const;
+  /// Age of the last load report; nothing without one.
+  std::optional<std::chrono::microseconds> ReportAge(steady_time now) const;
   std::uint32_t in_flight() const { return in_flight_; }
   std::uint32_t slots() const;
   /// No request should go there before this time, while others can serve.
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -195,6 +195,9 @@
     if (!best || rated.cost_ms < best->cost_ms) best = rated;
   }
   best->candidates = found;
+  if (const auto age = best->endpoint->ReportAge(now)) {
+    best->load_age_ms = std::chrono::duration<double, std::milli>(*age).count();
+  }
   const endpoint_belief* keeper =
       FindKeeper(demand, shared, *best->endpoint, now);
   if (keeper != nullptr) best->fetch_from = keeper->record().address;
--- a/source/process/placement/placement_choice.h
+++ b/source/process/placement/placement_choice.h
@@ -19,6 +19,8 @@
   /// Time until a place is free there.
   double wait_ms = 0;
   double load = 0;
+  /// Age of the endpoint's last load report; negative without one.
+  double load_age_ms = -1;
   token_count cached;
   /// IP:PORT of another endpoint that probably keeps more of the prompt; empty
   /// if none is known.
--- a/source/request/attempt_facts.h
+++ b/source/request/attempt_facts.h
@@ -43,6 +43,22 @@
   kCutOff,
 };
 
+inline const char* AttemptStepText(attempt_step step) {
+  switch (step) {
+    case attempt_step::kTryAgain:
+      return "try_again";
+    case attempt_step::kRefuse:
+      return "refuse";
+    case attempt_step::kPassOn:
+      return "pass_on";
+    case attempt_step::kFail:
+      return "fail";
+    case attempt_step::kCutOff:
+      return "cut_off";
+  }
+  return "unknown";
+}
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_REQUEST_ATTEMPT_FACTS_H_
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -7,6 +7,7 @@
 
 #include "connection/caller_connection.h"
 #include "connection/endpoint_connection.h"
+#include "process/daemon/event_log.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/entry_metrics.h"
@@ -208,7 +209,10 @@
   if (steps_.size() >= kMaxLoggedSteps) return;
   std::string line(event);
   line += " request=";
-  line += request_id_;
+  line += EscapeLogValue(request_id_);
+  line += ' ';
+  line +=
+      log_fields().Add("at_ms", Millis(environment_.clock() - arrived_)).text();
   line += ' ';
   line += fields.text();
   steps_.push_back(std::move(line));
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -78,6 +78,7 @@
                         .Add("candidates", choice->candidates)
                         .Add("cost_ms", choice->cost_ms)
                         .Add("load", choice->load)
+                        .Add("load_age_ms", choice->load_age_ms)
                         .Add("wait_ms", choice->wait_ms)
                         .Add("cached", choice->cached.value())
                         .Add("fetch_from", choice->fetch_from));
@@ -317,7 +318,7 @@
                                .Add("cause", cause)
                                .Add("status", head_.status)
                                .Add("took_ms", Millis(now - attempt_started_))
-                               .Add("step", static_cast<int>(step)));
+                               .Add("next", AttemptStepText(step)));
   switch (step) {
     case attempt_step::kTryAgain:
       Attempt();
