directory: record the end of an endpoint that is not known

Ruled out: a lost message, since no 'leaving' or 'gone' line precedes the acknowledgement in any control process's log. Change: the end of an unknown endpoint is stored with the time of day as the last start that it covers, and reaches the entry processes like any other.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -120,8 +120,7 @@
     store_ = std::move(opened).assume_value();
     documents_.emplace(dialect_, *store_, watcher_, settings_.link_mbps);
     const std::string address = FormatSocketAddress(*settings_.control);
-    endpoints_.emplace(dialect_, hub_, directory_, watcher_, address,
-                       SteadyNow());
+    endpoints_.emplace(dialect_, hub_, directory_, watcher_, address);
     http_server_settings http;
     http.listen = *settings_.control;
     server_.emplace(io_, http,
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -16,9 +16,12 @@
 constexpr int kStatusUnavailable = 503;
 /// Endpoints turn to another process after a second without an answer.
 constexpr milliseconds kAcknowledgeTime{700};
-/// A process that has just started knows few endpoints: the end of one that it
-/// does not know is not acknowledged before it has learnt from the others.
-constexpr milliseconds kLearningTime{2'500};
+
+incarnation WallTime() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(now).count()));
+}
 
 const char* PhaseText(endpoint_phase phase) {
   switch (phase) {
@@ -40,13 +43,12 @@
                                    watch_hub& hub,
                                    endpoint_directory& directory,
                                    const control_watcher& members,
-                                   std::string own_address, steady_time started)
+                                   std::string own_address)
     : dialect_(dialect),
       hub_(hub),
       directory_(directory),
       members_(members),
-      own_address_(std::move(own_address)),
-      started_(started) {}
+      own_address_(std::move(own_address)) {}
 
 void endpoint_service::Log(const endpoint_record& record) const {
   LogEvent(log_level::kInfo, "endpoint",
@@ -81,12 +83,7 @@
 
 void endpoint_service::OnEnd(const endpoint_id& id, const answer_hook& done,
                              steady_time now) {
-  const endpoint_record* known = directory_.Find(id);
-  if (known == nullptr && now - started_ < kLearningTime) {
-    done(kStatusUnavailable, "");
-    return;
-  }
-  if (directory_.End(id, incarnation(), now)) {
+  if (directory_.End(id, WallTime(), now)) {
     Log(*directory_.Find(id));
     hub_.Notify(now);
   }
--- a/source/process/controller/endpoint_service.h
+++ b/source/process/controller/endpoint_service.h
@@ -26,8 +26,7 @@
 
   endpoint_service(const control_dialect& dialect, watch_hub& hub,
                    endpoint_directory& directory,
-                   const control_watcher& members, std::string own_address,
-                   steady_time started);
+                   const control_watcher& members, std::string own_address);
 
   void OnHeartbeat(const endpoint_id& id, const std::string& body,
                    const answer_hook& done, steady_time now);
@@ -48,7 +47,6 @@
   endpoint_directory& directory_;
   const control_watcher& members_;
   const std::string own_address_;
-  const steady_time started_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -29,15 +29,18 @@
   return Store(record, false, now);
 }
 
-bool endpoint_directory::End(const endpoint_id& id, incarnation born,
+bool endpoint_directory::End(const endpoint_id& id, incarnation wall_now,
                              steady_time now) {
-  const auto found = entries_.find(id);
-  if (found == entries_.end()) return false;
-  endpoint_record ended = found->second.record;
-  if (born.value() != 0 && born < ended.born) return false;
-  if (ended.phase == endpoint_phase::kGone) return false;
+  endpoint_record ended;
+  if (const endpoint_record* known = Find(id)) {
+    ended = *known;
+    if (ended.phase == endpoint_phase::kGone) return false;
+    ++ended.sequence;
+  } else {
+    ended.id = id;
+    ended.born = wall_now;
+  }
   ended.phase = endpoint_phase::kGone;
-  ++ended.sequence;
   return Store(ended, true, now);
 }
 
--- a/source/process/directory/endpoint_directory.h
+++ b/source/process/directory/endpoint_directory.h
@@ -23,9 +23,10 @@
   /// A heartbeat that the endpoint sent to this process. True if others have
   /// to be told soon.
   bool Hear(const endpoint_record& record, steady_time now);
-  /// The endpoint said that it ends. A `born` of 0 ends the life that is known
-  /// here. True if others have to be told.
-  bool End(const endpoint_id& id, incarnation born, steady_time now);
+  /// The endpoint said that it ends. If it is not known here, all of its lives
+  /// up to `wall_now` end, by the clock of this VM in Unix milliseconds: others
+  /// may know it. True if others have to be told.
+  bool End(const endpoint_id& id, incarnation wall_now, steady_time now);
   /// A record that another process reported. True if it was news.
   bool Merge(const endpoint_record& record, steady_time now);
   /// Marks endpoints that were heard here and have fallen silent, and forgets
--- a/tests/directory/endpoint_directory_test.cc
+++ b/tests/directory/endpoint_directory_test.cc
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(heartbeat_first_is_news_and_the_next_is_not);
   CPPUNIT_TEST(heartbeat_late_of_earlier_life_changes_nothing);
   CPPUNIT_TEST(heartbeat_late_after_announced_end_does_not_revive);
+  CPPUNIT_TEST(end_of_an_unknown_endpoint_holds_against_a_late_heartbeat);
+  CPPUNIT_TEST(end_of_an_unknown_endpoint_ends_it_where_it_is_known);
   CPPUNIT_TEST(endpoint_restarted_under_its_id_is_ready_again);
   CPPUNIT_TEST(endpoint_without_heartbeats_falls_silent_and_returns);
   CPPUNIT_TEST(endpoint_heard_elsewhere_is_not_called_silent_here);
@@ -47,6 +49,8 @@
     return directory_.Find(endpoint_id(id))->phase;
   }
 
+  static constexpr incarnation kWallNow{5'000};
+
   endpoint_directory directory_;
   steady_time now_{milliseconds(1'000)};
 
@@ -65,15 +69,37 @@
 
   void heartbeat_late_after_announced_end_does_not_revive() {
     directory_.Hear(Record("e", 100, 1), now_);
-    CPPUNIT_ASSERT(directory_.End(endpoint_id("e"), incarnation(), now_));
+    CPPUNIT_ASSERT(directory_.End(endpoint_id("e"), kWallNow, now_));
     // The number of this heartbeat is above all that were heard.
     CPPUNIT_ASSERT(!directory_.Hear(Record("e", 100, 9), now_));
     CPPUNIT_ASSERT(PhaseOf("e") == endpoint_phase::kGone);
   }
 
+  void end_of_an_unknown_endpoint_holds_against_a_late_heartbeat() {
+    // All control processes had just lost power: the one that acknowledged
+    // the end had not heard of the endpoint, and a late heartbeat made it
+    // ready again.
+    CPPUNIT_ASSERT(directory_.End(endpoint_id("e"), kWallNow, now_));
+    CPPUNIT_ASSERT(!directory_.Hear(Record("e", 100, 37), now_));
+    CPPUNIT_ASSERT(PhaseOf("e") == endpoint_phase::kGone);
+    CPPUNIT_ASSERT(directory_.Hear(Record("e", kWallNow.value() + 1, 1), now_));
+    CPPUNIT_ASSERT(PhaseOf("e") == endpoint_phase::kReady);
+  }
+
+  void end_of_an_unknown_endpoint_ends_it_where_it_is_known() {
+    directory_.End(endpoint_id("e"), kWallNow, now_);
+    endpoint_directory entry;
+    entry.Merge(Record("e", 100, 37), now_);
+    for (const endpoint_record& each : directory_.ChangesAfter(0)) {
+      entry.Merge(each, now_);
+    }
+    CPPUNIT_ASSERT(entry.Find(endpoint_id("e"))->phase ==
+                   endpoint_phase::kGone);
+  }
+
   void endpoint_restarted_under_its_id_is_ready_again() {
     directory_.Hear(Record("e", 100, 7), now_);
-    directory_.End(endpoint_id("e"), incarnation(), now_);
+    directory_.End(endpoint_id("e"), kWallNow, now_);
     CPPUNIT_ASSERT(directory_.Hear(Record("e", 300, 1), now_));
     CPPUNIT_ASSERT(PhaseOf("e") == endpoint_phase::kReady);
   }
