--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -23,20 +23,6 @@
       std::chrono::duration_cast<milliseconds>(now).count()));
 }
 
-const char* PhaseText(endpoint_phase phase) {
-  switch (phase) {
-    case endpoint_phase::kReady:
-      return "ready";
-    case endpoint_phase::kSilent:
-      return "silent";
-    case endpoint_phase::kLeaving:
-      return "leaving";
-    case endpoint_phase::kGone:
-      return "gone";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 endpoint_service::endpoint_service(const control_dialect& dialect,
@@ -53,7 +39,7 @@
 void endpoint_service::Log(const endpoint_record& record) const {
   LogEvent(log_level::kInfo, "endpoint",
            {{"endpoint", record.id.value()},
-            {"phase", PhaseText(record.phase)},
+            {"phase", EndpointPhaseText(record.phase)},
             {"address", record.address},
             {"pool", record.pool.value()},
             {"born", std::to_string(record.born.value())},
--- a/source/process/directory/endpoint_phase.h
+++ b/source/process/directory/endpoint_phase.h
@@ -16,6 +16,20 @@
   kGone = 3,
 };
 
+inline const char* EndpointPhaseText(endpoint_phase phase) {
+  switch (phase) {
+    case endpoint_phase::kReady:
+      return "ready";
+    case endpoint_phase::kSilent:
+      return "silent";
+    case endpoint_phase::kLeaving:
+      return "leaving";
+    case endpoint_phase::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_PROCESS_DIRECTORY_ENDPOINT_PHASE_H_
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -109,7 +109,9 @@
         relay_(settings_.link_mbps),
         connections_(io_),
         pools_(PlacementSettings(settings_), settings_.retries, SystemRandom(),
-               [this](const endpoint_id& id) { connections_.Drop(id); }),
+               [this](const endpoint_record& changed) {
+                 OnEndpointChange(changed);
+               }),
         listener_(
             io_, {*settings_.callers, MaxCallerConnections()},
             [this](const auto& caller, caller_message message) {
@@ -201,7 +203,7 @@
   control_watcher::hooks WatcherHooks() {
     control_watcher::hooks hooks;
     hooks.on_records = [this](const std::vector<endpoint_record>& records) {
-      OnRecords(records);
+      pools_.Merge(records, SteadyNow());
     };
     hooks.on_newer_document = [this](const vm_id& vm,
                                      document_version version) {
@@ -224,18 +226,18 @@
     return table_ ? table_->version() : document_version();
   }
 
-  void OnRecords(const std::vector<endpoint_record>& records) {
-    for (const endpoint_record& record : records) {
-      log_.Write("endpoint", log_fields()
-                                 .Add("endpoint", record.id.value())
-                                 .Add("phase", static_cast<int>(record.phase))
-                                 .Add("pool", record.pool.value())
-                                 .Add("address", record.address)
-                                 .Add("born", record.born.value())
-                                 .Add("sequence", record.sequence)
-                                 .text());
-    }
-    pools_.Merge(records, SteadyNow());
+  void OnEndpointChange(const endpoint_record& changed) {
+    log_.Write("endpoint", log_fields()
+                               .Add("endpoint", changed.id.value())
+                               .Add("phase", EndpointPhaseText(changed.phase))
+                               .Add("pool", changed.pool.value())
+                               .Add("address", changed.address)
+                               .Add("born", changed.born.value())
+                               .Add("sequence", changed.sequence)
+                               .text());
+    const bool is_ending = changed.phase == endpoint_phase::kLeaving ||
+                           changed.phase == endpoint_phase::kGone;
+    if (is_ending) connections_.Drop(changed.id);
   }
 
   void LogFetch(const vm_id& asked, document_version wanted,
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -15,11 +15,11 @@
 }  // namespace
 
 pool_table::pool_table(placement_settings placement, retry_settings retries,
-                       random_source random, end_hook on_end)
+                       random_source random, change_hook on_change)
     : placement_(std::move(placement)),
       retry_settings_(retries),
       random_(std::move(random)),
-      on_end_(std::move(on_end)) {}
+      on_change_(std::move(on_change)) {}
 
 void pool_table::SetDocument(std::shared_ptr<const routing_table> table) {
   table_ = std::move(table);
@@ -66,9 +66,7 @@
     known->second = record.pool;
   }
   Pool(record.pool)->Apply(record);
-  const bool ends = record.phase == endpoint_phase::kLeaving ||
-                    record.phase == endpoint_phase::kGone;
-  if (ends) on_end_(record.id);
+  on_change_(record);
 }
 
 void pool_table::Tick(steady_time now) {
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -23,11 +23,11 @@
 /// endpoints, sorted by pool, with each pool's retry budget.
 class pool_table {
  public:
-  /// Called when an endpoint takes no more requests.
-  using end_hook = std::function<void(const endpoint_id&)>;
+  /// Called when what is believed of an endpoint has changed.
+  using change_hook = std::function<void(const endpoint_record&)>;
 
   pool_table(placement_settings placement, retry_settings retries,
-             random_source random, end_hook on_end);
+             random_source random, change_hook on_change);
 
   void Merge(const std::vector<endpoint_record>& records, steady_time now);
   /// Takes the sizes of the engines' memory from a new document.
@@ -50,7 +50,7 @@
   const placement_settings placement_;
   const retry_settings retry_settings_;
   const random_source random_;
-  const end_hook on_end_;
+  const change_hook on_change_;
   std::shared_ptr<const routing_table> table_;
   endpoint_directory directory_;
   std::uint64_t applied_change_ = 0;
