placement: bound loads at 1.35 times the mean and 1.5 requests

The bound of 1.7 times the estimated mean and 2.5 left too little for requests that other entry VMs send before the next load report. Change: a smaller bound.

--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -28,8 +28,8 @@
   token_count min_fetch = token_count(256);
   /// No endpoint gets more than this multiple of the mean load of its pool,
   /// plus `load_allowance` requests.
-  double load_cap = 1.7;
-  double load_allowance = 2.5;
+  double load_cap = 1.35;
+  double load_allowance = 1.5;
 };
 
 }  // namespace marjoramsill
