--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -28,7 +28,7 @@
   token_count min_fetch = token_count(256);
   /// No endpoint gets more than this multiple of the mean load of its pool,
   /// plus `load_allowance` requests.
-  double load_cap = 1.35;
+  double load_cap = 1.5;
   double load_allowance = 1.5;
 };
 
