admission, burn, choice: one class a header; join what stood twice

Splits admission_types.h, limit_types.h, service_counters.h, burn_report.h and endpoint_chooser.h by type. No behaviour changes.

--- /dev/null
+++ b/source/process/admission/admission_ids.h
@@ -0,0 +1,19 @@
+#ifndef MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_IDS_H_
+#define MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_IDS_H_
+
+#include "types/strong_number.h"
+
+namespace marjoramsill {
+
+/// Names a request within this process; chosen by the caller, returned in
+/// actions.
+using request_handle = strong_number<struct request_handle_tag>;
+/// Dense index of a workspace within this process, from 0.
+using workspace_handle = strong_number<struct workspace_handle_tag>;
+/// Names one accepted offer until its final outcome. Contains a generation, so
+/// that an outdated ticket is recognised.
+using admission_ticket = strong_number<struct admission_ticket_tag>;
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_IDS_H_
--- /dev/null
+++ b/source/process/admission/admission_policy.h
@@ -0,0 +1,25 @@
+#ifndef MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_POLICY_H_
+#define MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_POLICY_H_
+
+#include <array>
+#include <chrono>
+
+#include "process/admission/rank_admission.h"
+#include "types/rank.h"
+
+namespace marjoramsill {
+
+struct admission_policy {
+  /// Indexed by rank. The sum of the shares must be below 1.
+  std::array<rank_admission, kRankCount> ranks = {
+      rank_admission{}, rank_admission{.share = 0.25},
+      rank_admission{.share = 0.05}};
+  /// How long requests wait without any capacity before they are rejected.
+  std::chrono::microseconds no_capacity_grace = std::chrono::seconds(2);
+  std::chrono::microseconds min_retry_after = std::chrono::seconds(1);
+  std::chrono::microseconds max_retry_after = std::chrono::seconds(120);
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ADMISSION_ADMISSION_POLICY_H_
--- /dev/null
+++ b/source/process/admission/limit_actions.h
@@ -0,0 +1,19 @@
+#ifndef MARJORAMSILL_PROCESS_ADMISSION_LIMIT_ACTIONS_H_
+#define MARJORAMSILL_PROCESS_ADMISSION_LIMIT_ACTIONS_H_
+
+#include <vector>
+
+#include "process/admission/limit_action.h"
+#include "process/admission/limit_send.h"
+
+namespace marjoramsill {
+
+/// What the caller does after it has released the lock.
+struct limit_actions {
+  std::vector<limit_action> decided;
+  std::vector<limit_send> send;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ADMISSION_LIMIT_ACTIONS_H_
--- /dev/null
+++ b/source/process/admission/offer_state.h
@@ -0,0 +1,10 @@
+#ifndef MARJORAMSILL_PROCESS_ADMISSION_OFFER_STATE_H_
+#define MARJORAMSILL_PROCESS_ADMISSION_OFFER_STATE_H_
+
+namespace marjoramsill {
+
+enum class offer_state { kAdmitted, kQueued };
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ADMISSION_OFFER_STATE_H_
--- a/source/process/burn/service_counters.h
+++ b/source/process/burn/service_counters.h
@@ -9,67 +9,18 @@
 #include <tuple>
 #include <vector>
 
+#include "process/burn/burn_window.h"
+#include "process/burn/counter_key.h"
+#include "process/burn/counter_values.h"
+#include "process/burn/series_point.h"
+#include "process/burn/service_event.h"
+#include "process/burn/size_class.h"
 #include "types/ids.h"
 #include "types/rank.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
 
-/// How a request ended. The numeric value is an array index and part of the
-/// codec: new ones go to the end.
-enum class service_event {
-  kGood,
-  kLateFirstToken,
-  kSlowBetweenTokens,
-  kRefusedDeadline,
-  kRefusedQueueFull,
-  kRefusedNoCapacity,
-  kRefusedLimit,
-  kFailedEndpoint,
-  kFailedTimeout,
-  kFailedTruncated,
-};
-inline constexpr std::size_t kServiceEventCount = 10;
-
-enum class size_class { kSmall, kLarge };
-
-struct counter_key {
-  marjoramsill::rank rank = rank::kUrgent;
-  failure_domain_id failure_domain;
-  size_class size = size_class::kSmall;
-  friend bool operator<(const counter_key& left, const counter_key& right) {
-    return std::tie(left.rank, left.failure_domain, left.size) <
-           std::tie(right.rank, right.failure_domain, right.size);
-  }
-};
-
-using event_counts = std::array<std::uint64_t, kServiceEventCount>;
-
-/// Windows that burn rates and the error budget are computed over.
-enum class burn_window { k5Min, k30Min, k1Hour, k6Hours, kBudget };
-inline constexpr std::size_t kBurnWindowCount = 5;
-inline constexpr std::array<std::chrono::minutes, kBurnWindowCount>
-    kBurnWindowLength = {std::chrono::minutes(5), std::chrono::minutes(30),
-                         std::chrono::minutes(60), std::chrono::minutes(360),
-                         std::chrono::minutes(30 * 24 * 60)};
-
-/// Points of the plotted series: 5 minutes each, 6 hours, newest last.
-inline constexpr std::size_t kSeriesPoints = 72;
-struct series_point {
-  std::uint64_t good = 0;
-  std::uint64_t bad = 0;
-  friend bool operator==(const series_point&, const series_point&) = default;
-};
-
-struct counter_values {
-  std::array<event_counts, kBurnWindowCount> windows{};
-  std::array<series_point, kSeriesPoints> series{};
-};
-
-/// Sums by window. Ages instead of times, so that those of VMs with different
-/// clocks can be added.
-using counter_snapshot = std::map<counter_key, counter_values>;
-
 void AddSnapshot(const counter_snapshot& from, counter_snapshot& to);
 
 /// Counters of one shard, guarded by its lock; snapshots of shards are added.
--- a/source/process/choice/endpoint_chooser.h
+++ b/source/process/choice/endpoint_chooser.h
@@ -7,7 +7,12 @@
 #include <span>
 #include <vector>
 
+#include "process/choice/choice_failure.h"
+#include "process/choice/choice_request.h"
+#include "process/choice/endpoint_choice.h"
+#include "process/choice/endpoint_chooser_settings.h"
 #include "process/choice/load_table.h"
+#include "process/choice/no_choice.h"
 #include "process/choice/placement.h"
 #include "types/ids.h"
 #include "types/result.h"
@@ -16,53 +21,6 @@
 
 namespace marjoramsill {
 
-struct endpoint_chooser_settings {
-  failure_domain_id own_domain;
-  load_table_settings load;
-  /// Cache hints kept; a power of two.
-  std::size_t hints = 16384;
-  /// Most endpoints that share the requests of a hot key.
-  std::uint32_t most_homes = 8;
-  /// Part of an endpoint's requests above which a key is hot.
-  double hot_share = 0.25;
-};
-
-struct choice_request {
-  /// From PlacementKey().
-  std::uint64_t key = 0;
-  /// Tokens of the prompt that a cache may hold.
-  token_count prefix_tokens;
-  cost_units cost;
-  /// Endpoints already tried for this request.
-  std::span<const endpoint_index> excluded;
-};
-
-enum class no_choice : std::uint8_t {
-  /// No endpoint, or only excluded, draining and refused ones.
-  kNoEndpoint,
-  /// All usable endpoints are at the bound.
-  kAllOverBound,
-  /// Endpoints are known, but none has fresh evidence.
-  kNoFreshEvidence
-};
-
-struct choice_failure {
-  no_choice why = no_choice::kNoEndpoint;
-  /// First endpoint in the order that lacks nothing but fresh evidence.
-  std::optional<endpoint_index> probe;
-};
-
-struct endpoint_choice {
-  endpoint_index index = 0;
-  /// Entries of the load table that were read.
-  std::uint32_t examined = 0;
-  /// The endpoint comes first in the order of the key.
-  bool is_home = false;
-  /// An endpoint earlier in the order lacks nothing but fresh evidence; a
-  /// probe gives the next request of the key its home back.
-  std::optional<endpoint_index> probe;
-};
-
 /// Chooses endpoints for one model or service. Every call is made under the
 /// lock of the shard that owns it. Choose() does not allocate.
 class endpoint_chooser {
--- a/source/process/controller/controller_metrics.cc
+++ b/source/process/controller/controller_metrics.cc
@@ -6,24 +6,15 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <vector>
+
+#include "process/entry/metric_builders.h"
+
 namespace marjoramsill {
 namespace {
 
-prometheus::Gauge* MakeGauge(prometheus::Registry& registry,
-                             const std::string& name, const std::string& help) {
-  return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
-      {});
-}
-
-prometheus::Counter* MakeCounter(prometheus::Registry& registry,
-                                 const std::string& name,
-                                 const std::string& help) {
-  return &prometheus::BuildCounter()
-              .Name(name)
-              .Help(help)
-              .Register(registry)
-              .Add({});
-}
+/// Upper bounds of the buckets in seconds.
+const std::vector<double> kEndSeconds{0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 0.8};
 
 }  // namespace
 
@@ -40,12 +31,9 @@
   not_accepted_ = &submissions.Add({{"outcome", "not_accepted"}});
   reads_ = MakeCounter(*registry_, "marjoramsill_controller_reads_total",
                        "Reads of the routing document");
-  end_time_ = &prometheus::BuildHistogram()
-                   .Name("marjoramsill_controller_end_seconds")
-                   .Help("Time to acknowledge the end of an endpoint")
-                   .Register(*registry_)
-                   .Add({}, prometheus::Histogram::BucketBoundaries{
-                                0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 0.8});
+  end_time_ =
+      MakeHistogram(*registry_, "marjoramsill_controller_end_seconds",
+                    "Time to acknowledge the end of an endpoint", kEndSeconds);
   leads_ = MakeGauge(*registry_, "marjoramsill_controller_leads",
                      "1 if this process leads the control group");
   term_ = MakeGauge(*registry_, "marjoramsill_controller_term",
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -2,10 +2,8 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
-#include <csignal>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -18,6 +16,7 @@
 #include "process/controller/document_service.h"
 #include "process/controller/document_store.h"
 #include "process/controller/endpoint_service.h"
+#include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
 #include "process/controller/watch_hub.h"
 #include "process/daemon/event_log.h"
@@ -88,7 +87,8 @@
       : settings_(std::move(settings)),
         dialect_(std::move(dialect)),
         timer_(io_),
-        signals_(io_, SIGTERM, SIGINT, SIGHUP),
+        signals_(
+            io_, [this] { Stop(); }, [this] { settings_watch_.Reload(); }),
         peers_(PeerSettings(settings_),
                [this](const vm_message& message, auto reply) {
                  OnPeerMessage(message, std::move(reply));
@@ -152,7 +152,7 @@
   }
 
   void Run() {
-    WaitForSignal();
+    signals_.Start();
     ScheduleTick();
     io_.run();
     LogEvent(log_level::kInfo, "stopped", {{"role", "control"}});
@@ -215,18 +215,6 @@
     return members;
   }
 
-  void WaitForSignal() {
-    signals_.async_wait([this](std::error_code error, int signal) {
-      if (error) return;
-      if (signal == SIGHUP) {
-        settings_watch_.Reload();
-        WaitForSignal();
-        return;
-      }
-      Stop();
-    });
-  }
-
   void ScheduleTick() {
     timer_.expires_after(kTick);
     timer_.async_wait([this](std::error_code error) {
@@ -360,7 +348,7 @@
   const control_dialect dialect_;
   asio::io_context io_{1};
   asio::steady_timer timer_;
-  asio::signal_set signals_;
+  process_signals signals_;
   decision_log log_;
   controller_metrics metrics_;
   peer_transport peers_;
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -7,37 +7,16 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <vector>
+
+#include "process/entry/metric_builders.h"
 
 namespace marjoramsill {
 namespace {
 
-prometheus::Counter* MakeCounter(prometheus::Registry& registry,
-                                 const std::string& name,
-                                 const std::string& help) {
-  return &prometheus::BuildCounter()
-              .Name(name)
-              .Help(help)
-              .Register(registry)
-              .Add({});
-}
-
-prometheus::Gauge* MakeGauge(prometheus::Registry& registry,
-                             const std::string& name, const std::string& help) {
-  return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
-      {});
-}
-
-prometheus::Histogram* MakeHistogram(prometheus::Registry& registry,
-                                     const std::string& name,
-                                     const std::string& help) {
-  const prometheus::Histogram::BucketBoundaries seconds{
-      0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 16};
-  return &prometheus::BuildHistogram()
-              .Name(name)
-              .Help(help)
-              .Register(registry)
-              .Add({}, seconds);
-}
+/// Upper bounds of the buckets in seconds.
+const std::vector<double> kSeconds{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
+                                   0.8,  1.2,   2,    4,   8,   16};
 
 }  // namespace
 
@@ -68,9 +47,9 @@
                             "Requests of callers that could not be read");
   first_byte_ =
       MakeHistogram(*registry_, "marjoramsill_entry_first_byte_seconds",
-                    "Time from a request to the start of its answer");
+                    "Time from a request to the start of its answer", kSeconds);
   gap_ = MakeHistogram(*registry_, "marjoramsill_entry_gap_seconds",
-                       "Longest pause within a streamed answer");
+                       "Longest pause within a streamed answer", kSeconds);
   document_version_ =
       MakeGauge(*registry_, "marjoramsill_entry_document_version",
                 "Version of the routing document in force");
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -5,10 +5,8 @@
 #include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
-#include <csignal>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -22,6 +20,7 @@
 #include "connection/peer_transport.h"
 #include "process/controller/document_offer.h"
 #include "process/controller/document_relay.h"
+#include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
 #include "process/controller/stored_document.h"
 #include "process/controller/text_compression.h"
@@ -94,7 +93,8 @@
       : settings_(std::move(settings)),
         control_dialect_(std::move(control)),
         timer_(io_),
-        signals_(io_, SIGTERM, SIGINT, SIGHUP),
+        signals_(
+            io_, [this] { BeginStop(); }, [this] { settings_watch_.Reload(); }),
         peers_(PeerSettings(settings_),
                [this](const vm_message& message, auto reply) {
                  OnPeerMessage(message, std::move(reply));
@@ -172,7 +172,7 @@
   }
 
   void Run() {
-    WaitForSignal();
+    signals_.Start();
     Tick();
     io_.run();
     log_.Write("stopped", "role=entry");
@@ -333,18 +333,6 @@
     }
   }
 
-  void WaitForSignal() {
-    signals_.async_wait([this](std::error_code error, int signal) {
-      if (error) return;
-      if (signal == SIGHUP) {
-        settings_watch_.Reload();
-        WaitForSignal();
-        return;
-      }
-      BeginStop();
-    });
-  }
-
   void BeginStop() {
     stopping_since_ = SteadyNow();
     log_.Write(
@@ -396,7 +384,7 @@
   const control_dialect control_dialect_;
   asio::io_context io_{1};
   asio::steady_timer timer_;
-  asio::signal_set signals_;
+  process_signals signals_;
   decision_log log_;
   entry_metrics metrics_;
   call_environment environment_;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -196,7 +196,7 @@
   }
   best->candidates = found;
   if (const auto age = best->endpoint->ReportAge(now)) {
-    best->load_age_ms = std::chrono::duration<double, std::milli>(*age).count();
+    best->load_age_ms = MillisOf(*age);
   }
   const endpoint_belief* keeper =
       FindKeeper(demand, shared, *best->endpoint, now);
@@ -205,8 +205,7 @@
 }
 
 void endpoint_pool::NoteDuration(std::chrono::microseconds duration) {
-  constexpr double kMicrosPerMilli = 1'000;
-  duration_ms_.Add(static_cast<double>(duration.count()) / kMicrosPerMilli);
+  duration_ms_.Add(MillisOf(duration));
 }
 
 double endpoint_pool::TotalLoad(steady_time now) const {
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -55,11 +55,6 @@
   return target.substr(0, target.find('?'));
 }
 
-double Millis(std::chrono::microseconds duration) {
-  constexpr double kMicrosPerMilli = 1'000;
-  return static_cast<double>(duration.count()) / kMicrosPerMilli;
-}
-
 }  // namespace
 
 proxied_call::proxied_call(const call_environment& environment,
@@ -211,8 +206,9 @@
   line += " request=";
   line += EscapeLogValue(request_id_);
   line += ' ';
-  line +=
-      log_fields().Add("at_ms", Millis(environment_.clock() - arrived_)).text();
+  line += log_fields()
+              .Add("at_ms", MillisOf(environment_.clock() - arrived_))
+              .text();
   line += ' ';
   line += fields.text();
   steps_.push_back(std::move(line));
@@ -243,8 +239,8 @@
                    .Add("route", route_ == nullptr ? "" : route_->name)
                    .Add("rank", Rank())
                    .Add("sent", sent_)
-                   .Add("took_ms", Millis(taken))
-                   .Add("gap_ms", Millis(longest_gap_))
+                   .Add("took_ms", MillisOf(taken))
+                   .Add("gap_ms", MillisOf(longest_gap_))
                    .Add("document", table_ ? table_->version().value() : 0)
                    .text());
 }
--- a/source/request/proxied_call_answer.cc
+++ b/source/request/proxied_call_answer.cc
@@ -6,6 +6,7 @@
 #include "process/entry/entry_metrics.h"
 #include "request/forwarded_head.h"
 #include "request/proxied_call.h"
+#include "request/status_class.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
@@ -16,8 +17,6 @@
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 /// Starts a streamed answer with the head of the first endpoint.
@@ -78,9 +77,9 @@
   caller_->Respond(head_.status, ReturnedFields(head_.fields), body_);
   const std::chrono::duration<double> waited = environment_.clock() - arrived_;
   environment_.metrics->ObserveFirstByte(waited.count());
-  Finish(IsSuccess(head_.status) ? call_outcome::kServed
-                                 : call_outcome::kEndpointFailure,
-         IsSuccess(head_.status) ? "" : "endpoint_failure");
+  Finish(IsSuccessStatus(head_.status) ? call_outcome::kServed
+                                       : call_outcome::kEndpointFailure,
+         IsSuccessStatus(head_.status) ? "" : "endpoint_failure");
 }
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -12,6 +12,7 @@
 #include "request/attempt_rules.h"
 #include "request/forwarded_head.h"
 #include "request/proxied_call.h"
+#include "request/status_class.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
@@ -42,13 +43,6 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kMaxEnginePriority = 9;
 
-double Millis(std::chrono::microseconds duration) {
-  constexpr double kMicrosPerMilli = 1'000;
-  return static_cast<double>(duration.count()) / kMicrosPerMilli;
-}
-
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 /// Failures after which a repeatable request may succeed elsewhere.
 bool IsPassing(int status) {
   return status >= kFirstServerError || status == kTooManyRequests ||
@@ -82,7 +76,7 @@
                         .Add("wait_ms", choice->wait_ms)
                         .Add("cached", choice->cached.value())
                         .Add("fetch_from", choice->fetch_from));
-  const double allowed = kMaxWaitShare * Millis(deadline_ - now);
+  const double allowed = kMaxWaitShare * MillisOf(deadline_ - now);
   if (sent_ == 0 && choice->wait_ms > allowed) {
     Refuse("overload", choice->wait_ms - allowed);
     return;
@@ -194,7 +188,7 @@
 bool proxied_call::Accepts(const answer_head& head) const {
   const http_field* id =
       FindField(head.fields, environment_.dialect.request_id);
-  if (id == nullptr) return !IsSuccess(head.status);
+  if (id == nullptr) return !IsSuccessStatus(head.status);
   return id->value == request_id_;
 }
 
@@ -210,7 +204,7 @@
   is_rejected_ =
       FindField(head.fields, environment_.dialect.not_run) != nullptr ||
       head.status == kStatusMisdirected;
-  if (!IsSuccess(head.status) || is_rejected_) return;
+  if (!IsSuccessStatus(head.status) || is_rejected_) return;
   if (FindField(head.fields, environment_.dialect.answer_proof) == nullptr) {
     OnFailure(call_failure::kMalformed);
     return;
@@ -260,8 +254,8 @@
     AfterAttempt(attempt_end::kNotRun, "rejected");
     return;
   }
-  if (endpoint != nullptr) endpoint->NoteAnswer(IsSuccess(head_.status));
-  if (IsSuccess(head_.status)) {
+  if (endpoint != nullptr) endpoint->NoteAnswer(IsSuccessStatus(head_.status));
+  if (IsSuccessStatus(head_.status)) {
     pool_->NoteDuration(now - attempt_started_);
     if (is_stream_) {
       EndStream();
@@ -317,7 +311,7 @@
                                .Add("endpoint", endpoint_.value())
                                .Add("cause", cause)
                                .Add("status", head_.status)
-                               .Add("took_ms", Millis(now - attempt_started_))
+                               .Add("took_ms", MillisOf(now - attempt_started_))
                                .Add("next", AttemptStepText(step)));
   switch (step) {
     case attempt_step::kTryAgain:
--- a/source/types/steady_time.h
+++ b/source/types/steady_time.h
@@ -18,6 +18,11 @@
 
 using steady_time = steady_timeline::time_point;
 
+/// A duration in milliseconds with their fraction, for logs and estimates.
+inline double MillisOf(std::chrono::microseconds duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_TYPES_STEADY_TIME_H_
