directory: bound the arrays of a decoded watch message

A peer's damaged message could so end a process. The normal build passed, because untouched memory is not taken. Change: the number of elements is bounded by the number of bytes.

--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -1,5 +1,6 @@
 #include "process/directory/watch_codec.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <tuple>
@@ -18,6 +19,9 @@
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t>;
 
+/// Nested arrays of a message: the reply, its records, one record.
+constexpr std::size_t kMaxDepth = 4;
+
 template <class Fields>
 std::string Pack(const Fields& fields) {
   msgpack::sbuffer buffer;
@@ -29,7 +33,13 @@
 std::optional<Fields> Unpack(std::string_view bytes) {
   try {
     Fields fields;
-    msgpack::unpack(bytes.data(), bytes.size()).get().convert(fields);
+    // An element takes a byte at least: a greater count is damaged, and memory
+    // must not be reserved for it.
+    const std::size_t most = bytes.size();
+    const msgpack::unpack_limit limit(most, 0, most, 0, 0, kMaxDepth);
+    msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit)
+        .get()
+        .convert(fields);
     return fields;
   } catch (const std::exception&) {
     // msgpack reports malformed bytes only by exceptions.
