placement: share load reports among entry VMs

The mean load seems close to nothing, engines that keep a prefix seem overloaded, and the requests spread elsewhere meet queues that nobody sees. Ruled out: a tighter load bound, which moves the requests without making their load known.

Entry VMs pass the reports of their answers to one control process with their watch requests; its answers carry those of others, at most 64 each 400 ms. Control processes pass them on to each other once.

The test plays many entry VMs in virtual time with a model engine.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
@@ -196,6 +197,11 @@
     // Documents come through the replicated group.
     hooks.on_newer_document = [](const vm_id& /*vm*/,
                                  document_version /*version*/) {};
+    hooks.on_loads = [this](const std::vector<endpoint_load>& loads) {
+      hub_.NoteLoads(loads, SteadyNow());
+    };
+    // Endpoints answer entry VMs only.
+    hooks.take_loads = [] { return std::vector<endpoint_load>(); };
     hooks.on_contact = [](const vm_id& vm, bool reachable) {
       LogEvent(log_level::kInfo, "control_contact",
                {{"vm", vm.value()}, {"state", reachable ? "up" : "lost"}});
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -15,6 +15,9 @@
 /// A request without news is answered after this time, which shows both sides
 /// that the connection works. Shorter than the watcher's timeout.
 constexpr milliseconds kWatchHold{800};
+/// A request for load reports is answered after this time: placements go by
+/// reports that are about as old.
+constexpr milliseconds kLoadHold{400};
 /// A watcher that was not heard from for this long is down or cut off.
 constexpr milliseconds kWatcherLifetime{1'600};
 /// After this time it no longer counts as one of the entry VMs.
@@ -31,6 +34,8 @@
   // The connection of an older request was given up by the watcher.
   if (known.reply) std::exchange(known.reply, nullptr)(std::string());
   known.is_entry = request.is_entry;
+  known.wants_loads = request.wants_loads;
+  loads_.Note(request.loads, load_board::source::kEntry, now);
   known.seen_change = request.epoch == epoch_ ? request.seen_change : 0;
   known.document = request.document;
   known.last_contact = now;
@@ -54,9 +59,17 @@
   news.document = from_.document();
   news.members = from_.members();
   news.entry_count = EntryCount(now);
+  if (each.wants_loads) {
+    news.loads = loads_.Collect(each.told_load, !each.is_entry, now);
+  }
   std::exchange(each.reply, nullptr)(EncodeWatchReply(news));
 }
 
+void watch_hub::NoteLoads(const std::vector<endpoint_load>& loads,
+                          steady_time now) {
+  loads_.Note(loads, load_board::source::kController, now);
+}
+
 void watch_hub::Notify(steady_time now) {
   for (auto& [vm, each] : watchers_) {
     if (each.reply && HasNews(each)) Answer(each, now);
@@ -66,11 +79,13 @@
 void watch_hub::Tick(steady_time now) {
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     watcher& each = it->second;
-    if (each.reply && now - each.held_since >= kWatchHold) Answer(each, now);
+    const milliseconds hold = each.wants_loads ? kLoadHold : kWatchHold;
+    if (each.reply && now - each.held_since >= hold) Answer(each, now);
     const bool is_forgotten =
         !each.reply && now - each.last_contact > kForgetWatcher;
     it = is_forgotten ? watchers_.erase(it) : std::next(it);
   }
+  loads_.Expire(now);
   CheckAwaited(now);
 }
 
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "process/directory/load_board.h"
 #include "process/directory/watch_request.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
@@ -36,6 +37,8 @@
   watch_hub(sources from, std::uint64_t epoch);
 
   void OnWatch(const watch_request& request, reply_hook reply, steady_time now);
+  /// Load reports that another control process passed on.
+  void NoteLoads(const std::vector<endpoint_load>& loads, steady_time now);
   /// There is news that watchers have to be told at once.
   void Notify(steady_time now);
   /// Answers requests that were held long enough, and checks deadlines.
@@ -49,6 +52,9 @@
  private:
   struct watcher {
     bool is_entry = false;
+    bool wants_loads = false;
+    /// Last endpoint whose load it was told.
+    endpoint_digest told_load;
     std::uint64_t seen_change = 0;
     document_version document;
     steady_time last_contact;
@@ -71,6 +77,7 @@
   const std::uint64_t epoch_;
   std::map<vm_id, watcher> watchers_;
   std::vector<awaited_change> awaited_;
+  load_board loads_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -1,5 +1,7 @@
 #include "process/directory/control_watcher.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
@@ -27,6 +29,13 @@
 /// A VM that is neither a seed nor a member is forgotten after this time.
 constexpr milliseconds kForgetMember{20'000};
 
+std::uint64_t MemberScore(const vm_id& watcher, const vm_id& member) {
+  const std::string& name = member.value();
+  const std::uint64_t seed =
+      XXH3_64bits(watcher.value().data(), watcher.value().size());
+  return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
+
 }  // namespace
 
 control_watcher::control_watcher(asio::io_context& io, peer_transport& peers,
@@ -75,6 +84,8 @@
   request.epoch = member.epoch;
   request.seen_change = member.seen_change;
   request.document = hooks_.document();
+  request.wants_loads = ExchangesLoadsWith(vm);
+  if (request.wants_loads) request.loads = hooks_.take_loads();
   member.is_asked = true;
   Ask(vm, std::string(kWatchKind), EncodeWatchRequest(request), kWatchTimeout,
       [this, vm](const std::optional<std::string>& answer) {
@@ -88,6 +99,24 @@
       });
 }
 
+/// Control members exchange load reports with each other. An entry VM uses one
+/// member, so that each report travels once; rendezvous hashing spreads the
+/// entry VMs over the members that work.
+bool control_watcher::ExchangesLoadsWith(const vm_id& vm) const {
+  if (!is_entry_) return true;
+  const vm_id* best = nullptr;
+  std::uint64_t best_score = 0;
+  for (const auto& [each, member] : states_) {
+    if (!member.is_reachable) continue;
+    const std::uint64_t score = MemberScore(self_, each);
+    if (best == nullptr || score > best_score) {
+      best = &each;
+      best_score = score;
+    }
+  }
+  return best != nullptr && *best == vm;
+}
+
 void control_watcher::Ask(
     const vm_id& member, const std::string& kind, std::string body,
     milliseconds timeout,
@@ -126,6 +155,7 @@
     }
   }
   if (!reply.records.empty()) hooks_.on_records(reply.records);
+  if (!reply.loads.empty()) hooks_.on_loads(reply.loads);
   if (reply.document > hooks_.document()) {
     hooks_.on_newer_document(vm, reply.document);
   }
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "process/directory/endpoint_load.h"
 #include "process/directory/endpoint_record.h"
 #include "process/directory/watch_reply.h"
 #include "types/ids.h"
@@ -30,6 +31,10 @@
     std::function<void(const vm_id&, document_version)> on_newer_document;
     /// A member was lost or regained.
     std::function<void(const vm_id&, bool reachable)> on_contact;
+    /// Load reports that other entry VMs passed on.
+    std::function<void(const std::vector<endpoint_load>&)> on_loads;
+    /// Load reports of endpoints to this process since the last call.
+    std::function<std::vector<endpoint_load>()> take_loads;
     /// Newest document that this process has.
     std::function<document_version()> document;
     std::function<steady_time()> clock;
@@ -67,6 +72,7 @@
   };
 
   void Watch(const vm_id& vm, member_state& member);
+  bool ExchangesLoadsWith(const vm_id& vm) const;
   void OnReply(const vm_id& vm, const watch_reply& reply);
   void OnNoReply(const vm_id& vm);
   void DropStale(steady_time now);
--- /dev/null
+++ b/source/process/directory/load_board.cc
@@ -0,0 +1,53 @@
+#include "process/directory/load_board.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Older reports say little about the load of now.
+constexpr milliseconds kLoadLifetime{2'000};
+/// Bounds an answer to about 800 bytes: at 2.5 answers a second, 2 KB/s a VM.
+constexpr std::size_t kMaxLoadsPerReply = 64;
+
+}  // namespace
+
+void load_board::Note(const std::vector<endpoint_load>& loads, source from,
+                      steady_time now) {
+  for (const endpoint_load& load : loads) {
+    const steady_time measured_at = now - load.age;
+    const auto [known, added] = loads_.try_emplace(load.endpoint);
+    if (!added && known->second.measured_at >= measured_at) continue;
+    known->second = {load.report, measured_at, from};
+  }
+}
+
+std::vector<endpoint_load> load_board::Collect(endpoint_digest& cursor,
+                                               bool from_entries_only,
+                                               steady_time now) const {
+  std::vector<endpoint_load> found;
+  auto it = loads_.upper_bound(cursor);
+  for (std::size_t i = 0; i < loads_.size(); ++i, ++it) {
+    if (it == loads_.end()) it = loads_.begin();
+    const auto& [endpoint, load] = *it;
+    const auto age = now - load.measured_at;
+    if (age > kLoadLifetime) continue;
+    if (from_entries_only && load.from != source::kEntry) continue;
+    found.push_back(
+        {endpoint, load.report, std::chrono::duration_cast<milliseconds>(age)});
+    cursor = endpoint;
+    if (found.size() == kMaxLoadsPerReply) break;
+  }
+  return found;
+}
+
+void load_board::Expire(steady_time now) {
+  std::erase_if(loads_, [now](const auto& entry) {
+    return now - entry.second.measured_at > kLoadLifetime;
+  });
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/directory/load_report.h
@@ -0,0 +1,19 @@
+#ifndef MARJORAMSILL_PROCESS_DIRECTORY_LOAD_REPORT_H_
+#define MARJORAMSILL_PROCESS_DIRECTORY_LOAD_REPORT_H_
+
+#include <cstdint>
+
+namespace marjoramsill {
+
+/// Load that an endpoint reported in an answer.
+struct load_report {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+
+  friend bool operator==(const load_report&, const load_report&) = default;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DIRECTORY_LOAD_REPORT_H_
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -1,5 +1,6 @@
 #include "process/directory/watch_codec.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -13,11 +14,16 @@
 using record_fields = std::tuple<std::string, std::string, std::string,
                                  std::string, std::uint32_t, std::uint8_t,
                                  std::uint64_t, std::uint64_t, std::uint32_t>;
+/// Endpoint, running, waiting, slots, age in milliseconds.
+using load_fields = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
+                               std::uint32_t, std::uint32_t>;
 using request_fields =
-    std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t>;
+    std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t,
+               bool, std::vector<load_fields>>;
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
-               std::uint64_t, std::vector<std::string>, std::uint32_t>;
+               std::uint64_t, std::vector<std::string>, std::uint32_t,
+               std::vector<load_fields>>;
 
 /// Nested arrays of a message: the reply, its records, one record.
 constexpr std::size_t kMaxDepth = 4;
@@ -73,12 +79,35 @@
   return record;
 }
 
+std::vector<load_fields> ToFields(const std::vector<endpoint_load>& loads) {
+  std::vector<load_fields> fields;
+  fields.reserve(loads.size());
+  for (const endpoint_load& load : loads) {
+    fields.emplace_back(load.endpoint.value(), load.report.running,
+                        load.report.waiting, load.report.slots,
+                        static_cast<std::uint32_t>(load.age.count()));
+  }
+  return fields;
+}
+
+std::vector<endpoint_load> ToLoads(const std::vector<load_fields>& fields) {
+  std::vector<endpoint_load> loads;
+  loads.reserve(fields.size());
+  for (const auto& [endpoint, running, waiting, slots, age_ms] : fields) {
+    loads.push_back({endpoint_digest(endpoint),
+                     {running, waiting, slots},
+                     std::chrono::milliseconds(age_ms)});
+  }
+  return loads;
+}
+
 }  // namespace
 
 std::string EncodeWatchRequest(const watch_request& request) {
   return Pack(request_fields{request.watcher.value(), request.is_entry,
                              request.epoch, request.seen_change,
-                             request.document.value()});
+                             request.document.value(), request.wants_loads,
+                             ToFields(request.loads)});
 }
 
 std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
@@ -90,6 +119,8 @@
   request.epoch = std::get<2>(*fields);
   request.seen_change = std::get<3>(*fields);
   request.document = document_version(std::get<4>(*fields));
+  request.wants_loads = std::get<5>(*fields);
+  request.loads = ToLoads(std::get<6>(*fields));
   return request;
 }
 
@@ -105,6 +136,7 @@
     std::get<4>(fields).push_back(member.value());
   }
   std::get<5>(fields) = reply.entry_count;
+  std::get<6>(fields) = ToFields(reply.loads);
   return Pack(fields);
 }
 
@@ -124,6 +156,7 @@
     reply.members.emplace_back(std::move(member));
   }
   reply.entry_count = std::get<5>(*fields);
+  reply.loads = ToLoads(std::get<6>(*fields));
   return reply;
 }
 
--- a/source/process/directory/watch_reply.h
+++ b/source/process/directory/watch_reply.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "process/directory/endpoint_load.h"
 #include "process/directory/endpoint_record.h"
 #include "types/ids.h"
 
@@ -21,6 +22,8 @@
   std::vector<vm_id> members;
   /// Entry VMs that watch this member.
   std::uint32_t entry_count = 0;
+  /// Load reports that other watchers passed on, if they were asked for.
+  std::vector<endpoint_load> loads;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -2,7 +2,9 @@
 #define MARJORAMSILL_PROCESS_DIRECTORY_WATCH_REQUEST_H_
 
 #include <cstdint>
+#include <vector>
 
+#include "process/directory/endpoint_load.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -18,6 +20,10 @@
   /// Last change of the member's directory that the watcher has applied.
   std::uint64_t seen_change = 0;
   document_version document;
+  /// The answer is to have load reports. It then comes earlier.
+  bool wants_loads = false;
+  /// Reports that the watcher received from endpoints since its last request.
+  std::vector<endpoint_load> loads;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -205,6 +205,10 @@
     hooks.on_records = [this](const std::vector<endpoint_record>& records) {
       pools_.Merge(records, SteadyNow());
     };
+    hooks.on_loads = [this](const std::vector<endpoint_load>& loads) {
+      pools_.NoteLoads(loads, SteadyNow());
+    };
+    hooks.take_loads = [this] { return pools_.TakeLoads(SteadyNow()); };
     hooks.on_newer_document = [this](const vm_id& vm,
                                      document_version version) {
       fetcher_.Start(vm, version);
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -59,6 +59,7 @@
 
 void pool_table::Apply(const endpoint_record& record) {
   const auto [known, added] = pool_of_.try_emplace(record.id, record.pool);
+  if (added) id_of_[DigestOf(record.id)] = record.id;
   if (!added && known->second != record.pool) {
     endpoint_record ended = record;
     ended.phase = endpoint_phase::kGone;
@@ -75,6 +76,33 @@
   std::erase_if(pool_of_, [this](const auto& entry) {
     return directory_.Find(entry.first) == nullptr;
   });
+  std::erase_if(id_of_, [this](const auto& entry) {
+    return !pool_of_.contains(entry.second);
+  });
+}
+
+endpoint_belief* pool_table::Find(endpoint_digest digest) {
+  const auto id = id_of_.find(digest);
+  if (id == id_of_.end()) return nullptr;
+  const auto pool = pool_of_.find(id->second);
+  if (pool == pool_of_.end()) return nullptr;
+  return Pool(pool->second)->Find(id->second);
+}
+
+void pool_table::NoteLoads(const std::vector<endpoint_load>& loads,
+                           steady_time now) {
+  for (const endpoint_load& load : loads) {
+    endpoint_belief* endpoint = Find(load.endpoint);
+    if (endpoint != nullptr) {
+      endpoint->NoteSharedLoad(load.report, now - load.age);
+    }
+  }
+}
+
+std::vector<endpoint_load> pool_table::TakeLoads(steady_time now) {
+  std::vector<endpoint_load> loads;
+  for (const auto& [id, pool] : pools_) pool->TakeLoads(loads, now);
+  return loads;
 }
 
 pool_table::phase_counts pool_table::CountPhases() const {
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "process/directory/endpoint_directory.h"
+#include "process/directory/endpoint_load.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/placement_settings.h"
 #include "process/placement/retry_window.h"
@@ -30,6 +31,10 @@
              random_source random, change_hook on_change);
 
   void Merge(const std::vector<endpoint_record>& records, steady_time now);
+  /// Load reports that other entry VMs received.
+  void NoteLoads(const std::vector<endpoint_load>& loads, steady_time now);
+  /// Load reports that came with answers since the last call.
+  std::vector<endpoint_load> TakeLoads(steady_time now);
   /// Takes the sizes of the engines' memory from a new document.
   void SetDocument(std::shared_ptr<const routing_table> table);
   endpoint_pool* Pool(const model_id& id);
@@ -46,6 +51,7 @@
  private:
   token_count CacheCapacity(const model_id& id) const;
   void Apply(const endpoint_record& record);
+  endpoint_belief* Find(endpoint_digest digest);
 
   const placement_settings placement_;
   const retry_settings retry_settings_;
@@ -55,6 +61,7 @@
   endpoint_directory directory_;
   std::uint64_t applied_change_ = 0;
   std::map<endpoint_id, model_id> pool_of_;
+  std::map<endpoint_digest, endpoint_id> id_of_;
   std::map<model_id, std::unique_ptr<endpoint_pool>> pools_;
   std::map<model_id, std::unique_ptr<retry_window>> retries_;
 };
--- a/source/process/placement/endpoint_belief.cc
+++ b/source/process/placement/endpoint_belief.cc
@@ -46,6 +46,11 @@
   record_ = record;
 }
 
+void endpoint_belief::NoteSent(steady_time now) {
+  ++in_flight_;
+  last_sent_ = now;
+}
+
 void endpoint_belief::NoteEnded() {
   if (in_flight_ > 0) --in_flight_;
 }
@@ -67,6 +72,31 @@
   in_flight_at_report_ = in_flight_;
   reported_at_ = now;
   has_report_ = true;
+  is_report_shared_ = false;
+}
+
+void endpoint_belief::NoteSharedLoad(const load_report& report,
+                                     steady_time measured_at) {
+  if (has_report_ && measured_at <= reported_at_) return;
+  report_ = report;
+  // A request sent since then is not in the report.
+  const bool sent_since = in_flight_ > 0 && last_sent_ > measured_at;
+  in_flight_at_report_ = sent_since ? in_flight_ - 1 : in_flight_;
+  reported_at_ = measured_at;
+  has_report_ = true;
+  is_report_shared_ = true;
+}
+
+std::optional<endpoint_load> endpoint_belief::TakeUnsharedLoad(
+    steady_time now) {
+  if (!has_report_ || is_report_shared_) return std::nullopt;
+  is_report_shared_ = true;
+  endpoint_load load;
+  load.endpoint = DigestOf(record_.id);
+  load.report = report_;
+  load.age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - reported_at_);
+  return load;
 }
 
 void endpoint_belief::NoteAnswer(bool success) {
--- a/source/process/placement/endpoint_belief.h
+++ b/source/process/placement/endpoint_belief.h
@@ -5,8 +5,9 @@
 #include <cstdint>
 #include <optional>
 
+#include "process/directory/endpoint_load.h"
 #include "process/directory/endpoint_record.h"
-#include "process/placement/load_report.h"
+#include "process/directory/load_report.h"
 #include "process/placement/prefix_memory.h"
 #include "process/placement/smoothed_value.h"
 #include "types/steady_time.h"
@@ -24,13 +25,17 @@
   /// Takes over a newer record. A new life starts with nothing cached.
   void Update(const endpoint_record& record);
 
-  void NoteSent() { ++in_flight_; }
+  void NoteSent(steady_time now);
   void NoteEnded();
   /// A request was handed to the network.
   void NoteRequestSent(steady_time now);
   /// Some bytes of an answer arrived.
   void NoteHeard();
   void NoteLoad(const load_report& report, steady_time now);
+  /// Another entry VM received the report at `measured_at`.
+  void NoteSharedLoad(const load_report& report, steady_time measured_at);
+  /// The last report that came with an answer, unless it was taken already.
+  std::optional<endpoint_load> TakeUnsharedLoad(steady_time now);
   /// The endpoint has answered, with a success or a failure of its own.
   void NoteAnswer(bool success);
   /// Connecting failed, the connection broke or the answer did not come.
@@ -69,6 +74,8 @@
   std::uint32_t in_flight_at_report_ = 0;
   steady_time reported_at_;
   bool has_report_ = false;
+  bool is_report_shared_ = true;
+  steady_time last_sent_;
   bool is_misdirected_ = false;
   /// First request that was sent after the last sign of life.
   std::optional<steady_time> unanswered_since_;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -208,6 +208,14 @@
   duration_ms_.Add(MillisOf(duration));
 }
 
+void endpoint_pool::TakeLoads(std::vector<endpoint_load>& loads,
+                              steady_time now) {
+  for (const auto& [id, endpoint] : endpoints_) {
+    const auto load = endpoint->TakeUnsharedLoad(now);
+    if (load) loads.push_back(*load);
+  }
+}
+
 double endpoint_pool::TotalLoad(steady_time now) const {
   double total = 0;
   for (const auto& [id, endpoint] : endpoints_) {
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "process/directory/endpoint_load.h"
 #include "process/placement/endpoint_belief.h"
 #include "process/placement/placement_choice.h"
 #include "process/placement/placement_settings.h"
@@ -43,6 +44,9 @@
   /// Time from sending to the end of a call that succeeded.
   void NoteDuration(std::chrono::microseconds duration);
 
+  /// Appends the load reports that came with answers since the last call.
+  void TakeLoads(std::vector<endpoint_load>& loads, steady_time now);
+
   /// Some endpoint takes requests.
   bool CanServe() const;
   /// Removes endpoints that are gone and have no call any more.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -91,7 +91,7 @@
   tried_.push_back(endpoint_);
   attempt_started_ = now;
   last_progress_ = now;
-  choice.endpoint->NoteSent();
+  choice.endpoint->NoteSent(now);
   is_counted_ = true;
   head_ = {};
   body_.clear();
--- a/source/request/request_dialect.h
+++ b/source/request/request_dialect.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "process/placement/load_report.h"
+#include "process/directory/load_report.h"
 #include "process/placement/request_demand.h"
 #include "request/http_field.h"
 
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -7,6 +7,8 @@
 
 namespace marjoramsill {
 
+using std::chrono::milliseconds;
+
 class watch_codec_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(watch_codec_test);
   CPPUNIT_TEST(request_survives_the_codec);
@@ -21,6 +23,7 @@
     reply.document = document_version(40);
     reply.members = {vm_id("10.0.0.1:7340"), vm_id("10.0.0.2:7340")};
     reply.entry_count = 6;
+    reply.loads = {{endpoint_digest(77), {3, 1, 16}, milliseconds(120)}};
     endpoint_record record;
     record.id = endpoint_id("e");
     record.pool = model_id("chat");
@@ -43,6 +46,8 @@
     request.epoch = 5;
     request.seen_change = 6;
     request.document = document_version(8);
+    request.wants_loads = true;
+    request.loads = {{endpoint_digest(9), {2, 0, 16}, milliseconds(40)}};
     const auto decoded = DecodeWatchRequest(EncodeWatchRequest(request));
     CPPUNIT_ASSERT(decoded.has_value());
     CPPUNIT_ASSERT(decoded->watcher == request.watcher);
@@ -50,6 +55,8 @@
     CPPUNIT_ASSERT_EQUAL(request.epoch, decoded->epoch);
     CPPUNIT_ASSERT_EQUAL(request.seen_change, decoded->seen_change);
     CPPUNIT_ASSERT(decoded->document == request.document);
+    CPPUNIT_ASSERT(decoded->wants_loads);
+    CPPUNIT_ASSERT(decoded->loads == request.loads);
   }
 
   void reply_survives_the_codec() {
@@ -61,6 +68,7 @@
     CPPUNIT_ASSERT(decoded->document == reply.document);
     CPPUNIT_ASSERT_EQUAL(reply.last_change, decoded->last_change);
     CPPUNIT_ASSERT_EQUAL(reply.entry_count, decoded->entry_count);
+    CPPUNIT_ASSERT(decoded->loads == reply.loads);
   }
 
   void bytes_damaged_are_refused_without_a_crash() {
--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(change_is_seen_once_all_watchers_have_confirmed_it);
   CPPUNIT_TEST(change_is_not_awaited_from_a_lost_watcher);
   CPPUNIT_TEST(change_unconfirmed_is_reported_at_the_deadline);
+  CPPUNIT_TEST(load_noted_reaches_other_watchers_within_the_shorter_hold);
   CPPUNIT_TEST(count_of_entries_leaves_control_members_out);
   CPPUNIT_TEST_SUITE_END();
 
@@ -126,6 +127,28 @@
     CPPUNIT_ASSERT(seen == false);
   }
 
+  void load_noted_reaches_other_watchers_within_the_shorter_hold() {
+    watch_request request;
+    request.epoch = kEpoch;
+    request.document = document_version(1);
+    request.is_entry = true;
+    request.wants_loads = true;
+    request.watcher = vm_id("a");
+    const auto keep = [this](const std::string& bytes) {
+      replies_.push_back(DecodeWatchReply(bytes));
+    };
+    hub_.OnWatch(request, keep, now_);
+    request.watcher = vm_id("b");
+    request.loads = {{endpoint_digest(5), {9, 2, 16}, milliseconds(30)}};
+    hub_.OnWatch(request, keep, now_);
+    now_ += milliseconds(400);
+    hub_.Tick(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replies_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies_[0]->loads.size());
+    CPPUNIT_ASSERT_EQUAL(9U, replies_[0]->loads[0].report.running);
+    CPPUNIT_ASSERT(replies_[0]->loads[0].age == milliseconds(430));
+  }
+
   void count_of_entries_leaves_control_members_out() {
     Watch("a", 0, kEpoch, true);
     Watch("b", 0, kEpoch, true);
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(endpoints_all_avoided_are_still_tried);
   CPPUNIT_TEST(endpoint_overloaded_is_passed_over);
   CPPUNIT_TEST(load_reported_counts_requests_of_others);
+  CPPUNIT_TEST(load_passed_on_counts_unless_it_is_older);
+  CPPUNIT_TEST(load_of_an_answer_is_passed_on_once);
   CPPUNIT_TEST(endpoint_of_own_domain_wins_between_equals);
   CPPUNIT_TEST(endpoint_new_copies_the_prefix_from_the_former_home);
   CPPUNIT_TEST(endpoint_known_to_keep_the_prefix_copies_nothing);
@@ -167,22 +169,49 @@
     endpoint_pool pool = Pool(3);
     const request_demand hot = Demand(5, 1);
     const std::string home = Chosen(pool, hot);
-    for (int i = 0; i < 12; ++i) pool.Find(endpoint_id(home))->NoteSent();
+    for (int i = 0; i < 12; ++i) pool.Find(endpoint_id(home))->NoteSent(now_);
     CPPUNIT_ASSERT(Chosen(pool, hot) != home);
   }
 
   void load_reported_counts_requests_of_others() {
     endpoint_pool pool = Pool(1);
     endpoint_belief& endpoint = Belief(pool, 0);
-    endpoint.NoteSent();
+    endpoint.NoteSent(now_);
     endpoint.NoteLoad({10, 2, 16}, now_);
-    endpoint.NoteSent();
+    endpoint.NoteSent(now_);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(13, endpoint.EstimatedLoad(now_), 0.01);
     // An old report says nothing about the present.
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
         2, endpoint.EstimatedLoad(now_ + milliseconds(5'000)), 0.01);
   }
 
+  void load_passed_on_counts_unless_it_is_older() {
+    endpoint_pool pool = Pool(1);
+    endpoint_belief& endpoint = Belief(pool, 0);
+    endpoint.NoteSharedLoad({6, 0, 16}, now_ - milliseconds(300));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(6, endpoint.EstimatedLoad(now_), 0.01);
+    endpoint.NoteSharedLoad({2, 0, 16}, now_ - milliseconds(400));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(6, endpoint.EstimatedLoad(now_), 0.01);
+    // The own request of now is not in a report from before.
+    endpoint.NoteSent(now_);
+    endpoint.NoteSharedLoad({8, 0, 16}, now_ - milliseconds(100));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(9, endpoint.EstimatedLoad(now_), 0.01);
+  }
+
+  void load_of_an_answer_is_passed_on_once() {
+    endpoint_pool pool = Pool(2);
+    Belief(pool, 0).NoteLoad({6, 1, 16}, now_ - milliseconds(50));
+    Belief(pool, 1).NoteSharedLoad({2, 0, 16}, now_);
+    std::vector<endpoint_load> loads;
+    pool.TakeLoads(loads, now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loads.size());
+    CPPUNIT_ASSERT(loads[0].endpoint == DigestOf(Record(0).id));
+    CPPUNIT_ASSERT(loads[0].age == milliseconds(50));
+    loads.clear();
+    pool.TakeLoads(loads, now_);
+    CPPUNIT_ASSERT(loads.empty());
+  }
+
   void endpoint_of_own_domain_wins_between_equals() {
     endpoint_pool pool = Pool(3, "d2");
     CPPUNIT_ASSERT_EQUAL(std::string("e2"), Chosen(pool, {}));
@@ -224,7 +253,7 @@
 
   void endpoint_gone_stays_until_its_calls_have_ended() {
     endpoint_pool pool = Pool(2);
-    Belief(pool, 0).NoteSent();
+    Belief(pool, 0).NoteSent(now_);
     endpoint_record gone = Record(0);
     gone.phase = endpoint_phase::kGone;
     pool.Apply(gone);
--- /dev/null
+++ b/tests/placement/engine_model.cc
@@ -0,0 +1,50 @@
+#include "engine_model.h"
+
+#include <utility>
+
+namespace marjoramsill {
+namespace {
+
+/// Prompt tokens that an engine computes in a millisecond.
+constexpr std::uint64_t kPrefillTokensPerMs = 112;
+/// Time to the first token of a prompt that is kept.
+constexpr std::chrono::milliseconds kFirstToken{25};
+
+}  // namespace
+
+engine_model::engine_model(std::uint32_t slots, scheduler at)
+    : slots_(slots), at_(std::move(at)) {}
+
+load_report engine_model::Report() const {
+  return {running_, static_cast<std::uint32_t>(queue_.size()), slots_};
+}
+
+void engine_model::Submit(job submitted, steady_time now) {
+  if (running_ < slots_) {
+    Start(submitted, now);
+  } else {
+    queue_.push_back(std::move(submitted));
+  }
+}
+
+void engine_model::Start(const job& started, steady_time now) {
+  ++running_;
+  steady_time first_token = now + kFirstToken;
+  if (kept_.insert(started.prefix).second) {
+    computed_tokens_ += started.prefix_tokens;
+    first_token +=
+        std::chrono::milliseconds(started.prefix_tokens / kPrefillTokensPerMs);
+  }
+  at_(first_token, [this, started] { started.on_first_token(Report()); });
+  const steady_time end = first_token + started.answer_time;
+  at_(end, [this, started, end] {
+    --running_;
+    started.on_end();
+    if (queue_.empty()) return;
+    const job next = std::move(queue_.front());
+    queue_.pop_front();
+    Start(next, end);
+  });
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/placement/engine_model.h
@@ -0,0 +1,53 @@
+#ifndef MARJORAMSILL_TESTS_PLACEMENT_ENGINE_MODEL_H_
+#define MARJORAMSILL_TESTS_PLACEMENT_ENGINE_MODEL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <set>
+
+#include "process/directory/load_report.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+/// An engine in virtual time: a number of places, a queue, and shared prefixes
+/// that are computed once and kept.
+class engine_model {
+ public:
+  struct job {
+    std::uint64_t prefix = 0;
+    std::uint64_t prefix_tokens = 0;
+    /// From the first token to the last one.
+    std::chrono::microseconds answer_time{0};
+    std::function<void(const load_report&)> on_first_token;
+    std::function<void()> on_end;
+  };
+  /// Runs a function at a time.
+  using scheduler = std::function<void(steady_time, std::function<void()>)>;
+
+  engine_model(std::uint32_t slots, scheduler at);
+
+  void Submit(job submitted, steady_time now);
+  /// Requests that run or wait.
+  std::uint32_t load() const {
+    return running_ + static_cast<std::uint32_t>(queue_.size());
+  }
+  std::uint64_t computed_tokens() const { return computed_tokens_; }
+
+ private:
+  void Start(const job& started, steady_time now);
+  load_report Report() const;
+
+  const std::uint32_t slots_;
+  const scheduler at_;
+  std::uint32_t running_ = 0;
+  std::deque<job> queue_;
+  std::set<std::uint64_t> kept_;
+  std::uint64_t computed_tokens_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_TESTS_PLACEMENT_ENGINE_MODEL_H_
--- /dev/null
+++ b/tests/placement/entry_fleet_model.cc
@@ -0,0 +1,169 @@
+#include "entry_fleet_model.h"
+
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include "process/placement/endpoint_pool.h"
+#include "process/placement/request_demand.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The load bound that is checked: this multiple of the mean, plus some.
+constexpr double kBoundFactor = 2;
+constexpr double kBoundAllowance = 3;
+constexpr int kDomainCount = 3;
+
+const model_id& PoolId() {
+  static const model_id id("chat");
+  return id;
+}
+
+endpoint_record Record(int number) {
+  endpoint_record record;
+  record.id = endpoint_id("e" + std::to_string(number));
+  record.pool = PoolId();
+  record.address = "10.0.0." + std::to_string(number + 1) + ":8080";
+  record.domain =
+      failure_domain_id("d" + std::to_string(number % kDomainCount));
+  record.slots = 16;
+  record.born = incarnation(1);
+  record.sequence = 1;
+  return record;
+}
+
+placement_settings Settings(int entry) {
+  placement_settings settings;
+  settings.domain =
+      failure_domain_id("d" + std::to_string(entry % kDomainCount));
+  return settings;
+}
+
+}  // namespace
+
+entry_fleet_model::entry_fleet_model(const parameters& chosen)
+    : parameters_(chosen),
+      random_(chosen.seed),
+      cursors_(static_cast<std::size_t>(chosen.entry_count)) {
+  std::vector<endpoint_record> records;
+  for (int i = 0; i < chosen.engine_count; ++i) {
+    engines_.emplace_back(chosen.slots,
+                          [this](steady_time when, std::function<void()> act) {
+                            At(when, std::move(act));
+                          });
+    records.push_back(Record(i));
+  }
+  for (int i = 0; i < chosen.entry_count; ++i) {
+    entries_.push_back(std::make_unique<pool_table>(
+        Settings(i), retry_settings(), [this] { return random_(); },
+        [](const endpoint_record&) {}));
+    entries_.back()->Pool(PoolId())->SetCacheCapacity(token_count(240'000));
+    entries_.back()->Merge(records, now_);
+  }
+  ScheduleArrival();
+  if (chosen.exchange_interval.count() > 0) Exchange();
+}
+
+void entry_fleet_model::At(steady_time when, std::function<void()> action) {
+  events_.emplace(when, std::move(action));
+}
+
+void entry_fleet_model::RunUntil(steady_time end) {
+  while (!events_.empty() && events_.begin()->first <= end) {
+    auto event = events_.extract(events_.begin());
+    now_ = event.key();
+    event.mapped()();
+  }
+  now_ = end;
+}
+
+entry_fleet_model::span_counts entry_fleet_model::Play(milliseconds span) {
+  counts_ = {};
+  RunUntil(now_ + span);
+  return counts_;
+}
+
+void entry_fleet_model::ScheduleArrival() {
+  std::exponential_distribution<double> gap(parameters_.requests_per_s);
+  const auto pause = std::chrono::duration<double>(gap(random_));
+  At(now_ + std::chrono::duration_cast<std::chrono::microseconds>(pause),
+     [this] {
+       PlaceOne();
+       ScheduleArrival();
+     });
+}
+
+void entry_fleet_model::PlaceOne() {
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const auto session = static_cast<std::uint64_t>(
+      parameters_.session_count *
+      std::pow(uniform(random_), parameters_.session_skew));
+  // A third of the sessions have long prompts and long answers.
+  const bool is_long = session % 3 == 0;
+  const std::uint64_t tokens = is_long ? 10'000 : 1'500;
+  request_demand demand;
+  demand.parts = {{1, token_count(500)},
+                  {1'000 + session, token_count(tokens)},
+                  {1'000'000 + next_request_++, token_count(300)}};
+  demand.prompt = token_count(tokens + 800);
+
+  pool_table& entry = *entries_[random_() % entries_.size()];
+  endpoint_pool& pool = *entry.Pool(PoolId());
+  const auto choice = pool.Choose(demand, {}, now_);
+  pool.NoteDemand(demand);
+  const endpoint_id id = choice->endpoint->record().id;
+  choice->endpoint->NoteSent(now_);
+  engine_model& engine =
+      engines_[static_cast<std::size_t>(std::stoi(id.value().substr(1)))];
+  ++counts_.arrivals;
+  if (IsAboveBound(engine)) ++counts_.above_bound;
+
+  engine_model::job job;
+  job.prefix = session;
+  job.prefix_tokens = tokens;
+  job.answer_time = is_long ? milliseconds(1'600) : milliseconds(300);
+  job.on_first_token = [this, &pool, id, demand](const load_report& report) {
+    endpoint_belief& endpoint = *pool.Find(id);
+    endpoint.NoteLoad(report, now_);
+    endpoint.prefixes().Note(demand.parts);
+  };
+  job.on_end = [&pool, id] { pool.Find(id)->NoteEnded(); };
+  engine.Submit(std::move(job), now_);
+}
+
+bool entry_fleet_model::IsAboveBound(const engine_model& engine) const {
+  double total = 0;
+  for (const engine_model& each : engines_) total += each.load();
+  const double mean = total / static_cast<double>(engines_.size());
+  return engine.load() > kBoundFactor * mean + kBoundAllowance;
+}
+
+void entry_fleet_model::Exchange() {
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    board_.Note(entries_[i]->TakeLoads(now_), load_board::source::kEntry, now_);
+  }
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    const auto loads = board_.Collect(cursors_[i], false, now_);
+    // They arrive after the time that an answer is held.
+    At(now_ + parameters_.exchange_interval, [this, i, loads, then = now_] {
+      std::vector<endpoint_load> aged = loads;
+      for (endpoint_load& each : aged) {
+        each.age += std::chrono::duration_cast<milliseconds>(now_ - then);
+      }
+      entries_[i]->NoteLoads(aged, now_);
+    });
+  }
+  board_.Expire(now_);
+  At(now_ + parameters_.exchange_interval, [this] { Exchange(); });
+}
+
+std::uint64_t entry_fleet_model::computed_tokens() const {
+  std::uint64_t total = 0;
+  for (const engine_model& engine : engines_) total += engine.computed_tokens();
+  return total;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/tests/placement/entry_fleet_model.h
@@ -0,0 +1,73 @@
+#ifndef MARJORAMSILL_TESTS_PLACEMENT_ENTRY_FLEET_MODEL_H_
+#define MARJORAMSILL_TESTS_PLACEMENT_ENTRY_FLEET_MODEL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "engine_model.h"
+#include "process/directory/load_board.h"
+#include "process/entry/pool_table.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+/// Entry VMs that place the requests of one pool in virtual time, each with
+/// the product's own pool_table, and that exchange load reports through a
+/// load_board as a control process does.
+class entry_fleet_model {
+ public:
+  struct parameters {
+    int entry_count = 0;
+    int engine_count = 0;
+    std::uint32_t slots = 16;
+    double requests_per_s = 0;
+    int session_count = 0;
+    /// 1: all sessions return equally often; the greater, the more often those
+    /// with low numbers do.
+    double session_skew = 1;
+    /// Time between two exchanges of load reports; none without it.
+    std::chrono::milliseconds exchange_interval{0};
+    std::uint32_t seed = 1;
+  };
+  /// What one span of the play saw.
+  struct span_counts {
+    int arrivals = 0;
+    /// Requests that reached an engine above the load bound.
+    int above_bound = 0;
+  };
+
+  explicit entry_fleet_model(const parameters& chosen);
+
+  /// Plays the next span of requests.
+  span_counts Play(std::chrono::milliseconds span);
+  std::uint64_t computed_tokens() const;
+
+ private:
+  void At(steady_time when, std::function<void()> action);
+  void RunUntil(steady_time end);
+  void ScheduleArrival();
+  void PlaceOne();
+  void Exchange();
+  bool IsAboveBound(const engine_model& engine) const;
+
+  const parameters parameters_;
+  std::mt19937 random_;
+  steady_time now_{std::chrono::seconds(1'000)};
+  std::multimap<steady_time, std::function<void()>> events_;
+  std::deque<engine_model> engines_;
+  std::vector<std::unique_ptr<pool_table>> entries_;
+  load_board board_;
+  std::vector<endpoint_digest> cursors_;
+  span_counts counts_;
+  std::uint64_t next_request_ = 1;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_TESTS_PLACEMENT_ENTRY_FLEET_MODEL_H_
