placement: choose between two homes of a prefix by the room each has left

Cause: all entry VMs sent a prefix to one endpoint until its reported load passed the bound, left it together, chose among all others by load, and came back together when the next report showed it empty. So engines were empty and buried by turns, and the prefix was computed on many of them.

More prefixes are copied, which is priced.

--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <utility>
 
 namespace marjoramsill {
@@ -12,6 +14,11 @@
 constexpr double kDurationGain = 0.05;
 /// Assumed until the first call has ended.
 constexpr double kInitialDurationMs = 100;
+/// A home above the bound still gets a few requests, which bring its reports.
+constexpr double kMinRoom = 0.01;
+/// A double holds this many random bits.
+constexpr int kDoubleBits = 53;
+constexpr int kDoubleShift = 64 - kDoubleBits;
 
 std::uint64_t HomeScore(const endpoint_record& record, std::uint64_t session) {
   const std::string& id = record.id.value();
@@ -74,25 +81,28 @@
   return found;
 }
 
-void endpoint_pool::DropOverloaded(std::vector<candidate>& candidates) const {
+double endpoint_pool::MeanLoad(const std::vector<candidate>& candidates) {
   double total = 0;
   for (const candidate& each : candidates) total += each.load;
-  const double mean = total / static_cast<double>(candidates.size());
+  return total / static_cast<double>(candidates.size());
+}
+
+void endpoint_pool::DropOverloaded(std::vector<candidate>& candidates,
+                                   double mean) const {
   const double most = settings_.load_cap * mean + settings_.load_allowance;
   std::erase_if(candidates,
                 [most](const candidate& each) { return each.load > most; });
 }
 
-const endpoint_belief* endpoint_pool::Home(
-    std::uint64_t chain, bool also_leaving,
-    const endpoint_belief* except) const {
+const endpoint_belief* endpoint_pool::FirstKeeper(
+    std::uint64_t chain, const endpoint_belief& except) const {
   const endpoint_belief* best = nullptr;
   std::uint64_t best_score = 0;
   for (const auto& [id, endpoint] : endpoints_) {
     const bool is_leaving =
         endpoint->record().phase == endpoint_phase::kLeaving;
-    if (!endpoint->IsServing() && !(also_leaving && is_leaving)) continue;
-    if (endpoint.get() == except) continue;
+    if (!endpoint->IsServing() && !is_leaving) continue;
+    if (endpoint.get() == &except) continue;
     const std::uint64_t score = HomeScore(endpoint->record(), chain);
     if (best == nullptr || score > best_score) {
       best = endpoint.get();
@@ -102,6 +112,36 @@
   return best;
 }
 
+/// Load reports lag, so that all entry VMs would leave a loaded first choice at
+/// once and come back at once. A random choice between two, by the room that
+/// each has left, keeps both loads steady and the prefix on two endpoints.
+const endpoint_belief* endpoint_pool::PickHome(
+    std::uint64_t chain, const std::vector<candidate>& candidates,
+    double mean) const {
+  std::array<std::pair<std::uint64_t, const candidate*>, 2> best{};
+  for (const candidate& each : candidates) {
+    const std::uint64_t score = HomeScore(each.endpoint->record(), chain);
+    const std::pair<std::uint64_t, const candidate*> scored(score, &each);
+    if (scored > best[0]) {
+      best[1] = std::exchange(best[0], scored);
+    } else if (scored > best[1]) {
+      best[1] = scored;
+    }
+  }
+  const auto [first, second] = std::pair(best[0].second, best[1].second);
+  if (first == nullptr) return nullptr;
+  const bool is_idle = mean < 1;
+  if (second == nullptr || is_idle) return first->endpoint;
+  const double bound =
+      settings_.home_load_cap * mean + settings_.load_allowance;
+  const double first_room = std::max(kMinRoom, bound - first->load);
+  const double second_room = std::max(kMinRoom, bound - second->load);
+  const double drawn = static_cast<double>(random_() >> kDoubleShift) *
+                       std::ldexp(1, -kDoubleBits);
+  const bool takes_first = drawn * (first_room + second_room) < first_room;
+  return takes_first ? first->endpoint : second->endpoint;
+}
+
 /// An endpoint that was seen to have the prefix, or else the first choice
 /// among the others: it has the prefix if the chosen one is new, or if the
 /// first choice was passed over.
@@ -113,7 +153,7 @@
   if (chosen.prefixes().CachedTokens(demand.parts) >= shared.tokens) {
     return nullptr;
   }
-  const endpoint_belief* keeper = Home(shared.chain, true, &chosen);
+  const endpoint_belief* keeper = FirstKeeper(shared.chain, chosen);
   for (const auto& [id, endpoint] : endpoints_) {
     if (endpoint.get() == &chosen) continue;
     if (endpoint->record().phase == endpoint_phase::kGone) continue;
@@ -126,7 +166,8 @@
 }
 
 endpoint_pool::shared_prefix endpoint_pool::FindShared(
-    const request_demand& demand) const {
+    const request_demand& demand, const std::vector<candidate>& candidates,
+    double mean) const {
   shared_prefix shared;
   if (demand.parts.empty()) return shared;
   const std::size_t parts = sessions_.SharedParts(demand.parts);
@@ -136,7 +177,7 @@
   }
   shared.tokens = token_count(tokens);
   shared.chain = ChainOf(demand.parts, parts);
-  shared.home = Home(shared.chain, false, nullptr);
+  shared.home = PickHome(shared.chain, candidates, mean);
   return shared;
 }
 
@@ -184,8 +225,9 @@
   if (candidates.empty()) candidates = Candidates(tried, true, now);
   if (candidates.empty()) return std::nullopt;
   const std::size_t found = candidates.size();
-  DropOverloaded(candidates);
-  const shared_prefix shared = FindShared(demand);
+  const double mean = MeanLoad(candidates);
+  DropOverloaded(candidates, mean);
+  const shared_prefix shared = FindShared(demand, candidates, mean);
   std::optional<placement_choice> best;
   // Starting anywhere makes equal costs take turns.
   const std::size_t start = random_() % candidates.size();
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -64,7 +64,9 @@
   };
   std::vector<candidate> Candidates(const std::vector<endpoint_id>& tried,
                                     bool also_avoided, steady_time now);
-  void DropOverloaded(std::vector<candidate>& candidates) const;
+  /// Of at least one candidate.
+  static double MeanLoad(const std::vector<candidate>& candidates);
+  void DropOverloaded(std::vector<candidate>& candidates, double mean) const;
   /// What a request shares with others, and where it is expected.
   struct shared_prefix {
     std::uint64_t chain = 0;
@@ -73,10 +75,17 @@
   };
   placement_choice Rate(const candidate& each, const request_demand& demand,
                         const shared_prefix& shared) const;
-  shared_prefix FindShared(const request_demand& demand) const;
-  /// First choice for a prefix. `leaving` ones still keep theirs.
-  const endpoint_belief* Home(std::uint64_t chain, bool also_leaving,
-                              const endpoint_belief* except) const;
+  shared_prefix FindShared(const request_demand& demand,
+                           const std::vector<candidate>& candidates,
+                           double mean) const;
+  /// One of the two endpoints that all entry VMs prefer for a prefix.
+  const endpoint_belief* PickHome(std::uint64_t chain,
+                                  const std::vector<candidate>& candidates,
+                                  double mean) const;
+  /// Preferred endpoint for a prefix, one that leaves included: it still keeps
+  /// the prefix.
+  const endpoint_belief* FirstKeeper(std::uint64_t chain,
+                                     const endpoint_belief& except) const;
   /// Endpoint whose memory the chosen one can copy the prefix from.
   const endpoint_belief* FindKeeper(const request_demand& demand,
                                     const shared_prefix& shared,
--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -30,6 +30,9 @@
   /// plus `load_allowance` requests.
   double load_cap = 1.5;
   double load_allowance = 1.5;
+  /// Load at which a prefix's requests go to its other home, as a multiple of
+  /// the mean load, plus `load_allowance`.
+  double home_load_cap = 2;
 };
 
 }  // namespace marjoramsill
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <random>
 #include <string>
 
 namespace marjoramsill {
@@ -45,11 +46,7 @@
   static endpoint_pool Pool(int endpoints, const std::string& domain = "d0") {
     placement_settings settings;
     settings.domain = failure_domain_id(domain);
-    std::uint64_t seed = 1;
-    endpoint_pool pool(settings, [seed]() mutable {
-      seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
-      return seed >> 33U;
-    });
+    endpoint_pool pool(settings, std::mt19937_64(1));
     pool.SetCacheCapacity(token_count(1'000'000));
     for (int i = 0; i < endpoints; ++i) pool.Apply(Record(i));
     return pool;
--- a/tests/placement/entry_fleet_model.h
+++ b/tests/placement/entry_fleet_model.h
@@ -57,7 +57,7 @@
   bool IsAboveBound(const engine_model& engine) const;
 
   const parameters parameters_;
-  std::mt19937 random_;
+  std::mt19937_64 random_;
   steady_time now_{std::chrono::seconds(1'000)};
   std::multimap<steady_time, std::function<void()>> events_;
   std::deque<engine_model> engines_;
