entry: ask a control process that has announced the document

Ruled out: the relay among receivers, which took 0.3 to 0.8 s.

Each entry VM still prefers one member, so that the members share the work, but gives it 150 ms to announce the version; then it asks one that has announced it, and another after each failure.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -195,8 +195,7 @@
       endpoints_->OnRecords(records, SteadyNow());
     };
     // Documents come through the replicated group.
-    hooks.on_newer_document = [](const vm_id& /*vm*/,
-                                 document_version /*version*/) {};
+    hooks.on_newer_document = [](document_version /*version*/) {};
     hooks.on_loads = [this](const std::vector<endpoint_load>& loads) {
       hub_.NoteLoads(loads, SteadyNow());
     };
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -5,6 +5,7 @@
 
 #include "process/daemon/event_log.h"
 #include "process/directory/control_watcher.h"
+#include "process/directory/document_holder.h"
 
 namespace marjoramsill {
 namespace {
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -10,6 +10,7 @@
 #include "connection/socket_address.h"
 #include "connection/vm_message.h"
 #include "process/daemon/peer_kinds.h"
+#include "process/directory/document_holder.h"
 #include "process/directory/watch_codec.h"
 
 namespace marjoramsill {
@@ -145,6 +146,7 @@
   member.last_contact = now;
   member.epoch = reply.epoch;
   member.seen_change = reply.last_change;
+  member.document = reply.document;
   has_had_contact_ = true;
   if (!std::exchange(member.is_reachable, true)) hooks_.on_contact(vm, true);
   if (reply.entry_count > 0) entry_count_ = reply.entry_count;
@@ -157,7 +159,7 @@
   if (!reply.records.empty()) hooks_.on_records(reply.records);
   if (!reply.loads.empty()) hooks_.on_loads(reply.loads);
   if (reply.document > hooks_.document()) {
-    hooks_.on_newer_document(vm, reply.document);
+    hooks_.on_newer_document(reply.document);
   }
   // The next request tells the member at once what has been applied.
   Watch(vm, states_.find(vm)->second);
@@ -174,11 +176,13 @@
       hooks_.clock() + std::min(kFirstRetry * (1U << doublings), kLongestRetry);
 }
 
-std::vector<vm_id> control_watcher::Reachable(steady_time now) const {
-  std::vector<vm_id> found;
+std::vector<reachable_member> control_watcher::Reachable(
+    steady_time now) const {
+  std::vector<reachable_member> found;
   for (const auto& [vm, member] : states_) {
     const bool is_recent = now - member.last_contact <= kContactLifetime;
-    if (member.is_reachable && is_recent) found.push_back(vm);
+    if (member.is_reachable && is_recent)
+      found.push_back({vm, member.document});
   }
   return found;
 }
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -19,6 +19,7 @@
 namespace marjoramsill {
 
 class peer_transport;
+struct reachable_member;
 
 /// Keeps one watch request open at every control member, so that a change
 /// reaches this process as long as one path to a member that knows it works.
@@ -28,7 +29,7 @@
   struct hooks {
     std::function<void(const std::vector<endpoint_record>&)> on_records;
     /// A member has a document that is newer than `document` says.
-    std::function<void(const vm_id&, document_version)> on_newer_document;
+    std::function<void(document_version)> on_newer_document;
     /// A member was lost or regained.
     std::function<void(const vm_id&, bool reachable)> on_contact;
     /// Load reports that other entry VMs passed on.
@@ -54,8 +55,9 @@
            std::chrono::milliseconds timeout,
            std::function<void(std::optional<std::string>)> done);
 
-  /// Members, this one not included, that answered lately.
-  std::vector<vm_id> Reachable(steady_time now) const;
+  /// Members, this one not included, that answered lately, with the documents
+  /// that they announced.
+  std::vector<reachable_member> Reachable(steady_time now) const;
   bool HasHadContact() const { return has_had_contact_; }
   std::uint32_t entry_count() const { return entry_count_; }
   const std::vector<vm_id>& members() const { return members_; }
@@ -64,6 +66,7 @@
   struct member_state {
     std::uint64_t epoch = 0;
     std::uint64_t seen_change = 0;
+    document_version document;
     bool is_asked = false;
     bool is_reachable = false;
     steady_time next_try;
--- a/source/process/entry/document_fetcher.cc
+++ b/source/process/entry/document_fetcher.cc
@@ -9,6 +9,7 @@
 #include "process/controller/document_request.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/directory/control_watcher.h"
+#include "process/directory/document_holder.h"
 
 namespace marjoramsill {
 namespace {
@@ -35,23 +36,24 @@
       log_(std::move(log)),
       clock_(std::move(clock)) {}
 
-void document_fetcher::Start(const vm_id& member, document_version version) {
+void document_fetcher::Start(document_version version) {
   if (version <= wanted_) return;
   wanted_ = version;
-  member_ = member;
+  wanted_since_ = clock_();
   failures_ = 0;
-  if (!is_asking_) Ask(FirstMember(member));
+  if (!is_asking_) AskHolder();
 }
 
-vm_id document_fetcher::FirstMember(const vm_id& announcer) const {
-  const std::vector<vm_id> reachable = members_.Reachable(clock_());
-  if (reachable.empty()) return announcer;
-  return reachable[std::hash<vm_id>()(self_) % reachable.size()];
+void document_fetcher::AskHolder() {
+  const steady_time now = clock_();
+  const auto holder = ChooseHolder(self_, wanted_, members_.Reachable(now),
+                                   now - wanted_since_, failures_);
+  if (holder) Ask(*holder);
 }
 
 void document_fetcher::Tick(steady_time now) {
   if (wanted_.value() == 0 || is_asking_ || now < next_try_) return;
-  Ask(member_);
+  AskHolder();
 }
 
 void document_fetcher::Ask(const vm_id& vm) {
@@ -73,8 +75,10 @@
     on_arrival_(*offer->document);
     if (offer->document->version >= wanted_) {
       wanted_ = {};
-      return;
+    } else {
+      AskHolder();
     }
+    return;
   }
   if (offer && !offer->source.empty()) {
     log_(asked, wanted_, "source");
--- a/source/process/entry/document_fetcher.h
+++ b/source/process/entry/document_fetcher.h
@@ -27,17 +27,16 @@
                    failure_domain_id domain, arrival_hook on_arrival,
                    log_hook log, std::function<steady_time()> clock);
 
-  /// `member` has the document of that version.
-  void Start(const vm_id& member, document_version version);
+  /// Some member has announced the version.
+  void Start(document_version version);
   /// Asks again where that is due. Call several times a second.
   void Tick(steady_time now);
   /// Version that is being fetched; 0 if none is.
   document_version wanted() const { return wanted_; }
 
  private:
-  /// The member that this process asks first, so that all members share the
-  /// work; `announcer` if it is the only one that is known.
-  vm_id FirstMember(const vm_id& announcer) const;
+  /// Asks a member for the version wanted, if one is known to have it.
+  void AskHolder();
   void Ask(const vm_id& vm);
   void OnAnswer(const vm_id& asked, const std::optional<std::string>& answer);
   void RetryLater();
@@ -49,7 +48,7 @@
   const log_hook log_;
   const std::function<steady_time()> clock_;
   document_version wanted_;
-  vm_id member_;
+  steady_time wanted_since_;
   bool is_asking_ = false;
   int failures_ = 0;
   steady_time next_try_;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -209,9 +209,8 @@
       pools_.NoteLoads(loads, SteadyNow());
     };
     hooks.take_loads = [this] { return pools_.TakeLoads(SteadyNow()); };
-    hooks.on_newer_document = [this](const vm_id& vm,
-                                     document_version version) {
-      fetcher_.Start(vm, version);
+    hooks.on_newer_document = [this](document_version version) {
+      fetcher_.Start(version);
     };
     hooks.on_contact = [this](const vm_id& vm, bool reachable) {
       log_.Write("control_contact", log_fields()
