connection: log why bytes that are no request close a connection

On the control address such a connection ended without a trace. The server's hook on_unreadable gets RESTinio's report of a parser error; resets and timeouts are not passed on, as callers that leave are normal. The test failed before (no report) and passes now.

--- a/source/connection/http_server.cc
+++ b/source/connection/http_server.cc
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <mutex>
 #include <restinio/all.hpp>
+#include <string>
+#include <string_view>
 #include <system_error>
 #include <unordered_map>
 #include <utility>
@@ -157,10 +159,46 @@
   std::unordered_map<restinio::connection_id_t, responder_list> responders_;
 };
 
+/// Passes on what RESTinio reports when it closes a connection after an error
+/// of the HTTP parser. Its other reports (resets, timeouts) are not passed on:
+/// callers that leave are part of normal operation.
+class parser_error_logger {
+ public:
+  using hook = std::function<void(std::string_view)>;
+
+  explicit parser_error_logger(hook on_error)
+      : on_error_(std::move(on_error)) {}
+
+  // Called by RESTinio; the names are fixed by its interface.
+  // NOLINTBEGIN(readability-identifier-naming)
+  template <class Builder>
+  void trace(Builder&& /*message*/) const noexcept {}
+  template <class Builder>
+  void info(Builder&& /*message*/) const noexcept {}
+  template <class Builder>
+  void warn(Builder&& message) const {
+    Pass(message());
+  }
+  template <class Builder>
+  void error(Builder&& message) const {
+    Pass(message());
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+ private:
+  void Pass(const std::string& message) const {
+    const bool is_parser_error = message.find("parser") != std::string::npos;
+    if (on_error_ && is_parser_error) on_error_(message);
+  }
+
+  const hook on_error_;
+};
+
 struct server_traits : restinio::default_traits_t {
   // NOLINTNEXTLINE(readability-identifier-naming): fixed by RESTinio.
   static constexpr bool use_connection_count_limiter = true;
   using connection_state_listener_t = disconnect_listener;
+  using logger_t = parser_error_logger;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       const restinio::request_handle_t&)>;
 };
@@ -221,6 +259,7 @@
         .write_http_response_timelimit(settings_.write_timeout)
         .handle_request_timeout(settings_.handle_timeout)
         .connection_state_listener(listener_)
+        .logger(settings_.on_unreadable)
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}
                 .max_url_size(settings_.max_target_bytes)
--- a/source/connection/http_server_settings.h
+++ b/source/connection/http_server_settings.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <string_view>
 
 #include "connection/socket_address.h"
 
@@ -28,6 +30,9 @@
   /// Hard bound at which the connection is closed. The classifier answers
   /// bodies between its own bound and this one with a problem.
   std::uint64_t max_body_bytes = 16ULL * 1024 * 1024;
+  /// Told of a connection that is closed because its bytes are no acceptable
+  /// request. Runs on any thread of the I/O context.
+  std::function<void(std::string_view reason)> on_unreadable;
 };
 
 }  // namespace marjoramsill
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -124,6 +124,10 @@
     endpoints_.emplace(dialect_, hub_, directory_, watcher_, address);
     http_server_settings http;
     http.listen = *settings_.control;
+    http.on_unreadable = [](std::string_view reason) {
+      LogEvent(log_level::kWarning, "unreadable_request",
+               {{"reason", std::string(reason)}});
+    };
     server_.emplace(io_, http,
                     [this](const caller_request& request,
                            const std::shared_ptr<http_responder>& responder) {
--- a/tests/daemon/http_server_test.cc
+++ b/tests/daemon/http_server_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(caller_disconnect_is_reported_once);
   CPPUNIT_TEST(request_beyond_bounds_closes_the_connection);
   CPPUNIT_TEST(request_with_ambiguous_length_is_refused);
+  CPPUNIT_TEST(bytes_that_are_no_request_are_reported);
   CPPUNIT_TEST(request_sent_slowly_is_closed_by_the_read_timeout);
   CPPUNIT_TEST(requests_pipelined_are_answered_in_order);
   CPPUNIT_TEST(caller_half_closed_gets_whole_answer_or_none);
@@ -82,6 +83,21 @@
  public:
   void setUp() override { handled_ = 0; }
 
+  // Guards against connections that are closed without a trace of the reason.
+  void bytes_that_are_no_request_are_reported() {
+    std::promise<std::string> reported;
+    http_server_settings settings = Settings();
+    settings.on_unreadable = [&reported](std::string_view reason) {
+      reported.set_value(std::string(reason));
+    };
+    test_server server(settings, Answering());
+    CPPUNIT_ASSERT(server.listens());
+    ClosesWithoutHandling("garbage", "\x01\x02 no request\r\n\r\n");
+    auto reason = reported.get_future();
+    CPPUNIT_ASSERT(reason.wait_for(5s) == std::future_status::ready);
+    CPPUNIT_ASSERT(reason.get().find("parser") != std::string::npos);
+  }
+
   // Guards against an engine that works on for a caller that has gone.
   void caller_disconnect_is_reported_once() {
     std::atomic<int> disconnects{0};
