commands: check, get, diff and submit whole documents; status of a controller

The description of a replicated group, which both kinds of process need, is now in one place (group_status_json). No history of documents is kept: the group holds the newest one.

--- a/source/commands/command.h
+++ b/source/commands/command.h
@@ -26,11 +26,17 @@
 
 command ServeCommand();
 command SettingsCheckCommand();
+/// Checks the settings of an entry process or a control process; prints one
+/// line.
+exit_code CheckNodeSettings(const std::string& file,
+                            const std::string& process);
 std::vector<command> PolicyCommands();
 command StatusCommand();
 command ReportBurnCommand();
 command LoadCommand();
 command VersionCommand();
+/// The whole routing document of such a fleet.
+std::vector<command> DocumentCommands(const control_dialect& dialect);
 /// The processes of a fleet that finds its members by itself.
 std::vector<command> FleetCommands(const request_dialect& requests,
                                    const control_dialect& control);
@@ -39,7 +45,7 @@
 void AddControlOption(boost::program_options::options_description& options);
 
 /// Runs the command that the arguments name; prints help and usage errors.
-/// `fleet`: the commands of FleetCommands().
+/// `fleet`: the commands of FleetCommands() and DocumentCommands().
 int RunCommandLine(int argc, char** argv, const std::vector<command>& fleet);
 
 }  // namespace marjoramsill
--- a/source/commands/fleet_commands.cc
+++ b/source/commands/fleet_commands.cc
@@ -87,6 +87,17 @@
 
 }  // namespace
 
+exit_code CheckNodeSettings(const std::string& file,
+                            const std::string& process) {
+  const node_role role =
+      process == "entry" ? node_role::kEntry : node_role::kControl;
+  exit_code code = exit_code::kSuccess;
+  const auto settings = LoadNodeSettings(file, role, code);
+  if (!settings) return code;
+  std::cout << "settings of VM " << settings->vm.value() << " ok\n";
+  return exit_code::kSuccess;
+}
+
 std::vector<command> FleetCommands(const request_dialect& requests,
                                    const control_dialect& control) {
   command entry;
--- a/source/commands/serve_command.cc
+++ b/source/commands/serve_command.cc
@@ -14,6 +14,8 @@
 
 namespace options = boost::program_options;
 
+constexpr const char* kServe = "serve";
+
 /// Reads a settings file; prints one line and sets `code` on failure.
 std::optional<settings> LoadSettings(const std::string& path, exit_code& code) {
   const auto text = ReadFileText(path);
@@ -56,11 +58,21 @@
 
 exit_code CheckSettings(const options::variables_map& values) {
   exit_code code = exit_code::kSuccess;
+  const auto process = values["process"].as<std::string>();
+  if (process != kServe) {
+    return CheckNodeSettings(values["FILE"].as<std::string>(), process);
+  }
   const auto loaded = LoadSettings(values["FILE"].as<std::string>(), code);
   if (loaded) std::cout << "settings of VM " << loaded->vm.value() << " ok\n";
   return code;
 }
 
+void CheckProcessName(const std::string& name) {
+  if (name == kServe || name == "entry" || name == "controller") return;
+  throw options::error("--process: found \"" + name +
+                       "\", allowed are serve, entry and controller");
+}
+
 }  // namespace
 
 command ServeCommand() {
@@ -80,6 +92,14 @@
   check.name = "settings check";
   check.summary = "Check a settings file without starting";
   check.arguments = {"FILE"};
+  check.options = [](options::options_description& described) {
+    described.add_options()(
+        "process",
+        options::value<std::string>()->default_value(kServe)->notifier(
+            CheckProcessName),
+        "process that is to read it: serve, entry or "
+        "controller");
+  };
   check.run = CheckSettings;
   return check;
 }
--- a/source/commands/status_command.cc
+++ b/source/commands/status_command.cc
@@ -13,17 +13,22 @@
 void PrintEndpoint(const json& endpoint) {
   std::cout << "  " << endpoint.value("id", "") << " "
             << endpoint.value("failure_domain", "") << " "
-            << endpoint.value("state", "") << " running "
-            << endpoint["load"].value("running", 0) << " waiting "
-            << endpoint["load"].value("waiting", 0) << " of "
-            << endpoint.value("capacity", 0) << "\n";
+            << endpoint.value("state", "");
+  // Control processes do not see the load of endpoints.
+  if (endpoint.contains("load")) {
+    std::cout << " running " << endpoint["load"].value("running", 0)
+              << " waiting " << endpoint["load"].value("waiting", 0) << " of";
+  } else {
+    std::cout << " places";
+  }
+  std::cout << " " << endpoint.value("capacity", 0) << "\n";
 }
 
 void PrintStatus(const json& status) {
   std::cout << "VM " << status.value("vm", "") << " in "
             << status.value("failure_domain", "") << ", "
             << (status.value("ready", false) ? "ready" : "not ready")
-            << "\nPolicy version in force " << status.value("version", 0)
+            << "\nDocument version in force " << status.value("version", 0)
             << "\n";
   for (const json& group : status["groups"]) {
     std::cout << "Group " << group.value("name", "") << ": "
@@ -40,6 +45,9 @@
               << (vm.value("reachable", false) ? "reachable" : "not reachable")
               << "\n";
   }
+  if (status.contains("entry_vms")) {
+    std::cout << "Entry VMs " << status.value("entry_vms", 0) << "\n";
+  }
   for (const auto& [pool, endpoints] : status["pools"].items()) {
     std::cout << "Pool " << pool << "\n";
     for (const json& endpoint : endpoints) PrintEndpoint(endpoint);
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -14,6 +14,7 @@
 #include "connection/http_server_settings.h"
 #include "connection/peer_transport.h"
 #include "process/controller/controller_metrics.h"
+#include "process/controller/controller_status.h"
 #include "process/controller/document_service.h"
 #include "process/controller/document_store.h"
 #include "process/controller/endpoint_service.h"
@@ -24,6 +25,7 @@
 #include "process/daemon/peer_kinds.h"
 #include "process/daemon/steady_clock.h"
 #include "process/directory/control_watcher.h"
+#include "process/directory/document_holder.h"
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/watch_codec.h"
 #include "process/entry/decision_log.h"
@@ -40,6 +42,9 @@
 /// Three intervals: one late or lost heartbeat changes nothing.
 constexpr int kSilentIntervals = 3;
 
+/// For operators; the command `status` reads it.
+constexpr std::string_view kStatusPath = "/v1/status";
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
@@ -224,6 +229,21 @@
     return members;
   }
 
+  controller_status Status() const {
+    controller_status status;
+    status.vm = settings_.vm;
+    status.domain = settings_.failure_domain;
+    status.document = held_version_;
+    status.group = store_->Status();
+    const steady_time now = SteadyNow();
+    for (const reachable_member& member : watcher_.Reachable(now)) {
+      status.reachable.push_back(member.vm);
+    }
+    status.entry_count = hub_.EntryCount(now);
+    status.endpoints = directory_.ChangesAfter(0);
+    return status;
+  }
+
   void ScheduleTick() {
     timer_.expires_after(kTick);
     timer_.async_wait([this](std::error_code error) {
@@ -307,7 +327,9 @@
     const auto answer = [responder](int status, std::string body) {
       RespondJson(responder, status, std::move(body));
     };
-    if (request.path == dialect_.document_path) {
+    if (request.path == kStatusPath) {
+      RespondJson(responder, kStatusOk, StatusJson(Status()));
+    } else if (request.path == dialect_.document_path) {
       OnDocumentRequest(request, responder);
     } else if (request.path.starts_with(prefix)) {
       const endpoint_id id(request.path.substr(prefix.size()));
--- /dev/null
+++ b/source/process/daemon/group_status_json.h
@@ -0,0 +1,17 @@
+#ifndef MARJORAMSILL_PROCESS_DAEMON_GROUP_STATUS_JSON_H_
+#define MARJORAMSILL_PROCESS_DAEMON_GROUP_STATUS_JSON_H_
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace marjoramsill {
+
+struct group_status;
+
+/// A replicated group as the command `status` reads it.
+nlohmann::ordered_json GroupStatusJson(const std::string& name,
+                                       const group_status& status);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DAEMON_GROUP_STATUS_JSON_H_
--- a/source/process/daemon/operator_api.cc
+++ b/source/process/daemon/operator_api.cc
@@ -13,6 +13,7 @@
 #include "process/daemon/control_plane.h"
 #include "process/daemon/control_service.h"
 #include "process/daemon/fleet_membership.h"
+#include "process/daemon/group_status_json.h"
 #include "process/daemon/leader_client.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/daemon/policy_distribution.h"
@@ -74,26 +75,8 @@
   return 503;
 }
 
-std::string_view RoleText(raft_role role) {
-  return role == raft_role::kLeader     ? "leader"
-         : role == raft_role::kFollower ? "follower"
-                                        : "candidate";
-}
-
-json GroupJson(std::size_t number, const group_status& status) {
-  json group;
-  group["name"] = number == 0 ? "control" : "claims-" + std::to_string(number);
-  group["role"] = RoleText(status.role);
-  group["term"] = status.term.value();
-  group["applied"] = status.applied.value();
-  if (status.leader) group["leader"] = status.leader->vm.value();
-  group["members"] = json::array();
-  for (const group_member& member : status.members) {
-    group["members"].push_back({{"vm", member.id.vm.value()},
-                                {"failure_domain", member.domain.value()},
-                                {"voter", member.voter}});
-  }
-  return group;
+std::string GroupName(std::size_t number) {
+  return number == 0 ? "control" : "claims-" + std::to_string(number);
 }
 
 json EndpointJson(const endpoint_status& status) {
@@ -210,7 +193,7 @@
   if (sources_.control != nullptr) {
     const std::vector<group_status> groups = sources_.control->Status();
     for (std::size_t i = 0; i < groups.size(); ++i) {
-      status["groups"].push_back(GroupJson(i, groups[i]));
+      status["groups"].push_back(GroupStatusJson(GroupName(i), groups[i]));
     }
   }
   status["vms"] = json::array();
