entry: keep log lines of failed requests during a flood of refusals

Requests that were served or turned away without reaching an endpoint now get at most 90 of these lines.

--- a/source/process/entry/decision_log.cc
+++ b/source/process/entry/decision_log.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <utility>
 
 namespace marjoramsill {
 namespace {
@@ -30,7 +31,10 @@
 
 }  // namespace
 
-decision_log::decision_log() : thread_([this] { Run(); }) {}
+decision_log::decision_log() : decision_log({WriteAll, WallMillis}) {}
+
+decision_log::decision_log(hooks with)
+    : hooks_(std::move(with)), thread_([this] { Run(); }) {}
 
 decision_log::~decision_log() {
   {
@@ -41,21 +45,27 @@
   thread_.join();
 }
 
-bool decision_log::AllowsLine(std::uint64_t now_ms) {
+bool decision_log::AllowsLine(line_class kind, std::uint64_t now_ms) {
   const std::uint64_t second = now_ms / kMillisPerSecond;
   if (second != second_) {
     second_ = second;
     lines_in_second_ = 0;
+    frequent_in_second_ = 0;
   }
   if (lines_in_second_ >= kMaxLinesPerSecond) return false;
+  if (kind == line_class::kFrequent) {
+    if (frequent_in_second_ >= kMaxFrequentLinesPerSecond) return false;
+    ++frequent_in_second_;
+  }
   ++lines_in_second_;
   return buffer_.size() < kMaxBufferedBytes;
 }
 
-void decision_log::Write(std::string_view event, std::string_view fields) {
-  const std::uint64_t now_ms = WallMillis();
+void decision_log::Write(std::string_view event, std::string_view fields,
+                         line_class kind) {
+  const std::uint64_t now_ms = hooks_.wall_clock();
   const std::lock_guard lock(mutex_);
-  if (!AllowsLine(now_ms)) {
+  if (!AllowsLine(kind, now_ms)) {
     ++dropped_;
     return;
   }
@@ -89,7 +99,7 @@
     std::string text;
     text.swap(buffer_);
     lock.unlock();
-    WriteAll(text);
+    hooks_.output(text);
     lock.lock();
     if (stopping_ && buffer_.empty()) return;
   }
--- a/source/process/entry/decision_log.h
+++ b/source/process/entry/decision_log.h
@@ -3,34 +3,51 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
 
+#include "process/entry/line_class.h"
+
 namespace marjoramsill {
 
 /// Log lines on standard output, written by a thread of its own. A line never
-/// waits for the output: at most `kMaxLinesPerSecond` lines are taken, and
-/// lines beyond a bounded buffer are dropped and counted.
+/// waits for the output: at most `kMaxLinesPerSecond` lines are taken, of which
+/// `kMaxFrequentLinesPerSecond` may be frequent ones, and lines beyond a
+/// bounded buffer are dropped and counted.
 class decision_log {
  public:
+  struct hooks {
+    /// Writes lines out. Runs on the thread of the log.
+    std::function<void(const std::string&)> output;
+    /// Unix milliseconds.
+    std::function<std::uint64_t()> wall_clock;
+  };
+
+  static constexpr std::uint32_t kMaxLinesPerSecond = 180;
+  static constexpr std::uint32_t kMaxFrequentLinesPerSecond = 90;
+
+  /// Writes to standard output.
   decision_log();
+  explicit decision_log(hooks with);
   ~decision_log();
   decision_log(const decision_log&) = delete;
   decision_log& operator=(const decision_log&) = delete;
 
   /// Writes "time=... event=EVENT FIELDS". `fields` is key=value pairs.
-  void Write(std::string_view event, std::string_view fields);
+  void Write(std::string_view event, std::string_view fields,
+             line_class kind = line_class::kKept);
   std::uint64_t dropped() const;
 
  private:
   void Run();
-  bool AllowsLine(std::uint64_t now_ms);
+  bool AllowsLine(line_class kind, std::uint64_t now_ms);
 
-  static constexpr std::uint32_t kMaxLinesPerSecond = 180;
   static constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
 
+  const hooks hooks_;
   mutable std::mutex mutex_;
   std::condition_variable wake_;
   std::string buffer_;
@@ -38,6 +55,7 @@
   std::uint64_t reported_dropped_ = 0;
   std::uint64_t second_ = 0;
   std::uint32_t lines_in_second_ = 0;
+  std::uint32_t frequent_in_second_ = 0;
   bool stopping_ = false;
   std::thread thread_;
 };
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -226,23 +226,31 @@
   const bool is_ordinary =
       outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
   if (is_ordinary && environment_.random() % kLogSample != 0) return;
+  // A flood of requests that are turned away at once must not displace the
+  // lines of requests that reached an endpoint and failed.
+  const bool is_frequent = is_ordinary || sent_ == 0;
+  const line_class kind =
+      is_frequent ? line_class::kFrequent : line_class::kKept;
   for (const std::string_view step : steps_) {
     const std::size_t space = step.find(' ');
-    environment_.log->Write(step.substr(0, space), step.substr(space + 1));
+    environment_.log->Write(step.substr(0, space), step.substr(space + 1),
+                            kind);
   }
   const auto taken = environment_.clock() - arrived_;
   environment_.log->Write(
-      "ended", log_fields()
-                   .Add("request", request_id_)
-                   .Add("outcome", CallOutcomeText(outcome))
-                   .Add("reason", reason)
-                   .Add("route", route_ == nullptr ? "" : route_->name)
-                   .Add("rank", Rank())
-                   .Add("sent", sent_)
-                   .Add("took_ms", MillisOf(taken))
-                   .Add("gap_ms", MillisOf(longest_gap_))
-                   .Add("document", table_ ? table_->version().value() : 0)
-                   .text());
+      "ended",
+      log_fields()
+          .Add("request", request_id_)
+          .Add("outcome", CallOutcomeText(outcome))
+          .Add("reason", reason)
+          .Add("route", route_ == nullptr ? "" : route_->name)
+          .Add("rank", Rank())
+          .Add("sent", sent_)
+          .Add("took_ms", MillisOf(taken))
+          .Add("gap_ms", MillisOf(longest_gap_))
+          .Add("document", table_ ? table_->version().value() : 0)
+          .text(),
+      kind);
 }
 
 }  // namespace marjoramsill
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -12,6 +12,9 @@
 class run_ledger {
  public:
   void NoteRun(const std::string& request) { ++runs_[request]; }
+  bool HasRun(const std::string& request) const {
+    return runs_.contains(request);
+  }
   /// A request that may run once was refused as not run.
   void NoteRefused(const std::string& request) { refused_.insert(request); }
   /// A promise was broken.
