headers: one class a header in placement, claims, membership and requests

Settings and limits that stood beside their class get files of their own; each file includes what it uses. The load that entry VMs share is named shared_load: endpoint_load is a type of the serve fleet's announcements in the same namespace, and two definitions of one name are an error that no compiler reports.

All tests of the normal build but the process tests were run.

--- a/source/connection/http_server_settings.h
+++ b/source/connection/http_server_settings.h
@@ -32,7 +32,7 @@
   std::uint64_t max_body_bytes = 16ULL * 1024 * 1024;
   /// Told of a connection that is closed because its bytes are no acceptable
   /// request. Runs on any thread of the I/O context.
-  std::function<void(std::string_view reason)> on_unreadable;
+  std::function<void(std::string_view reason)> on_unreadable{};
 };
 
 }  // namespace marjoramsill
--- a/source/process/choice/load_table.h
+++ b/source/process/choice/load_table.h
@@ -6,33 +6,13 @@
 #include <cstdint>
 #include <vector>
 
+#include "process/choice/endpoint_condition.h"
+#include "process/choice/load_table_settings.h"
 #include "process/choice/placement.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
 
-struct load_table_settings {
-  /// Policy: highest load over the mean load, both relative to capacity.
-  double load_multiple = 1.25;
-  /// Margin for work of other VMs that no report shows yet, in standard
-  /// deviations of its expected change since the report.
-  double margin_deviations = 1.5;
-  /// Reports older than this widen the margin no further.
-  std::chrono::milliseconds oldest_report{3000};
-  /// Reports up to this age count in the mean. Loads of other failure domains
-  /// come tens of seconds late, and without them a failure domain that has
-  /// lost endpoints takes its own high load for the mean.
-  std::chrono::milliseconds mean_report{60000};
-};
-
-/// What the membership module knows about one endpoint.
-struct endpoint_condition {
-  /// New work may be sent until this time.
-  steady_time fresh_until;
-  /// False while held down, leaving or with an open circuit.
-  bool admitted = true;
-};
-
 /// Load of each endpoint of one placement: the last report plus the work that
 /// this VM has sent, and less the work that it has seen finish, since then.
 class load_table {
--- a/source/process/choice/placement.cc
+++ b/source/process/choice/placement.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 #include <utility>
 
--- a/source/process/choice/placement.h
+++ b/source/process/choice/placement.h
@@ -2,12 +2,12 @@
 #define MARJORAMSILL_PROCESS_CHOICE_PLACEMENT_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
 #include <vector>
 
+#include "process/choice/placement_endpoint.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -15,17 +15,6 @@
 /// Position of an endpoint in one placement.
 using endpoint_index = std::uint32_t;
 
-struct placement_endpoint {
-  endpoint_id id;
-  failure_domain_id domain;
-  /// Requests that the endpoint runs at once; its share of the load.
-  std::uint32_t capacity = 1;
-  /// Prompt tokens that it computes a second.
-  std::uint32_t prefill_rate = 10000;
-  /// A draining endpoint takes no new work, but its chats stay grouped.
-  bool draining = false;
-};
-
 /// Hash of a chat id or prefix key.
 std::uint64_t PlacementKey(std::string_view chat_or_prefix);
 
--- a/source/process/claims/claim_fields.h
+++ b/source/process/claims/claim_fields.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "process/claims/claim_decode_error.h"
+#include "process/claims/claim_decode_status.h"
 #include "process/claims/claim_types.h"
 #include "types/result.h"
 
@@ -16,14 +17,6 @@
 
 using claim_packer = msgpack::packer<msgpack::sbuffer>;
 
-/// First error of a decode, and the number of fields read before it.
-struct claim_decode_status {
-  std::size_t fields = 0;
-  std::optional<claim_decode_error> error;
-
-  void Fail(claim_decode_fault fault);
-};
-
 /// Reads the elements of one msgpack array in order. After an error every read
 /// returns an empty value, and the status keeps the first error. Elements after
 /// the last one read are ignored: they come from a newer version.
--- a/source/process/claims/claim_table.h
+++ b/source/process/claims/claim_table.h
@@ -9,16 +9,10 @@
 #include <unordered_map>
 
 #include "process/claims/claim_reply.h"
+#include "process/claims/claim_table_limits.h"
 
 namespace marjoramsill {
 
-/// Equal on all members of a group; a change is a new format version.
-struct claim_table_limits {
-  std::size_t max_records = 1'000'000;
-  /// Sum of stored bodies. Beyond it only hashes are kept.
-  std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
-};
-
 /// Deterministic state machine of one claim group. The same commands in the
 /// same order give the same state and replies on every member. Not thread-safe;
 /// guarded by the lock of its group.
--- /dev/null
+++ b/source/process/claims/claim_table_limits.h
@@ -0,0 +1,18 @@
+#ifndef MARJORAMSILL_PROCESS_CLAIMS_CLAIM_TABLE_LIMITS_H_
+#define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_TABLE_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace marjoramsill {
+
+/// Equal on all members of a group; a change is a new format version.
+struct claim_table_limits {
+  std::size_t max_records = 1'000'000;
+  /// Sum of stored bodies. Beyond it only hashes are kept.
+  std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CLAIMS_CLAIM_TABLE_LIMITS_H_
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -205,11 +205,11 @@
     };
     // Documents come through the replicated group.
     hooks.on_newer_document = [](document_version /*version*/) {};
-    hooks.on_loads = [this](const std::vector<endpoint_load>& loads) {
+    hooks.on_loads = [this](const std::vector<shared_load>& loads) {
       hub_.NoteLoads(loads, SteadyNow());
     };
     // Endpoints answer entry VMs only.
-    hooks.take_loads = [] { return std::vector<endpoint_load>(); };
+    hooks.take_loads = [] { return std::vector<shared_load>(); };
     hooks.on_contact = [](const vm_id& vm, bool reachable) {
       LogEvent(log_level::kInfo, "control_contact",
                {{"vm", vm.value()}, {"state", reachable ? "up" : "lost"}});
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -65,7 +65,7 @@
   std::exchange(each.reply, nullptr)(EncodeWatchReply(news));
 }
 
-void watch_hub::NoteLoads(const std::vector<endpoint_load>& loads,
+void watch_hub::NoteLoads(const std::vector<shared_load>& loads,
                           steady_time now) {
   loads_.Note(loads, load_board::source::kController, now);
 }
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -38,7 +38,7 @@
 
   void OnWatch(const watch_request& request, reply_hook reply, steady_time now);
   /// Load reports that another control process passed on.
-  void NoteLoads(const std::vector<endpoint_load>& loads, steady_time now);
+  void NoteLoads(const std::vector<shared_load>& loads, steady_time now);
   /// There is news that watchers have to be told at once.
   void Notify(steady_time now);
   /// Answers requests that were held long enough, and checks deadlines.
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "process/directory/endpoint_load.h"
 #include "process/directory/endpoint_record.h"
+#include "process/directory/shared_load.h"
 #include "process/directory/watch_reply.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
@@ -33,9 +33,9 @@
     /// A member was lost or regained.
     std::function<void(const vm_id&, bool reachable)> on_contact;
     /// Load reports that other entry VMs passed on.
-    std::function<void(const std::vector<endpoint_load>&)> on_loads;
+    std::function<void(const std::vector<shared_load>&)> on_loads;
     /// Load reports of endpoints to this process since the last call.
-    std::function<std::vector<endpoint_load>()> take_loads;
+    std::function<std::vector<shared_load>()> take_loads;
     /// Newest document that this process has.
     std::function<document_version()> document;
     std::function<steady_time()> clock;
--- a/source/process/directory/load_board.cc
+++ b/source/process/directory/load_board.cc
@@ -15,9 +15,9 @@
 
 }  // namespace
 
-void load_board::Note(const std::vector<endpoint_load>& loads, source from,
+void load_board::Note(const std::vector<shared_load>& loads, source from,
                       steady_time now) {
-  for (const endpoint_load& load : loads) {
+  for (const shared_load& load : loads) {
     const steady_time measured_at = now - load.age;
     const auto [known, added] = loads_.try_emplace(load.endpoint);
     if (!added && known->second.measured_at >= measured_at) continue;
@@ -25,10 +25,10 @@
   }
 }
 
-std::vector<endpoint_load> load_board::Collect(endpoint_digest& cursor,
-                                               bool from_entries_only,
-                                               steady_time now) const {
-  std::vector<endpoint_load> found;
+std::vector<shared_load> load_board::Collect(endpoint_digest& cursor,
+                                             bool from_entries_only,
+                                             steady_time now) const {
+  std::vector<shared_load> found;
   auto it = loads_.upper_bound(cursor);
   for (std::size_t i = 0; i < loads_.size(); ++i, ++it) {
     if (it == loads_.end()) it = loads_.begin();
--- a/source/process/directory/load_board.h
+++ b/source/process/directory/load_board.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <vector>
 
-#include "process/directory/endpoint_load.h"
+#include "process/directory/shared_load.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
@@ -18,13 +18,13 @@
   /// to control processes again, so none goes round in circles.
   enum class source { kEntry, kController };
 
-  void Note(const std::vector<endpoint_load>& loads, source from,
+  void Note(const std::vector<shared_load>& loads, source from,
             steady_time now);
   /// Recent reports after `cursor` in a fixed circular order, a bounded number
   /// of them; moves the cursor to the last one. Repeated calls go round.
-  std::vector<endpoint_load> Collect(endpoint_digest& cursor,
-                                     bool from_entries_only,
-                                     steady_time now) const;
+  std::vector<shared_load> Collect(endpoint_digest& cursor,
+                                   bool from_entries_only,
+                                   steady_time now) const;
   void Expire(steady_time now);
   std::size_t size() const { return loads_.size(); }
 
--- a/source/process/directory/endpoint_load.cc
+++ b/source/process/directory/shared_load.cc
@@ -1,4 +1,4 @@
-#include "process/directory/endpoint_load.h"
+#include "process/directory/shared_load.h"
 
 #include <xxhash.h>
 
--- a/source/process/directory/endpoint_load.h
+++ b/source/process/directory/shared_load.h
@@ -1,5 +1,5 @@
-#ifndef MARJORAMSILL_PROCESS_DIRECTORY_ENDPOINT_LOAD_H_
-#define MARJORAMSILL_PROCESS_DIRECTORY_ENDPOINT_LOAD_H_
+#ifndef MARJORAMSILL_PROCESS_DIRECTORY_SHARED_LOAD_H_
+#define MARJORAMSILL_PROCESS_DIRECTORY_SHARED_LOAD_H_
 
 #include <chrono>
 
@@ -17,15 +17,15 @@
 endpoint_digest DigestOf(const endpoint_id& endpoint);
 
 /// A load report that some entry VM received from an endpoint.
-struct endpoint_load {
+struct shared_load {
   endpoint_digest endpoint;
   load_report report;
   /// Time since the endpoint's answer reached that entry VM.
   std::chrono::milliseconds age{0};
 
-  friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
+  friend bool operator==(const shared_load&, const shared_load&) = default;
 };
 
 }  // namespace marjoramsill
 
-#endif  // MARJORAMSILL_PROCESS_DIRECTORY_ENDPOINT_LOAD_H_
+#endif  // MARJORAMSILL_PROCESS_DIRECTORY_SHARED_LOAD_H_
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -79,10 +79,10 @@
   return record;
 }
 
-std::vector<load_fields> ToFields(const std::vector<endpoint_load>& loads) {
+std::vector<load_fields> ToFields(const std::vector<shared_load>& loads) {
   std::vector<load_fields> fields;
   fields.reserve(loads.size());
-  for (const endpoint_load& load : loads) {
+  for (const shared_load& load : loads) {
     fields.emplace_back(load.endpoint.value(), load.report.running,
                         load.report.waiting, load.report.slots,
                         static_cast<std::uint32_t>(load.age.count()));
@@ -90,8 +90,8 @@
   return fields;
 }
 
-std::vector<endpoint_load> ToLoads(const std::vector<load_fields>& fields) {
-  std::vector<endpoint_load> loads;
+std::vector<shared_load> ToLoads(const std::vector<load_fields>& fields) {
+  std::vector<shared_load> loads;
   loads.reserve(fields.size());
   for (const auto& [endpoint, running, waiting, slots, age_ms] : fields) {
     loads.push_back({endpoint_digest(endpoint),
--- a/source/process/directory/watch_reply.h
+++ b/source/process/directory/watch_reply.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <vector>
 
-#include "process/directory/endpoint_load.h"
 #include "process/directory/endpoint_record.h"
+#include "process/directory/shared_load.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -23,7 +23,7 @@
   /// Entry VMs that watch this member.
   std::uint32_t entry_count = 0;
   /// Load reports that other watchers passed on, if they were asked for.
-  std::vector<endpoint_load> loads;
+  std::vector<shared_load> loads;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "process/directory/endpoint_load.h"
+#include "process/directory/shared_load.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -23,7 +23,7 @@
   /// The answer is to have load reports. It then comes earlier.
   bool wants_loads = false;
   /// Reports that the watcher received from endpoints since its last request.
-  std::vector<endpoint_load> loads;
+  std::vector<shared_load> loads;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -205,7 +205,7 @@
     hooks.on_records = [this](const std::vector<endpoint_record>& records) {
       pools_.Merge(records, SteadyNow());
     };
-    hooks.on_loads = [this](const std::vector<endpoint_load>& loads) {
+    hooks.on_loads = [this](const std::vector<shared_load>& loads) {
       pools_.NoteLoads(loads, SteadyNow());
     };
     hooks.take_loads = [this] { return pools_.TakeLoads(SteadyNow()); };
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -89,9 +89,9 @@
   return Pool(pool->second)->Find(id->second);
 }
 
-void pool_table::NoteLoads(const std::vector<endpoint_load>& loads,
+void pool_table::NoteLoads(const std::vector<shared_load>& loads,
                            steady_time now) {
-  for (const endpoint_load& load : loads) {
+  for (const shared_load& load : loads) {
     endpoint_belief* endpoint = Find(load.endpoint);
     if (endpoint != nullptr) {
       endpoint->NoteSharedLoad(load.report, now - load.age);
@@ -99,8 +99,8 @@
   }
 }
 
-std::vector<endpoint_load> pool_table::TakeLoads(steady_time now) {
-  std::vector<endpoint_load> loads;
+std::vector<shared_load> pool_table::TakeLoads(steady_time now) {
+  std::vector<shared_load> loads;
   for (const auto& [id, pool] : pools_) pool->TakeLoads(loads, now);
   return loads;
 }
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "process/directory/endpoint_directory.h"
-#include "process/directory/endpoint_load.h"
+#include "process/directory/shared_load.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/placement_settings.h"
 #include "process/placement/retry_window.h"
@@ -32,9 +32,9 @@
 
   void Merge(const std::vector<endpoint_record>& records, steady_time now);
   /// Load reports that other entry VMs received.
-  void NoteLoads(const std::vector<endpoint_load>& loads, steady_time now);
+  void NoteLoads(const std::vector<shared_load>& loads, steady_time now);
   /// Load reports that came with answers since the last call.
-  std::vector<endpoint_load> TakeLoads(steady_time now);
+  std::vector<shared_load> TakeLoads(steady_time now);
   /// Takes the sizes of the engines' memory from a new document.
   void SetDocument(std::shared_ptr<const routing_table> table);
   endpoint_pool* Pool(const model_id& id);
--- a/source/process/membership/announcement_schedule.h
+++ b/source/process/membership/announcement_schedule.h
@@ -5,21 +5,11 @@
 #include <cstdint>
 #include <optional>
 
+#include "process/membership/announcement_schedule_settings.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
 
-struct announcement_schedule_settings {
-  std::chrono::milliseconds interval{1000};
-  /// Deviation from the interval at which an announcement is regular.
-  std::chrono::milliseconds tolerance{100};
-  /// A later announcement proves nothing. The evidence limit (2.5 s) plus this
-  /// stays below the 3 s bound for endpoints that leave or die.
-  std::chrono::milliseconds latest{400};
-  /// Regular announcements in a row that establish the schedule.
-  std::uint32_t regular_needed = 2;
-};
-
 /// Dates the announcements of one endpoint. They carry no time, and one that
 /// waited in a socket buffer or on a cut link may come after its endpoint has
 /// died. The dates rest on the fixed sending schedule: an endpoint sends one
--- a/source/process/membership/circuit_breaker.h
+++ b/source/process/membership/circuit_breaker.h
@@ -4,20 +4,11 @@
 #include <chrono>
 #include <cstdint>
 
+#include "process/membership/circuit_breaker_settings.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
 
-struct circuit_breaker_settings {
-  /// Consecutive failures that open the circuit.
-  std::uint32_t failures = 3;
-  std::chrono::milliseconds first_wait{1000};
-  /// The wait doubles with every failed trial up to this limit.
-  std::chrono::milliseconds longest_wait{30000};
-  /// A trial without a result for this time is given up as failed.
-  std::chrono::milliseconds trial_limit{10000};
-};
-
 /// Avoids an endpoint after consecutive failures; lets one trial request at a
 /// time through when the wait has passed.
 class circuit_breaker {
--- a/source/process/membership/flap_damper.h
+++ b/source/process/membership/flap_damper.h
@@ -3,17 +3,11 @@
 
 #include <chrono>
 
+#include "process/membership/flap_damper_settings.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
 
-struct flap_damper_settings {
-  std::chrono::milliseconds first_hold{1000};
-  std::chrono::milliseconds longest_hold{60000};
-  /// Time without a return after which the hold-down starts small again.
-  std::chrono::milliseconds forget_after{300000};
-};
-
 /// Holds a returning endpoint down: each return within forget_after doubles
 /// the time until it gets work again. The first appearance is not held.
 class flap_damper {
--- a/source/process/placement/endpoint_belief.cc
+++ b/source/process/placement/endpoint_belief.cc
@@ -87,11 +87,10 @@
   is_report_shared_ = true;
 }
 
-std::optional<endpoint_load> endpoint_belief::TakeUnsharedLoad(
-    steady_time now) {
+std::optional<shared_load> endpoint_belief::TakeUnsharedLoad(steady_time now) {
   if (!has_report_ || is_report_shared_) return std::nullopt;
   is_report_shared_ = true;
-  endpoint_load load;
+  shared_load load;
   load.endpoint = DigestOf(record_.id);
   load.report = report_;
   load.age =
--- a/source/process/placement/endpoint_belief.h
+++ b/source/process/placement/endpoint_belief.h
@@ -5,9 +5,9 @@
 #include <cstdint>
 #include <optional>
 
-#include "process/directory/endpoint_load.h"
 #include "process/directory/endpoint_record.h"
 #include "process/directory/load_report.h"
+#include "process/directory/shared_load.h"
 #include "process/placement/prefix_memory.h"
 #include "process/placement/smoothed_value.h"
 #include "types/steady_time.h"
@@ -35,7 +35,7 @@
   /// Another entry VM received the report at `measured_at`.
   void NoteSharedLoad(const load_report& report, steady_time measured_at);
   /// The last report that came with an answer, unless it was taken already.
-  std::optional<endpoint_load> TakeUnsharedLoad(steady_time now);
+  std::optional<shared_load> TakeUnsharedLoad(steady_time now);
   /// The endpoint has answered, with a success or a failure of its own.
   void NoteAnswer(bool success);
   /// Connecting failed, the connection broke or the answer did not come.
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -250,7 +250,7 @@
   duration_ms_.Add(MillisOf(duration));
 }
 
-void endpoint_pool::TakeLoads(std::vector<endpoint_load>& loads,
+void endpoint_pool::TakeLoads(std::vector<shared_load>& loads,
                               steady_time now) {
   for (const auto& [id, endpoint] : endpoints_) {
     const auto load = endpoint->TakeUnsharedLoad(now);
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-#include "process/directory/endpoint_load.h"
+#include "process/directory/shared_load.h"
 #include "process/placement/endpoint_belief.h"
 #include "process/placement/placement_choice.h"
 #include "process/placement/placement_settings.h"
@@ -45,7 +45,7 @@
   void NoteDuration(std::chrono::microseconds duration);
 
   /// Appends the load reports that came with answers since the last call.
-  void TakeLoads(std::vector<endpoint_load>& loads, steady_time now);
+  void TakeLoads(std::vector<shared_load>& loads, steady_time now);
 
   /// Some endpoint takes requests.
   bool CanServe() const;
--- a/source/request/attempt_plan.h
+++ b/source/request/attempt_plan.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "request/attempt_settings.h"
+#include "request/attempt_timeouts.h"
 #include "request/body_collector.h"
 #include "request/call_action.h"
 #include "request/call_hooks.h"
@@ -14,24 +16,6 @@
 
 namespace marjoramsill {
 
-struct attempt_settings {
-  bool streamed = false;
-  steady_time deadline;
-  /// Targets of the rank.
-  std::chrono::microseconds first_event_target = std::chrono::seconds(1);
-  std::chrono::microseconds between_events_target =
-      std::chrono::milliseconds(50);
-  std::size_t max_attempts = 4;
-  std::size_t max_body_bytes = body_collector::kDefaultMaxBytes;
-  std::chrono::seconds retry_after = std::chrono::seconds(2);
-};
-
-/// Longest wait for the first and for each further event of an attempt.
-struct attempt_timeouts {
-  std::chrono::microseconds first_event;
-  std::chrono::microseconds between_events;
-};
-
 /// Several times the rank's targets, so that another attempt can still end
 /// before the deadline, or the remaining time if it could not.
 attempt_timeouts DeriveAttemptTimeouts(const attempt_settings& settings,
--- a/source/request/claim_flow.h
+++ b/source/request/claim_flow.h
@@ -2,7 +2,6 @@
 #define MARJORAMSILL_REQUEST_CLAIM_FLOW_H_
 
 #include <chrono>
-#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -11,28 +10,10 @@
 #include "request/body_collector.h"
 #include "request/call_action.h"
 #include "request/call_hooks.h"
+#include "request/claim_flow_settings.h"
 
 namespace marjoramsill {
 
-struct claim_flow_settings {
-  claim_key key;
-  content_hash request_hash;
-  claim_owner owner;
-  steady_time deadline;
-  /// A grant that takes longer is not acted on. Covers one election (1-2 s).
-  std::chrono::microseconds claim_timeout = std::chrono::seconds(3);
-  /// Pause before a claim is sent again, and before the outcome is sent again
-  /// for the first time; later pauses double.
-  std::chrono::microseconds resend_pause = std::chrono::milliseconds(250);
-  /// Least time to the deadline at which the request is still sent.
-  std::chrono::microseconds min_send_time = std::chrono::milliseconds(10);
-  /// How long the outcome is sent again after the answer until acknowledged.
-  std::chrono::microseconds settle_timeout = std::chrono::seconds(10);
-  std::size_t max_endpoints = 3;
-  std::size_t max_body_bytes = body_collector::kDefaultMaxBytes;
-  std::chrono::seconds retry_after = std::chrono::seconds(2);
-};
-
 /// One non-repeatable call (design 5.4). No byte is sent before the claim is
 /// granted in time, and after the first byte no other attempt is made. Guarded
 /// by the lock of the call's shard.
--- a/tests/directory/load_board_test.cc
+++ b/tests/directory/load_board_test.cc
@@ -16,8 +16,8 @@
   CPPUNIT_TEST(reports_beyond_one_answer_come_with_the_next);
   CPPUNIT_TEST_SUITE_END();
 
-  static endpoint_load Load(std::uint64_t endpoint, std::uint32_t running,
-                            milliseconds age = milliseconds(0)) {
+  static shared_load Load(std::uint64_t endpoint, std::uint32_t running,
+                          milliseconds age = milliseconds(0)) {
     return {endpoint_digest(endpoint), {running, 0, 16}, age};
   }
 
@@ -59,7 +59,7 @@
     }
     std::set<endpoint_digest> told;
     for (int answer = 0; answer < 3; ++answer) {
-      for (const endpoint_load& load : board_.Collect(cursor_, false, now_)) {
+      for (const shared_load& load : board_.Collect(cursor_, false, now_)) {
         told.insert(load.endpoint);
       }
     }
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -199,7 +199,7 @@
     endpoint_pool pool = Pool(2);
     Belief(pool, 0).NoteLoad({6, 1, 16}, now_ - milliseconds(50));
     Belief(pool, 1).NoteSharedLoad({2, 0, 16}, now_);
-    std::vector<endpoint_load> loads;
+    std::vector<shared_load> loads;
     pool.TakeLoads(loads, now_);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loads.size());
     CPPUNIT_ASSERT(loads[0].endpoint == DigestOf(Record(0).id));
--- a/tests/placement/entry_fleet_model.cc
+++ b/tests/placement/entry_fleet_model.cc
@@ -149,8 +149,8 @@
     const auto loads = board_.Collect(cursors_[i], false, now_);
     // They arrive after the time that an answer is held.
     At(now_ + parameters_.exchange_interval, [this, i, loads, then = now_] {
-      std::vector<endpoint_load> aged = loads;
-      for (endpoint_load& each : aged) {
+      std::vector<shared_load> aged = loads;
+      for (shared_load& each : aged) {
         each.age += std::chrono::duration_cast<milliseconds>(now_ - then);
       }
       entries_[i]->NoteLoads(aged, now_);
