--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -181,8 +181,9 @@
   std::vector<reachable_member> found;
   for (const auto& [vm, member] : states_) {
     const bool is_recent = now - member.last_contact <= kContactLifetime;
-    if (member.is_reachable && is_recent)
+    if (member.is_reachable && is_recent) {
       found.push_back({vm, member.document});
+    }
   }
   return found;
 }
