headers: split claim types, distribution messages and the simulations

claim_types.h, distribution_messages.h, fetch_progress.h, follower_action.h, outcome_history.h and three headers of the benchmarks held several classes. Each class has a file of its own now, and files include the headers that they use.

--- /dev/null
+++ b/benchmarks/admission/simulated_request.h
@@ -0,0 +1,27 @@
+#ifndef MARJORAMSILL_BENCHMARKS_ADMISSION_SIMULATED_REQUEST_H_
+#define MARJORAMSILL_BENCHMARKS_ADMISSION_SIMULATED_REQUEST_H_
+
+#include <cstdint>
+
+#include "types/rank.h"
+
+namespace marjoramsill {
+
+/// Times in seconds.
+struct simulated_request {
+  marjoramsill::rank rank;
+  std::uint64_t workspace;
+  double arrival;
+  double cost;
+  double wait = 0;
+  double first_token = 0;
+  /// Time of its rejection, or of its end when it ran.
+  double end = 0;
+  bool admitted = false;
+  /// Ended in time, with its first token within the rank's target.
+  bool good = false;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_BENCHMARKS_ADMISSION_SIMULATED_REQUEST_H_
--- a/benchmarks/choice/choice_benchmark.cc
+++ b/benchmarks/choice/choice_benchmark.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "choice_simulation.h"
+#include "routing_policy.h"
 
 namespace marjoramsill {
 namespace {
--- a/benchmarks/choice/choice_simulation.cc
+++ b/benchmarks/choice/choice_simulation.cc
@@ -2,7 +2,17 @@
 
 #include <algorithm>
 #include <cmath>
-
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fake_engine.h"
+#include "routing_policy.h"
 namespace marjoramsill {
 namespace {
 
--- a/benchmarks/choice/engine_pool.cc
+++ b/benchmarks/choice/prefix_cache.cc
@@ -1,6 +1,4 @@
-#include "engine_pool.h"
-
-#include <algorithm>
+#include "prefix_cache.h"
 
 namespace marjoramsill {
 
@@ -27,10 +25,4 @@
   entries_.clear();
 }
 
-std::uint32_t fake_engine::Cached(const engine_request& request) const {
-  const std::uint32_t cached =
-      std::max(cache.Find(request.chat), cache.Find(request.workspace));
-  return std::min(cached, request.prompt_tokens);
-}
-
 }  // namespace marjoramsill
--- a/benchmarks/choice/routing_policy.h
+++ b/benchmarks/choice/routing_policy.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "engine_pool.h"
+#include "fake_engine.h"
 #include "process/choice/endpoint_chooser.h"
 
 namespace marjoramsill {
--- a/benchmarks/claims/claim_cost.cc
+++ b/benchmarks/claims/claim_cost.cc
@@ -10,7 +10,10 @@
 #include <variant>
 #include <vector>
 
+#include "process/claims/claim_key.h"
 #include "process/claims/claim_table.h"
+#include "process/claims/claim_time.h"
+#include "process/claims/content_hash.h"
 #include "request/claim_flow.h"
 
 namespace marjoramsill {
--- a/source/process/claims/claim_command.cc
+++ b/source/process/claims/claim_command.cc
@@ -3,7 +3,9 @@
 #include <limits>
 #include <utility>
 
+#include "process/claims/claim_bounds.h"
 #include "process/claims/claim_fields.h"
+#include "process/claims/claim_time.h"
 
 namespace marjoramsill {
 namespace {
--- a/source/process/claims/claim_command.h
+++ b/source/process/claims/claim_command.h
@@ -6,8 +6,13 @@
 #include <string>
 #include <string_view>
 
+#include "process/claims/claim_bounds.h"
 #include "process/claims/claim_decode_error.h"
-#include "process/claims/claim_types.h"
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
+#include "process/claims/claim_time.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
 #include "types/result.h"
 
 namespace marjoramsill {
--- a/source/process/claims/claim_decode_status.h
+++ b/source/process/claims/claim_decode_status.h
@@ -6,7 +6,6 @@
 #include <optional>
 
 #include "process/claims/claim_decode_error.h"
-#include "process/claims/claim_types.h"
 
 namespace marjoramsill {
 
--- a/source/process/claims/claim_fields.cc
+++ b/source/process/claims/claim_fields.cc
@@ -4,6 +4,12 @@
 #include <limits>
 #include <utility>
 
+#include "process/claims/claim_bounds.h"
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
+
 namespace marjoramsill {
 namespace {
 
--- a/source/process/claims/claim_fields.h
+++ b/source/process/claims/claim_fields.h
@@ -10,7 +10,10 @@
 
 #include "process/claims/claim_decode_error.h"
 #include "process/claims/claim_decode_status.h"
-#include "process/claims/claim_types.h"
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
 #include "types/result.h"
 
 namespace marjoramsill {
--- a/source/process/claims/claim_group_clock.cc
+++ b/source/process/claims/claim_group_clock.cc
@@ -1,5 +1,7 @@
 #include "process/claims/claim_group_clock.h"
 
+#include "process/claims/claim_time.h"
+
 namespace marjoramsill {
 
 void claim_group_clock::Begin(claim_time table_time, steady_time now) {
--- a/source/process/claims/claim_group_clock.h
+++ b/source/process/claims/claim_group_clock.h
@@ -1,7 +1,7 @@
 #ifndef MARJORAMSILL_PROCESS_CLAIMS_CLAIM_GROUP_CLOCK_H_
 #define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_GROUP_CLOCK_H_
 
-#include "process/claims/claim_types.h"
+#include "process/claims/claim_time.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
--- /dev/null
+++ b/source/process/claims/claim_owner.h
@@ -0,0 +1,22 @@
+#ifndef MARJORAMSILL_PROCESS_CLAIMS_CLAIM_OWNER_H_
+#define MARJORAMSILL_PROCESS_CLAIMS_CLAIM_OWNER_H_
+
+#include <cstdint>
+
+#include "types/ids.h"
+
+namespace marjoramsill {
+
+/// The one request that holds a claim. The serial number distinguishes two
+/// requests with the same key on one VM; it increases within an incarnation.
+struct claim_owner {
+  vm_id vm;
+  incarnation life;
+  std::uint64_t serial = 0;
+
+  friend bool operator==(const claim_owner&, const claim_owner&) = default;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CLAIMS_CLAIM_OWNER_H_
--- a/source/process/claims/claim_reply.cc
+++ b/source/process/claims/claim_reply.cc
@@ -3,6 +3,7 @@
 #include <limits>
 #include <utility>
 
+#include "process/claims/claim_bounds.h"
 #include "process/claims/claim_fields.h"
 
 namespace marjoramsill {
--- a/source/process/claims/claim_reply.h
+++ b/source/process/claims/claim_reply.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "process/claims/claim_command.h"
+#include "process/claims/stored_response.h"
 
 namespace marjoramsill {
 
--- a/source/process/claims/claim_shard.cc
+++ b/source/process/claims/claim_shard.cc
@@ -2,6 +2,8 @@
 
 #include <functional>
 
+#include "process/claims/claim_key.h"
+
 namespace marjoramsill {
 
 std::size_t ClaimShardFor(const claim_key& key, std::size_t group_count) {
--- a/source/process/claims/claim_shard.h
+++ b/source/process/claims/claim_shard.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 
-#include "process/claims/claim_types.h"
+#include "process/claims/claim_key.h"
 
 namespace marjoramsill {
 
--- a/source/process/claims/claim_snapshot.cc
+++ b/source/process/claims/claim_snapshot.cc
@@ -4,7 +4,10 @@
 #include <vector>
 
 #include "process/claims/claim_fields.h"
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_state.h"
 #include "process/claims/claim_table.h"
+#include "process/claims/claim_time.h"
 
 namespace marjoramsill {
 namespace {
--- a/source/process/claims/claim_table.cc
+++ b/source/process/claims/claim_table.cc
@@ -4,7 +4,14 @@
 #include <tuple>
 #include <utility>
 
+#include "process/claims/claim_bounds.h"
 #include "process/claims/claim_fields.h"
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
+#include "process/claims/claim_state.h"
+#include "process/claims/claim_time.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
 
 namespace marjoramsill {
 namespace {
--- a/source/process/claims/claim_table.h
+++ b/source/process/claims/claim_table.h
@@ -8,8 +8,14 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
 #include "process/claims/claim_reply.h"
+#include "process/claims/claim_state.h"
 #include "process/claims/claim_table_limits.h"
+#include "process/claims/claim_time.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
 
 namespace marjoramsill {
 
--- /dev/null
+++ b/source/process/control/install_version.h
@@ -0,0 +1,22 @@
+#ifndef MARJORAMSILL_PROCESS_CONTROL_INSTALL_VERSION_H_
+#define MARJORAMSILL_PROCESS_CONTROL_INSTALL_VERSION_H_
+
+#include <memory>
+#include <vector>
+
+#include "version/policy_snapshot.h"
+#include "version/section_error.h"
+
+namespace marjoramsill {
+
+/// Puts a snapshot in force. A VM with a disk first persists the snapshot's
+/// version and gives it as `follower_start::floor` after a restart.
+struct install_version {
+  std::shared_ptr<const policy_snapshot> snapshot;
+  /// Sections whose previous content stays in force; to be logged.
+  std::vector<section_error> errors;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_CONTROL_INSTALL_VERSION_H_
--- a/source/process/control/outcome_history.cc
+++ b/source/process/control/outcome_history.cc
@@ -1,20 +1,9 @@
 #include "process/control/outcome_history.h"
 
-#include <openssl/evp.h>
-
-#include <string>
 #include <utility>
 
 namespace marjoramsill {
 
-content_digest DigestOf(const submission& value) {
-  const std::string bytes = EncodeSubmission(value);
-  content_digest digest{};
-  EVP_Digest(bytes.data(), bytes.size(), digest.data(), nullptr, EVP_sha256(),
-             nullptr);
-  return digest;
-}
-
 const recorded_outcome* outcome_history::Find(const submission_id& id) const {
   const auto it = positions_.find(id);
   return it == positions_.end() ? nullptr : &entries_[it->second - forgotten_];
--- a/source/process/control/outcome_history.h
+++ b/source/process/control/outcome_history.h
@@ -1,31 +1,16 @@
 #ifndef MARJORAMSILL_PROCESS_CONTROL_OUTCOME_HISTORY_H_
 #define MARJORAMSILL_PROCESS_CONTROL_OUTCOME_HISTORY_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 
-#include "process/control/submission_outcome.h"
+#include "process/control/recorded_outcome.h"
 #include "version/submission.h"
 
 namespace marjoramsill {
 
-/// SHA-256 of a submission with its signature.
-using content_digest = std::array<std::uint8_t, 32>;
-
-content_digest DigestOf(const submission& value);
-
-struct recorded_outcome {
-  submission_id id{};
-  content_digest content{};
-  submission_outcome outcome;
-
-  friend bool operator==(const recorded_outcome&,
-                         const recorded_outcome&) = default;
-};
-
 /// First outcomes of the last `kMostOutcomes` signed submissions, which is
 /// more than a day at 2,700 changes a day. Forgetting one is safe: an accepted
 /// submission has moved its section past the base version, and versions never
--- a/source/process/control/fetch_progress.h
+++ b/source/process/control/staged_changes.h
@@ -1,21 +1,15 @@
-#ifndef MARJORAMSILL_PROCESS_CONTROL_FETCH_PROGRESS_H_
-#define MARJORAMSILL_PROCESS_CONTROL_FETCH_PROGRESS_H_
+#ifndef MARJORAMSILL_PROCESS_CONTROL_STAGED_CHANGES_H_
+#define MARJORAMSILL_PROCESS_CONTROL_STAGED_CHANGES_H_
 
 #include <vector>
 
-#include "process/control/distribution_messages.h"
+#include "process/control/fetch_request.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
+#include "version/section_record.h"
 
 namespace marjoramsill {
 
-/// One request under way.
-struct open_fetch {
-  vm_id peer;
-  steady_time deadline{};
-  fetch_request request;
-};
-
 /// Replies collected until they lead exactly to a peer's version.
 struct staged_changes {
   fetch_scope scope = fetch_scope::kChanges;
@@ -28,4 +22,4 @@
 
 }  // namespace marjoramsill
 
-#endif  // MARJORAMSILL_PROCESS_CONTROL_FETCH_PROGRESS_H_
+#endif  // MARJORAMSILL_PROCESS_CONTROL_STAGED_CHANGES_H_
--- a/source/process/control/version_follower.h
+++ b/source/process/control/version_follower.h
@@ -10,10 +10,11 @@
 #include <vector>
 
 #include "process/control/distribution_messages.h"
-#include "process/control/fetch_progress.h"
 #include "process/control/follower_action.h"
 #include "process/control/held_document.h"
+#include "process/control/open_fetch.h"
 #include "process/control/peer_table.h"
+#include "process/control/staged_changes.h"
 #include "process/control/token_bucket.h"
 #include "process/control/vm_location.h"
 #include "process/control/workspace_wants.h"
--- a/source/process/daemon/call_executor.cc
+++ b/source/process/daemon/call_executor.cc
@@ -7,6 +7,9 @@
 
 #include "connection/endpoint_call.h"
 #include "connection/http_responder.h"
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
+#include "process/claims/content_hash.h"
 #include "process/daemon/endpoint_request.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/fleet_membership.h"
--- a/source/process/daemon/endpoint_request.cc
+++ b/source/process/daemon/endpoint_request.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "process/claims/stored_response.h"
+
 namespace marjoramsill {
 namespace {
 
--- a/source/process/daemon/endpoint_request.h
+++ b/source/process/daemon/endpoint_request.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "connection/endpoint_call.h"
+#include "process/claims/stored_response.h"
 #include "request/call_action.h"
 #include "request/caller_request.h"
 #include "request/classified_request.h"
--- a/source/request/claim_flow.cc
+++ b/source/request/claim_flow.cc
@@ -5,6 +5,10 @@
 #include <cctype>
 #include <utility>
 
+#include "process/claims/claim_bounds.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
+
 namespace marjoramsill {
 namespace {
 
--- a/source/request/claim_flow.h
+++ b/source/request/claim_flow.h
@@ -6,7 +6,9 @@
 #include <string_view>
 #include <vector>
 
+#include "process/claims/claim_bounds.h"
 #include "process/claims/claim_reply.h"
+#include "process/claims/stored_response.h"
 #include "request/body_collector.h"
 #include "request/call_action.h"
 #include "request/call_hooks.h"
--- a/source/request/claim_flow_settings.h
+++ b/source/request/claim_flow_settings.h
@@ -4,6 +4,9 @@
 #include <chrono>
 #include <cstddef>
 
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
+#include "process/claims/content_hash.h"
 #include "request/body_collector.h"
 #include "types/steady_time.h"
 
--- a/source/request/final_answer.h
+++ b/source/request/final_answer.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <string_view>
 
-#include "process/claims/claim_types.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
 #include "types/random_source.h"
 
 namespace marjoramsill {
--- a/source/request/response_head.h
+++ b/source/request/response_head.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "process/claims/claim_types.h"
+#include "process/claims/stored_response.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
--- a/tests/claims/claim_codec_test.cc
+++ b/tests/claims/claim_codec_test.cc
@@ -2,7 +2,10 @@
 
 #include <msgpack.hpp>
 
+#include "process/claims/claim_bounds.h"
 #include "process/claims/claim_table.h"
+#include "process/claims/claim_time.h"
+#include "process/claims/content_hash.h"
 #include "request/schedule_check.h"
 
 namespace marjoramsill {
--- a/tests/claims/claim_flow_test.cc
+++ b/tests/claims/claim_flow_test.cc
@@ -4,6 +4,9 @@
 
 #include <chrono>
 
+#include "process/claims/claim_bounds.h"
+#include "process/claims/content_hash.h"
+#include "process/claims/stored_response.h"
 #include "request/find_action.h"
 
 namespace marjoramsill {
--- a/tests/claims/claim_schedule_test.cc
+++ b/tests/claims/claim_schedule_test.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "claims/claim_world.h"
+#include "process/claims/claim_time.h"
 
 namespace marjoramsill {
 
--- a/tests/claims/claim_table_test.cc
+++ b/tests/claims/claim_table_test.cc
@@ -3,7 +3,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "process/claims/claim_group_clock.h"
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_owner.h"
 #include "process/claims/claim_shard.h"
+#include "process/claims/claim_time.h"
+#include "process/claims/content_hash.h"
 
 namespace marjoramsill {
 namespace {
--- a/tests/claims/claim_world.cc
+++ b/tests/claims/claim_world.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "process/claims/claim_key.h"
+#include "process/claims/claim_time.h"
+
 namespace marjoramsill {
 namespace {
 
--- a/tests/claims/claim_world.h
+++ b/tests/claims/claim_world.h
@@ -8,7 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "process/claims/claim_key.h"
 #include "process/claims/claim_table.h"
+#include "process/claims/content_hash.h"
 #include "request/claim_flow.h"
 #include "request/schedule_check.h"
 
