--- a/source/connection/answer_parser.cc
+++ b/source/connection/answer_parser.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "connection/parser_callbacks.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -112,17 +114,7 @@
 }
 
 const http_parser_settings& answer_parser::Settings() {
-  static const http_parser_settings settings = [] {
-    http_parser_settings made;
-    http_parser_settings_init(&made);
-    made.on_message_begin = OnBegin;
-    made.on_header_field = OnField;
-    made.on_header_value = OnValue;
-    made.on_headers_complete = OnHeadEnd;
-    made.on_body = OnBody;
-    made.on_message_complete = OnEnd;
-    return made;
-  }();
+  static const http_parser_settings settings = ParserCallbacks<answer_parser>();
   return settings;
 }
 
--- a/source/connection/answer_parser.h
+++ b/source/connection/answer_parser.h
@@ -38,6 +38,9 @@
   bool allows_reuse() const { return allows_reuse_; }
 
  private:
+  template <class Parser>
+  friend http_parser_settings ParserCallbacks();
+
   static answer_parser& Self(http_parser* parser);
   static int OnBegin(http_parser* parser);
   static int OnField(http_parser* parser, const char* at, std::size_t length);
--- a/source/connection/request_parser.cc
+++ b/source/connection/request_parser.cc
@@ -3,6 +3,8 @@
 #include <climits>
 #include <utility>
 
+#include "connection/parser_callbacks.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -152,15 +154,8 @@
 
 const http_parser_settings& request_parser::Settings() {
   static const http_parser_settings settings = [] {
-    http_parser_settings made;
-    http_parser_settings_init(&made);
-    made.on_message_begin = OnBegin;
+    http_parser_settings made = ParserCallbacks<request_parser>();
     made.on_url = OnUrl;
-    made.on_header_field = OnField;
-    made.on_header_value = OnValue;
-    made.on_headers_complete = OnHeadEnd;
-    made.on_body = OnBody;
-    made.on_message_complete = OnEnd;
     return made;
   }();
   return settings;
--- a/source/connection/request_parser.h
+++ b/source/connection/request_parser.h
@@ -30,6 +30,9 @@
   void SetLimits(std::size_t max_head_bytes, std::size_t max_body_bytes);
 
  private:
+  template <class Parser>
+  friend http_parser_settings ParserCallbacks();
+
   static request_parser& Self(http_parser* parser);
   static int OnBegin(http_parser* parser);
   static int OnUrl(http_parser* parser, const char* at, std::size_t length);
--- a/source/process/controller/controller_metrics.cc
+++ b/source/process/controller/controller_metrics.cc
@@ -3,13 +3,9 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
 
 #include <vector>
 
-#include "process/entry/metric_builders.h"
-
 namespace marjoramsill {
 namespace {
 
@@ -18,38 +14,34 @@
 
 }  // namespace
 
-controller_metrics::controller_metrics()
-    : registry_(std::make_shared<prometheus::Registry>()) {
-  heartbeats_ =
-      MakeCounter(*registry_, "marjoramsill_controller_heartbeats_total",
-                  "Heartbeats of endpoints");
-  auto& submissions = prometheus::BuildCounter()
-                          .Name("marjoramsill_controller_submissions_total")
-                          .Help("Routing documents submitted here")
-                          .Register(*registry_);
+controller_metrics::controller_metrics() {
+  heartbeats_ = registry_.AddCounter("marjoramsill_controller_heartbeats_total",
+                                     "Heartbeats of endpoints");
+  auto& submissions =
+      registry_.AddCounters("marjoramsill_controller_submissions_total",
+                            "Routing documents submitted here");
   accepted_ = &submissions.Add({{"outcome", "accepted"}});
   not_accepted_ = &submissions.Add({{"outcome", "not_accepted"}});
-  reads_ = MakeCounter(*registry_, "marjoramsill_controller_reads_total",
-                       "Reads of the routing document");
-  end_time_ =
-      MakeHistogram(*registry_, "marjoramsill_controller_end_seconds",
-                    "Time to acknowledge the end of an endpoint", kEndSeconds);
-  leads_ = MakeGauge(*registry_, "marjoramsill_controller_leads",
-                     "1 if this process leads the control group");
-  term_ = MakeGauge(*registry_, "marjoramsill_controller_term",
-                    "Election period of the control group");
-  members_ = MakeGauge(*registry_, "marjoramsill_controller_members",
-                       "Members of the control group");
+  reads_ = registry_.AddCounter("marjoramsill_controller_reads_total",
+                                "Reads of the routing document");
+  end_time_ = registry_.AddHistogram(
+      "marjoramsill_controller_end_seconds",
+      "Time to acknowledge the end of an endpoint", kEndSeconds);
+  leads_ = registry_.AddGauge("marjoramsill_controller_leads",
+                              "1 if this process leads the control group");
+  term_ = registry_.AddGauge("marjoramsill_controller_term",
+                             "Election period of the control group");
+  members_ = registry_.AddGauge("marjoramsill_controller_members",
+                                "Members of the control group");
   document_version_ =
-      MakeGauge(*registry_, "marjoramsill_controller_document_version",
-                "Newest committed routing document");
-  entries_ = MakeGauge(*registry_, "marjoramsill_controller_entries",
-                       "Entry processes that watch this one");
-  endpoints_ = MakeGauge(*registry_, "marjoramsill_controller_endpoints",
-                         "Endpoints known, ended ones included");
-  dropped_lines_ =
-      MakeGauge(*registry_, "marjoramsill_controller_dropped_lines",
-                "Log lines dropped since the start");
+      registry_.AddGauge("marjoramsill_controller_document_version",
+                         "Newest committed routing document");
+  entries_ = registry_.AddGauge("marjoramsill_controller_entries",
+                                "Entry processes that watch this one");
+  endpoints_ = registry_.AddGauge("marjoramsill_controller_endpoints",
+                                  "Endpoints known, ended ones included");
+  dropped_lines_ = registry_.AddGauge("marjoramsill_controller_dropped_lines",
+                                      "Log lines dropped since the start");
 }
 
 controller_metrics::~controller_metrics() = default;
@@ -89,8 +81,4 @@
   dropped_lines_->Set(static_cast<double>(count));
 }
 
-std::string controller_metrics::Text() const {
-  return prometheus::TextSerializer().Serialize(registry_->Collect());
-}
-
 }  // namespace marjoramsill
--- a/source/process/controller/controller_metrics.h
+++ b/source/process/controller/controller_metrics.h
@@ -2,14 +2,14 @@
 #define MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
 
 #include <cstdint>
-#include <memory>
 #include <string>
 
+#include "process/daemon/metric_registry.h"
+
 namespace prometheus {
 class Counter;
 class Gauge;
 class Histogram;
-class Registry;
 }  // namespace prometheus
 
 namespace marjoramsill {
@@ -33,10 +33,10 @@
   void SetEndpoints(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
   /// The Prometheus text format.
-  std::string Text() const;
+  std::string Text() const { return registry_.Text(); }
 
  private:
-  std::shared_ptr<prometheus::Registry> registry_;
+  metric_registry registry_;
   prometheus::Counter* heartbeats_ = nullptr;
   prometheus::Counter* accepted_ = nullptr;
   prometheus::Counter* not_accepted_ = nullptr;
--- a/source/process/daemon/process_metrics.cc
+++ b/source/process/daemon/process_metrics.cc
@@ -2,18 +2,14 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
-#include <prometheus/text_serializer.h>
 
 #include "process/burn/burn_report.h"
 
 namespace marjoramsill {
 
-process_metrics::process_metrics()
-    : registry_(std::make_shared<prometheus::Registry>()) {
-  auto& family = prometheus::BuildCounter()
-                     .Name("marjoramsill_requests_total")
-                     .Help("Ended requests by rank and outcome")
-                     .Register(*registry_);
+process_metrics::process_metrics() {
+  auto& family = registry_.AddCounters("marjoramsill_requests_total",
+                                       "Ended requests by rank and outcome");
   for (std::size_t i = 0; i < kRankCount; ++i) {
     for (std::size_t k = 0; k < kServiceEventCount; ++k) {
       const auto event = static_cast<service_event>(k);
@@ -22,26 +18,14 @@
                        {"outcome", std::string(ServiceEventName(event))}});
     }
   }
-  control_bytes_ = &prometheus::BuildGauge()
-                        .Name("marjoramsill_control_sent_bytes")
-                        .Help("Bytes sent for membership and probes")
-                        .Register(*registry_)
-                        .Add({});
-  peer_bytes_ = &prometheus::BuildGauge()
-                     .Name("marjoramsill_peer_sent_bytes")
-                     .Help("Bytes of HTTP/2 frames sent to other VMs")
-                     .Register(*registry_)
-                     .Add({});
-  policy_version_ = &prometheus::BuildGauge()
-                         .Name("marjoramsill_policy_version")
-                         .Help("Document version in force")
-                         .Register(*registry_)
-                         .Add({});
-  open_requests_ = &prometheus::BuildGauge()
-                        .Name("marjoramsill_open_requests")
-                        .Help("Requests whose answer has not ended")
-                        .Register(*registry_)
-                        .Add({});
+  control_bytes_ = registry_.AddGauge("marjoramsill_control_sent_bytes",
+                                      "Bytes sent for membership and probes");
+  peer_bytes_ = registry_.AddGauge("marjoramsill_peer_sent_bytes",
+                                   "Bytes of HTTP/2 frames sent to other VMs");
+  policy_version_ = registry_.AddGauge("marjoramsill_policy_version",
+                                       "Document version in force");
+  open_requests_ = registry_.AddGauge("marjoramsill_open_requests",
+                                      "Requests whose answer has not ended");
 }
 
 process_metrics::~process_metrics() = default;
@@ -68,8 +52,4 @@
   open_requests_->Set(static_cast<double>(count));
 }
 
-std::string process_metrics::Text() const {
-  return prometheus::TextSerializer().Serialize(registry_->Collect());
-}
-
 }  // namespace marjoramsill
--- a/source/process/daemon/process_metrics.h
+++ b/source/process/daemon/process_metrics.h
@@ -1,13 +1,11 @@
 #ifndef MARJORAMSILL_PROCESS_DAEMON_PROCESS_METRICS_H_
 #define MARJORAMSILL_PROCESS_DAEMON_PROCESS_METRICS_H_
 
-#include <prometheus/registry.h>
-
 #include <array>
-#include <memory>
 #include <string>
 
 #include "process/burn/service_counters.h"
+#include "process/daemon/metric_registry.h"
 #include "types/rank.h"
 
 namespace prometheus {
@@ -30,10 +28,11 @@
   void SetPeerBytes(std::uint64_t bytes);
   void SetPolicyVersion(std::uint64_t version);
   void SetOpenRequests(std::size_t count);
-  std::string Text() const;
+  /// The Prometheus text format.
+  std::string Text() const { return registry_.Text(); }
 
  private:
-  std::shared_ptr<prometheus::Registry> registry_;
+  metric_registry registry_;
   std::array<std::array<prometheus::Counter*, kServiceEventCount>, kRankCount>
       requests_{};
   prometheus::Gauge* control_bytes_ = nullptr;
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -3,14 +3,10 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
 
 #include <algorithm>
 #include <vector>
 
-#include "process/entry/metric_builders.h"
-
 namespace marjoramsill {
 namespace {
 
@@ -20,12 +16,10 @@
 
 }  // namespace
 
-entry_metrics::entry_metrics()
-    : registry_(std::make_shared<prometheus::Registry>()) {
-  auto& requests = prometheus::BuildCounter()
-                       .Name("marjoramsill_entry_requests_total")
-                       .Help("Requests of callers by rank and outcome")
-                       .Register(*registry_);
+entry_metrics::entry_metrics() {
+  auto& requests =
+      registry_.AddCounters("marjoramsill_entry_requests_total",
+                            "Requests of callers by rank and outcome");
   for (std::size_t rank = 0; rank < kRanks; ++rank) {
     for (std::size_t i = 0; i < kCallOutcomeCount; ++i) {
       const auto outcome = static_cast<call_outcome>(i);
@@ -34,37 +28,38 @@
                          {"outcome", CallOutcomeText(outcome)}});
     }
   }
-  attempts_ = MakeCounter(*registry_, "marjoramsill_entry_attempts_total",
-                          "Requests sent to endpoints");
-  retries_ = MakeCounter(*registry_, "marjoramsill_entry_retries_total",
-                         "Requests sent to a further endpoint");
-  retries_denied_ =
-      MakeCounter(*registry_, "marjoramsill_entry_retries_denied_total",
-                  "Further attempts that the retry budget did not allow");
-  connections_ = MakeCounter(*registry_, "marjoramsill_entry_connections_total",
-                             "Connections opened to endpoints");
-  unreadable_ = MakeCounter(*registry_, "marjoramsill_entry_unreadable_total",
-                            "Requests of callers that could not be read");
-  first_byte_ =
-      MakeHistogram(*registry_, "marjoramsill_entry_first_byte_seconds",
-                    "Time from a request to the start of its answer", kSeconds);
-  gap_ = MakeHistogram(*registry_, "marjoramsill_entry_gap_seconds",
-                       "Longest pause within a streamed answer", kSeconds);
+  attempts_ = registry_.AddCounter("marjoramsill_entry_attempts_total",
+                                   "Requests sent to endpoints");
+  retries_ = registry_.AddCounter("marjoramsill_entry_retries_total",
+                                  "Requests sent to a further endpoint");
+  retries_denied_ = registry_.AddCounter(
+      "marjoramsill_entry_retries_denied_total",
+      "Further attempts that the retry budget did not allow");
+  connections_ = registry_.AddCounter("marjoramsill_entry_connections_total",
+                                      "Connections opened to endpoints");
+  unreadable_ =
+      registry_.AddCounter("marjoramsill_entry_unreadable_total",
+                           "Requests of callers that could not be read");
+  first_byte_ = registry_.AddHistogram(
+      "marjoramsill_entry_first_byte_seconds",
+      "Time from a request to the start of its answer", kSeconds);
+  gap_ = registry_.AddHistogram("marjoramsill_entry_gap_seconds",
+                                "Longest pause within a streamed answer",
+                                kSeconds);
   document_version_ =
-      MakeGauge(*registry_, "marjoramsill_entry_document_version",
-                "Version of the routing document in force");
-  endpoints_ready_ = MakeGauge(*registry_, "marjoramsill_entry_endpoints_ready",
-                               "Endpoints believed ready");
-  endpoints_silent_ =
-      MakeGauge(*registry_, "marjoramsill_entry_endpoints_silent",
-                "Endpoints without recent heartbeats");
+      registry_.AddGauge("marjoramsill_entry_document_version",
+                         "Version of the routing document in force");
+  endpoints_ready_ = registry_.AddGauge("marjoramsill_entry_endpoints_ready",
+                                        "Endpoints believed ready");
+  endpoints_silent_ = registry_.AddGauge("marjoramsill_entry_endpoints_silent",
+                                         "Endpoints without recent heartbeats");
   endpoints_leaving_ =
-      MakeGauge(*registry_, "marjoramsill_entry_endpoints_leaving",
-                "Endpoints that announced their end");
-  open_calls_ = MakeGauge(*registry_, "marjoramsill_entry_open_calls",
-                          "Requests in progress");
-  dropped_lines_ = MakeGauge(*registry_, "marjoramsill_entry_dropped_lines",
-                             "Log lines dropped since the start");
+      registry_.AddGauge("marjoramsill_entry_endpoints_leaving",
+                         "Endpoints that announced their end");
+  open_calls_ = registry_.AddGauge("marjoramsill_entry_open_calls",
+                                   "Requests in progress");
+  dropped_lines_ = registry_.AddGauge("marjoramsill_entry_dropped_lines",
+                                      "Log lines dropped since the start");
 }
 
 entry_metrics::~entry_metrics() = default;
@@ -110,8 +105,4 @@
   dropped_lines_->Set(static_cast<double>(count));
 }
 
-std::string entry_metrics::Text() const {
-  return prometheus::TextSerializer().Serialize(registry_->Collect());
-}
-
 }  // namespace marjoramsill
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -3,16 +3,15 @@
 
 #include <array>
 #include <cstdint>
-#include <memory>
 #include <string>
 
+#include "process/daemon/metric_registry.h"
 #include "process/entry/call_outcome.h"
 
 namespace prometheus {
 class Counter;
 class Gauge;
 class Histogram;
-class Registry;
 }  // namespace prometheus
 
 namespace marjoramsill {
@@ -39,13 +38,13 @@
   void SetOpenCalls(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
   /// The Prometheus text format.
-  std::string Text() const;
+  std::string Text() const { return registry_.Text(); }
 
  private:
   /// Ranks above this one share its series.
   static constexpr std::size_t kRanks = 4;
 
-  std::shared_ptr<prometheus::Registry> registry_;
+  metric_registry registry_;
   std::array<std::array<prometheus::Counter*, kCallOutcomeCount>, kRanks>
       outcomes_{};
   prometheus::Counter* attempts_ = nullptr;
