--- a/source/commands/document_commands.cc
+++ b/source/commands/document_commands.cc
@@ -6,6 +6,7 @@
 #include "commands/control_client.h"
 #include "commands/file_text.h"
 #include "process/controller/control_dialect.h"
+#include "request/http_status.h"
 #include "version/line_difference.h"
 #include "version/routing/routing_check.h"
 
@@ -14,12 +15,6 @@
 
 namespace options = boost::program_options;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
-constexpr int kFirstClientError = 400;
-constexpr int kFirstServerError = 500;
-
 exit_code Fail(const char* name, const std::string& reason, exit_code code) {
   std::cerr << "marjoramsill document " << name << ": " << reason << "\n";
   return code;
@@ -59,7 +54,7 @@
                 "same command may be given again",
                 exit_code::kUnavailable);
   }
-  if (answer.status >= kFirstClientError && answer.status < kFirstServerError) {
+  if (IsClientError(answer.status)) {
     return Fail(name, "refused with " + status + ": " + answer.body,
                 exit_code::kInvalid);
   }
--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "connection/status_text.h"
+#include "request/http_status.h"
 
 namespace marjoramsill {
 namespace {
@@ -21,13 +22,6 @@
 /// a request that was on its way when the limit passed.
 constexpr std::chrono::milliseconds kIdleMargin{2'000};
 
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusRequestTimeout = 408;
-constexpr int kStatusContentTooLarge = 413;
-constexpr int kStatusFieldsTooLarge = 431;
-constexpr int kStatusNoContent = 204;
-constexpr int kStatusNotModified = 304;
-
 int StatusFor(parse_state state) {
   switch (state) {
     case parse_state::kHeadTooLarge:
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -18,6 +18,7 @@
 #include "process/controller/document_service.h"
 #include "process/controller/document_store.h"
 #include "process/controller/endpoint_service.h"
+#include "process/controller/node_start.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
 #include "process/controller/watch_hub.h"
@@ -29,6 +30,7 @@
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/watch_codec.h"
 #include "process/entry/decision_log.h"
+#include "request/http_status.h"
 
 namespace marjoramsill {
 namespace {
@@ -45,24 +47,12 @@
 /// For operators; the command `status` reads it.
 constexpr std::string_view kStatusPath = "/v1/status";
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
-
 directory_settings DirectorySettings(const node_settings& settings) {
   directory_settings directory;
   directory.silent_after = kSilentIntervals * settings.heartbeat_interval;
   return directory;
 }
 
-peer_transport_settings PeerSettings(const node_settings& settings) {
-  peer_transport_settings peers;
-  peers.vm = settings.vm.value();
-  peers.listen = settings.peers_bind.value_or(settings.peers);
-  return peers;
-}
-
 int StatusOf(document_answer::kind what) {
   switch (what) {
     case document_answer::kind::kAccepted:
@@ -140,14 +130,14 @@
                     });
     if (settings_.metrics) StartMetrics();
     if (auto listening = peers_.Listen(); !listening) {
-      return failure(Error(listening.assume_error()));
+      return failure(StartError(listening.assume_error()));
     }
     if (auto listening = server_->Listen(); !listening) {
-      return failure(Error(listening.assume_error()));
+      return failure(StartError(listening.assume_error()));
     }
     if (metrics_server_) {
       if (auto listening = metrics_server_->Listen(); !listening) {
-        return failure(Error(listening.assume_error()));
+        return failure(StartError(listening.assume_error()));
       }
     }
     held_version_ = store_->Held().version;
@@ -169,10 +159,6 @@
   }
 
  private:
-  static start_error Error(const listen_error& error) {
-    return {FormatSocketAddress(error.address), error.reason};
-  }
-
   void StartMetrics() {
     http_server_settings http;
     http.listen = *settings_.metrics;
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -6,15 +6,13 @@
 #include "process/daemon/event_log.h"
 #include "process/directory/control_watcher.h"
 #include "process/directory/document_holder.h"
+#include "request/http_status.h"
 
 namespace marjoramsill {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusUnavailable = 503;
 /// Endpoints turn to another process after a second without an answer.
 constexpr milliseconds kAcknowledgeTime{700};
 
@@ -90,9 +88,13 @@
   const std::string body = dialect_.heartbeat_answer(own_address_);
   hub_.AwaitSeen(
       directory_.last_change(), now + kAcknowledgeTime,
-      [done, body](bool /*seen*/) {
-        // Entry VMs that have not seen it by now are down or cut
-        // off, and are told when they return.
+      [id, done, body](bool seen) {
+        // Entry VMs that have not seen it by now are down or cut off, and are
+        // told when they return.
+        if (!seen) {
+          LogEvent(log_level::kWarning, "end_acknowledged_unseen",
+                   {{"endpoint", id.value()}});
+        }
         done(kStatusOk, body);
       },
       now);
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -20,6 +20,7 @@
 #include "connection/peer_transport.h"
 #include "process/controller/document_offer.h"
 #include "process/controller/document_relay.h"
+#include "process/controller/node_start.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
 #include "process/controller/stored_document.h"
@@ -34,6 +35,7 @@
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/pool_table.h"
+#include "request/http_status.h"
 #include "request/proxied_call.h"
 #include "version/routing/routing_table.h"
 
@@ -56,17 +58,6 @@
 constexpr std::size_t kOtherDescriptors = 1'500;
 constexpr std::size_t kMinCallerConnections = 500;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
-
-peer_transport_settings PeerSettings(const node_settings& settings) {
-  peer_transport_settings peers;
-  peers.vm = settings.vm.value();
-  peers.listen = settings.peers_bind.value_or(settings.peers);
-  return peers;
-}
-
 placement_settings PlacementSettings(const node_settings& settings) {
   placement_settings placement;
   placement.domain = settings.failure_domain;
@@ -149,10 +140,10 @@
 
   result<void, start_error> Start() {
     if (auto listening = peers_.Listen(); !listening) {
-      return failure(Error(listening.assume_error()));
+      return failure(StartError(listening.assume_error()));
     }
     if (auto listening = listener_.Listen(); !listening) {
-      return failure(Error(listening.assume_error()));
+      return failure(StartError(listening.assume_error()));
     }
     if (auto listening = ListenHttp(readiness_, settings_.readiness);
         !listening) {
@@ -179,10 +170,6 @@
   }
 
  private:
-  static start_error Error(const listen_error& error) {
-    return {FormatSocketAddress(error.address), error.reason};
-  }
-
   result<void, start_error> ListenHttp(
       std::optional<http_server>& server,
       const std::optional<socket_address>& address) {
@@ -195,7 +182,7 @@
                      OnStatusRequest(request, responder);
                    });
     if (auto listening = server->Listen(); !listening) {
-      return failure(Error(listening.assume_error()));
+      return failure(StartError(listening.assume_error()));
     }
     return success();
   }
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -258,20 +258,4 @@
   }
 }
 
-double endpoint_pool::TotalLoad(steady_time now) const {
-  double total = 0;
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint->IsServing()) total += endpoint->EstimatedLoad(now);
-  }
-  return total;
-}
-
-std::uint32_t endpoint_pool::TotalSlots() const {
-  std::uint32_t total = 0;
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint->IsServing()) total += endpoint->slots();
-  }
-  return total;
-}
-
 }  // namespace marjoramsill
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -53,9 +53,6 @@
   void Sweep();
   std::size_t size() const { return endpoints_.size(); }
   double mean_duration_ms() const { return duration_ms_.value(); }
-  /// Requests at all endpoints, as estimated, and their places.
-  double TotalLoad(steady_time now) const;
-  std::uint32_t TotalSlots() const;
 
  private:
   struct candidate {
--- a/source/process/placement/prefix_memory.cc
+++ b/source/process/placement/prefix_memory.cc
@@ -1,6 +1,7 @@
 #include "process/placement/prefix_memory.h"
 
 #include <xxhash.h>
+
 #include <array>
 
 namespace marjoramsill {
--- a/source/process/placement/retry_window.cc
+++ b/source/process/placement/retry_window.cc
@@ -48,9 +48,4 @@
   return true;
 }
 
-void retry_window::ReturnRetry() {
-  bucket& present = buckets_[current_ % kBuckets];
-  if (present.retries > 0) --present.retries;
-}
-
 }  // namespace marjoramsill
--- a/source/process/placement/retry_window.h
+++ b/source/process/placement/retry_window.h
@@ -21,8 +21,6 @@
   /// Takes one retry from the budget; false if it is used up. `entry_count`:
   /// entry VMs that share the fixed part of the budget.
   bool TakeRetry(std::uint32_t entry_count, steady_time now);
-  /// A retry that was counted and not made.
-  void ReturnRetry();
 
  private:
   static constexpr std::size_t kBuckets = 10;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -15,17 +15,12 @@
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/retry_window.h"
 #include "request/http_field.h"
+#include "request/http_status.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
 namespace {
 
-constexpr int kStatusUnauthorized = 401;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusBadGateway = 502;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusGatewayTimeout = 504;
-
 /// Bounds of the time after which a refused caller may come back.
 constexpr double kMinRetryAfterMs = 100;
 constexpr double kMaxRetryAfterMs = 5'000;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -117,7 +116,6 @@
   std::shared_ptr<endpoint_connection> connection_;
   endpoint_id endpoint_;
   std::string fetch_from_;
-  bool is_new_connection_ = false;
   bool is_counted_ = false;
   steady_time attempt_started_;
   steady_time last_progress_;
@@ -130,12 +128,10 @@
   std::vector<endpoint_id> tried_;
   int sent_ = 0;
   bool may_have_run_ = false;
-  bool is_retry_paid_ = false;
 
   // The answer to the caller.
   bool answer_begun_ = false;
   event_splitter events_;
-  std::optional<http_field_list> answer_fields_;
   steady_time last_answer_bytes_;
   std::chrono::microseconds longest_gap_{0};
 
--- a/source/request/proxied_call_answer.cc
+++ b/source/request/proxied_call_answer.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 
 #include "connection/caller_connection.h"
@@ -5,20 +6,11 @@
 #include "process/entry/call_environment.h"
 #include "process/entry/entry_metrics.h"
 #include "request/forwarded_head.h"
+#include "request/http_status.h"
 #include "request/proxied_call.h"
-#include "request/status_class.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
-namespace {
-
-constexpr int kStatusRequestTimeout = 408;
-constexpr int kStatusMisdirected = 421;
-constexpr int kStatusTooManyRequests = 429;
-constexpr int kStatusUnavailable = 503;
-
-}  // namespace
-
 /// Starts a streamed answer with the head of the first endpoint.
 void proxied_call::BeginAnswer() {
   answer_begun_ = true;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -11,8 +11,8 @@
 #include "process/placement/retry_window.h"
 #include "request/attempt_rules.h"
 #include "request/forwarded_head.h"
+#include "request/http_status.h"
 #include "request/proxied_call.h"
-#include "request/status_class.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
@@ -37,16 +37,12 @@
 constexpr double kNoEndpointRetryMs = 1'000;
 /// Another entry VM may reach an endpoint that refused or failed here.
 constexpr double kFailedRetryMs = 300;
-constexpr int kStatusMisdirected = 421;
-constexpr int kFirstServerError = 500;
-constexpr int kTooManyRequests = 429;
-constexpr int kRequestTimeout = 408;
 constexpr int kMaxEnginePriority = 9;
 
 /// Failures after which a repeatable request may succeed elsewhere.
 bool IsPassing(int status) {
-  return status >= kFirstServerError || status == kTooManyRequests ||
-         status == kRequestTimeout;
+  return IsServerError(status) || status == kStatusTooManyRequests ||
+         status == kStatusRequestTimeout;
 }
 
 /// The engine's queue puts lower numbers first; ranks in between leave room.
@@ -99,8 +95,7 @@
   is_stream_ = false;
   connection_ = environment_.connections->TakeIdle(
       endpoint_, !route_->IsRepeatable(), now);
-  is_new_connection_ = connection_ == nullptr;
-  if (!is_new_connection_) {
+  if (connection_) {
     Send();
     return;
   }
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -19,7 +19,6 @@
   void NoteRefused(const std::string& request) { refused_.insert(request); }
   /// A promise was broken.
   void NoteViolation(const std::string& text) { violations_.push_back(text); }
-  void NoteServed() { ++served_; }
 
   /// Checks the requests that may run once; `once` begins their ids.
   void CheckRuns(const std::string& once) {
@@ -33,13 +32,11 @@
   }
 
   const std::vector<std::string>& violations() const { return violations_; }
-  int served() const { return served_; }
 
  private:
   std::map<std::string, int> runs_;
   std::set<std::string> refused_;
   std::vector<std::string> violations_;
-  int served_ = 0;
 };
 
 }  // namespace marjoramsill::soak
