controller: log the group's members and a busy link

The logs show roles and fetches, but not how many voters the group had, nor what the control processes sent when they reached nobody.

Change: group_members names voters and standbys whenever they change; link_busy gives the bytes of a second in which over half of the link was used, and what the watch responses held; gauge marjoramsill_controller_voters. No decision changes.

--- a/source/process/controller/controller_metrics.cc
+++ b/source/process/controller/controller_metrics.cc
@@ -33,6 +33,8 @@
                              "Election period of the control group");
   members_ = registry_.AddGauge("marjoramsill_controller_members",
                                 "Members of the control group");
+  voters_ = registry_.AddGauge("marjoramsill_controller_voters",
+                               "Members of the control group that vote");
   document_version_ =
       registry_.AddGauge("marjoramsill_controller_document_version",
                          "Newest committed routing document");
@@ -59,10 +61,11 @@
 }
 
 void controller_metrics::SetGroup(bool leads, std::uint64_t term,
-                                  std::size_t members) {
+                                  std::size_t members, std::size_t voters) {
   leads_->Set(leads ? 1 : 0);
   term_->Set(static_cast<double>(term));
   members_->Set(static_cast<double>(members));
+  voters_->Set(static_cast<double>(voters));
 }
 
 void controller_metrics::SetDocumentVersion(std::uint64_t version) {
--- a/source/process/controller/controller_metrics.h
+++ b/source/process/controller/controller_metrics.h
@@ -27,7 +27,8 @@
   void CountRead();
   /// Seconds from the announcement of an endpoint's end to its acknowledgement.
   void ObserveEnd(double seconds);
-  void SetGroup(bool leads, std::uint64_t term, std::size_t members);
+  void SetGroup(bool leads, std::uint64_t term, std::size_t members,
+                std::size_t voters);
   void SetDocumentVersion(std::uint64_t version);
   void SetEntries(std::size_t count);
   void SetEndpoints(std::size_t count);
@@ -45,6 +46,7 @@
   prometheus::Gauge* leads_ = nullptr;
   prometheus::Gauge* term_ = nullptr;
   prometheus::Gauge* members_ = nullptr;
+  prometheus::Gauge* voters_ = nullptr;
   prometheus::Gauge* document_version_ = nullptr;
   prometheus::Gauge* entries_ = nullptr;
   prometheus::Gauge* endpoints_ = nullptr;
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -1,5 +1,6 @@
 #include "process/controller/controller_process.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -49,6 +50,11 @@
 /// For operators. The command `status` reads it.
 constexpr std::string_view kStatusPath = "/v1/status";
 
+/// Above this share of the link's speed, the traffic is logged each second.
+constexpr double kBusyLinkShare = 0.5;
+constexpr std::chrono::seconds kTrafficInterval{1};
+constexpr double kBytesPerMegabit = 1e6 / 8;
+
 directory_settings DirectorySettings(const node_settings& settings) {
   directory_settings directory;
   directory.silent_after = kSilentIntervals * settings.heartbeat_interval;
@@ -178,8 +184,11 @@
 
   void UpdateMetrics() {
     const group_status status = store_->Status();
+    const auto voters =
+        std::count_if(status.members.begin(), status.members.end(),
+                      [](const group_member& each) { return each.voter; });
     metrics_.SetGroup(store_->IsLeading(), status.term.value(),
-                      status.members.size());
+                      status.members.size(), static_cast<std::size_t>(voters));
     metrics_.SetDocumentVersion(held_version_.value());
     metrics_.SetEntries(hub_.EntryCount(SteadyNow()));
     metrics_.SetEndpoints(directory_.size());
@@ -254,6 +263,25 @@
     hub_.Tick(now);
     documents_->Tick();
     settings_watch_.Tick(now);
+    if (now >= next_traffic_check_) CheckTraffic(now);
+  }
+
+  /// Logs what was sent in the last second if it fills the link of this VM:
+  /// the messages of the group then wait behind it.
+  void CheckTraffic(steady_time now) {
+    next_traffic_check_ = now + kTrafficInterval;
+    const std::uint64_t sent = peers_.sent_bytes();
+    const std::uint64_t bytes = sent - std::exchange(sent_before_, sent);
+    const watch_hub::traffic watch = hub_.sent();
+    const watch_hub::traffic before = std::exchange(watch_before_, watch);
+    const double busy = kBusyLinkShare * kBytesPerMegabit * settings_.link_mbps;
+    if (busy <= 0 || static_cast<double>(bytes) < busy) return;
+    LogEvent(log_level::kInfo, "link_busy",
+             {{"sent_bytes", std::to_string(bytes)},
+              {"watch_bytes", std::to_string(watch.bytes - before.bytes)},
+              {"responses", std::to_string(watch.responses - before.responses)},
+              {"records", std::to_string(watch.records - before.records)},
+              {"loads", std::to_string(watch.loads - before.loads)}});
   }
 
   void Stop() {
@@ -386,6 +414,9 @@
   std::optional<http_server> metrics_server_;
   document_version held_version_;
   std::optional<steady_time> stop_at_;
+  steady_time next_traffic_check_;
+  std::uint64_t sent_before_ = 0;
+  watch_hub::traffic watch_before_;
 };
 
 controller_process::controller_process(node_settings settings,
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -62,7 +62,12 @@
   if (each.requests_loads) {
     response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
   }
-  std::exchange(each.respond, nullptr)(EncodeWatchResponse(response));
+  std::string bytes = EncodeWatchResponse(response);
+  ++sent_.responses;
+  sent_.records += response.records.size();
+  sent_.loads += response.loads.size();
+  sent_.bytes += bytes.size();
+  std::exchange(each.respond, nullptr)(std::move(bytes));
 }
 
 void watch_hub::MergeLoads(const std::vector<shared_load>& loads,
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -50,6 +50,15 @@
   /// Calls `done` once every connected watcher has applied a directory change.
   void AwaitApplied(std::uint64_t change, steady_time deadline,
                     applied_hook done, steady_time now);
+  /// What was sent to watchers since the start of this process.
+  struct traffic {
+    std::uint64_t responses = 0;
+    std::uint64_t records = 0;
+    std::uint64_t loads = 0;
+    /// Encoded responses, without the overhead of the transport.
+    std::uint64_t bytes = 0;
+  };
+  const traffic& sent() const { return sent_; }
   /// Number of entry VMs with a recent request.
   std::uint32_t EntryCount(steady_time now) const;
 
@@ -82,6 +91,7 @@
   std::map<vm_id, watcher> watchers_;
   std::vector<awaited_change> awaited_;
   load_report_store loads_;
+  traffic sent_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/daemon/group_runner.cc
+++ b/source/process/daemon/group_runner.cc
@@ -24,6 +24,17 @@
   return "unknown";
 }
 
+/// IP:PORT of the members that are voters, or of those that are not.
+std::string MemberNames(const group_configuration& configuration, bool voters) {
+  std::string names;
+  for (const group_member& member : configuration.members) {
+    if (member.voter != voters) continue;
+    if (!names.empty()) names += ',';
+    names += member.id.vm.value();
+  }
+  return names;
+}
+
 }  // namespace
 
 group_runner::group_runner(std::uint32_t number, raft_settings settings,
@@ -65,6 +76,7 @@
       const bool leads = output.role->role == raft_role::kLeader;
       if (leads) leading_read_ = group_.Read();
     }
+    LogMembers();
     HandleReads(output.reads);
     if (output.stale_disk) {
       LogEvent(log_level::kError, "stale_disk",
@@ -81,6 +93,17 @@
   return out;
 }
 
+void group_runner::LogMembers() {
+  const raft_node& node = group_.node();
+  if (node.configuration() == logged_members_) return;
+  logged_members_ = node.configuration();
+  LogEvent(log_level::kInfo, "group_members",
+           {{"group", std::to_string(number_)},
+            {"index", std::to_string(node.configuration_index().value())},
+            {"voters", MemberNames(logged_members_, true)},
+            {"standbys", MemberNames(logged_members_, false)}});
+}
+
 void group_runner::CompleteProposals(
     std::vector<proposal_outcome>& outcomes,
     std::vector<std::function<void()>>& hooks) {
--- a/source/process/daemon/group_runner.h
+++ b/source/process/daemon/group_runner.h
@@ -84,6 +84,8 @@
   void CompleteProposals(std::vector<proposal_outcome>& outcomes,
                          std::vector<std::function<void()>>& hooks);
   void HandleReads(const std::vector<read_outcome>& reads);
+  /// Logs the members of the group if they have changed.
+  void LogMembers();
   std::string Apply(log_index index, std::string_view command);
 
   const std::uint32_t number_;
@@ -96,6 +98,7 @@
   std::optional<std::uint64_t> leading_read_;
   bool leading_ = false;
   bool stale_disk_ = false;
+  group_configuration logged_members_;
   replicated_group group_;
 };
 
