replication: add failing tests of lost disks after a cut

The schedules of replication_schedules never showed it: the cluster model lets a disk be lost only where the configuration in effect keeps a majority. The new test counts lost disks against the tolerated number instead. The settings of the document's group move to a file of their own, so that the test uses them; their values do not change.

--- a/source/process/controller/document_store.cc
+++ b/source/process/controller/document_store.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "connection/peer_transport.h"
+#include "process/controller/document_group_settings.h"
 #include "process/controller/node_settings.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
@@ -22,31 +23,6 @@
 constexpr std::uint32_t kGroupNumber = 0;
 constexpr const char* kGroupName = "document";
 constexpr milliseconds kRaftTimeout{700};
-/// Largest document after compression.
-constexpr std::size_t kMaxCommandBytes = std::size_t{4} * 1024 * 1024;
-
-/// There are few control processes, so heartbeats can be frequent, and a lost
-/// leader is replaced well within the timeouts of operators and endpoints.
-raft_settings GroupSettings(const node_settings& settings) {
-  raft_settings group;
-  group.heartbeat_interval = milliseconds(120);
-  group.election_timeout_min = milliseconds(450);
-  group.election_timeout_max = milliseconds(800);
-  group.commit_notice_delay = milliseconds(5);
-  group.max_command_bytes = kMaxCommandBytes;
-  group.compaction_entries = 512;
-  group.compaction_bytes = std::size_t{4} * 1024 * 1024;
-  group.retained_entries = 64;
-  // A majority must remain after the tolerated losses.
-  group.target_voters = 2UL * settings.tolerated_losses + 1;
-  group.demote_after = milliseconds(3'000);
-  group.remove_after = milliseconds(20'000);
-  // Disks are either lost or kept, never rolled back to an older state. So the
-  // check for rolled-back disks need not delay a group that has only a bare
-  // majority.
-  group.start_check_timeout = milliseconds(400);
-  return group;
-}
 
 start_error ErrorOf(const storage_error& error) {
   return {error.file, error.detail};
@@ -104,8 +80,9 @@
   start.peers = SeedVms(settings);
   if (settings.founds_group) start.bootstrap_voters = SeedVms(settings);
   disk_.AddGroup(kGroupNumber, std::move(store));
-  group_ = std::make_unique<group_runner>(kGroupNumber, GroupSettings(settings),
-                                          std::move(start), Machine(), disk_);
+  group_ = std::make_unique<group_runner>(
+      kGroupNumber, DocumentGroupSettings(settings.tolerated_losses),
+      std::move(start), Machine(), disk_);
   return success();
 }
 
--- a/tests/replication/cluster.cc
+++ b/tests/replication/cluster.cc
@@ -27,6 +27,7 @@
     const double share = static_cast<double>(Random(2001)) / 1000 - 1;
     vms_[i].clock_rate = 1 + share * options_.drift;
     CreateDisk(i);
+    vms_[i].first_disk = vms_[i].disk_number;
     Start(i);
   }
 }
@@ -135,7 +136,10 @@
   start.stored = std::move(opened).value();
   for (std::size_t i = 0; i < vms_.size(); ++i) {
     start.peers.emplace_back("vm-" + std::to_string(i));
-    if (i < options_.voters) start.bootstrap_voters.push_back(start.peers[i]);
+    const bool is_first_disk = state.disk_number == state.first_disk;
+    if (i < options_.voters && (is_first_disk || !options_.found_once)) {
+      start.bootstrap_voters.push_back(start.peers[i]);
+    }
   }
   state.group = std::make_unique<replicated_group>(
       options_.settings, std::move(start), Hooks(vm),
@@ -282,12 +286,16 @@
 bool cluster::LoseDisk(std::size_t vm) {
   if (!CanLoseDisk(vm)) return false;
   next_disk_loss_allowed_ = now_ + 2'000'000;
-  Stop(vm);
-  CreateDisk(vm);
+  ReplaceDisk(vm);
   Start(vm);
   return true;
 }
 
+void cluster::ReplaceDisk(std::size_t vm) {
+  Stop(vm);
+  CreateDisk(vm);
+}
+
 void cluster::CopyDisk(std::size_t vm) {
   vm_state& state = vms_[vm];
   if (!state.group || state.stale || !state.group->node().has_group()) return;
--- a/tests/replication/cluster.h
+++ b/tests/replication/cluster.h
@@ -27,6 +27,8 @@
   std::uint64_t seed = 1;
   /// Maximum relative deviation of a VM's clock rate from the true rate.
   double drift = 0.03;
+  /// A VM with a replaced disk is not told to found the group again.
+  bool found_once = false;
   /// Whether messages are encoded and decoded on the way.
   bool encode = true;
   /// Small, so that short schedules fill several segments.
@@ -57,6 +59,9 @@
   /// Replaces the disk with an empty one that has a new id. Returns false
   /// without effect if the group could lose its majority permanently.
   bool LoseDisk(std::size_t vm);
+  /// Ends the process and replaces the disk with an empty one that has a new
+  /// id, whatever that means for the group. Start() starts it again.
+  void ReplaceDisk(std::size_t vm);
   /// Replaces the disk with the copy taken by CopyDisk. Returns false without
   /// effect if the case is not one that the start check must detect.
   bool RestoreDisk(std::size_t vm);
@@ -97,6 +102,7 @@
     vm_id id;
     failure_domain_id domain;
     disk_id disk_number;
+    disk_id first_disk;
     std::unique_ptr<memory_disk> disk;
     std::unique_ptr<log_store> store;
     std::unique_ptr<replicated_group> group;
