replication: keep the votes of disks that may be intact

What callers saw: after a cut of the control processes and the loss of as many disks as may be lost, no document could be read or changed again, and entry processes that started had none.

Cause: a voter without contact for 3 s was demoted although its disk was intact. Five voters became four, and two lost disks left two of four. Class: a repair that counts an unreachable member as a lost one.

Change: raft_settings::kept_voters. A group that sets it (the document's, to 2n + 1 for n tolerated losses) never has fewer voters on purpose; a standby is promoted before an unresponsive voter is demoted. A voter whose VM is back with another disk is dropped first, since that disk is known to be lost. The groups of serve keep their rule, which survives the lasting loss of a failure domain.

--- a/source/process/controller/document_group_settings.cc
+++ b/source/process/controller/document_group_settings.cc
@@ -26,6 +26,7 @@
   group.retained_entries = 64;
   // A majority must remain after the tolerated losses.
   group.target_voters = 2 * tolerated_losses + 1;
+  group.kept_voters = group.target_voters;
   group.demote_after = milliseconds(3'000);
   group.remove_after = milliseconds(20'000);
   // Disks are either lost or kept, never rolled back to an older state. So the
--- a/source/process/replication/repair_plan.cc
+++ b/source/process/replication/repair_plan.cc
@@ -142,20 +142,39 @@
   /// raise the quorum to all remaining members.
   std::optional<group_configuration> RemoveUnresponsiveVoter(
       const group_member& member) const {
-    if (current_.voter_count() <= kMinVoters && Promotable().empty()) {
+    const std::size_t voters = current_.voter_count();
+    const std::vector<const group_member*> standbys = Promotable();
+    if (voters <= std::max(kMinVoters, settings_.kept_voters) &&
+        standbys.empty()) {
       return std::nullopt;
     }
-    if (IsLeaving(member.id) || IsSuperseded(member.id)) {
-      return IfCommittable(Without(member.id), 0);
-    }
+    // The disk of a superseded voter is lost, so its vote is lost already.
+    if (IsSuperseded(member.id)) return IfCommittable(Without(member.id), 0);
+    if (voters <= settings_.kept_voters) return ReplaceBy(*standbys.front());
+    if (IsLeaving(member.id)) return IfCommittable(Without(member.id), 0);
     return IfCommittable(Demoted(member), 0);
   }
 
+  /// Promotes a standby before an unresponsive voter is demoted. The disk of
+  /// that voter may be intact, and then its vote makes up for a disk that is
+  /// lost during the repair. The standby must vote for the change itself.
+  std::optional<group_configuration> ReplaceBy(group_member standby) const {
+    standby.voter = true;
+    group_configuration next = current_;
+    next.Set(std::move(standby));
+    std::size_t active = 0;
+    for (const group_member& member : next.members) {
+      if (member.voter && IsActive(member.id)) ++active;
+    }
+    if (active < next.quorum()) return std::nullopt;
+    return next;
+  }
+
   /// An active voter is removed only with one active voter to spare, because
   /// another one may just have been lost.
   std::optional<group_configuration> RemoveLeavingVoter(
       const group_member& member) const {
-    if (current_.voter_count() > kMinVoters) {
+    if (current_.voter_count() > std::max(kMinVoters, settings_.kept_voters)) {
       return IfCommittable(Without(member.id), 1);
     }
     const std::vector<const group_member*> standbys = Promotable();
--- a/tests/replication/repair_plan_test.cc
+++ b/tests/replication/repair_plan_test.cc
@@ -35,9 +35,9 @@
   /// Returns the planned step: "+a1" if a1 is promoted, "-a1" if it is demoted
   /// or removed as a voter, "x a1" if it is removed as a standby, "" if there
   /// is none. The leader is a1.
-  std::string Plan() const {
+  std::string Plan(const raft_settings& settings) const {
     const member_id leader{vm_id("a1"), disk_id(1)};
-    auto next = PlanRepair(configuration, leader, health, raft_settings{});
+    auto next = PlanRepair(configuration, leader, health, settings);
     if (!next) return "";
     for (const group_member& member : configuration.members) {
       const std::string name = member.id.vm.value();
@@ -50,7 +50,15 @@
 };
 
 std::string Plan(const std::vector<sample>& samples) {
-  return plan_case(samples).Plan();
+  return plan_case(samples).Plan(raft_settings{});
+}
+
+/// The plan of a group that keeps `voters` voters.
+std::string KeepingPlan(std::size_t voters,
+                        const std::vector<sample>& samples) {
+  raft_settings settings;
+  settings.target_voters = settings.kept_voters = voters;
+  return plan_case(samples).Plan(settings);
 }
 
 }  // namespace
@@ -66,6 +74,8 @@
   CPPUNIT_TEST(plan_voters_are_spread_over_domains);
   CPPUNIT_TEST(plan_leaving_voter_is_replaced_before_it_is_removed);
   CPPUNIT_TEST(plan_lost_domain_ends_with_three_reachable_voters);
+  CPPUNIT_TEST(plan_kept_voters_are_not_fewer_after_a_cut);
+  CPPUNIT_TEST(plan_kept_voters_replace_a_lost_disk_in_its_place);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -180,6 +190,47 @@
     CPPUNIT_ASSERT(group.configuration.voter_count() >= 3);
     CPPUNIT_ASSERT(!group.configuration.IsVoter({vm_id("b1"), disk_id(1)}));
   }
+
+  // Guards against a repair that gives up the vote of an intact disk.
+  void plan_kept_voters_are_not_fewer_after_a_cut() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        KeepingPlan(5, {{"a1"}, {"b1"}, {"c1"}, {"d1"}, {"e1", true, 99}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("+f1"),
+        KeepingPlan(
+            5,
+            {{"a1"}, {"b1"}, {"c1"}, {"d1"}, {"e1", true, 10}, {"f1", false}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("-e1"),
+        KeepingPlan(
+            5, {{"a1"}, {"b1"}, {"c1"}, {"d1"}, {"e1", true, 10}, {"f1"}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("+d1"),
+        KeepingPlan(3, {{"a1"}, {"b1"}, {"c1", true, 10}, {"d1", false}}));
+    // The promotion could not be committed.
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        KeepingPlan(
+            3, {{"a1"}, {"b1", true, 5}, {"c1", true, 10}, {"d1", false}}));
+    // An active voter that leaves is replaced first as well.
+    CPPUNIT_ASSERT_EQUAL(std::string("+f1"),
+                         KeepingPlan(5, {{"a1"},
+                                         {"b1"},
+                                         {"c1"},
+                                         {"d1"},
+                                         {"e1", true, 0, 1, true},
+                                         {"f1", false}}));
+  }
+
+  // Guards against a VM that counts twice, with its lost disk and its new one.
+  void plan_kept_voters_replace_a_lost_disk_in_its_place() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("-c1"),
+        KeepingPlan(3, {{"a1"}, {"b1"}, {"c1", true, 3}, {"c1", false, 0, 2}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("+c1"),
+                         KeepingPlan(3, {{"a1"}, {"b1"}, {"c1", false, 0, 2}}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(repair_plan_test);
