controller: keep half of the link free after a restart

What callers saw: after control processes restarted together, no entry process got the acknowledged document for five seconds, and requests for its routes were refused with 404.

Cause: each restarted control process answered every watch request as soon as its directory had one more record, to every entry process, although all of them knew the endpoints. Class: bulk state shares a link with the messages that must not wait.

Change: the hub has two feeds. Endpoints that leave or have ended and document versions are answered at once and confirmed by a number of their own. Other records go at once only to a watcher that lacks endpoints, otherwise with the response at the end of the hold time; with the load reports they take at most 0.35 of the link. Watch messages have new fields at their end.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -100,7 +100,8 @@
         directory_(DirectorySettings(settings_)),
         hub_({.directory = &directory_,
               .document = [this] { return held_version_; },
-              .members = [this] { return Members(); }},
+              .members = [this] { return Members(); },
+              .link_mbps = settings_.link_mbps},
              SystemRandom()() | 1U),
         watcher_(io_, peers_, settings_.vm, false, WatcherHooks()),
         settings_watch_(
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -1,5 +1,6 @@
 #include "process/controller/watch_hub.h"
 
+#include <algorithm>
 #include <chrono>
 #include <iterator>
 #include <utility>
@@ -20,46 +21,73 @@
 constexpr milliseconds kLoadHold{400};
 /// A watcher without a request for this long is down or partitioned.
 constexpr milliseconds kWatcherLifetime{1'600};
+/// Share of the link for records and load reports. Documents take up to half of
+/// it; the rest is left for the replicated group and for heartbeats.
+constexpr double kBulkShare = 0.35;
+constexpr double kBulkBurstSeconds = 0.25;
+constexpr double kBytesPerMegabit = 1e6 / 8;
+/// Time between two responses with records to a watcher that lacks endpoints,
+/// so that a directory that fills up is sent in few responses.
+constexpr milliseconds kRecordInterval{100};
 /// After this time it is no longer counted as an entry VM.
 constexpr milliseconds kWatcherExpiry{15'000};
 
 }  // namespace
 
 watch_hub::watch_hub(sources from, std::uint64_t epoch)
-    : from_(std::move(from)), epoch_(epoch) {}
+    : from_(std::move(from)), epoch_(epoch) {
+  if (from_.link_mbps <= 0) return;
+  const double rate = kBulkShare * kBytesPerMegabit * from_.link_mbps;
+  bulk_budget_.emplace(static_cast<std::int64_t>(rate),
+                       static_cast<std::int64_t>(rate * kBulkBurstSeconds));
+}
 
 void watch_hub::OnWatch(const watch_request& request, response_hook respond,
                         steady_time now) {
   watcher& known = watchers_[request.watcher];
   // The watcher has abandoned the connection of an older request.
   if (known.respond) std::exchange(known.respond, nullptr)(std::string());
+  const bool is_first = request.epoch != epoch_;
   known.is_entry = request.is_entry;
   known.requests_loads = request.requests_loads;
   loads_.Record(request.loads, load_report_store::source::kEntry, now);
-  known.applied_change = request.epoch == epoch_ ? request.applied_change : 0;
+  known.applied_change = is_first ? 0 : request.applied_change;
+  known.applied_ending =
+      is_first ? 0 : std::max(request.applied_change, request.applied_ending);
+  known.known_endpoints = request.known_endpoints;
   known.document = request.document;
   known.last_contact = now;
   known.held_since = now;
   known.respond = std::move(respond);
-  const bool is_first = request.epoch != epoch_;
-  if (is_first || HasUpdates(known)) Respond(known, now);
+  if (is_first || HasUrgentUpdates(known) || IsDueForRecords(known, now)) {
+    Respond(known, now);
+  }
   CheckAwaited(now);
 }
 
-bool watch_hub::HasUpdates(const watcher& each) const {
-  return each.applied_change < from_.directory->last_change() ||
+bool watch_hub::HasUrgentUpdates(const watcher& each) const {
+  return each.applied_ending < from_.directory->last_ending() ||
          each.document < from_.document();
 }
 
+bool watch_hub::IsDueForRecords(const watcher& each, steady_time now) {
+  return each.applied_change < from_.directory->last_change() &&
+         each.known_endpoints < from_.directory->CountPresent() &&
+         now - each.last_records >= kRecordInterval && HasBulkBudget(now);
+}
+
+bool watch_hub::HasBulkBudget(steady_time now) {
+  return !bulk_budget_ || bulk_budget_->Available(now) > 0;
+}
+
 void watch_hub::Respond(watcher& each, steady_time now) {
   watch_response response;
   response.epoch = epoch_;
-  response.last_change = from_.directory->last_change();
-  response.records = from_.directory->ChangesAfter(each.applied_change);
+  AddRecords(each, response, now);
   response.document = from_.document();
   response.members = from_.members();
   response.entry_count = EntryCount(now);
-  if (each.requests_loads) {
+  if (each.requests_loads && HasBulkBudget(now)) {
     response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
   }
   std::string bytes = EncodeWatchResponse(response);
@@ -67,9 +95,27 @@
   sent_.records += response.records.size();
   sent_.loads += response.loads.size();
   sent_.bytes += bytes.size();
+  const bool is_bulk = !response.records.empty() || !response.loads.empty();
+  if (bulk_budget_ && is_bulk) {
+    bulk_budget_->Debit(now, static_cast<std::int64_t>(bytes.size()));
+  }
   std::exchange(each.respond, nullptr)(std::move(bytes));
 }
 
+void watch_hub::AddRecords(watcher& each, watch_response& response,
+                           steady_time now) {
+  const std::uint64_t last_change = from_.directory->last_change();
+  response.last_ending = last_change;
+  if (HasBulkBudget(now) || !each.is_entry) {
+    response.records = from_.directory->ChangesAfter(each.applied_change);
+    response.last_change = last_change;
+    if (!response.records.empty()) each.last_records = now;
+  } else {
+    response.records = from_.directory->EndingsAfter(each.applied_ending);
+    response.last_change = each.applied_change;
+  }
+}
+
 void watch_hub::MergeLoads(const std::vector<shared_load>& loads,
                            steady_time now) {
   loads_.Record(loads, load_report_store::source::kController, now);
@@ -77,7 +123,23 @@
 
 void watch_hub::Notify(steady_time now) {
   for (auto& [vm, each] : watchers_) {
-    if (each.respond && HasUpdates(each)) Respond(each, now);
+    if (each.respond && HasUrgentUpdates(each)) Respond(each, now);
+  }
+  RespondWithRecords(now);
+}
+
+void watch_hub::RespondWithRecords(steady_time now) {
+  if (!HasBulkBudget(now)) return;
+  std::vector<watcher*> due;
+  for (auto& [vm, each] : watchers_) {
+    if (each.respond && IsDueForRecords(each, now)) due.push_back(&each);
+  }
+  std::sort(due.begin(), due.end(), [](const watcher* a, const watcher* b) {
+    return a->last_records < b->last_records;
+  });
+  for (watcher* each : due) {
+    if (!HasBulkBudget(now)) return;
+    Respond(*each, now);
   }
 }
 
@@ -90,6 +152,7 @@
         !each.respond && now - each.last_contact > kWatcherExpiry;
     it = is_expired ? watchers_.erase(it) : std::next(it);
   }
+  RespondWithRecords(now);
   loads_.Expire(now);
   CheckAwaited(now);
 }
@@ -97,7 +160,7 @@
 bool watch_hub::IsAppliedByAll(std::uint64_t change, steady_time now) const {
   for (const auto& [vm, each] : watchers_) {
     const bool is_connected = now - each.last_contact <= kWatcherLifetime;
-    if (is_connected && each.applied_change < change) return false;
+    if (is_connected && each.applied_ending < change) return false;
   }
   return true;
 }
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "process/control/token_bucket.h"
 #include "process/directory/load_report_store.h"
 #include "process/directory/watch_request.h"
 #include "types/ids.h"
@@ -15,10 +17,15 @@
 namespace marjoramsill {
 
 class endpoint_directory;
+struct watch_response;
 
-/// Responds to the watch requests of entry VMs and other control members as
-/// soon as there are updates, and tracks the last change that each of them has
-/// applied. Not thread-safe.
+/// Responds to the watch requests of entry VMs and other control members, and
+/// tracks the last change that each of them has applied. Endpoints that leave or
+/// have ended and a newer document are sent at once. Other records and load
+/// reports wait where the watcher lacks no endpoint, and are sent at a bounded
+/// rate: after a restart of control processes every watcher needs all of them,
+/// and they must not delay the messages of the replicated group. Not
+/// thread-safe.
 class watch_hub {
  public:
   /// Sends an encoded watch_response.
@@ -33,6 +40,8 @@
     std::function<document_version()> document;
     /// Members of the control group.
     std::function<std::vector<vm_id>()> members;
+    /// Speed of this VM's link in Mbit/s, 0 if unknown.
+    double link_mbps = 0;
   };
 
   /// `epoch`: random number for this start of the process, not 0.
@@ -69,9 +78,12 @@
     /// Last endpoint whose load was sent to this watcher.
     endpoint_digest last_sent_load;
     std::uint64_t applied_change = 0;
+    std::uint64_t applied_ending = 0;
+    std::uint32_t known_endpoints = 0;
     document_version document;
     steady_time last_contact;
     steady_time held_since;
+    steady_time last_records;
     /// Set while a request is held.
     response_hook respond;
   };
@@ -81,8 +93,17 @@
     applied_hook done;
   };
 
-  bool HasUpdates(const watcher& each) const;
+  /// The watcher must get a response at once.
+  bool HasUrgentUpdates(const watcher& each) const;
+  /// The watcher lacks endpoints and may get their records now.
+  bool IsDueForRecords(const watcher& each, steady_time now);
+  bool HasBulkBudget(steady_time now);
   void Respond(watcher& each, steady_time now);
+  /// Adds the records that the watcher may get now, and their change numbers.
+  void AddRecords(watcher& each, watch_response& response, steady_time now);
+  /// Responds to the held requests of watchers that lack endpoints, beginning
+  /// with the one that has waited longest for records.
+  void RespondWithRecords(steady_time now);
   bool IsAppliedByAll(std::uint64_t change, steady_time now) const;
   void CheckAwaited(steady_time now);
 
@@ -91,6 +112,8 @@
   std::map<vm_id, watcher> watchers_;
   std::vector<awaited_change> awaited_;
   load_report_store loads_;
+  /// Limits records and load reports. Empty if the link's speed is unknown.
+  std::optional<token_bucket> bulk_budget_;
   traffic sent_;
 };
 
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -87,6 +87,11 @@
   request.is_entry = is_entry_;
   request.epoch = member.epoch;
   request.applied_change = member.applied_change;
+  request.applied_ending = member.applied_ending;
+  if (hooks_.known_endpoints) {
+    request.known_endpoints =
+        static_cast<std::uint32_t>(hooks_.known_endpoints());
+  }
   request.document = hooks_.document();
   request.requests_loads = ExchangesLoadsWith(vm);
   if (request.requests_loads) request.loads = hooks_.take_loads();
@@ -151,6 +156,7 @@
   member.last_contact = now;
   member.epoch = response.epoch;
   member.applied_change = response.last_change;
+  member.applied_ending = std::max(response.last_change, response.last_ending);
   member.document = response.document;
   has_had_contact_ = true;
   if (!std::exchange(member.is_reachable, true)) hooks_.on_contact(vm, true);
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -39,6 +39,9 @@
     /// Returns the load reports that endpoints sent to this process since the
     /// last call.
     std::function<std::vector<shared_load>()> take_loads;
+    /// Returns the number of endpoints that this process knows and that have
+    /// not ended; null for a control member, which needs every record.
+    std::function<std::size_t()> known_endpoints;
     /// Returns the newest document version that this process has.
     std::function<document_version()> document;
     std::function<steady_time()> clock;
@@ -74,6 +77,7 @@
   struct member_state {
     std::uint64_t epoch = 0;
     std::uint64_t applied_change = 0;
+    std::uint64_t applied_ending = 0;
     document_version document;
     /// A watch request is in flight.
     bool has_request = false;
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -1,5 +1,6 @@
 #include "process/directory/endpoint_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace marjoramsill {
@@ -87,6 +88,7 @@
   if (changed.change != 0) changes_.erase(changed.change);
   changed.change = ++last_change_;
   changes_.emplace(last_change_, changed.record.id);
+  if (IsLeavingOrEnded(changed.record.phase)) last_ending_ = last_change_;
 }
 
 void endpoint_directory::EndOthersAt(const endpoint_record& record,
@@ -151,6 +153,23 @@
   return found;
 }
 
+std::vector<endpoint_record> endpoint_directory::EndingsAfter(
+    std::uint64_t change) const {
+  std::vector<endpoint_record> found = ChangesAfter(change);
+  std::erase_if(found, [](const endpoint_record& record) {
+    return !IsLeavingOrEnded(record.phase);
+  });
+  return found;
+}
+
+std::size_t endpoint_directory::CountPresent() const {
+  const auto is_present = [](const auto& item) {
+    return item.second.record.phase != endpoint_phase::kEnded;
+  };
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), is_present));
+}
+
 const endpoint_record* endpoint_directory::Find(const endpoint_id& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? nullptr : &found->second.record;
--- a/source/process/directory/endpoint_directory.h
+++ b/source/process/directory/endpoint_directory.h
@@ -39,9 +39,15 @@
 
   /// Number of the last change.
   std::uint64_t last_change() const { return last_change_; }
+  /// Number of the last change by which an endpoint leaves or has ended.
+  std::uint64_t last_ending() const { return last_ending_; }
   /// Records that changed after the change with this number, in the order of
   /// their changes.
   std::vector<endpoint_record> ChangesAfter(std::uint64_t change) const;
+  /// Those of ChangesAfter() whose endpoint leaves or has ended.
+  std::vector<endpoint_record> EndingsAfter(std::uint64_t change) const;
+  /// Number of endpoints that have not ended.
+  std::size_t CountPresent() const;
   /// The record of an endpoint, or null.
   const endpoint_record* Find(const endpoint_id& id) const;
   std::size_t size() const { return entries_.size(); }
@@ -68,6 +74,7 @@
   std::unordered_map<endpoint_id, entry> entries_;
   std::map<std::uint64_t, endpoint_id> changes_;
   std::uint64_t last_change_ = 0;
+  std::uint64_t last_ending_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -19,11 +19,11 @@
                                std::uint32_t, std::uint32_t>;
 using request_fields =
     std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t,
-               bool, std::vector<load_fields>>;
+               bool, std::vector<load_fields>, std::uint64_t, std::uint32_t>;
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
-               std::vector<load_fields>>;
+               std::vector<load_fields>, std::uint64_t>;
 
 /// Limit for nested arrays. The deepest message has three: the response, its
 /// list of records, one record.
@@ -112,7 +112,8 @@
   return Pack(request_fields{request.watcher.value(), request.is_entry,
                              request.epoch, request.applied_change,
                              request.document.value(), request.requests_loads,
-                             ToFields(request.loads)});
+                             ToFields(request.loads), request.applied_ending,
+                             request.known_endpoints});
 }
 
 std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
@@ -126,6 +127,8 @@
   request.document = document_version(std::get<4>(*fields));
   request.requests_loads = std::get<5>(*fields);
   request.loads = ToLoads(std::get<6>(*fields));
+  request.applied_ending = std::get<7>(*fields);
+  request.known_endpoints = std::get<8>(*fields);
   return request;
 }
 
@@ -142,6 +145,7 @@
   }
   std::get<5>(fields) = response.entry_count;
   std::get<6>(fields) = ToFields(response.loads);
+  std::get<7>(fields) = response.last_ending;
   return Pack(fields);
 }
 
@@ -162,6 +166,7 @@
   }
   response.entry_count = std::get<5>(*fields);
   response.loads = ToLoads(std::get<6>(*fields));
+  response.last_ending = std::get<7>(*fields);
   return response;
 }
 
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -21,6 +21,11 @@
   std::uint64_t epoch = 0;
   /// Last change of the member's directory that the watcher has applied.
   std::uint64_t applied_change = 0;
+  /// Last change up to which the watcher has applied the endpoints that leave
+  /// or have ended; at least `applied_change`.
+  std::uint64_t applied_ending = 0;
+  /// Endpoints that the watcher knows and that have not ended.
+  std::uint32_t known_endpoints = 0;
   /// Newest document version that the watcher has.
   document_version document;
   /// The response should include load reports. Its hold time is shorter then.
--- a/source/process/directory/watch_response.h
+++ b/source/process/directory/watch_response.h
@@ -15,8 +15,12 @@
 struct watch_response {
   /// Identifies this run of the member's process; not 0.
   std::uint64_t epoch = 0;
-  /// Number of the last change that `records` includes.
+  /// Number of the last change up to which the watcher has all records, with
+  /// those in this response.
   std::uint64_t last_change = 0;
+  /// Number of the last change up to which it has the records of all endpoints
+  /// that leave or have ended.
+  std::uint64_t last_ending = 0;
   std::vector<endpoint_record> records;
   /// Newest committed document of the member.
   document_version document;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -207,6 +207,10 @@
                                         .Add("state", reachable ? "up" : "lost")
                                         .text());
     };
+    hooks.known_endpoints = [this] {
+      const auto phases = pools_.CountPhases();
+      return phases.ready + phases.silent + phases.leaving;
+    };
     hooks.document = [this] {
       return std::max(CurrentVersion(), fetcher_.required());
     };
