entry: deny a request only by a document that is proven current

What callers saw: requests refused with 404 as an older document says, longer than the bound after a newer one was acknowledged.

Cause: an entry process cannot tell that its document is old when it hears of no newer one, for example while the control processes have no leader, after a freeze, or after its own start from a control process that is behind. It denied requests all the same. Class: an answer from state that is not proven current.

Change: a leader that holds its lease adds to its watch responses that its version is the newest acknowledged one, with the time since the request came. The version is read from the group itself: a commit is acknowledged before the thread of the watch hub hears of it. document_proof keeps the newest proof; a 404 or 401 becomes 503 with Retry-After while the document is older than the proven one or the proof is older than document_apply_ms (new setting, from the platform's bound). A process that starts serves once its document is proven, or without proof after 2 s. What an unproven document allows is still served, since a failure domain that is cut off has to go on.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -99,8 +99,11 @@
                }),
         directory_(DirectorySettings(settings_)),
         hub_({.directory = &directory_,
-              .document = [this] { return held_version_; },
+              // A commit is acknowledged before this thread hears of it, so
+              // the version comes from the group.
+              .document = [this] { return store_->Held().version; },
               .members = [this] { return Members(); },
+              .is_newest = [this] { return store_->IsLeading(); },
               .link_mbps = settings_.link_mbps},
              SystemRandom()() | 1U),
         watcher_(io_, peers_, settings_.vm, false, WatcherHooks()),
--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -80,6 +80,8 @@
   parsed.grace = Millis(reader, "grace_ms", parsed.grace);
   parsed.heartbeat_interval =
       Millis(reader, "heartbeat_interval_ms", parsed.heartbeat_interval);
+  parsed.document_apply =
+      Millis(reader, "document_apply_ms", parsed.document_apply);
   parsed.link_mbps = reader.Number("link_mbps", 0, kMaxMbps, 0);
   ReadRetries(reader, parsed.retries);
   reader.Finish();
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -44,6 +44,8 @@
   std::chrono::milliseconds grace{8'000};
   /// Interval between heartbeats of an endpoint.
   std::chrono::milliseconds heartbeat_interval{1'200};
+  /// Time within which an acknowledged document must be in force on every VM.
+  std::chrono::milliseconds document_apply{2'000};
   /// Speed of the VM's link in Mbit/s; 0 if unknown.
   double link_mbps = 0;
   retry_settings retries;
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -85,6 +85,10 @@
   response.epoch = epoch_;
   AddRecords(each, response, now);
   response.document = from_.document();
+  if (from_.is_newest && from_.is_newest()) {
+    response.confirmed_after =
+        std::chrono::duration_cast<milliseconds>(now - each.held_since);
+  }
   response.members = from_.members();
   response.entry_count = EntryCount(now);
   if (each.requests_loads && HasBulkBudget(now)) {
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -20,8 +20,8 @@
 struct watch_response;
 
 /// Responds to the watch requests of entry VMs and other control members, and
-/// tracks the last change that each of them has applied. Endpoints that leave or
-/// have ended and a newer document are sent at once. Other records and load
+/// tracks the last change that each of them has applied. Endpoints that leave
+/// or have ended and a newer document are sent at once. Other records and load
 /// reports wait where the watcher lacks no endpoint, and are sent at a bounded
 /// rate: after a restart of control processes every watcher needs all of them,
 /// and they must not delay the messages of the replicated group. Not
@@ -40,6 +40,8 @@
     std::function<document_version()> document;
     /// Members of the control group.
     std::function<std::vector<vm_id>()> members;
+    /// True if `document`, read before, was the newest acknowledged one.
+    std::function<bool()> is_newest = nullptr;
     /// Speed of this VM's link in Mbit/s, 0 if unknown.
     double link_mbps = 0;
   };
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -96,6 +96,7 @@
   request.requests_loads = ExchangesLoadsWith(vm);
   if (request.requests_loads) request.loads = hooks_.take_loads();
   member.has_request = true;
+  member.request_sent = hooks_.clock();
   Request(vm, std::string(kWatchKind), EncodeWatchRequest(request),
           kWatchTimeout, [this, vm](const std::optional<std::string>& bytes) {
             const auto response = bytes ? DecodeWatchResponse(*bytes)
@@ -169,6 +170,10 @@
   }
   if (!response.records.empty()) hooks_.on_records(response.records);
   if (!response.loads.empty()) hooks_.on_loads(response.loads);
+  if (response.confirmed_after && hooks_.on_confirmed) {
+    hooks_.on_confirmed(response.document,
+                        member.request_sent + *response.confirmed_after);
+  }
   if (response.document > hooks_.document()) {
     hooks_.on_newer_document(response.document);
   }
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -32,6 +32,9 @@
     std::function<void(const std::vector<endpoint_record>&)> on_records;
     /// A member has a newer document than the version that `document` returns.
     std::function<void(document_version)> on_newer_document;
+    /// A leader confirmed that no version newer than this one had been
+    /// acknowledged by `as_of`.
+    std::function<void(document_version, steady_time as_of)> on_confirmed;
     /// A member became reachable or unreachable.
     std::function<void(const vm_id&, bool reachable)> on_contact;
     /// Called with load reports that other entry VMs received.
@@ -81,6 +84,7 @@
     document_version document;
     /// A watch request is in flight.
     bool has_request = false;
+    steady_time request_sent;
     bool is_reachable = false;
     steady_time next_try;
     steady_time last_contact;
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -23,7 +23,9 @@
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
-               std::vector<load_fields>, std::uint64_t>;
+               std::vector<load_fields>, std::uint64_t, std::int64_t>;
+/// Encoded confirmed_after of a response that confirms nothing.
+constexpr std::int64_t kUnconfirmed = -1;
 
 /// Limit for nested arrays. The deepest message has three: the response, its
 /// list of records, one record.
@@ -146,6 +148,9 @@
   std::get<5>(fields) = response.entry_count;
   std::get<6>(fields) = ToFields(response.loads);
   std::get<7>(fields) = response.last_ending;
+  std::get<8>(fields) = response.confirmed_after
+                            ? response.confirmed_after->count()
+                            : kUnconfirmed;
   return Pack(fields);
 }
 
@@ -167,6 +172,9 @@
   response.entry_count = std::get<5>(*fields);
   response.loads = ToLoads(std::get<6>(*fields));
   response.last_ending = std::get<7>(*fields);
+  if (const std::int64_t after = std::get<8>(*fields); after >= 0) {
+    response.confirmed_after = std::chrono::milliseconds(after);
+  }
   return response;
 }
 
--- a/source/process/directory/watch_response.h
+++ b/source/process/directory/watch_response.h
@@ -1,7 +1,9 @@
 #ifndef MARJORAMSILL_PROCESS_DIRECTORY_WATCH_RESPONSE_H_
 #define MARJORAMSILL_PROCESS_DIRECTORY_WATCH_RESPONSE_H_
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "process/directory/endpoint_record.h"
@@ -24,6 +26,10 @@
   std::vector<endpoint_record> records;
   /// Newest committed document of the member.
   document_version document;
+  /// Set if the member led the group when it responded: no newer document had
+  /// been acknowledged by then. Time from the arrival of the request to that
+  /// moment.
+  std::optional<std::chrono::milliseconds> confirmed_after;
   /// Members of the control group, as IP:PORT of their peer address.
   std::vector<vm_id> members;
   /// Number of entry VMs that watch this member.
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -27,6 +27,9 @@
   decision_log* log = nullptr;
   /// Returns the routing table in force, or null before the first document.
   std::function<std::shared_ptr<const routing_table>()> table;
+  /// True if the document in force is proven to be current, so that a request
+  /// which it does not allow may be denied.
+  std::function<bool()> is_document_current;
   /// Returns the endpoints of a pool; never null.
   std::function<endpoint_pool*(const model_id&)> pool;
   /// Returns the retry budget of a pool; never null.
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -29,6 +29,7 @@
 #include "process/daemon/peer_kinds.h"
 #include "process/daemon/steady_clock.h"
 #include "process/directory/control_watcher.h"
+#include "process/directory/document_proof.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetcher.h"
@@ -56,6 +57,10 @@
 constexpr milliseconds kStopMargin{700};
 /// Limit for an uncompressed routing document.
 constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
+/// A process that starts waits this long for the proof that its first document
+/// is current. It then serves with what it has, since its failure domain may be
+/// cut off.
+constexpr milliseconds kProofWait{2'000};
 /// File descriptors reserved for endpoints, peers and files.
 constexpr std::size_t kOtherDescriptors = 1'500;
 constexpr std::size_t kMinCallerConnections = 500;
@@ -99,6 +104,7 @@
             [this](const vm_id& vm, document_version required,
                    const char* outcome) { LogFetch(vm, required, outcome); },
             SteadyNow),
+        proof_(settings_.document_apply),
         relay_(settings_.link_mbps),
         connections_(io_),
         pools_(PlacementSettings(settings_), settings_.retries, SystemRandom(),
@@ -125,7 +131,12 @@
     environment_.connections = &connections_;
     environment_.metrics = &metrics_;
     environment_.log = &log_;
-    environment_.table = [this] { return table_; };
+    environment_.table = [this] {
+      return is_serving_ ? table_ : std::shared_ptr<const routing_table>();
+    };
+    environment_.is_document_current = [this] {
+      return proof_.IsCurrent(CurrentVersion(), SteadyNow());
+    };
     environment_.pool = [this](const model_id& id) { return pools_.Pool(id); };
     environment_.retries = [this](const model_id& id) {
       return pools_.Retries(id);
@@ -201,6 +212,10 @@
     hooks.on_newer_document = [this](document_version version) {
       fetcher_.Start(version);
     };
+    hooks.on_confirmed = [this](document_version newest, steady_time as_of) {
+      proof_.Confirm(newest, as_of);
+      UpdateServing(SteadyNow());
+    };
     hooks.on_contact = [this](const vm_id& vm, bool reachable) {
       log_.Write("control_contact", log_fields()
                                         .Add("vm", vm.value())
@@ -288,6 +303,7 @@
       return;
     }
     listener_.SetLimits(parsed.assume_value().limits);
+    if (!table_) first_document_at_ = SteadyNow();
     table_ =
         std::make_shared<const routing_table>(std::move(parsed).assume_value());
     document_ = document;
@@ -298,6 +314,20 @@
                    .Add("version", table_->version().value())
                    .Add("routes", table_->document().routes.size())
                    .text());
+    UpdateServing(SteadyNow());
+  }
+
+  /// Begins to serve once the document is proven to be current, or after a
+  /// time without proof.
+  void UpdateServing(steady_time now) {
+    if (is_serving_ || !table_) return;
+    const bool is_proven = proof_.IsCurrent(table_->version(), now);
+    if (!is_proven && now - first_document_at_ < kProofWait) return;
+    is_serving_ = true;
+    log_.Write("serving", log_fields()
+                              .Add("document", table_->version().value())
+                              .Add("proven", is_proven ? "yes" : "no")
+                              .text());
   }
 
   void OnRequest(const std::shared_ptr<caller_connection>& caller,
@@ -317,7 +347,7 @@
   }
 
   bool IsReady() const {
-    return table_ != nullptr && watcher_.HasHadContact() && !stopping_since_;
+    return is_serving_ && watcher_.HasHadContact() && !stopping_since_;
   }
 
   void OnStatusRequest(const http_request& request,
@@ -356,6 +386,7 @@
   }
 
   void Sweep(steady_time now) {
+    UpdateServing(now);
     listener_.Tick(now);
     connections_.Expire(now);
     pools_.Tick(now);
@@ -393,6 +424,10 @@
   peer_transport peers_;
   control_watcher watcher_;
   document_fetcher fetcher_;
+  document_proof proof_;
+  steady_time first_document_at_;
+  /// False until the first document may be used.
+  bool is_serving_ = false;
   document_relay relay_;
   endpoint_connection_pool connections_;
   pool_table pools_;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -27,6 +27,9 @@
 /// Retry-After before the first routing document. A process that has just
 /// started usually receives it within this time.
 constexpr double kStartingRetryMs = 800;
+/// Retry-After while a newer document may exist. An election takes about this
+/// time.
+constexpr double kUnprovenRetryMs = 800;
 /// One in this many ordinary requests (served, or abandoned by the caller) is
 /// logged.
 constexpr std::uint64_t kLogSample = 64;
@@ -149,6 +152,10 @@
 }
 
 void proxied_call::Deny(int status, std::string_view reason) {
+  if (!environment_.is_document_current()) {
+    Refuse("unproven_document", kUnprovenRetryMs);
+    return;
+  }
   caller_->Respond(status, {}, "");
   Finish(call_outcome::kDenied, reason);
 }
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -66,7 +66,8 @@
   /// Responds 503: the request has not run. `retry_after_ms` is jittered and
   /// clamped to 100 to 5000 ms.
   void Refuse(std::string_view reason, double retry_after_ms);
-  /// Responds with `status` to a request without a route or a valid key.
+  /// Responds with `status` to a request without a route or a valid key, or
+  /// 503 if a newer document may allow it.
   void Deny(int status, std::string_view reason);
   /// Responds 502, or aborts a response that has been started.
   void Fail(std::string_view reason);
--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(unconfirmed_change_is_reported_at_the_deadline);
   CPPUNIT_TEST(load_report_reaches_other_watchers_after_the_shorter_hold_time);
   CPPUNIT_TEST(entry_count_excludes_control_members);
+  CPPUNIT_TEST(document_is_confirmed_only_while_the_member_leads);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint64_t kEpoch = 77;
@@ -61,6 +62,34 @@
   std::vector<std::optional<watch_response>> responses_;
 
  public:
+  // Guards against a proof by a member that may lack an acknowledged document.
+  void document_is_confirmed_only_while_the_member_leads() {
+    bool leads = false;
+    watch_hub hub({.directory = &directory_,
+                   .document = [] { return document_version(1); },
+                   .members = [] { return std::vector<vm_id>(); },
+                   .is_newest = [&leads] { return leads; }},
+                  kEpoch);
+    for (int i = 0; i < 2; ++i) {
+      watch_request request;
+      request.watcher = vm_id("a");
+      request.epoch = kEpoch;
+      request.document = document_version(1);
+      hub.OnWatch(
+          request,
+          [this](const std::string& bytes) {
+            responses_.push_back(DecodeWatchResponse(bytes));
+          },
+          now_);
+      now_ += milliseconds(900);
+      hub.Tick(now_);
+      leads = true;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, responses_.size());
+    CPPUNIT_ASSERT(!responses_[0]->confirmed_after);
+    CPPUNIT_ASSERT(responses_[1]->confirmed_after == milliseconds(900));
+  }
+
   void new_watcher_gets_a_response_at_once() {
     Watch("a", 0, 0);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
