entry: log software versions and resumed streams

The logs name the endpoints of each attempt, but neither their software versions nor the stream that a request takes up.

Change: the version of a heartbeat is kept in endpoint_record and travels in the watch messages, as a new last field; the endpoint and placed lines show it, and placed shows the request whose stream is resumed. No decision uses either yet.

--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -40,6 +40,7 @@
            {{"endpoint", record.id.value()},
             {"phase", EndpointPhaseText(record.phase)},
             {"address", record.address},
+            {"software", record.software},
             {"pool", record.pool.value()},
             {"born", std::to_string(record.incarnation.value())},
             {"sequence", std::to_string(record.sequence)}});
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -12,7 +12,7 @@
 bool IsSameForWatchers(const endpoint_record& a, const endpoint_record& b) {
   return a.incarnation == b.incarnation && a.phase == b.phase &&
          a.address == b.address && a.pool == b.pool && a.slots == b.slots &&
-         a.domain == b.domain;
+         a.domain == b.domain && a.software == b.software;
 }
 
 bool IsLeavingOrEnded(endpoint_phase phase) {
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -11,9 +11,10 @@
 namespace marjoramsill {
 namespace {
 
-using record_fields = std::tuple<std::string, std::string, std::string,
-                                 std::string, std::uint32_t, std::uint8_t,
-                                 std::uint64_t, std::uint64_t, std::uint32_t>;
+using record_fields =
+    std::tuple<std::string, std::string, std::string, std::string,
+               std::uint32_t, std::uint8_t, std::uint64_t, std::uint64_t,
+               std::uint32_t, std::string>;
 /// Endpoint, running, waiting, slots, age in milliseconds.
 using load_fields = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                                std::uint32_t, std::uint32_t>;
@@ -65,7 +66,8 @@
           static_cast<std::uint8_t>(record.phase),
           record.incarnation.value(),
           record.sequence,
-          record.cold_ms};
+          record.cold_ms,
+          record.software};
 }
 
 std::optional<endpoint_record> ToRecord(record_fields&& fields) {
@@ -83,6 +85,7 @@
   record.incarnation = incarnation_number(std::get<6>(fields));
   record.sequence = std::get<7>(fields);
   record.cold_ms = std::get<8>(fields);
+  record.software = std::move(std::get<9>(fields));
   return record;
 }
 
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -244,6 +244,7 @@
                                .Add("phase", EndpointPhaseText(changed.phase))
                                .Add("pool", changed.pool.value())
                                .Add("address", changed.address)
+                               .Add("software", changed.software)
                                .Add("born", changed.incarnation.value())
                                .Add("sequence", changed.sequence)
                                .text());
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -75,6 +75,9 @@
   const http_field* id =
       FindField(message_.fields, environment_.dialect.request_id);
   if (id != nullptr) request_id_ = id->value;
+  const http_field* resumed =
+      FindField(message_.fields, environment_.dialect.resumed_request);
+  if (resumed != nullptr) resumed_request_ = resumed->value;
   table_ = environment_.table();
   if (!table_) {
     Refuse("no_document", kStartingRetryMs);
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -115,6 +115,8 @@
   const route_rule* route_ = nullptr;
   const workspace_spec* workspace_ = nullptr;
   std::string request_id_;
+  /// Request that brought the first event of the stream which this one resumes.
+  std::string resumed_request_;
   request_demand demand_;
   model_id pool_id_;
   endpoint_pool* pool_ = nullptr;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -68,6 +68,8 @@
   }
   LogStep("placed", log_fields()
                         .Add("endpoint", choice->endpoint->record().id.value())
+                        .Add("software", choice->endpoint->record().software)
+                        .Add("resumes", resumed_request_)
                         .Add("candidates", choice->candidates)
                         .Add("cost_ms", choice->cost_ms)
                         .Add("load", choice->load)
--- a/source/request/request_dialect.h
+++ b/source/request/request_dialect.h
@@ -35,6 +35,8 @@
   std::string not_run = "X-Not-Run";
   /// Id of the last event that the caller has received; resumes a stream.
   std::string last_event_id = "Last-Event-Id";
+  /// Id of the request that brought the first event of the resumed stream.
+  std::string resumed_request = "X-Resumed-Request";
   /// Further fields that only entry VMs may set; removed from callers'
   /// requests.
   std::vector<std::string> reserved;
