operations: add failing test of streams across software versions

What callers see: a stream that breaks off goes on at an endpoint of another software version, whose events do not fit to those before.

The fake endpoints announce a version and the ledger of the soak checks that a stream has events of one only.

--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -87,7 +87,7 @@
   const nlohmann::json body{{"service", settings_.pool},
                             {"address", settings_.announced},
                             {"zone", settings_.domain},
-                            {"version", "v1"},
+                            {"version", settings_.software},
                             {"slots", kSlots},
                             {"state", is_leaving_ ? "draining" : "ready"},
                             {"coldRemainingMs", 0},
@@ -137,6 +137,10 @@
     return;
   }
   const std::string last = ValueOf(message, platform::kLastEventId);
+  const std::string resumed = ValueOf(message, platform::kResumedRequest);
+  ledger_.RecordStreamRun(resumed.empty() ? request : resumed,
+                          settings_.software);
+  last_stream_ = request;
   caller->Begin(200, ResponseFields(request), std::nullopt);
   SendEvents(caller, request, last.empty() ? 1 : std::stoi(last) + 1);
 }
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -29,6 +29,8 @@
   socket_address listen;
   std::string announced;
   std::string domain;
+  /// Version of its software, in its heartbeats.
+  std::string software = "v1";
   /// Chooses the control process that receives the next heartbeat.
   std::function<socket_address()> control;
 };
@@ -50,6 +52,10 @@
   /// Announces that it leaves, and exits some time after the acknowledgement.
   void Leave();
   bool is_running() const { return listener_.has_value(); }
+  /// The last stream that began here is the one of this request.
+  bool IsStreaming(const std::string& request) const {
+    return last_stream_ == request;
+  }
 
  private:
   void ScheduleHeartbeat();
@@ -72,6 +78,7 @@
   /// Counts starts and crashes, so that timers from before do nothing.
   int start_count_ = 0;
   bool is_leaving_ = false;
+  std::string last_stream_;
   std::optional<std::chrono::steady_clock::time_point> leave_acknowledged_at_;
 };
 
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -16,6 +16,15 @@
   bool HasRun(const std::string& request) const {
     return runs_.contains(request);
   }
+  /// Records the software version of an endpoint that sends events of the
+  /// stream that began with `stream`. Events of two versions do not fit
+  /// together.
+  void RecordStreamRun(const std::string& stream, const std::string& software) {
+    const auto [begun, is_first] = software_.try_emplace(stream, software);
+    if (is_first || begun->second == software) return;
+    RecordViolation("stream " + stream + " began at " + begun->second +
+                    " and goes on at " + software);
+  }
   /// Records that a request that may run at most once was refused as not run.
   void RecordRefusal(const std::string& request) { refused_.insert(request); }
   /// Records that the fleet violated a guarantee.
@@ -37,6 +46,7 @@
 
  private:
   std::map<std::string, int> runs_;
+  std::map<std::string, std::string> software_;
   std::set<std::string> refused_;
   std::vector<std::string> violations_;
 };
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -98,6 +98,8 @@
   settings.listen = bound;
   settings.announced = FormatSocketAddress(announced);
   settings.domain = DomainOf(index);
+  settings.software = settings_.software[static_cast<std::size_t>(index) %
+                                         settings_.software.size()];
   settings.control = [this] {
     next_control_ = (next_control_ + 1) %
                     static_cast<std::size_t>(settings_.control_processes);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -25,6 +25,8 @@
   int control_processes = 3;
   int entry_processes = 3;
   int endpoints = 4;
+  /// Software versions of the endpoints, in turn.
+  std::vector<std::string> software = {"v1"};
 };
 
 /// One process of the fleet. Other processes reach it through its proxy.
