entry: let a stream go on only at the version that began it

Cause: the version of an endpoint was not kept, and neither the choice within a response nor a request that takes a stream up looked at it. Class: a request that depends on earlier state is placed like a new one. Where streams are sent on: another attempt within a response, a caller's resumption at the same or another entry VM, the second pool of a route, and all of these after the entry VM that began the stream has ended.

Change: the endpoint of the first event binds the request to its pool and version (placement_limits). Entry processes report the streams that began at them, as two hashes, with their watch requests; the control processes keep them for 30 s and outlive the entry process. A resumption is bound by the entry process's own memory, by the only version that the pool had for 30 s as long as the document is proven current, or by the answer of the control processes. Without one it is refused as not run: a guess could be wrong. A restarted control process is sent all recent origins again.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -332,6 +332,10 @@
       } else {
         respond("");
       }
+    } else if (message.kind == kStreamOriginKind) {
+      const auto stream = DecodeStreamDigest(message.body);
+      const auto software = stream ? hub_.FindOrigin(*stream) : std::nullopt;
+      respond(software ? EncodeSoftwareDigest(*software) : std::string());
     } else if (message.kind == kDocumentKind) {
       documents_->OnDocumentMessage(vm_id(message.from), message.body, respond);
     } else if (message.kind == kReadDocumentKind) {
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -51,6 +51,7 @@
   known.is_entry = request.is_entry;
   known.requests_loads = request.requests_loads;
   loads_.Record(request.loads, load_report_store::source::kEntry, now);
+  for (const stream_origin& each : request.origins) origins_.Record(each, now);
   known.applied_change = is_first ? 0 : request.applied_change;
   known.applied_ending =
       is_first ? 0 : std::max(request.applied_change, request.applied_ending);
@@ -158,6 +159,7 @@
   }
   RespondWithRecords(now);
   loads_.Expire(now);
+  origins_.Expire(now);
   CheckAwaited(now);
 }
 
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -10,6 +10,7 @@
 
 #include "process/control/token_bucket.h"
 #include "process/directory/load_report_store.h"
+#include "process/directory/stream_origin_store.h"
 #include "process/directory/watch_request.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
@@ -61,6 +62,10 @@
   /// Calls `done` once every connected watcher has applied a directory change.
   void AwaitApplied(std::uint64_t change, steady_time deadline,
                     applied_hook done, steady_time now);
+  /// The software that began a stream, if an entry VM reported it.
+  std::optional<software_digest> FindOrigin(stream_digest stream) const {
+    return origins_.Find(stream);
+  }
   /// What was sent to watchers since the start of this process.
   struct traffic {
     std::uint64_t responses = 0;
@@ -114,6 +119,7 @@
   std::map<vm_id, watcher> watchers_;
   std::vector<awaited_change> awaited_;
   load_report_store loads_;
+  stream_origin_store origins_;
   /// Limits records and load reports. Empty if the link's speed is unknown.
   std::optional<token_bucket> bulk_budget_;
   traffic sent_;
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -95,6 +95,10 @@
   request.document = hooks_.document();
   request.requests_loads = ExchangesLoadsWith(vm);
   if (request.requests_loads) request.loads = hooks_.take_loads();
+  if (hooks_.take_origins) {
+    member.sent_origin = member.confirmed_origin;
+    request.origins = hooks_.take_origins(member.sent_origin);
+  }
   member.has_request = true;
   member.request_sent = hooks_.clock();
   Request(vm, std::string(kWatchKind), EncodeWatchRequest(request),
@@ -155,6 +159,10 @@
   member.failures = 0;
   member.next_try = now;
   member.last_contact = now;
+  // A restarted member has lost the origins that it confirmed before.
+  const bool is_restarted = member.epoch != response.epoch;
+  member.confirmed_origin =
+      is_restarted && member.epoch != 0 ? 0 : member.sent_origin;
   member.epoch = response.epoch;
   member.applied_change = response.last_change;
   member.applied_ending = std::max(response.last_change, response.last_ending);
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -12,6 +12,7 @@
 
 #include "process/directory/endpoint_record.h"
 #include "process/directory/shared_load.h"
+#include "process/directory/stream_origin.h"
 #include "process/directory/watch_response.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
@@ -42,6 +43,9 @@
     /// Returns the load reports that endpoints sent to this process since the
     /// last call.
     std::function<std::vector<shared_load>()> take_loads;
+    /// Returns the streams that began here after the origin with this number,
+    /// and moves the number to the last of them. Null for a control member.
+    std::function<std::vector<stream_origin>(std::uint64_t&)> take_origins;
     /// Returns the number of endpoints that this process knows and that have
     /// not ended; null for a control member, which needs every record.
     std::function<std::size_t()> known_endpoints;
@@ -85,6 +89,10 @@
     /// A watch request is in flight.
     bool has_request = false;
     steady_time request_sent;
+    /// Last stream origin that the member has, and that of the request in
+    /// flight.
+    std::uint64_t confirmed_origin = 0;
+    std::uint64_t sent_origin = 0;
     bool is_reachable = false;
     steady_time next_try;
     steady_time last_contact;
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -18,9 +18,12 @@
 /// Endpoint, running, waiting, slots, age in milliseconds.
 using load_fields = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                                std::uint32_t, std::uint32_t>;
+/// Stream, software.
+using origin_fields = std::tuple<std::uint64_t, std::uint32_t>;
 using request_fields =
     std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t,
-               bool, std::vector<load_fields>, std::uint64_t, std::uint32_t>;
+               bool, std::vector<load_fields>, std::uint64_t, std::uint32_t,
+               std::vector<origin_fields>>;
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
@@ -100,6 +103,16 @@
   return fields;
 }
 
+std::vector<origin_fields> ToFields(const std::vector<stream_origin>& origins) {
+  std::vector<origin_fields> fields;
+  fields.reserve(origins.size());
+  for (const stream_origin& each : origins) {
+    fields.emplace_back(each.stream.value(),
+                        static_cast<std::uint32_t>(each.software.value()));
+  }
+  return fields;
+}
+
 std::vector<shared_load> ToLoads(const std::vector<load_fields>& fields) {
   std::vector<shared_load> loads;
   loads.reserve(fields.size());
@@ -114,11 +127,11 @@
 }  // namespace
 
 std::string EncodeWatchRequest(const watch_request& request) {
-  return Pack(request_fields{request.watcher.value(), request.is_entry,
-                             request.epoch, request.applied_change,
-                             request.document.value(), request.requests_loads,
-                             ToFields(request.loads), request.applied_ending,
-                             request.known_endpoints});
+  return Pack(request_fields{
+      request.watcher.value(), request.is_entry, request.epoch,
+      request.applied_change, request.document.value(), request.requests_loads,
+      ToFields(request.loads), request.applied_ending, request.known_endpoints,
+      ToFields(request.origins)});
 }
 
 std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
@@ -134,6 +147,10 @@
   request.loads = ToLoads(std::get<6>(*fields));
   request.applied_ending = std::get<7>(*fields);
   request.known_endpoints = std::get<8>(*fields);
+  for (const auto& [stream, software] : std::get<9>(*fields)) {
+    request.origins.push_back(
+        {stream_digest(stream), software_digest(software)});
+  }
   return request;
 }
 
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "process/directory/shared_load.h"
+#include "process/directory/stream_origin.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -32,6 +33,8 @@
   bool requests_loads = false;
   /// Reports that the watcher received from endpoints since its last request.
   std::vector<shared_load> loads;
+  /// Streams that began at the watcher since its last request.
+  std::vector<stream_origin> origins;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
+#include "process/directory/stream_origin.h"
 #include "request/request_dialect.h"
 #include "types/ids.h"
 #include "types/random_source.h"
@@ -18,6 +20,8 @@
 class entry_metrics;
 class retry_window;
 class routing_table;
+struct origin_finding;
+struct route_rule;
 
 /// State and services that all calls of one entry process share.
 struct call_environment {
@@ -32,6 +36,14 @@
   std::function<bool()> is_document_current;
   /// Returns the endpoints of a pool; never null.
   std::function<endpoint_pool*(const model_id&)> pool;
+  /// Finds the software that began the stream of a request on this route, and
+  /// calls the hook with it, now or later.
+  std::function<void(const std::string& request, const route_rule& route,
+                     std::function<void(const origin_finding&)>)>
+      find_origin;
+  /// Records the software that brought the first event of a request's stream.
+  std::function<void(const std::string& request, software_digest)>
+      record_origin;
   /// Returns the retry budget of a pool; never null.
   std::function<retry_window*(const model_id&)> retries;
   /// Returns the number of entry VMs in the fleet, as last reported.
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -36,6 +36,7 @@
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/pool_table.h"
+#include "process/entry/stream_origin_finder.h"
 #include "request/http_status.h"
 #include "request/proxied_call.h"
 #include "version/routing/routing_table.h"
@@ -111,6 +112,9 @@
                [this](const endpoint_record& changed) {
                  OnEndpointChange(changed);
                }),
+        origins_(
+            watcher_, [this](const model_id& id) { return OnlySoftware(id); },
+            SteadyNow),
         listener_(
             io_, {*settings_.callers, MaxCallerConnections()},
             [this](const auto& caller, caller_message message) {
@@ -138,6 +142,13 @@
       return proof_.IsCurrent(CurrentVersion(), SteadyNow());
     };
     environment_.pool = [this](const model_id& id) { return pools_.Pool(id); };
+    environment_.find_origin =
+        [this](const std::string& request, const route_rule& route,
+               const auto& done) { origins_.Find(request, route, done); };
+    environment_.record_origin = [this](const std::string& request,
+                                        software_digest software) {
+      origins_.Record(request, software);
+    };
     environment_.retries = [this](const model_id& id) {
       return pools_.Retries(id);
     };
@@ -222,9 +233,9 @@
                                         .Add("state", reachable ? "up" : "lost")
                                         .text());
     };
-    hooks.known_endpoints = [this] {
-      const auto phases = pools_.CountPhases();
-      return phases.ready + phases.silent + phases.leaving;
+    hooks.known_endpoints = [this] { return pools_.CountPresent(); };
+    hooks.take_origins = [this](std::uint64_t& number) {
+      return origins_.TakeAfter(number);
     };
     hooks.document = [this] {
       return std::max(CurrentVersion(), fetcher_.required());
@@ -318,6 +329,13 @@
     UpdateServing(SteadyNow());
   }
 
+  /// A process that was cut off or frozen may not know of a new version yet.
+  std::optional<software_digest> OnlySoftware(const model_id& pool) const {
+    const steady_time now = SteadyNow();
+    if (!proof_.IsCurrent(CurrentVersion(), now)) return std::nullopt;
+    return pools_.OnlySoftware(pool, now);
+  }
+
   /// Begins to serve once the document is proven to be current, or after a
   /// time without proof.
   void UpdateServing(steady_time now) {
@@ -391,6 +409,7 @@
     listener_.Tick(now);
     connections_.Expire(now);
     pools_.Tick(now);
+    origins_.Tick(now);
     settings_watch_.Tick(now);
     const auto phases = pools_.CountPhases();
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
@@ -432,6 +451,7 @@
   document_relay relay_;
   endpoint_connection_pool connections_;
   pool_table pools_;
+  stream_origin_finder origins_;
   caller_listener listener_;
   settings_watch settings_watch_;
   std::optional<http_server> readiness_;
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -49,6 +49,7 @@
 
 void pool_table::Merge(const std::vector<endpoint_record>& records,
                        steady_time now) {
+  if (!first_merge_) first_merge_ = now;
   for (const endpoint_record& record : records) directory_.Merge(record, now);
   for (const endpoint_record& record :
        directory_.ChangesAfter(applied_change_)) {
@@ -90,6 +91,21 @@
   return Pool(pool->second)->Find(id->second);
 }
 
+std::optional<software_digest> pool_table::OnlySoftware(const model_id& pool,
+                                                        steady_time now) const {
+  if (!first_merge_ || now - *first_merge_ < kStreamOriginLifetime) {
+    return std::nullopt;
+  }
+  std::optional<software_digest> only;
+  for (const endpoint_record& record : directory_.ChangesAfter(0)) {
+    if (record.pool != pool) continue;
+    const software_digest software = DigestOfSoftware(record);
+    if (only && *only != software) return std::nullopt;
+    only = software;
+  }
+  return only;
+}
+
 void pool_table::MergeLoads(const std::vector<shared_load>& loads,
                             steady_time now) {
   for (const shared_load& load : loads) {
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -5,10 +5,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/shared_load.h"
+#include "process/directory/stream_origin_store.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/placement_settings.h"
 #include "process/placement/retry_window.h"
@@ -43,6 +45,13 @@
   endpoint_pool* Pool(const model_id& id);
   /// The retry budget of a pool, which is created if needed; never null.
   retry_window* Retries(const model_id& id);
+  /// The software of a pool's endpoints, if all of them, also those that ended
+  /// recently, have the same and this process has known the pool for as long as
+  /// a stream can be taken up.
+  std::optional<software_digest> OnlySoftware(const model_id& pool,
+                                              steady_time now) const;
+  /// Number of endpoints that have not ended.
+  std::size_t CountPresent() const { return directory_.CountPresent(); }
   /// Updates the phases of endpoints and removes expired ones.
   void Tick(steady_time now);
 
@@ -65,6 +74,7 @@
   std::shared_ptr<const routing_table> table_;
   endpoint_directory directory_;
   std::uint64_t applied_change_ = 0;
+  std::optional<steady_time> first_merge_;
   std::map<endpoint_id, model_id> pool_by_endpoint_;
   std::map<endpoint_digest, endpoint_id> endpoint_by_digest_;
   std::map<model_id, std::unique_ptr<endpoint_pool>> pools_;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -29,6 +29,14 @@
   return XXH3_64bits_withSeed(id.data(), id.size(), prefix_hash);
 }
 
+bool IsWithin(const placement_limits& limits, const endpoint_record& record) {
+  if (limits.software && DigestOfSoftware(record) != *limits.software) {
+    return false;
+  }
+  return std::find(limits.tried.begin(), limits.tried.end(), record.id) ==
+         limits.tried.end();
+}
+
 }  // namespace
 
 endpoint_pool::endpoint_pool(placement_settings settings, random_source random)
@@ -60,10 +68,12 @@
   return found == endpoints_.end() ? nullptr : found->second.get();
 }
 
-bool endpoint_pool::CanServe() const {
-  return std::any_of(
-      endpoints_.begin(), endpoints_.end(),
-      [](const auto& entry) { return entry.second->IsServing(); });
+bool endpoint_pool::CanServe(const placement_limits& limits) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [&limits](const auto& entry) {
+                       return entry.second->IsServing() &&
+                              IsWithin(limits, entry.second->record());
+                     });
 }
 
 void endpoint_pool::Sweep() {
@@ -74,12 +84,12 @@
 }
 
 std::vector<endpoint_pool::candidate> endpoint_pool::FindCandidates(
-    const std::vector<endpoint_id>& tried, bool also_avoided, steady_time now) {
+    const placement_limits& limits, bool also_avoided, steady_time now) {
   std::vector<candidate> found;
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint->IsServing()) continue;
     if (!also_avoided && endpoint->IsAvoided(now)) continue;
-    if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
+    if (!IsWithin(limits, endpoint->record())) continue;
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now)});
   }
   return found;
@@ -230,11 +240,11 @@
 }
 
 std::optional<placement_choice> endpoint_pool::Choose(
-    const request_demand& demand, const std::vector<endpoint_id>& tried,
+    const request_demand& demand, const placement_limits& limits,
     steady_time now) {
-  std::vector<candidate> candidates = FindCandidates(tried, false, now);
+  std::vector<candidate> candidates = FindCandidates(limits, false, now);
   // An endpoint that failed recently is better than none.
-  if (candidates.empty()) candidates = FindCandidates(tried, true, now);
+  if (candidates.empty()) candidates = FindCandidates(limits, true, now);
   if (candidates.empty()) return std::nullopt;
   const std::size_t found = candidates.size();
   const double mean = MeanLoad(candidates);
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include "process/directory/shared_load.h"
 #include "process/placement/endpoint_estimate.h"
 #include "process/placement/placement_choice.h"
+#include "process/placement/placement_limits.h"
 #include "process/placement/placement_settings.h"
 #include "process/placement/request_demand.h"
 #include "process/placement/session_detector.h"
@@ -34,9 +35,8 @@
   /// its calls have ended.
   void Apply(const endpoint_record& record);
   /// Chooses an endpoint for a request, or nothing if none can serve it.
-  /// Endpoints in `tried` are not chosen.
   std::optional<placement_choice> Choose(const request_demand& demand,
-                                         const std::vector<endpoint_id>& tried,
+                                         const placement_limits& limits,
                                          steady_time now);
   /// Records that a request has arrived, whatever its outcome.
   void RecordDemand(const request_demand& demand);
@@ -49,8 +49,8 @@
   /// VM since the last call.
   void TakeLoads(std::vector<shared_load>& loads, steady_time now);
 
-  /// True if at least one endpoint accepts requests.
-  bool CanServe() const;
+  /// True if at least one endpoint within the limits accepts requests.
+  bool CanServe(const placement_limits& limits) const;
   /// Removes endpoints that have ended and have no call in flight.
   void Sweep();
   std::size_t size() const { return endpoints_.size(); }
@@ -61,9 +61,9 @@
     endpoint_estimate* endpoint = nullptr;
     double load = 0;
   };
-  /// Endpoints that serve and were not tried; avoided ones only if
+  /// Endpoints within the limits that serve; avoided ones only if
   /// `also_avoided`.
-  std::vector<candidate> FindCandidates(const std::vector<endpoint_id>& tried,
+  std::vector<candidate> FindCandidates(const placement_limits& limits,
                                         bool also_avoided, steady_time now);
   /// `candidates` must not be empty.
   static double MeanLoad(const std::vector<candidate>& candidates);
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -12,6 +12,7 @@
 #include "process/entry/decision_log.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
+#include "process/entry/origin_finding.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/retry_window.h"
 #include "request/http_field.h"
@@ -30,6 +31,8 @@
 /// Retry-After while a newer document may exist. An election takes about this
 /// time.
 constexpr double kUnprovenRetryMs = 800;
+/// Retry-After of a stream whose origin is not known here.
+constexpr double kUnknownOriginRetryMs = 300;
 /// One in this many ordinary requests (served, or abandoned by the caller) is
 /// logged.
 constexpr std::uint64_t kLogSample = 64;
@@ -88,6 +91,46 @@
   if (route_->uses_prefix_cache) {
     demand_ = environment_.dialect.read_demand(message_.fields);
   }
+  if (ResumesStream()) {
+    FindOrigin();
+  } else {
+    BeginAttempts();
+  }
+}
+
+bool proxied_call::ResumesStream() const {
+  const http_field* last =
+      FindField(message_.fields, environment_.dialect.last_event_id);
+  return route_->kind == route_kind::kStreaming && last != nullptr &&
+         !last->value.empty();
+}
+
+/// Only endpoints of the software version that began a stream may go on with
+/// it. Without knowing the version the request is refused.
+void proxied_call::FindOrigin() {
+  state_ = state::kFindingOrigin;
+  environment_.find_origin(
+      resumed_request_, *route_,
+      [self = weak_from_this()](const origin_finding& finding) {
+        const auto call = self.lock();
+        if (call) call->OnOrigin(finding);
+      });
+}
+
+void proxied_call::OnOrigin(const origin_finding& finding) {
+  if (state_ != state::kFindingOrigin) return;
+  LogStep("stream_origin", log_fields()
+                               .Add("resumes", resumed_request_)
+                               .Add("found", finding.source));
+  if (!finding.software) {
+    Refuse("unknown_origin", kUnknownOriginRetryMs);
+    return;
+  }
+  limits_.software = finding.software;
+  BeginAttempts();
+}
+
+void proxied_call::BeginAttempts() {
   PickPool();
   environment_.retries(pool_id_)->RecordRequest(arrived_);
   Attempt();
@@ -128,10 +171,10 @@
 void proxied_call::PickPool() {
   pool_id_ = routing_table::PickPool(*route_, environment_.random());
   pool_ = environment_.pool(pool_id_);
-  if (pool_->CanServe()) return;
+  if (pool_->CanServe(limits_)) return;
   for (const route_target& target : route_->targets) {
     endpoint_pool* other = environment_.pool(target.pool);
-    if (target.weight == 0 || !other->CanServe()) continue;
+    if (target.weight == 0 || !other->CanServe(limits_)) continue;
     pool_id_ = target.pool;
     pool_ = other;
     return;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -11,6 +11,7 @@
 #include "connection/caller_message.h"
 #include "connection/endpoint_response_head.h"
 #include "process/entry/call_outcome.h"
+#include "process/placement/placement_limits.h"
 #include "process/placement/request_demand.h"
 #include "request/attempt_facts.h"
 #include "request/event_splitter.h"
@@ -25,6 +26,7 @@
 class log_fields;
 class routing_table;
 struct call_environment;
+struct origin_finding;
 struct placement_choice;
 struct route_rule;
 struct workspace_spec;
@@ -51,6 +53,8 @@
  private:
   enum class state {
     kNew,
+    /// Waits for the software version that began the stream.
+    kFindingOrigin,
     kConnecting,
     kAwaitingHead,
     kReceiving,
@@ -61,6 +65,12 @@
   bool FindRoute();
   bool FindWorkspace();
   void SetDeadline();
+  /// True if the caller takes up a stream of which it has events.
+  bool ResumesStream() const;
+  void FindOrigin();
+  void OnOrigin(const origin_finding& finding);
+  /// Picks the pool and makes the first attempt.
+  void BeginAttempts();
   void PickPool();
   int Rank() const;
   /// Responds 503: the request has not run. `retry_after_ms` is jittered and
@@ -126,6 +136,7 @@
   // The current attempt.
   std::shared_ptr<endpoint_connection> connection_;
   endpoint_id endpoint_;
+  software_digest software_;
   std::string fetch_from_;
   /// The endpoint's load estimate counts this attempt as in progress.
   bool is_counted_ = false;
@@ -139,7 +150,7 @@
   std::string body_;
 
   // All attempts.
-  std::vector<endpoint_id> tried_;
+  placement_limits limits_;
   int sent_ = 0;
   bool may_have_run_ = false;
 
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -57,7 +57,7 @@
 
 void proxied_call::Attempt() {
   const steady_time now = environment_.clock();
-  const auto choice = pool_->Choose(demand_, tried_, now);
+  const auto choice = pool_->Choose(demand_, limits_, now);
   if (!choice) {
     if (may_have_run_ || response_started_) {
       Fail("no_endpoint");
@@ -89,7 +89,8 @@
   const steady_time now = environment_.clock();
   endpoint_ = choice.endpoint->record().id;
   fetch_from_ = choice.fetch_from;
-  tried_.push_back(endpoint_);
+  limits_.tried.push_back(endpoint_);
+  software_ = DigestOfSoftware(choice.endpoint->record());
   attempt_started_ = now;
   last_progress_ = now;
   choice.endpoint->OnCallStart(now);
@@ -335,7 +336,7 @@
 
 bool proxied_call::CanTryAnotherEndpoint() const {
   return route_->IsRepeatable() && sent_ < route_->max_attempts &&
-         pool_->size() > tried_.size();
+         pool_->CanServe(limits_);
 }
 
 void proxied_call::CheckStall(steady_time now) {
@@ -345,7 +346,7 @@
     }
     return;
   }
-  if (!CanTryAnotherEndpoint()) return;
+  if (state_ == state::kFindingOrigin || !CanTryAnotherEndpoint()) return;
   const milliseconds response_timeout = std::max(
       kMinResponseTimeout, kResponseTimeoutFactor * route_->latency_target);
   const milliseconds event_timeout =
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -39,6 +39,10 @@
   const std::string_view complete = events_.Add(data);
   if (complete.empty()) return;
   if (!response_started_) StartResponse();
+  if (!limits_.software) {
+    limits_.software = software_;
+    environment_.record_origin(request_id_, software_);
+  }
   RecordResponseBytes();
   caller_->Write(complete);
 }
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(new_endpoint_copies_the_prefix_from_the_former_preferred_one);
   CPPUNIT_TEST(endpoint_with_cached_prefix_copies_nothing);
   CPPUNIT_TEST(restart_of_an_endpoint_clears_its_cached_prefixes);
+  CPPUNIT_TEST(begun_stream_is_placed_at_its_software_version_only);
   CPPUNIT_TEST(ended_endpoint_stays_until_its_calls_have_ended);
   CPPUNIT_TEST_SUITE_END();
 
@@ -250,6 +251,30 @@
                    token_count(0));
   }
 
+  // Guards against a stream that goes on at another version where none of its
+  // own is left or the only one is avoided.
+  void begun_stream_is_placed_at_its_software_version_only() {
+    endpoint_pool pool({}, [] { return std::uint64_t{1}; });
+    for (int i = 0; i < 6; ++i) {
+      endpoint_record record = MakeRecord(i);
+      record.software = i < 2 ? "v1" : "v1.1";
+      pool.Apply(record);
+    }
+    placement_limits limits;
+    limits.software = DigestOfSoftware(pool.Find(endpoint_id("e0"))->record());
+    for (int i = 0; i < 2; ++i) {
+      const auto choice = pool.Choose({}, limits, now_);
+      CPPUNIT_ASSERT(choice);
+      CPPUNIT_ASSERT_EQUAL(std::string("v1"),
+                           choice->endpoint->record().software);
+      choice->endpoint->OnConnectionFailure(now_);
+      limits.tried.push_back(choice->endpoint->record().id);
+    }
+    CPPUNIT_ASSERT(!pool.Choose({}, limits, now_));
+    CPPUNIT_ASSERT(!pool.CanServe(limits));
+    CPPUNIT_ASSERT(pool.CanServe({}));
+  }
+
   void ended_endpoint_stays_until_its_calls_have_ended() {
     endpoint_pool pool = Pool(2);
     Endpoint(pool, 0).OnCallStart(now_);
