entry: report streams at once while versions serve side by side

Cause: the control processes heard of a stream with the next watch request, up to 0.8 s after its first event, so that the stream of an entry VM that was killed earlier could not be taken up again.

Change: while a pool has endpoints of several versions, an entry process sends the streams that began within 50 ms to two control processes; a question still goes to all of them. The endpoints of the soak have two versions, its callers take broken streams up again, and its ledger checks that the version which goes on began the stream.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -332,6 +332,9 @@
       } else {
         respond("");
       }
+    } else if (message.kind == kStreamsBegunKind) {
+      hub_.RecordOrigins(DecodeStreamOrigins(message.body), SteadyNow());
+      respond("");
     } else if (message.kind == kStreamOriginKind) {
       const auto stream = DecodeStreamDigest(message.body);
       const auto software = stream ? hub_.FindOrigin(*stream) : std::nullopt;
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -51,7 +51,7 @@
   known.is_entry = request.is_entry;
   known.requests_loads = request.requests_loads;
   loads_.Record(request.loads, load_report_store::source::kEntry, now);
-  for (const stream_origin& each : request.origins) origins_.Record(each, now);
+  RecordOrigins(request.origins, now);
   known.applied_change = is_first ? 0 : request.applied_change;
   known.applied_ending =
       is_first ? 0 : std::max(request.applied_change, request.applied_ending);
@@ -126,6 +126,11 @@
   loads_.Record(loads, load_report_store::source::kController, now);
 }
 
+void watch_hub::RecordOrigins(const std::vector<stream_origin>& origins,
+                              steady_time now) {
+  for (const stream_origin& each : origins) origins_.Record(each, now);
+}
+
 void watch_hub::Notify(steady_time now) {
   for (auto& [vm, each] : watchers_) {
     if (each.respond && HasUrgentUpdates(each)) Respond(each, now);
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -62,6 +62,9 @@
   /// Calls `done` once every connected watcher has applied a directory change.
   void AwaitApplied(std::uint64_t change, steady_time deadline,
                     applied_hook done, steady_time now);
+  /// Streams that began at an entry VM.
+  void RecordOrigins(const std::vector<stream_origin>& origins,
+                     steady_time now);
   /// The software that began a stream, if an entry VM reported it.
   std::optional<software_digest> FindOrigin(stream_digest stream) const {
     return origins_.Find(stream);
--- a/source/process/directory/stream_origin.cc
+++ b/source/process/directory/stream_origin.cc
@@ -2,7 +2,9 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <system_error>
@@ -45,6 +47,32 @@
   return stream_digest(*number);
 }
 
+std::string EncodeStreamOrigins(const std::vector<stream_origin>& origins) {
+  std::string text;
+  for (const stream_origin& each : origins) {
+    text += EncodeStreamDigest(each.stream);
+    text += ' ';
+    text += EncodeSoftwareDigest(each.software);
+    text += '\n';
+  }
+  return text;
+}
+
+std::vector<stream_origin> DecodeStreamOrigins(std::string_view text) {
+  std::vector<stream_origin> origins;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    const std::size_t space = std::min(line.find(' '), line.size());
+    const auto stream = DecodeStreamDigest(line.substr(0, space));
+    const auto software =
+        DecodeSoftwareDigest(line.substr(std::min(space + 1, line.size())));
+    if (stream && software) origins.push_back({*stream, *software});
+  }
+  return origins;
+}
+
 std::string EncodeSoftwareDigest(software_digest software) {
   return std::to_string(software.value());
 }
--- a/source/process/directory/stream_origin.h
+++ b/source/process/directory/stream_origin.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "types/ids.h"
 #include "types/strong_number.h"
@@ -33,6 +34,10 @@
 /// returns nothing for other text.
 std::string EncodeStreamDigest(stream_digest stream);
 std::optional<stream_digest> DecodeStreamDigest(std::string_view text);
+/// One line for each origin: "STREAM SOFTWARE".
+std::string EncodeStreamOrigins(const std::vector<stream_origin>& origins);
+/// Leaves out lines that are not an encoded origin.
+std::vector<stream_origin> DecodeStreamOrigins(std::string_view text);
 std::string EncodeSoftwareDigest(software_digest software);
 std::optional<software_digest> DecodeSoftwareDigest(std::string_view text);
 
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -42,7 +42,8 @@
                      std::function<void(const origin_finding&)>)>
       find_origin;
   /// Records the software that brought the first event of a request's stream.
-  std::function<void(const std::string& request, software_digest)>
+  std::function<void(const std::string& request, const model_id& pool,
+                     software_digest)>
       record_origin;
   /// Returns the retry budget of a pool; never null.
   std::function<retry_window*(const model_id&)> retries;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -113,8 +113,8 @@
                  OnEndpointChange(changed);
                }),
         origins_(
-            watcher_, [this](const model_id& id) { return OnlySoftware(id); },
-            SteadyNow),
+            watcher_, settings_.vm,
+            [this](const model_id& id) { return OnlySoftware(id); }, SteadyNow),
         listener_(
             io_, {*settings_.callers, MaxCallerConnections()},
             [this](const auto& caller, caller_message message) {
@@ -146,8 +146,9 @@
         [this](const std::string& request, const route_rule& route,
                const auto& done) { origins_.Find(request, route, done); };
     environment_.record_origin = [this](const std::string& request,
+                                        const model_id& pool,
                                         software_digest software) {
-      origins_.Record(request, software);
+      origins_.Record(request, software, pools_.HasSeveralVersions(pool));
     };
     environment_.retries = [this](const model_id& id) {
       return pools_.Retries(id);
@@ -396,6 +397,7 @@
     watcher_.Tick(now);
     fetcher_.Tick(now);
     relay_.Tick(document_, now);
+    origins_.Tick(now);
     if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
     if (stopping_since_ && ContinueStop(now)) return;
     timer_.expires_after(kTick);
@@ -409,7 +411,6 @@
     listener_.Tick(now);
     connections_.Expire(now);
     pools_.Tick(now);
-    origins_.Tick(now);
     settings_watch_.Tick(now);
     const auto phases = pools_.CountPhases();
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -106,6 +106,11 @@
   return only;
 }
 
+bool pool_table::HasSeveralVersions(const model_id& pool) const {
+  const auto found = pools_.find(pool);
+  return found != pools_.end() && found->second->HasSeveralVersions();
+}
+
 void pool_table::MergeLoads(const std::vector<shared_load>& loads,
                             steady_time now) {
   for (const shared_load& load : loads) {
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -50,6 +50,8 @@
   /// a stream can be taken up.
   std::optional<software_digest> OnlySoftware(const model_id& pool,
                                               steady_time now) const;
+  /// The endpoints of the pool that have not ended have several versions.
+  bool HasSeveralVersions(const model_id& pool) const;
   /// Number of endpoints that have not ended.
   std::size_t CountPresent() const { return directory_.CountPresent(); }
   /// Updates the phases of endpoints and removes expired ones.
--- a/source/process/entry/stream_origin_finder.cc
+++ b/source/process/entry/stream_origin_finder.cc
@@ -1,5 +1,8 @@
 #include "process/entry/stream_origin_finder.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <memory>
@@ -13,6 +16,12 @@
 namespace marjoramsill {
 namespace {
 
+/// Streams that begin within this time are reported together.
+constexpr std::chrono::milliseconds kReportDelay{50};
+/// Members that get a report, so that it outlives the loss of one. A question
+/// goes to all members.
+constexpr std::size_t kReportCopies = 2;
+constexpr std::chrono::milliseconds kReportTimeout{500};
 /// A member answers from memory, within a few milliseconds.
 constexpr std::chrono::milliseconds kAskTimeout{300};
 
@@ -32,15 +41,37 @@
 }  // namespace
 
 stream_origin_finder::stream_origin_finder(control_watcher& members,
+                                           const vm_id& self,
                                            only_software_hook only_software,
                                            std::function<steady_time()> clock)
     : members_(members),
+      self_hash_(XXH3_64bits(self.value().data(), self.value().size())),
       only_software_(std::move(only_software)),
       clock_(std::move(clock)) {}
 
 void stream_origin_finder::Record(const std::string& request,
-                                  software_digest software) {
-  known_.Record({DigestOfStream(request), software}, clock_());
+                                  software_digest software, bool is_urgent) {
+  const steady_time now = clock_();
+  known_.Record({DigestOfStream(request), software}, now);
+  if (is_urgent && !report_due_) report_due_ = now + kReportDelay;
+}
+
+void stream_origin_finder::Tick(steady_time now) {
+  known_.Expire(now);
+  if (report_due_ && now >= *report_due_) Report(now);
+}
+
+void stream_origin_finder::Report(steady_time now) {
+  report_due_.reset();
+  const auto members = members_.Reachable(now);
+  if (members.empty()) return;
+  const std::string report = EncodeStreamOrigins(known_.TakeAfter(reported_));
+  const std::size_t copies = std::min(kReportCopies, members.size());
+  for (std::size_t i = 0; i < copies; ++i) {
+    const reachable_member& member = members[(self_hash_ + i) % members.size()];
+    members_.Request(member.vm, std::string(kStreamsBegunKind), report,
+                     kReportTimeout, [](const auto& /*response*/) {});
+  }
 }
 
 void stream_origin_finder::Find(const std::string& request,
--- a/source/process/entry/stream_origin_finder.h
+++ b/source/process/entry/stream_origin_finder.h
@@ -28,28 +28,37 @@
   using only_software_hook =
       std::function<std::optional<software_digest>(const model_id&)>;
 
-  stream_origin_finder(control_watcher& members,
+  stream_origin_finder(control_watcher& members, const vm_id& self,
                        only_software_hook only_software,
                        std::function<steady_time()> clock);
 
-  /// A stream began here.
-  void Record(const std::string& request, software_digest software);
+  /// A stream began here. `is_urgent`: the pool has several versions, so that
+  /// the control processes should know soon, not with the next watch request.
+  void Record(const std::string& request, software_digest software,
+              bool is_urgent);
   /// `done` may be called before this returns.
   void Find(const std::string& request, const route_rule& route,
             const finding_hook& done);
   std::vector<stream_origin> TakeAfter(std::uint64_t& number) const {
     return known_.TakeAfter(number);
   }
-  /// Forgets old streams. Call several times a minute.
-  void Tick(steady_time now) { known_.Expire(now); }
+  /// Reports the streams that are due, and forgets old ones. Call several times
+  /// a second.
+  void Tick(steady_time now);
 
  private:
   void AskMembers(stream_digest stream, const finding_hook& done);
 
   control_watcher& members_;
+  /// Selects the members to report to, so that entry VMs spread over them.
+  const std::uint64_t self_hash_;
   const only_software_hook only_software_;
   const std::function<steady_time()> clock_;
+  void Report(steady_time now);
+
   stream_origin_store known_;
+  std::optional<steady_time> report_due_;
+  std::uint64_t reported_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -76,6 +76,17 @@
                      });
 }
 
+bool endpoint_pool::HasSeveralVersions() const {
+  const std::string* first = nullptr;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const endpoint_record& record = endpoint->record();
+    if (record.phase == endpoint_phase::kEnded) continue;
+    if (first != nullptr && *first != record.software) return true;
+    first = &record.software;
+  }
+  return false;
+}
+
 void endpoint_pool::Sweep() {
   std::erase_if(endpoints_, [](const auto& entry) {
     return entry.second->record().phase == endpoint_phase::kEnded &&
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -51,6 +51,8 @@
 
   /// True if at least one endpoint within the limits accepts requests.
   bool CanServe(const placement_limits& limits) const;
+  /// True if the endpoints that have not ended have several software versions.
+  bool HasSeveralVersions() const;
   /// Removes endpoints that have ended and have no call in flight.
   void Sweep();
   std::size_t size() const { return endpoints_.size(); }
--- a/source/process/replication/raft_settings.h
+++ b/source/process/replication/raft_settings.h
@@ -43,8 +43,8 @@
 
   std::size_t target_voters = 5;
   /// A repair keeps at least this many voters, unresponsive ones included, as
-  /// long as their disks may be intact. With 2n + 1 voters, n lost disks leave a
-  /// majority. With 0, a group shrinks to three responsive voters.
+  /// long as their disks may be intact. With 2n + 1 voters, n lost disks leave
+  /// a majority. With 0, a group shrinks to three responsive voters.
   std::size_t kept_voters = 0;
   std::size_t max_members = 9;
   /// A voter without contact for this time is demoted to a standby.
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -41,7 +41,7 @@
   if (!response_started_) StartResponse();
   if (!limits_.software) {
     limits_.software = software_;
-    environment_.record_origin(request_id_, software_);
+    environment_.record_origin(request_id_, pool_id_, software_);
   }
   RecordResponseBytes();
   caller_->Write(complete);
--- a/tests/directory/stream_origin_store_test.cc
+++ b/tests/directory/stream_origin_store_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(first_origin_of_a_stream_stays);
   CPPUNIT_TEST(receiver_gets_each_origin_once);
   CPPUNIT_TEST(origins_expire_after_their_lifetime);
+  CPPUNIT_TEST(report_with_damaged_lines_keeps_the_others);
   CPPUNIT_TEST(software_differs_by_version_and_by_pool);
   CPPUNIT_TEST_SUITE_END();
 
@@ -54,6 +55,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.size());
   }
 
+  void report_with_damaged_lines_keeps_the_others() {
+    const std::vector<stream_origin> origins = {Origin(1, 7), Origin(2, 8)};
+    CPPUNIT_ASSERT(DecodeStreamOrigins(EncodeStreamOrigins(origins)) ==
+                   origins);
+    CPPUNIT_ASSERT(DecodeStreamOrigins("1 7\nx 8\n3\n\n 9\n2 8\n4 ") ==
+                   origins);
+  }
+
   void software_differs_by_version_and_by_pool() {
     endpoint_record a;
     a.pool = model_id("chat");
--- a/tests/operations/stream_version_test.cc
+++ b/tests/operations/stream_version_test.cc
@@ -92,7 +92,6 @@
     settings.folder = folder;
     settings.port = kPort;
     settings.entry_processes = 2;
-    settings.software = {"v1", "v1.1"};
     fleet_ = std::make_unique<soak::soak_fleet>(io_, settings, ledger_);
     load_ = std::make_unique<soak::soak_load>(io_, *fleet_, ledger_, 1);
     fleet_->Start();
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -138,8 +138,12 @@
   }
   const std::string last = ValueOf(message, platform::kLastEventId);
   const std::string resumed = ValueOf(message, platform::kResumedRequest);
-  ledger_.RecordStreamRun(resumed.empty() ? request : resumed,
-                          settings_.software);
+  if (last.empty()) {
+    ledger_.RecordStreamStart(request, settings_.software);
+  } else {
+    ledger_.RecordStreamResumed(resumed.empty() ? request : resumed,
+                                settings_.software);
+  }
   last_stream_ = request;
   caller->Begin(200, ResponseFields(request), std::nullopt);
   SendEvents(caller, request, last.empty() ? 1 : std::stoi(last) + 1);
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -16,14 +16,19 @@
   bool HasRun(const std::string& request) const {
     return runs_.contains(request);
   }
-  /// Records the software version of an endpoint that sends events of the
-  /// stream that began with `stream`. Events of two versions do not fit
-  /// together.
-  void RecordStreamRun(const std::string& stream, const std::string& software) {
-    const auto [begun, is_first] = software_.try_emplace(stream, software);
-    if (is_first || begun->second == software) return;
-    RecordViolation("stream " + stream + " began at " + begun->second +
-                    " and goes on at " + software);
+  /// Records the software version of an endpoint that begins a stream. An
+  /// attempt may end before its first event, so there may be several.
+  void RecordStreamStart(const std::string& stream,
+                         const std::string& software) {
+    software_[stream].insert(software);
+  }
+  /// Records the version of an endpoint that goes on with a stream. It must
+  /// have begun the stream.
+  void RecordStreamResumed(const std::string& stream,
+                           const std::string& software) {
+    if (software_[stream].contains(software)) return;
+    RecordViolation("stream " + stream + " goes on at " + software +
+                    ", which did not begin it");
   }
   /// Records that a request that may run at most once was refused as not run.
   void RecordRefusal(const std::string& request) { refused_.insert(request); }
@@ -46,7 +51,7 @@
 
  private:
   std::map<std::string, int> runs_;
-  std::map<std::string, std::string> software_;
+  std::map<std::string, std::set<std::string>> software_;
   std::set<std::string> refused_;
   std::vector<std::string> violations_;
 };
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -26,7 +26,7 @@
   int entry_processes = 3;
   int endpoints = 4;
   /// Software versions of the endpoints, in turn.
-  std::vector<std::string> software = {"v1"};
+  std::vector<std::string> software = {"v1", "v1.1"};
 };
 
 /// One process of the fleet. Other processes reach it through its proxy.
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -62,10 +62,28 @@
            kind == 1 ? "" : "body of " + request),
        kCallerTimeout,
        [this, request, is_stream, is_once](const auto& response) {
+         if (!response && is_stream && !is_once) ResumeStream(request);
          CheckResponse(request, is_stream, is_once, response);
        });
 }
 
+/// Takes a broken stream up again. The caller may have more events than it
+/// says; the endpoints check which version goes on.
+void soak_load::ResumeStream(const std::string& stream) {
+  const std::vector<soak_node*> entries = fleet_.EntryNodes();
+  const std::string request = "again-" + stream;
+  Call(io_, entries[random_() % entries.size()]->callers,
+       RequestText("POST", "/chat/" + request,
+                   {{platform::kRequestId, request},
+                    {platform::kRemainingMs, "2500"},
+                    {platform::kResumedRequest, stream},
+                    {platform::kLastEventId, "1"}},
+                   "body of " + request),
+       kCallerTimeout, [this](const auto& response) {
+         if (response && response->head.status == 200) ++resumed_;
+       });
+}
+
 void soak_load::CheckResponse(const std::string& request, bool is_stream,
                               bool is_once,
                               const std::optional<http_response>& response) {
--- a/tests/soak/soak_load.h
+++ b/tests/soak/soak_load.h
@@ -34,12 +34,15 @@
   std::uint64_t acknowledged() const { return acknowledged_; }
   int sent() const { return sent_; }
   int served() const { return served_; }
+  /// Broken streams that went on when they were taken up again.
+  int resumed() const { return resumed_; }
   /// The routing document of a version, as JSON.
   static std::string Document(std::uint64_t version);
 
  private:
   void CheckResponse(const std::string& request, bool is_stream, bool is_once,
                      const std::optional<http_response>& response);
+  void ResumeStream(const std::string& stream);
   void Submit(std::uint64_t version);
   socket_address RandomControl();
 
@@ -53,6 +56,7 @@
   bool is_submitting_ = false;
   int sent_ = 0;
   int served_ = 0;
+  int resumed_ = 0;
 };
 
 }  // namespace marjoramsill::soak
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -104,7 +104,7 @@
     std::cout << "VIOLATION seed=" << run.seed << " " << text << "\n";
   }
   std::cout << "seed=" << run.seed << " sent=" << load.sent()
-            << " served=" << load.served()
+            << " served=" << load.served() << " resumed=" << load.resumed()
             << " documents=" << load.acknowledged()
             << " violations=" << ledger.violations().size() << "\n";
   return ledger.violations().empty() ? 0 : 1;
