tree: remove declarations that nothing uses

Cause: rank_shares::Move was declared and never defined, limit_arbiter::Refuse, SseErrorName and RelayErrorName had no caller, raft_node's campaign_is_transfer_ and group_runner's stale_disk_ were set or declared and never read.

Change: they are removed; no behaviour changes.

--- a/source/process/admission/limit_arbiter.cc
+++ b/source/process/admission/limit_arbiter.cc
@@ -31,12 +31,6 @@
       .time_until_safe = std::max(safe_at - now, std::chrono::microseconds(0))};
 }
 
-void limit_arbiter::Refuse(const workspace_id& workspace, steady_time until) {
-  allocator_lease& lease = leases_[workspace];
-  lease.candidate = vm_id();
-  lease.expires_at = std::max(lease.expires_at, until);
-}
-
 void limit_arbiter::RemoveExpired(steady_time now) {
   std::erase_if(leases_, [&](const auto& item) {
     return now > item.second.expires_at + settings_.max_request_duration;
--- a/source/process/admission/limit_arbiter.h
+++ b/source/process/admission/limit_arbiter.h
@@ -30,10 +30,6 @@
   /// holds it.
   lease_response RequestLease(const workspace_id& workspace, const vm_id& from,
                               std::uint64_t incarnation, steady_time now);
-  /// Grants no lease for the workspace before `until`. For use after a change
-  /// of the workspace's arbiters, because new arbiters do not know the leases
-  /// granted by the previous ones.
-  void Refuse(const workspace_id& workspace, steady_time until);
   /// Removes leases whose concurrency has certainly ended.
   void RemoveExpired(steady_time now);
   std::size_t size() const { return leases_.size(); }
--- a/source/process/admission/rank_shares.h
+++ b/source/process/admission/rank_shares.h
@@ -34,8 +34,6 @@
   double share(rank queue_rank) const;
 
  private:
-  void Move(const choice& chosen, double cost, const rank_flags& backlogged);
-
   std::array<double, kRankCount> share_{};
   std::array<double, kRankCount> credit_{};
 };
--- a/source/process/daemon/group_runner.h
+++ b/source/process/daemon/group_runner.h
@@ -97,7 +97,6 @@
   std::map<log_index, std::string> responses_;
   std::optional<std::uint64_t> leading_read_;
   bool leading_ = false;
-  bool stale_disk_ = false;
   group_configuration logged_members_;
   replicated_group group_;
 };
--- a/source/process/replication/raft_election.cc
+++ b/source/process/replication/raft_election.cc
@@ -62,7 +62,6 @@
   if (!configuration_.IsVoter(self()) || !start_checked_ || leaving_) return;
   votes_.clear();
   leader_.reset();
-  campaign_is_transfer_ = transfer;
   if (pre_vote) {
     role_ = raft_role::kPreCandidate;
     votes_[self()] = true;
--- a/source/process/replication/raft_node.h
+++ b/source/process/replication/raft_node.h
@@ -249,7 +249,6 @@
   steady_time election_deadline_;
   steady_time last_leader_contact_;
   std::map<member_id, bool> votes_;
-  bool campaign_is_transfer_ = false;
   /// Ticket of the write that makes the candidate's vote for itself durable.
   std::uint64_t own_vote_ticket_ = 0;
 
--- a/source/request/sse_parser.cc
+++ b/source/request/sse_parser.cc
@@ -1,7 +1,6 @@
 #include "request/sse_parser.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace marjoramsill {
@@ -18,12 +17,6 @@
 
 }  // namespace
 
-std::string_view SseErrorName(sse_error error) {
-  static constexpr std::array<std::string_view, 3> kNames = {
-      "event too large", "unknown field", "control character"};
-  return kNames.at(static_cast<std::size_t>(error));
-}
-
 sse_parser::sse_parser(std::size_t max_event_bytes)
     : max_event_bytes_(max_event_bytes) {}
 
--- a/source/request/sse_parser.h
+++ b/source/request/sse_parser.h
@@ -19,9 +19,6 @@
   kControlCharacter,
 };
 
-/// Human-readable text of the error.
-std::string_view SseErrorName(sse_error error);
-
 /// Incremental parser of an endpoint's text/event-stream. Stricter than the
 /// standard, which ignores unknown lines: here an unknown line is an error,
 /// since it indicates that the response is not an event stream.
--- a/source/request/stream_relay.cc
+++ b/source/request/stream_relay.cc
@@ -1,6 +1,5 @@
 #include "request/stream_relay.h"
 
-#include <array>
 #include <nlohmann/json.hpp>
 
 namespace marjoramsill {
@@ -87,13 +86,6 @@
 
 }  // namespace
 
-std::string_view RelayErrorName(relay_error error) {
-  static constexpr std::array<std::string_view, 4> kNames = {
-      "not an event stream", "not a chat completion chunk",
-      "error reported by the endpoint", "data after [DONE]"};
-  return kNames.at(static_cast<std::size_t>(error));
-}
-
 void stream_relay::BeginStream() {
   parser_ = sse_parser();
   events_ = 0;
--- a/source/request/stream_relay.h
+++ b/source/request/stream_relay.h
@@ -22,9 +22,6 @@
   kDataAfterDone,
 };
 
-/// Human-readable text of the error.
-std::string_view RelayErrorName(relay_error error);
-
 /// Joins the streams of several attempts into one continuous stream of chat
 /// completion chunks. Only complete events are forwarded.
 class stream_relay {
