entry: learn from control processes which versions a pool had

Cause: an entry process took a pool to have one version only after it had known it for 30 s itself.

The period is the time limit of the route, within which a stream is taken up again.

--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -48,6 +48,7 @@
   // The watcher has abandoned the connection of an older request.
   if (known.respond) std::exchange(known.respond, nullptr)(std::string());
   const bool is_first = request.epoch != epoch_;
+  if (!started_at_) started_at_ = now;
   known.is_entry = request.is_entry;
   known.requests_loads = request.requests_loads;
   loads_.Record(request.loads, load_report_store::source::kEntry, now);
@@ -114,6 +115,8 @@
   if (HasBulkBudget(now) || !each.is_entry) {
     response.records = from_.directory->ChangesAfter(each.applied_change);
     response.last_change = last_change;
+    response.history = std::chrono::duration_cast<milliseconds>(
+        now - started_at_.value_or(now));
     if (!response.records.empty()) each.last_records = now;
   } else {
     response.records = from_.directory->EndingsAfter(each.applied_ending);
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -121,6 +121,8 @@
   const std::uint64_t epoch_;
   std::map<vm_id, watcher> watchers_;
   std::vector<awaited_change> awaited_;
+  /// First contact with any watcher.
+  std::optional<steady_time> started_at_;
   load_report_store loads_;
   stream_origin_store origins_;
   /// Limits records and load reports. Empty if the link's speed is unknown.
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -177,6 +177,10 @@
     }
   }
   if (!response.records.empty()) hooks_.on_records(response.records);
+  if (hooks_.on_history && response.history.count() > 0) {
+    // The response left the member after the request was sent.
+    hooks_.on_history(now - response.history);
+  }
   if (!response.loads.empty()) hooks_.on_loads(response.loads);
   if (response.confirmed_after && hooks_.on_confirmed) {
     hooks_.on_confirmed(response.document,
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -43,6 +43,9 @@
     /// Returns the load reports that endpoints sent to this process since the
     /// last call.
     std::function<std::vector<shared_load>()> take_loads;
+    /// This process has the records of all endpoints that a member has known
+    /// since then. Null for a control member.
+    std::function<void(steady_time since)> on_history;
     /// Returns the streams that began here after the origin with this number,
     /// and moves the number to the last of them. Null for a control member.
     std::function<std::vector<stream_origin>(std::uint64_t&)> take_origins;
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -27,7 +27,8 @@
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
-               std::vector<load_fields>, std::uint64_t, std::int64_t>;
+               std::vector<load_fields>, std::uint64_t, std::int64_t,
+               std::uint32_t>;
 /// Encoded confirmed_after of a response that confirms nothing.
 constexpr std::int64_t kUnconfirmed = -1;
 
@@ -171,6 +172,7 @@
   std::get<8>(fields) = response.confirmed_after
                             ? response.confirmed_after->count()
                             : kUnconfirmed;
+  std::get<9>(fields) = static_cast<std::uint32_t>(response.history.count());
   return Pack(fields);
 }
 
@@ -195,6 +197,7 @@
   if (const std::int64_t after = std::get<8>(*fields); after >= 0) {
     response.confirmed_after = std::chrono::milliseconds(after);
   }
+  response.history = std::chrono::milliseconds(std::get<9>(*fields));
   return response;
 }
 
--- a/source/process/directory/watch_response.h
+++ b/source/process/directory/watch_response.h
@@ -26,6 +26,9 @@
   std::vector<endpoint_record> records;
   /// Newest committed document of the member.
   document_version document;
+  /// Time for which the member has known endpoints, if the watcher has all of
+  /// its records with this response; they include those that ended recently.
+  std::chrono::milliseconds history{0};
   /// Set if the member led the group when it responded: no newer document had
   /// been acknowledged by then. Time from the arrival of the request to that
   /// moment.
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -114,7 +114,10 @@
                }),
         origins_(
             watcher_, settings_.vm,
-            [this](const model_id& id) { return OnlySoftware(id); }, SteadyNow),
+            [this](const model_id& id, milliseconds period) {
+              return OnlySoftware(id, period);
+            },
+            SteadyNow),
         listener_(
             io_, {*settings_.callers, MaxCallerConnections()},
             [this](const auto& caller, caller_message message) {
@@ -235,6 +238,7 @@
                                         .text());
     };
     hooks.known_endpoints = [this] { return pools_.CountPresent(); };
+    hooks.on_history = [this](steady_time since) { pools_.SetHistory(since); };
     hooks.take_origins = [this](std::uint64_t& number) {
       return origins_.TakeAfter(number);
     };
@@ -331,10 +335,11 @@
   }
 
   /// A process that was cut off or frozen may not know of a new version yet.
-  std::optional<software_digest> OnlySoftware(const model_id& pool) const {
+  std::optional<software_digest> OnlySoftware(const model_id& pool,
+                                              milliseconds period) const {
     const steady_time now = SteadyNow();
     if (!proof_.IsCurrent(CurrentVersion(), now)) return std::nullopt;
-    return pools_.OnlySoftware(pool, now);
+    return pools_.OnlySoftware(pool, period, now);
   }
 
   /// Begins to serve once the document is proven to be current, or after a
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -1,5 +1,6 @@
 #include "process/entry/pool_table.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -49,7 +50,6 @@
 
 void pool_table::Merge(const std::vector<endpoint_record>& records,
                        steady_time now) {
-  if (!first_merge_) first_merge_ = now;
   for (const endpoint_record& record : records) directory_.Merge(record, now);
   for (const endpoint_record& record :
        directory_.ChangesAfter(applied_change_)) {
@@ -91,11 +91,14 @@
   return Pool(pool->second)->Find(id->second);
 }
 
-std::optional<software_digest> pool_table::OnlySoftware(const model_id& pool,
-                                                        steady_time now) const {
-  if (!first_merge_ || now - *first_merge_ < kStreamOriginLifetime) {
-    return std::nullopt;
-  }
+void pool_table::SetHistory(steady_time since) {
+  history_since_ = std::min(history_since_.value_or(since), since);
+}
+
+std::optional<software_digest> pool_table::OnlySoftware(
+    const model_id& pool, std::chrono::milliseconds period,
+    steady_time now) const {
+  if (!history_since_ || now - *history_since_ < period) return std::nullopt;
   std::optional<software_digest> only;
   for (const endpoint_record& record : directory_.ChangesAfter(0)) {
     if (record.pool != pool) continue;
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_PROCESS_ENTRY_POOL_TABLE_H_
 #define MARJORAMSILL_PROCESS_ENTRY_POOL_TABLE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -45,10 +46,12 @@
   endpoint_pool* Pool(const model_id& id);
   /// The retry budget of a pool, which is created if needed; never null.
   retry_window* Retries(const model_id& id);
-  /// The software of a pool's endpoints, if all of them, also those that ended
-  /// recently, have the same and this process has known the pool for as long as
-  /// a stream can be taken up.
+  /// All endpoints that a control process has known since then are known here.
+  void SetHistory(steady_time since);
+  /// The software of a pool's endpoints, if all that were present within the
+  /// last `period`, ended ones included, have the same.
   std::optional<software_digest> OnlySoftware(const model_id& pool,
+                                              std::chrono::milliseconds period,
                                               steady_time now) const;
   /// The endpoints of the pool that have not ended have several versions.
   bool HasSeveralVersions(const model_id& pool) const;
@@ -76,7 +79,8 @@
   std::shared_ptr<const routing_table> table_;
   endpoint_directory directory_;
   std::uint64_t applied_change_ = 0;
-  std::optional<steady_time> first_merge_;
+  /// Endpoints that were present since then are known.
+  std::optional<steady_time> history_since_;
   std::map<endpoint_id, model_id> pool_by_endpoint_;
   std::map<endpoint_digest, endpoint_id> endpoint_by_digest_;
   std::map<model_id, std::unique_ptr<endpoint_pool>> pools_;
--- a/source/process/entry/stream_origin_finder.cc
+++ b/source/process/entry/stream_origin_finder.cc
@@ -83,7 +83,9 @@
     return;
   }
   if (route.targets.size() == 1) {
-    if (const auto software = only_software_(route.targets.front().pool)) {
+    // A stream is taken up again within the time limit of its route.
+    const model_id& pool = route.targets.front().pool;
+    if (const auto software = only_software_(pool, route.timeout)) {
       done({software, "one_version"});
       return;
     }
--- a/source/process/entry/stream_origin_finder.h
+++ b/source/process/entry/stream_origin_finder.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_PROCESS_ENTRY_STREAM_ORIGIN_FINDER_H_
 #define MARJORAMSILL_PROCESS_ENTRY_STREAM_ORIGIN_FINDER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -17,16 +18,16 @@
 struct route_rule;
 
 /// Finds the software that began a stream: here, by a pool that had no other
-/// version for as long as a stream can be taken up, or at the control
-/// processes, to which every entry VM reports its streams. Used on the thread
-/// of the entry process.
+/// version within the time limit of the route, or at the control processes, to
+/// which every entry VM reports its streams. Used on the thread of the entry
+/// process.
 class stream_origin_finder {
  public:
   using finding_hook = std::function<void(const origin_finding&)>;
-  /// Software of the pool's endpoints, if all of them, also those that ended
-  /// recently, have the same.
-  using only_software_hook =
-      std::function<std::optional<software_digest>(const model_id&)>;
+  /// Software of the pool's endpoints, if all that were present within the
+  /// period have the same.
+  using only_software_hook = std::function<std::optional<software_digest>(
+      const model_id&, std::chrono::milliseconds period)>;
 
   stream_origin_finder(control_watcher& members, const vm_id& self,
                        only_software_hook only_software,
--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(unconfirmed_change_is_reported_at_the_deadline);
   CPPUNIT_TEST(load_report_reaches_other_watchers_after_the_shorter_hold_time);
   CPPUNIT_TEST(entry_count_excludes_control_members);
+  CPPUNIT_TEST(response_says_for_how_long_its_records_are_complete);
   CPPUNIT_TEST(document_is_confirmed_only_while_the_member_leads);
   CPPUNIT_TEST_SUITE_END();
 
@@ -62,6 +63,16 @@
   std::vector<std::optional<watch_response>> responses_;
 
  public:
+  // Guards against an entry VM that takes the versions it knows for all of
+  // them.
+  void response_says_for_how_long_its_records_are_complete() {
+    Watch("a", 0, 0);
+    CPPUNIT_ASSERT(responses_[0]->history == milliseconds(0));
+    now_ += milliseconds(20'000);
+    Watch("b", 0, 0);
+    CPPUNIT_ASSERT(responses_[1]->history == milliseconds(20'000));
+  }
+
   // Guards against a proof by a member that may lack an acknowledged document.
   void document_is_confirmed_only_while_the_member_leads() {
     bool leads = false;
