controller: send load reports sooner while the link has room

Cause, as far as known: entry processes choose by load reports of each other that were up to 400 ms old.

Change: a request for load reports is answered after 100 ms while at least half of the burst of the bulk budget is left, otherwise after 400 ms as before. Where the link's speed is unknown nothing changes.

--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -16,8 +16,11 @@
 /// A request without updates gets a response after this time, which shows both
 /// sides that the connection works. Shorter than the timeout of the watcher.
 constexpr milliseconds kWatchHold{800};
-/// A request for load reports gets a response after this time. Placement
-/// decisions use reports that are about this old.
+/// A request for load reports gets a response after the shorter time while the
+/// link has room, otherwise after the longer one. Placement decisions use
+/// reports that are about this old; with older ones, entry VMs that cannot see
+/// each other's requests send too many to one endpoint.
+constexpr milliseconds kShortLoadHold{100};
 constexpr milliseconds kLoadHold{400};
 /// A watcher without a request for this long is down or partitioned.
 constexpr milliseconds kWatcherLifetime{1'600};
@@ -38,8 +41,8 @@
     : from_(std::move(from)), epoch_(epoch) {
   if (from_.link_mbps <= 0) return;
   const double rate = kBulkShare * kBytesPerMegabit * from_.link_mbps;
-  bulk_budget_.emplace(static_cast<std::int64_t>(rate),
-                       static_cast<std::int64_t>(rate * kBulkBurstSeconds));
+  bulk_burst_ = static_cast<std::int64_t>(rate * kBulkBurstSeconds);
+  bulk_budget_.emplace(static_cast<std::int64_t>(rate), bulk_burst_);
 }
 
 void watch_hub::OnWatch(const watch_request& request, response_hook respond,
@@ -82,6 +85,12 @@
   return !bulk_budget_ || bulk_budget_->Available(now) > 0;
 }
 
+milliseconds watch_hub::LoadHold(steady_time now) {
+  const bool has_room =
+      bulk_budget_ && 2 * bulk_budget_->Available(now) > bulk_burst_;
+  return has_room ? kShortLoadHold : kLoadHold;
+}
+
 void watch_hub::Respond(watcher& each, steady_time now) {
   watch_response response;
   response.epoch = epoch_;
@@ -159,7 +168,8 @@
 void watch_hub::Tick(steady_time now) {
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     watcher& each = it->second;
-    const milliseconds hold = each.requests_loads ? kLoadHold : kWatchHold;
+    const milliseconds hold =
+        each.requests_loads ? LoadHold(now) : milliseconds(kWatchHold);
     if (each.respond && now - each.held_since >= hold) Respond(each, now);
     const bool is_expired =
         !each.respond && now - each.last_contact > kWatcherExpiry;
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_PROCESS_CONTROLLER_WATCH_HUB_H_
 #define MARJORAMSILL_PROCESS_CONTROLLER_WATCH_HUB_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -108,6 +109,8 @@
   /// The watcher lacks endpoints and may get their records now.
   bool IsDueForRecords(const watcher& each, steady_time now);
   bool HasBulkBudget(steady_time now);
+  /// Time until a request for load reports gets a response.
+  std::chrono::milliseconds LoadHold(steady_time now);
   void Respond(watcher& each, steady_time now);
   /// Adds the records that the watcher may get now, and their change numbers.
   void AddRecords(watcher& each, watch_response& response, steady_time now);
@@ -127,6 +130,7 @@
   stream_origin_store origins_;
   /// Limits records and load reports. Empty if the link's speed is unknown.
   std::optional<token_bucket> bulk_budget_;
+  std::int64_t bulk_burst_ = 0;
   traffic sent_;
 };
 
--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(unconfirmed_change_is_reported_at_the_deadline);
   CPPUNIT_TEST(load_report_reaches_other_watchers_after_the_shorter_hold_time);
   CPPUNIT_TEST(entry_count_excludes_control_members);
+  CPPUNIT_TEST(load_reports_come_sooner_while_the_link_has_room);
   CPPUNIT_TEST(response_says_for_how_long_its_records_are_complete);
   CPPUNIT_TEST(document_is_confirmed_only_while_the_member_leads);
   CPPUNIT_TEST_SUITE_END();
@@ -63,6 +64,33 @@
   std::vector<std::optional<watch_response>> responses_;
 
  public:
+  // Guards against load reports so old that entry VMs overload an endpoint.
+  void load_reports_come_sooner_while_the_link_has_room() {
+    watch_hub hub({.directory = &directory_,
+                   .document = [] { return document_version(1); },
+                   .members = [] { return std::vector<vm_id>(); },
+                   .link_mbps = 6},
+                  kEpoch);
+    watch_request request;
+    request.watcher = vm_id("a");
+    request.epoch = kEpoch;
+    request.document = document_version(1);
+    request.is_entry = true;
+    request.requests_loads = true;
+    hub.OnWatch(
+        request,
+        [this](const std::string& bytes) {
+          responses_.push_back(DecodeWatchResponse(bytes));
+        },
+        now_);
+    now_ += milliseconds(50);
+    hub.Tick(now_);
+    CPPUNIT_ASSERT(responses_.empty());
+    now_ += milliseconds(50);
+    hub.Tick(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
+  }
+
   // Guards against an entry VM that takes the versions it knows for all of
   // them.
   void response_says_for_how_long_its_records_are_complete() {
