entry: log answers that an endpoint did not complete, with the prompt

Cause of this change: no line named the parts of a prompt, so that requests with one common part and engines that end for another reason look alike in the logs of the incident.

Change: event answer_broken with the endpoint and its start, the status, the bytes of the body that had arrived and the prompt's parts. It counts as a frequent line, so that the log stays bounded. No decision changes.

--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -101,6 +101,9 @@
   void OnReadEnd();
   void OnEnd();
   void OnFailure(call_failure failure);
+  /// Logs an answer that an endpoint did not complete, with the prompt, so that
+  /// the prompts of several of them can be compared.
+  void LogBrokenAnswer() const;
   void AfterAttempt(attempt_end end, std::string_view cause);
   void ReleaseEndpoint();
   void DropConnection();
@@ -143,6 +146,8 @@
   steady_time attempt_started_;
   steady_time last_progress_;
   endpoint_response_head head_;
+  /// Bytes of the body that this attempt has received.
+  std::uint64_t received_bytes_ = 0;
   /// The endpoint reported that it has not run the request.
   bool is_rejected_ = false;
   bool is_stream_ = false;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -5,6 +5,7 @@
 #include "connection/endpoint_connection.h"
 #include "connection/endpoint_connection_pool.h"
 #include "process/entry/call_environment.h"
+#include "process/entry/decision_log.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/placement/endpoint_pool.h"
@@ -40,6 +41,8 @@
 /// reach an endpoint that refused or failed here.
 constexpr double kFailedRetryMs = 300;
 constexpr int kMaxEnginePriority = 9;
+/// Characters of a prompt's list of parts in a log line.
+constexpr std::size_t kMaxLoggedPrompt = 256;
 
 /// Failures after which a repeatable request may succeed at another endpoint.
 bool IsTransientFailure(int status) {
@@ -97,6 +100,7 @@
   is_counted_ = true;
   head_ = {};
   body_.clear();
+  received_bytes_ = 0;
   is_rejected_ = false;
   is_stream_ = false;
   connection_ = environment_.connections->TakeIdle(
@@ -218,6 +222,7 @@
 
 void proxied_call::OnBody(std::string_view data) {
   last_progress_ = environment_.clock();
+  received_bytes_ += data.size();
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->OnActivity();
   }
@@ -289,10 +294,32 @@
   environment_.connections->Drop(endpoint_);
   DropConnection();
   if (was_sent) may_have_run_ = true;
+  if (was_sent && failure == call_failure::kBroken) LogBrokenAnswer();
   AfterAttempt(was_sent ? attempt_end::kUnknown : attempt_end::kNotSent,
                CallFailureText(failure));
 }
 
+void proxied_call::LogBrokenAnswer() const {
+  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const http_field* prompt =
+      FindField(message_.fields, environment_.dialect.prompt_parts);
+  const std::string_view parts =
+      prompt == nullptr ? std::string_view() : prompt->value;
+  environment_.log->Write(
+      "answer_broken",
+      log_fields()
+          .Add("request", request_id_)
+          .Add("endpoint", endpoint_.value())
+          .Add("born",
+               endpoint == nullptr ? 0 : endpoint->record().incarnation.value())
+          .Add("status", head_.status)
+          .Add("bytes", received_bytes_)
+          .Add("took_ms", MillisOf(environment_.clock() - attempt_started_))
+          .Add("prompt", parts.substr(0, kMaxLoggedPrompt))
+          .text(),
+      line_class::kFrequent);
+}
+
 void proxied_call::AfterAttempt(attempt_end end, std::string_view cause) {
   if (is_done()) return;
   const steady_time now = environment_.clock();
--- a/source/request/request_dialect.h
+++ b/source/request/request_dialect.h
@@ -37,6 +37,8 @@
   std::string last_event_id = "Last-Event-Id";
   /// Id of the request that brought the first event of the resumed stream.
   std::string resumed_request = "X-Resumed-Request";
+  /// Ids of the parts of a prompt, for the log.
+  std::string prompt_parts = "X-Prompt-Parts";
   /// Further fields that only entry VMs may set; removed from callers'
   /// requests.
   std::vector<std::string> reserved;
