--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -23,6 +23,10 @@
 /// its leave was acknowledged, and exits kExitDelay after the acknowledgement.
 constexpr milliseconds kDrainBound{2'000};
 constexpr milliseconds kExitDelay{2'600};
+/// A prompt part that crashes the endpoint does so this long after the answer
+/// has begun; it is back after kRestartDelay.
+constexpr milliseconds kCrashDelay{15};
+constexpr milliseconds kRestartDelay{1'500};
 constexpr int kSlots = 32;
 constexpr int kMisdirected = 421;
 
@@ -69,6 +73,11 @@
   listener_.reset();
 }
 
+void fake_endpoint::StartRenewed() {
+  settings_.id += "n";
+  Start();
+}
+
 void fake_endpoint::Leave() {
   if (!is_running() || is_leaving_) return;
   is_leaving_ = true;
@@ -131,8 +140,13 @@
     ledger_.RecordViolation("request after an acknowledged leave: " + request);
   }
   ledger_.RecordRun(request);
-  if (!message.target.starts_with("/chat/") &&
-      !message.target.starts_with("/once/")) {
+  if (ledger_.HasCrashingPart(ValueOf(message, platform::kPromptParts))) {
+    CrashInAnswer(caller, request);
+    return;
+  }
+  if (message.target.starts_with("/look/") ||
+      message.target.starts_with("/book/") ||
+      message.target.starts_with("/ask/")) {
     SendResponse(caller, request);
     return;
   }
@@ -160,6 +174,29 @@
   });
 }
 
+void fake_endpoint::CrashInAnswer(
+    const std::shared_ptr<caller_connection>& caller,
+    const std::string& request) {
+  caller->Begin(200, ResponseFields(request), std::nullopt);
+  caller->Write("id: 1\nda");
+  caller->Flush();
+  auto timer = std::make_shared<asio::steady_timer>(io_, kCrashDelay);
+  timer->async_wait([this, start_count = start_count_, timer](std::error_code) {
+    if (start_count != start_count_) return;
+    ledger_.RecordPartCrash();
+    Crash();
+    timer->expires_after(kRestartDelay);
+    timer->async_wait([this, timer](std::error_code) {
+      if (is_running()) return;
+      if (settings_.renews_id) {
+        StartRenewed();
+      } else {
+        Start();
+      }
+    });
+  });
+}
+
 void fake_endpoint::SendEvents(const std::shared_ptr<caller_connection>& caller,
                                const std::string& request, int next) {
   if (next > kStreamEvents) {
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -31,6 +31,8 @@
   std::string domain;
   /// Version of its software, in its heartbeats.
   std::string software = "v1";
+  /// After a crash by a prompt part it starts again under another id.
+  bool renews_id = false;
   /// Chooses the control process that receives the next heartbeat.
   std::function<socket_address()> control;
 };
@@ -47,6 +49,8 @@
   fake_endpoint& operator=(const fake_endpoint&) = delete;
 
   void Start();
+  /// Starts under another id, as a new instance at the same address.
+  void StartRenewed();
   /// Closes all connections without announcing that it leaves.
   void Crash();
   /// Announces that it leaves, and exits some time after the acknowledgement.
@@ -64,12 +68,15 @@
                  const caller_message& message);
   void SendResponse(const std::shared_ptr<caller_connection>& caller,
                     const std::string& request);
+  /// Begins an answer and crashes; starts again some seconds later.
+  void CrashInAnswer(const std::shared_ptr<caller_connection>& caller,
+                     const std::string& request);
   void SendEvents(const std::shared_ptr<caller_connection>& caller,
                   const std::string& request, int next);
   http_field_list ResponseFields(const std::string& request) const;
 
   asio::io_context& io_;
-  const fake_endpoint_settings settings_;
+  fake_endpoint_settings settings_;
   run_ledger& ledger_;
   asio::steady_timer heartbeat_;
   std::optional<caller_listener> listener_;
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -1,6 +1,8 @@
 #ifndef MARJORAMSILL_TESTS_SOAK_RUN_LEDGER_H_
 #define MARJORAMSILL_TESTS_SOAK_RUN_LEDGER_H_
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <set>
 #include <string>
@@ -32,6 +34,25 @@
   }
   /// Records that a request that may run at most once was refused as not run.
   void RecordRefusal(const std::string& request) { refused_.insert(request); }
+  /// A prompt part that crashes every endpoint which begins to answer it.
+  void AddCrashingPart(const std::string& id) { crashing_parts_.insert(id); }
+  /// `prompt`: "ID:TOKENS,...". Counts the requests with such a part that have
+  /// reached endpoints.
+  bool HasCrashingPart(const std::string& prompt) {
+    const bool found =
+        std::any_of(crashing_parts_.begin(), crashing_parts_.end(),
+                    [&prompt](const std::string& id) {
+                      return prompt.find(id + ":") != std::string::npos;
+                    });
+    if (found) crashing_requests_.push_back(std::chrono::steady_clock::now());
+    return found;
+  }
+  void RecordPartCrash() {
+    part_crashes_.push_back(std::chrono::steady_clock::now());
+  }
+  using time_list = std::vector<std::chrono::steady_clock::time_point>;
+  const time_list& crashing_requests() const { return crashing_requests_; }
+  const time_list& part_crashes() const { return part_crashes_; }
   /// Records that the fleet violated a guarantee.
   void RecordViolation(const std::string& text) { violations_.push_back(text); }
 
@@ -53,6 +74,9 @@
   std::map<std::string, int> runs_;
   std::map<std::string, std::set<std::string>> software_;
   std::set<std::string> refused_;
+  std::set<std::string> crashing_parts_;
+  time_list crashing_requests_;
+  time_list part_crashes_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -96,7 +96,9 @@
   settings.id = "i-" + std::to_string(index);
   settings.pool = "svc";
   settings.listen = bound;
-  settings.announced = FormatSocketAddress(announced);
+  settings.announced = FormatSocketAddress(
+      settings_.reaches_endpoints_directly ? bound : announced);
+  settings.renews_id = settings_.renews_ids && index % 2 == 1;
   settings.domain = DomainOf(index);
   settings.software = settings_.software[static_cast<std::size_t>(index) %
                                          settings_.software.size()];
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -27,6 +27,11 @@
   int endpoints = 4;
   /// Software versions of the endpoints, in turn.
   std::vector<std::string> software = {"v1", "v1.1"};
+  /// Endpoints are reached without a proxy, which accepts connections while
+  /// its endpoint is down.
+  bool reaches_endpoints_directly = false;
+  /// Every other endpoint that a prompt part has crashed starts under a new id.
+  bool renews_ids = false;
 };
 
 /// One process of the fleet. Other processes reach it through its proxy.
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -39,7 +39,13 @@
   document["routes"] = {Route("/book/", "non_idempotent", 1, false),
                         Route("/look/", "idempotent", 2, false),
                         Route("/chat/", "streaming", 3, true),
-                        Route("/once/", "streaming", 1, false)};
+                        Route("/once/", "streaming", 1, false),
+                        Route("/prompt/", "streaming", 3, false),
+                        Route("/resumed-prompt/", "streaming", 3, true),
+                        Route("/ask/", "idempotent", 3, false)};
+  for (std::size_t i = 4; i < document["routes"].size(); ++i) {
+    document["routes"][i]["sticky"] = true;
+  }
   document["services"] = {{{"name", "svc"}, {"maxConns", 500}}};
   return document.dump();
 }
