entry: refuse requests with a prompt part under which endpoints keep ending

Cause: the end of an endpoint under a request was kept nowhere but in that endpoint's failure count at one VM. A prompt part that crashes endpoints was therefore sent on by each request within its attempts, by every new request and at every VM. Class: a fact on which the whole fleet must act, known to one VM.

Change: a circuit breaker by prompt part. When a connection ends before an answer is complete, the entry process looks whether anything accepts connections at that address; if not, the end counts against the parts of the prompt, but for the last one and those on which an answer was completed here in the last 2 s. Entry processes send these records to all control processes at once, which pass on those with two ends or more. A completed answer anywhere voids the ends before it. With three ends requests with the part are refused at once (503, not run); single trials follow after 10 s or more until the fifth end. A request whose endpoint broke is sent again only if each of its parts was answered here in the last minute, and not at all if a part has two ends. Records survive the restart of entry and control processes, are bounded (4,096) and expire.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -209,6 +209,12 @@
     hooks.on_loads = [this](const std::vector<shared_load>& loads) {
       hub_.MergeLoads(loads, SteadyNow());
     };
+    hooks.on_faults = [this](const std::vector<part_fault>& faults) {
+      hub_.RecordFaults(faults, SteadyNow());
+    };
+    hooks.take_faults = [this](std::uint64_t& number) {
+      return hub_.faults().TakeAfter(number);
+    };
     // Load reports come with endpoint responses, which only entry VMs receive.
     hooks.take_loads = [] { return std::vector<shared_load>(); };
     hooks.on_contact = [](const vm_id& vm, bool reachable) {
@@ -335,6 +341,10 @@
     } else if (message.kind == kStreamsBegunKind) {
       hub_.RecordOrigins(DecodeStreamOrigins(message.body), SteadyNow());
       respond("");
+    } else if (message.kind == kPartFaultsKind) {
+      const auto faults = DecodePartFaults(message.body);
+      if (faults) hub_.RecordFaults(*faults, SteadyNow());
+      respond("");
     } else if (message.kind == kStreamOriginKind) {
       const auto stream = DecodeStreamDigest(message.body);
       const auto software = stream ? hub_.FindOrigin(*stream) : std::nullopt;
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -56,6 +56,8 @@
   known.requests_loads = request.requests_loads;
   loads_.Record(request.loads, load_report_store::source::kEntry, now);
   RecordOrigins(request.origins, now);
+  RecordFaults(request.faults, now);
+  known.applied_fault = is_first ? 0 : request.applied_fault;
   known.applied_change = is_first ? 0 : request.applied_change;
   known.applied_ending =
       is_first ? 0 : std::max(request.applied_change, request.applied_ending);
@@ -72,7 +74,8 @@
 
 bool watch_hub::HasUrgentUpdates(const watcher& each) const {
   return each.applied_ending < from_.directory->last_ending() ||
-         each.document < from_.document();
+         each.document < from_.document() ||
+         each.applied_fault < faults_.last_shared_change();
 }
 
 bool watch_hub::IsDueForRecords(const watcher& each, steady_time now) {
@@ -102,6 +105,8 @@
   }
   response.members = from_.members();
   response.entry_count = EntryCount(now);
+  response.last_fault = each.applied_fault;
+  response.faults = faults_.TakeSharedAfter(response.last_fault);
   if (each.requests_loads && HasBulkBudget(now)) {
     response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
   }
@@ -143,6 +148,13 @@
   for (const stream_origin& each : origins) origins_.Record(each, now);
 }
 
+void watch_hub::RecordFaults(const std::vector<part_fault>& faults,
+                             steady_time now) {
+  const std::uint64_t before = faults_.last_shared_change();
+  for (const part_fault& each : faults) faults_.Merge(each, now);
+  if (faults_.last_shared_change() != before) Notify(now);
+}
+
 void watch_hub::Notify(steady_time now) {
   for (auto& [vm, each] : watchers_) {
     if (each.respond && HasUrgentUpdates(each)) Respond(each, now);
@@ -178,6 +190,7 @@
   RespondWithRecords(now);
   loads_.Expire(now);
   origins_.Expire(now);
+  faults_.Expire(now);
   CheckAwaited(now);
 }
 
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -11,6 +11,7 @@
 
 #include "process/control/token_bucket.h"
 #include "process/directory/load_report_store.h"
+#include "process/directory/part_fault_store.h"
 #include "process/directory/stream_origin_store.h"
 #include "process/directory/watch_request.h"
 #include "types/ids.h"
@@ -70,6 +71,10 @@
   std::optional<software_digest> FindOrigin(stream_digest stream) const {
     return origins_.Find(stream);
   }
+  /// What another process knows against prompt parts. Watchers that have to
+  /// know of it get a response at once.
+  void RecordFaults(const std::vector<part_fault>& faults, steady_time now);
+  const part_fault_store& faults() const { return faults_; }
   /// What was sent to watchers since the start of this process.
   struct traffic {
     std::uint64_t responses = 0;
@@ -91,6 +96,8 @@
     std::uint64_t applied_change = 0;
     std::uint64_t applied_ending = 0;
     std::uint32_t known_endpoints = 0;
+    /// Last change of the part faults that the watcher has.
+    std::uint64_t applied_fault = 0;
     document_version document;
     steady_time last_contact;
     steady_time held_since;
@@ -128,6 +135,7 @@
   std::optional<steady_time> started_at_;
   load_report_store loads_;
   stream_origin_store origins_;
+  part_fault_store faults_;
   /// Limits records and load reports. Empty if the link's speed is unknown.
   std::optional<token_bucket> bulk_budget_;
   std::int64_t bulk_burst_ = 0;
--- a/source/process/daemon/peer_kinds.h
+++ b/source/process/daemon/peer_kinds.h
@@ -19,6 +19,7 @@
 inline constexpr std::string_view kDocumentKind = "document";
 inline constexpr std::string_view kStreamsBegunKind = "stream/begun";
 inline constexpr std::string_view kStreamOriginKind = "stream/origin";
+inline constexpr std::string_view kPartFaultsKind = "part/faults";
 inline constexpr std::string_view kReadDocumentKind = "document/read";
 inline constexpr std::string_view kSubmitDocumentKind = "document/submit";
 
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -99,6 +99,9 @@
     member.sent_origin = member.confirmed_origin;
     request.origins = hooks_.take_origins(member.sent_origin);
   }
+  request.applied_fault = member.applied_fault;
+  member.sent_fault = member.confirmed_fault;
+  request.faults = hooks_.take_faults(member.sent_fault);
   member.has_request = true;
   member.request_sent = hooks_.clock();
   Request(vm, std::string(kWatchKind), EncodeWatchRequest(request),
@@ -159,10 +162,11 @@
   member.failures = 0;
   member.next_try = now;
   member.last_contact = now;
-  // A restarted member has lost the origins that it confirmed before.
-  const bool is_restarted = member.epoch != response.epoch;
-  member.confirmed_origin =
-      is_restarted && member.epoch != 0 ? 0 : member.sent_origin;
+  // A restarted member has lost what it confirmed before.
+  const bool is_restarted = member.epoch != response.epoch && member.epoch != 0;
+  member.confirmed_origin = is_restarted ? 0 : member.sent_origin;
+  member.confirmed_fault = is_restarted ? 0 : member.sent_fault;
+  member.applied_fault = response.last_fault;
   member.epoch = response.epoch;
   member.applied_change = response.last_change;
   member.applied_ending = std::max(response.last_change, response.last_ending);
@@ -181,6 +185,7 @@
     // The response left the member after the request was sent.
     hooks_.on_history(now - response.history);
   }
+  if (!response.faults.empty()) hooks_.on_faults(response.faults);
   if (!response.loads.empty()) hooks_.on_loads(response.loads);
   if (response.confirmed_after && hooks_.on_confirmed) {
     hooks_.on_confirmed(response.document,
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "process/directory/endpoint_record.h"
+#include "process/directory/part_fault.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin.h"
 #include "process/directory/watch_response.h"
@@ -49,6 +50,11 @@
     /// Returns the streams that began here after the origin with this number,
     /// and moves the number to the last of them. Null for a control member.
     std::function<std::vector<stream_origin>(std::uint64_t&)> take_origins;
+    /// Called with what the fleet knows against prompt parts.
+    std::function<void(const std::vector<part_fault>&)> on_faults;
+    /// Returns what this process knows against prompt parts after the change
+    /// with this number, and moves the number to the last of these changes.
+    std::function<std::vector<part_fault>(std::uint64_t&)> take_faults;
     /// Returns the number of endpoints that this process knows and that have
     /// not ended; null for a control member, which needs every record.
     std::function<std::size_t()> known_endpoints;
@@ -96,6 +102,12 @@
     /// flight.
     std::uint64_t confirmed_origin = 0;
     std::uint64_t sent_origin = 0;
+    /// Last own change of the part faults that the member has, and that of the
+    /// request in flight.
+    std::uint64_t confirmed_fault = 0;
+    std::uint64_t sent_fault = 0;
+    /// Last change of the member's part faults that was applied here.
+    std::uint64_t applied_fault = 0;
     bool is_reachable = false;
     steady_time next_try;
     steady_time last_contact;
--- /dev/null
+++ b/source/process/directory/part_fault_store.cc
@@ -0,0 +1,154 @@
+#include "process/directory/part_fault_store.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::seconds;
+
+/// About 1 MB with their indexes.
+constexpr std::size_t kMaxParts = 4'096;
+/// More ends of one part change no decision.
+constexpr std::size_t kMaxEnds = 8;
+/// Largest number of records in one message, at most about 3 KB.
+constexpr std::size_t kMaxTaken = 64;
+/// A single end under a part is forgotten after this time. Requests that crash
+/// endpoints arrive more often than that.
+constexpr seconds kSingleEndLifetime{30};
+/// Other records are kept this long after the last change or refresh.
+constexpr seconds kLifetime{600};
+constexpr seconds kRefreshInterval{60};
+
+bool IsShared(const part_fault& fault) {
+  return fault.clearances > 0 || fault.ends.size() >= kSharedEnds;
+}
+
+/// Returns whether `ends` has changed.
+bool AddEnds(std::vector<endpoint_run_digest>& ends,
+             const std::vector<endpoint_run_digest>& added) {
+  bool changed = false;
+  for (const endpoint_run_digest run : added) {
+    const auto at = std::lower_bound(ends.begin(), ends.end(), run);
+    if (at != ends.end() && *at == run) continue;
+    if (ends.size() == kMaxEnds) return changed;
+    ends.insert(at, run);
+    changed = true;
+  }
+  return changed;
+}
+
+}  // namespace
+
+void part_fault_store::RecordEnd(part_digest part, endpoint_run_digest run,
+                                 steady_time now) {
+  const part_fault* known = Find(part);
+  Merge({part, known == nullptr ? 0 : known->clearances, {run}}, now);
+}
+
+void part_fault_store::Clear(part_digest part, steady_time now) {
+  const auto found = entries_.find(part);
+  if (found == entries_.end() || found->second.fault.ends.empty()) return;
+  ++found->second.fault.clearances;
+  found->second.fault.ends.clear();
+  RecordChange(found->second, now);
+}
+
+void part_fault_store::Merge(const part_fault& fault, steady_time now) {
+  const auto found = entries_.find(fault.part);
+  const bool is_new = found == entries_.end();
+  entry& known = is_new ? Insert(fault.part) : found->second;
+  if (fault.clearances < known.fault.clearances) {
+    RecordChange(known, now);
+    return;
+  }
+  if (is_new || fault.clearances > known.fault.clearances) {
+    known.fault.clearances = fault.clearances;
+    known.fault.ends.clear();
+    AddEnds(known.fault.ends, fault.ends);
+    RecordChange(known, now);
+  } else if (AddEnds(known.fault.ends, fault.ends)) {
+    RecordChange(known, now);
+  } else {
+    Refresh(fault.part, now);
+  }
+}
+
+void part_fault_store::Refresh(part_digest part, steady_time now) {
+  const auto found = entries_.find(part);
+  if (found == entries_.end()) return;
+  if (now - found->second.updated_at < kRefreshInterval) return;
+  RecordChange(found->second, now);
+}
+
+const part_fault* part_fault_store::Find(part_digest part) const {
+  const auto found = entries_.find(part);
+  return found == entries_.end() ? nullptr : &found->second.fault;
+}
+
+part_fault_store::entry& part_fault_store::Insert(part_digest part) {
+  if (entries_.size() >= kMaxParts) DropLeastSuspected();
+  entry& added = entries_[part];
+  added.fault.part = part;
+  return added;
+}
+
+void part_fault_store::DropLeastSuspected() {
+  const auto least = std::min_element(
+      entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
+        const std::size_t ends_of_a = a.second.fault.ends.size();
+        const std::size_t ends_of_b = b.second.fault.ends.size();
+        if (ends_of_a != ends_of_b) return ends_of_a < ends_of_b;
+        return a.second.updated_at < b.second.updated_at;
+      });
+  changes_.erase(least->second.change);
+  entries_.erase(least);
+}
+
+void part_fault_store::RecordChange(entry& changed, steady_time now) {
+  if (changed.change != 0) changes_.erase(changed.change);
+  changed.change = ++last_change_;
+  changed.updated_at = now;
+  changes_.emplace(last_change_, changed.fault.part);
+  if (IsShared(changed.fault)) last_shared_change_ = last_change_;
+}
+
+std::vector<part_fault> part_fault_store::Take(std::uint64_t& number,
+                                               bool shared_only) const {
+  std::vector<part_fault> taken;
+  auto it = changes_.upper_bound(number);
+  for (; it != changes_.end() && taken.size() < kMaxTaken; ++it) {
+    const part_fault& fault = entries_.find(it->second)->second.fault;
+    if (!shared_only || IsShared(fault)) taken.push_back(fault);
+    number = it->first;
+  }
+  return taken;
+}
+
+std::vector<part_fault> part_fault_store::TakeAfter(
+    std::uint64_t& number) const {
+  return Take(number, false);
+}
+
+std::vector<part_fault> part_fault_store::TakeSharedAfter(
+    std::uint64_t& number) const {
+  return Take(number, true);
+}
+
+void part_fault_store::Expire(steady_time now) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const entry& known = it->second;
+    const seconds lifetime =
+        IsShared(known.fault) ? kLifetime : kSingleEndLifetime;
+    if (now - known.updated_at > lifetime) {
+      changes_.erase(known.change);
+      it = entries_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/directory/part_fault_store.h
@@ -0,0 +1,71 @@
+#ifndef MARJORAMSILL_PROCESS_DIRECTORY_PART_FAULT_STORE_H_
+#define MARJORAMSILL_PROCESS_DIRECTORY_PART_FAULT_STORE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "process/directory/part_fault.h"
+#include "types/steady_time.h"
+
+namespace marjoramsill {
+
+/// Ends of endpoints under one part, without an answer in between, from which
+/// on all VMs have to know of it.
+inline constexpr std::size_t kSharedEnds = 2;
+
+/// The prompt parts that one process knows something against. Changes are
+/// numbered, so that a receiver can go on after the last one that it has. The
+/// number of parts is bounded: those with the fewest ends are dropped first.
+/// Not thread-safe.
+class part_fault_store {
+ public:
+  /// An endpoint ended while it had a request with the part.
+  void RecordEnd(part_digest part, endpoint_run_digest run, steady_time now);
+  /// An answer on the part was completed. Does nothing if nothing is known
+  /// against it.
+  void Clear(part_digest part, steady_time now);
+  /// Merges a record of another process. An outdated one makes this process
+  /// send its own again.
+  void Merge(const part_fault& fault, steady_time now);
+  /// Keeps a record that is still needed from expiring, here and at the
+  /// processes that receive the changes.
+  void Refresh(part_digest part, steady_time now);
+  /// The record of a part, or null.
+  const part_fault* Find(part_digest part) const;
+
+  /// A bounded number of the records that changed after `number`, oldest
+  /// change first; `number` becomes that of the last one.
+  std::vector<part_fault> TakeAfter(std::uint64_t& number) const;
+  /// As TakeAfter(), without the records that not all VMs have to know.
+  std::vector<part_fault> TakeSharedAfter(std::uint64_t& number) const;
+  /// Number of the last change.
+  std::uint64_t last_change() const { return last_change_; }
+  /// Number of the last change of a record that all VMs have to know.
+  std::uint64_t last_shared_change() const { return last_shared_change_; }
+  void Expire(steady_time now);
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct entry {
+    part_fault fault;
+    std::uint64_t change = 0;
+    steady_time updated_at;
+  };
+
+  std::vector<part_fault> Take(std::uint64_t& number, bool shared_only) const;
+  entry& Insert(part_digest part);
+  void DropLeastSuspected();
+  void RecordChange(entry& changed, steady_time now);
+
+  std::unordered_map<part_digest, entry> entries_;
+  std::map<std::uint64_t, part_digest> changes_;
+  std::uint64_t last_change_ = 0;
+  std::uint64_t last_shared_change_ = 0;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_DIRECTORY_PART_FAULT_STORE_H_
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -20,21 +20,25 @@
                                std::uint32_t, std::uint32_t>;
 /// Stream, software.
 using origin_fields = std::tuple<std::uint64_t, std::uint32_t>;
+/// Part, clearances, ends.
+using fault_fields =
+    std::tuple<std::uint64_t, std::uint32_t, std::vector<std::uint32_t>>;
 using request_fields =
     std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t,
                bool, std::vector<load_fields>, std::uint64_t, std::uint32_t,
-               std::vector<origin_fields>>;
+               std::vector<origin_fields>, std::uint64_t,
+               std::vector<fault_fields>>;
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
                std::vector<load_fields>, std::uint64_t, std::int64_t,
-               std::uint32_t>;
+               std::uint32_t, std::vector<fault_fields>, std::uint64_t>;
 /// Encoded confirmed_after of a response that confirms nothing.
 constexpr std::int64_t kUnconfirmed = -1;
 
-/// Limit for nested arrays. The deepest message has three: the response, its
-/// list of records, one record.
-constexpr std::size_t kMaxDepth = 4;
+/// Limit for nested arrays. The deepest message has four: the response, its
+/// list of part faults, one of these, its list of ends.
+constexpr std::size_t kMaxDepth = 5;
 
 template <class Fields>
 std::string Pack(const Fields& fields) {
@@ -114,6 +118,30 @@
   return fields;
 }
 
+std::vector<fault_fields> ToFields(const std::vector<part_fault>& faults) {
+  std::vector<fault_fields> fields;
+  fields.reserve(faults.size());
+  for (const part_fault& each : faults) {
+    std::vector<std::uint32_t> ends;
+    for (const endpoint_run_digest run : each.ends) {
+      ends.push_back(static_cast<std::uint32_t>(run.value()));
+    }
+    fields.emplace_back(each.part.value(), each.clearances, std::move(ends));
+  }
+  return fields;
+}
+
+std::vector<part_fault> ToFaults(const std::vector<fault_fields>& fields) {
+  std::vector<part_fault> faults;
+  faults.reserve(fields.size());
+  for (const auto& [part, clearances, ends] : fields) {
+    part_fault fault{part_digest(part), clearances, {}};
+    for (const std::uint32_t run : ends) fault.ends.emplace_back(run);
+    faults.push_back(std::move(fault));
+  }
+  return faults;
+}
+
 std::vector<shared_load> ToLoads(const std::vector<load_fields>& fields) {
   std::vector<shared_load> loads;
   loads.reserve(fields.size());
@@ -128,11 +156,12 @@
 }  // namespace
 
 std::string EncodeWatchRequest(const watch_request& request) {
-  return Pack(request_fields{
-      request.watcher.value(), request.is_entry, request.epoch,
-      request.applied_change, request.document.value(), request.requests_loads,
-      ToFields(request.loads), request.applied_ending, request.known_endpoints,
-      ToFields(request.origins)});
+  return Pack(request_fields{request.watcher.value(), request.is_entry,
+                             request.epoch, request.applied_change,
+                             request.document.value(), request.requests_loads,
+                             ToFields(request.loads), request.applied_ending,
+                             request.known_endpoints, ToFields(request.origins),
+                             request.applied_fault, ToFields(request.faults)});
 }
 
 std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
@@ -152,6 +181,8 @@
     request.origins.push_back(
         {stream_digest(stream), software_digest(software)});
   }
+  request.applied_fault = std::get<10>(*fields);
+  request.faults = ToFaults(std::get<11>(*fields));
   return request;
 }
 
@@ -173,6 +204,8 @@
                             ? response.confirmed_after->count()
                             : kUnconfirmed;
   std::get<9>(fields) = static_cast<std::uint32_t>(response.history.count());
+  std::get<10>(fields) = ToFields(response.faults);
+  std::get<11>(fields) = response.last_fault;
   return Pack(fields);
 }
 
@@ -198,7 +231,20 @@
     response.confirmed_after = std::chrono::milliseconds(after);
   }
   response.history = std::chrono::milliseconds(std::get<9>(*fields));
+  response.faults = ToFaults(std::get<10>(*fields));
+  response.last_fault = std::get<11>(*fields);
   return response;
 }
 
+std::string EncodePartFaults(const std::vector<part_fault>& faults) {
+  return Pack(ToFields(faults));
+}
+
+std::optional<std::vector<part_fault>> DecodePartFaults(
+    std::string_view bytes) {
+  const auto fields = Unpack<std::vector<fault_fields>>(bytes);
+  if (!fields) return std::nullopt;
+  return ToFaults(*fields);
+}
+
 }  // namespace marjoramsill
--- a/source/process/directory/watch_codec.h
+++ b/source/process/directory/watch_codec.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "process/directory/part_fault.h"
 #include "process/directory/watch_request.h"
 #include "process/directory/watch_response.h"
 
@@ -19,6 +21,10 @@
 std::string EncodeWatchResponse(const watch_response& response);
 std::optional<watch_response> DecodeWatchResponse(std::string_view bytes);
 
+/// Part faults that are sent at once, without a watch request.
+std::string EncodePartFaults(const std::vector<part_fault>& faults);
+std::optional<std::vector<part_fault>> DecodePartFaults(std::string_view bytes);
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_PROCESS_DIRECTORY_WATCH_CODEC_H_
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "process/directory/part_fault.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin.h"
 #include "types/ids.h"
@@ -35,6 +36,10 @@
   std::vector<shared_load> loads;
   /// Streams that began at the watcher since its last request.
   std::vector<stream_origin> origins;
+  /// Last change of the member's part faults that the watcher has.
+  std::uint64_t applied_fault = 0;
+  /// What the watcher has learned against prompt parts since its last request.
+  std::vector<part_fault> faults;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/watch_response.h
+++ b/source/process/directory/watch_response.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "process/directory/endpoint_record.h"
+#include "process/directory/part_fault.h"
 #include "process/directory/shared_load.h"
 #include "types/ids.h"
 
@@ -39,6 +40,10 @@
   std::uint32_t entry_count = 0;
   /// Load reports from other watchers, if the request includes them.
   std::vector<shared_load> loads;
+  /// What the fleet knows against prompt parts, after the last change that the
+  /// watcher has, and the number of the last change in it.
+  std::vector<part_fault> faults;
+  std::uint64_t last_fault = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "process/directory/stream_origin.h"
 #include "request/request_dialect.h"
@@ -18,9 +19,12 @@
 class endpoint_connection_pool;
 class endpoint_pool;
 class entry_metrics;
+class part_breaker;
 class retry_window;
 class routing_table;
+struct endpoint_record;
 struct origin_finding;
+struct prompt_part;
 struct route_rule;
 
 /// State and services that all calls of one entry process share.
@@ -47,6 +51,11 @@
       record_origin;
   /// Returns the retry budget of a pool; never null.
   std::function<retry_window*(const model_id&)> retries;
+  part_breaker* parts = nullptr;
+  /// Finds out whether an endpoint has ended whose connection broke under a
+  /// request with this prompt, and records it against the prompt's parts.
+  std::function<void(const endpoint_record&, const std::vector<prompt_part>&)>
+      check_end;
   /// Returns the number of entry VMs in the fleet, as last reported.
   std::function<std::uint32_t()> entry_count;
   std::function<steady_time()> clock;
--- /dev/null
+++ b/source/process/entry/endpoint_end_check.cc
@@ -0,0 +1,70 @@
+#include "process/entry/endpoint_end_check.h"
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include "connection/endpoint_connection.h"
+#include "connection/endpoint_connection_pool.h"
+#include "process/daemon/steady_clock.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A process that ends closes its connections and its listening socket in any
+/// order; this is the time between.
+constexpr milliseconds kCheckDelay{10};
+/// Without an answer to the connection attempt nothing is known.
+constexpr milliseconds kConnectTimeout{300};
+
+}  // namespace
+
+endpoint_end_check::endpoint_end_check(asio::io_context& io,
+                                       endpoint_connection_pool& connections,
+                                       ended_hook on_ended)
+    : io_(io), connections_(connections), on_ended_(std::move(on_ended)) {}
+
+void endpoint_end_check::Start(const endpoint_record& endpoint,
+                               const std::vector<part_digest>& suspects) {
+  if (suspects.empty()) return;
+  const endpoint_run_digest run = DigestOfRun(endpoint);
+  const auto [found, is_new] = open_.try_emplace(run);
+  open_check& check = found->second;
+  check.suspects.insert(check.suspects.end(), suspects.begin(), suspects.end());
+  if (!is_new) return;
+  check.endpoint = endpoint;
+  auto timer = std::make_shared<asio::steady_timer>(io_, kCheckDelay);
+  timer->async_wait([this, timer, run](std::error_code error) {
+    if (!error) Connect(run);
+  });
+}
+
+void endpoint_end_check::Connect(endpoint_run_digest run) {
+  const endpoint_record& endpoint = open_[run].endpoint;
+  const auto connection = connections_.Open(endpoint.id, endpoint.address);
+  auto timeout = std::make_shared<asio::steady_timer>(io_, kConnectTimeout);
+  timeout->async_wait([this, run, connection](std::error_code error) {
+    if (error || !open_.contains(run)) return;
+    connection->Close();
+    Finish(run, false);
+  });
+  connection->Connect([this, run, connection, timeout](bool connected) {
+    timeout->cancel();
+    const auto found = open_.find(run);
+    if (found == open_.end()) return;
+    if (connected) {
+      connections_.Release(found->second.endpoint.id, connection, SteadyNow());
+    }
+    Finish(run, !connected);
+  });
+}
+
+void endpoint_end_check::Finish(endpoint_run_digest run, bool has_ended) {
+  const open_check check = std::move(open_.extract(run).mapped());
+  if (has_ended) on_ended_(check.endpoint, check.suspects);
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/entry/endpoint_end_check.h
@@ -0,0 +1,52 @@
+#ifndef MARJORAMSILL_PROCESS_ENTRY_ENDPOINT_END_CHECK_H_
+#define MARJORAMSILL_PROCESS_ENTRY_ENDPOINT_END_CHECK_H_
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "process/directory/endpoint_record.h"
+#include "process/directory/part_fault.h"
+
+namespace marjoramsill {
+
+class endpoint_connection_pool;
+
+/// Finds out whether an endpoint has ended whose connection broke: nothing
+/// accepts connections at its address. A connection that breaks on the network,
+/// or that an endpoint closes in the middle of an answer, is no end. Used on
+/// the thread of the entry process.
+class endpoint_end_check {
+ public:
+  /// Receives an endpoint that has ended and the parts that may be the cause.
+  using ended_hook = std::function<void(const endpoint_record&,
+                                        const std::vector<part_digest>&)>;
+
+  endpoint_end_check(asio::io_context& io,
+                     endpoint_connection_pool& connections,
+                     ended_hook on_ended);
+
+  /// Checks the endpoint once for all suspects that are added meanwhile.
+  void Start(const endpoint_record& endpoint,
+             const std::vector<part_digest>& suspects);
+
+ private:
+  struct open_check {
+    endpoint_record endpoint;
+    std::vector<part_digest> suspects;
+  };
+
+  void Connect(endpoint_run_digest run);
+  void Finish(endpoint_run_digest run, bool has_ended);
+
+  asio::io_context& io_;
+  endpoint_connection_pool& connections_;
+  const ended_hook on_ended_;
+  std::map<endpoint_run_digest, open_check> open_;
+};
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ENTRY_ENDPOINT_END_CHECK_H_
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -33,8 +33,11 @@
 #include "process/entry/call_environment.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetcher.h"
+#include "process/entry/endpoint_end_check.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
+#include "process/entry/part_breaker.h"
+#include "process/entry/part_fault_reporter.h"
 #include "process/entry/pool_table.h"
 #include "process/entry/stream_origin_finder.h"
 #include "request/http_status.h"
@@ -118,6 +121,13 @@
               return OnlySoftware(id, period);
             },
             SteadyNow),
+        parts_(SystemRandom()),
+        part_reporter_(watcher_, parts_),
+        end_check_(io_, connections_,
+                   [this](const endpoint_record& endpoint,
+                          const std::vector<part_digest>& suspects) {
+                     OnEndpointCrash(endpoint, suspects);
+                   }),
         listener_(
             io_, {*settings_.callers, MaxCallerConnections()},
             [this](const auto& caller, caller_message message) {
@@ -156,6 +166,11 @@
     environment_.retries = [this](const model_id& id) {
       return pools_.Retries(id);
     };
+    environment_.parts = &parts_;
+    environment_.check_end = [this](const endpoint_record& endpoint,
+                                    const std::vector<prompt_part>& prompt) {
+      end_check_.Start(endpoint, parts_.Suspects(prompt, SteadyNow()));
+    };
     environment_.entry_count = [this] { return watcher_.entry_count(); };
     environment_.clock = SteadyNow;
     environment_.random = SystemRandom();
@@ -242,6 +257,12 @@
     hooks.take_origins = [this](std::uint64_t& number) {
       return origins_.TakeAfter(number);
     };
+    hooks.on_faults = [this](const std::vector<part_fault>& faults) {
+      parts_.Merge(faults, SteadyNow());
+    };
+    hooks.take_faults = [this](std::uint64_t& number) {
+      return parts_.faults().TakeAfter(number);
+    };
     hooks.document = [this] {
       return std::max(CurrentVersion(), fetcher_.required());
     };
@@ -269,6 +290,22 @@
     if (is_ending) connections_.Drop(changed.id);
   }
 
+  void OnEndpointCrash(const endpoint_record& endpoint,
+                       const std::vector<part_digest>& suspects) {
+    const endpoint_run_digest run = DigestOfRun(endpoint);
+    parts_.RecordEnd(run, suspects, SteadyNow());
+    for (const part_digest part : suspects) {
+      log_.Write("part_suspected",
+                 log_fields()
+                     .Add("part", PartText(part))
+                     .Add("endpoint", endpoint.id.value())
+                     .Add("born", endpoint.incarnation.value())
+                     .Add("run", RunsText({run}))
+                     .text(),
+                 line_class::kFrequent);
+    }
+  }
+
   void LogFetch(const vm_id& vm, document_version required,
                 const char* outcome) {
     log_.Write("document_asked", log_fields()
@@ -403,6 +440,7 @@
     fetcher_.Tick(now);
     relay_.Tick(document_, now);
     origins_.Tick(now);
+    part_reporter_.Tick(now);
     if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
     if (stopping_since_ && ContinueStop(now)) return;
     timer_.expires_after(kTick);
@@ -416,6 +454,7 @@
     listener_.Tick(now);
     connections_.Expire(now);
     pools_.Tick(now);
+    parts_.Expire(now);
     settings_watch_.Tick(now);
     const auto phases = pools_.CountPhases();
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
@@ -458,6 +497,9 @@
   endpoint_connection_pool connections_;
   pool_table pools_;
   stream_origin_finder origins_;
+  part_breaker parts_;
+  part_fault_reporter part_reporter_;
+  endpoint_end_check end_check_;
   caller_listener listener_;
   settings_watch settings_watch_;
   std::optional<http_server> readiness_;
--- a/source/process/entry/log_fields.cc
+++ b/source/process/entry/log_fields.cc
@@ -2,11 +2,30 @@
 
 #include <array>
 #include <charconv>
+#include <cinttypes>
+#include <cstdio>
 
 #include "process/daemon/event_log.h"
 
 namespace marjoramsill {
 
+std::string PartText(part_digest part) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016" PRIx64, part.value());
+  return text;
+}
+
+std::string RunsText(const std::vector<endpoint_run_digest>& runs) {
+  std::string all;
+  for (const endpoint_run_digest run : runs) {
+    char text[9];
+    std::snprintf(text, sizeof(text), "%08" PRIx64, run.value());
+    if (!all.empty()) all += ',';
+    all += text;
+  }
+  return all;
+}
+
 log_fields& log_fields::Add(std::string_view key, std::string_view value) {
   return AddPlain(key, EscapeLogValue(value));
 }
--- a/source/process/entry/log_fields.h
+++ b/source/process/entry/log_fields.h
@@ -5,9 +5,17 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "process/directory/part_fault.h"
 
 namespace marjoramsill {
 
+/// A prompt part in log lines: 16 hexadecimal digits.
+std::string PartText(part_digest part);
+/// Starts of endpoints that ended, in hexadecimal, separated by commas.
+std::string RunsText(const std::vector<endpoint_run_digest>& runs);
+
 /// Builds the key=value pairs of a log line.
 class log_fields {
  public:
--- a/source/request/attempt_facts.h
+++ b/source/request/attempt_facts.h
@@ -27,6 +27,8 @@
   int max_attempts = 1;
   /// This or an earlier attempt may have run the request.
   bool may_have_run = false;
+  /// The request may be what ended the endpoint of an attempt.
+  bool may_crash_endpoints = false;
   /// The deadline has not passed.
   bool has_time = true;
 };
--- a/source/request/attempt_rules.cc
+++ b/source/request/attempt_rules.cc
@@ -4,7 +4,7 @@
 namespace {
 
 bool MayTryAgain(const attempt_facts& facts) {
-  if (!facts.has_time) return false;
+  if (!facts.has_time || facts.may_crash_endpoints) return false;
   if (facts.response_started && !facts.is_repeatable) return false;
   // A non-repeatable request is sent again only if it certainly has not run.
   if (facts.may_have_run && !facts.is_repeatable) return false;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -13,6 +13,7 @@
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/origin_finding.h"
+#include "process/entry/part_breaker.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/retry_window.h"
 #include "request/http_field.h"
@@ -131,6 +132,7 @@
 }
 
 void proxied_call::BeginAttempts() {
+  if (RefuseCrashingPart()) return;
   PickPool();
   environment_.retries(pool_id_)->RecordRequest(arrived_);
   Attempt();
@@ -139,6 +141,17 @@
   pool_->RecordDemand(demand_);
 }
 
+bool proxied_call::RefuseCrashingPart() {
+  const auto fault = environment_.parts->Admit(
+      demand_.parts, environment_.entry_count(), arrived_);
+  if (!fault) return false;
+  LogStep("part_refused", log_fields()
+                              .Add("part", PartText(fault->part))
+                              .Add("runs", RunsText(fault->ends)));
+  Refuse("crashing_part", kMaxRetryAfterMs);
+  return true;
+}
+
 bool proxied_call::FindRoute() {
   const http_field* host = FindField(message_.fields, "Host");
   route_ = table_->FindRoute(host->value, PathOf(message_.target));
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -71,6 +71,8 @@
   void OnOrigin(const origin_finding& finding);
   /// Picks the pool and makes the first attempt.
   void BeginAttempts();
+  /// Refuses a request with a prompt part that crashes endpoints.
+  bool RefuseCrashingPart();
   void PickPool();
   int Rank() const;
   /// Responds 503: the request has not run. `retry_after_ms` is jittered and
@@ -101,6 +103,8 @@
   void OnReadEnd();
   void OnEnd();
   void OnFailure(call_failure failure);
+  /// The connection of an endpoint ended before its answer was complete.
+  void OnBrokenAnswer();
   /// Logs an answer that an endpoint did not complete, with the prompt, so that
   /// the prompts of several of them can be compared.
   void LogBrokenAnswer() const;
@@ -157,6 +161,8 @@
   // All attempts.
   placement_limits limits_;
   int sent_ = 0;
+  /// The connection of an endpoint ended before its answer was complete.
+  bool endpoint_broke_ = false;
   bool may_have_run_ = false;
 
   // The response to the caller.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -8,6 +8,7 @@
 #include "process/entry/decision_log.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
+#include "process/entry/part_breaker.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/retry_window.h"
 #include "request/attempt_rules.h"
@@ -264,6 +265,7 @@
   }
   if (endpoint != nullptr) endpoint->OnResponse(IsSuccessStatus(head_.status));
   if (IsSuccessStatus(head_.status)) {
+    environment_.parts->RecordAnswer(demand_.parts, now);
     pool_->RecordDuration(now - attempt_started_);
     if (is_stream_) {
       EndStream();
@@ -294,11 +296,19 @@
   environment_.connections->Drop(endpoint_);
   DropConnection();
   if (was_sent) may_have_run_ = true;
-  if (was_sent && failure == call_failure::kBroken) LogBrokenAnswer();
+  if (was_sent && failure == call_failure::kBroken) OnBrokenAnswer();
   AfterAttempt(was_sent ? attempt_end::kUnknown : attempt_end::kNotSent,
                CallFailureText(failure));
 }
 
+void proxied_call::OnBrokenAnswer() {
+  endpoint_broke_ = true;
+  LogBrokenAnswer();
+  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  if (endpoint == nullptr || demand_.parts.empty()) return;
+  environment_.check_end(endpoint->record(), demand_.parts);
+}
+
 void proxied_call::LogBrokenAnswer() const {
   const endpoint_estimate* endpoint = pool_->Find(endpoint_);
   const http_field* prompt =
@@ -331,6 +341,8 @@
   facts.sent = sent_;
   facts.max_attempts = route_->max_attempts;
   facts.may_have_run = may_have_run_;
+  facts.may_crash_endpoints =
+      !environment_.parts->MayRepeat(demand_.parts, endpoint_broke_, now);
   facts.has_time = now < deadline_;
   const attempt_step step = NextStep(facts, [this, now] {
     const bool allowed = environment_.retries(pool_id_)->TakeRetry(
@@ -362,7 +374,9 @@
 }
 
 bool proxied_call::CanTryAnotherEndpoint() const {
-  return route_->IsRepeatable() && sent_ < route_->max_attempts &&
+  const bool may_repeat = environment_.parts->MayRepeat(
+      demand_.parts, endpoint_broke_, environment_.clock());
+  return may_repeat && route_->IsRepeatable() && sent_ < route_->max_attempts &&
          pool_->CanServe(limits_);
 }
 
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -23,6 +23,8 @@
     response.document = document_version(40);
     response.members = {vm_id("10.0.0.1:7340"), vm_id("10.0.0.2:7340")};
     response.entry_count = 6;
+    response.faults = {{part_digest(5), 2, {endpoint_run_digest(8)}}};
+    response.last_fault = 31;
     response.loads = {{endpoint_digest(77), {3, 1, 16}, milliseconds(120)}};
     endpoint_record record;
     record.id = endpoint_id("e");
@@ -48,6 +50,8 @@
     request.document = document_version(8);
     request.requests_loads = true;
     request.loads = {{endpoint_digest(9), {2, 0, 16}, milliseconds(40)}};
+    request.applied_fault = 30;
+    request.faults = {{part_digest(6), 0, {endpoint_run_digest(9)}}};
     const auto decoded = DecodeWatchRequest(EncodeWatchRequest(request));
     CPPUNIT_ASSERT(decoded.has_value());
     CPPUNIT_ASSERT(decoded->watcher == request.watcher);
@@ -57,6 +61,10 @@
     CPPUNIT_ASSERT(decoded->document == request.document);
     CPPUNIT_ASSERT(decoded->requests_loads);
     CPPUNIT_ASSERT(decoded->loads == request.loads);
+    CPPUNIT_ASSERT_EQUAL(request.applied_fault, decoded->applied_fault);
+    CPPUNIT_ASSERT(decoded->faults == request.faults);
+    const auto sent_apart = DecodePartFaults(EncodePartFaults(request.faults));
+    CPPUNIT_ASSERT(sent_apart == request.faults);
   }
 
   void response_is_decoded_as_encoded() {
@@ -69,6 +77,8 @@
     CPPUNIT_ASSERT_EQUAL(response.last_change, decoded->last_change);
     CPPUNIT_ASSERT_EQUAL(response.entry_count, decoded->entry_count);
     CPPUNIT_ASSERT(decoded->loads == response.loads);
+    CPPUNIT_ASSERT(decoded->faults == Response().faults);
+    CPPUNIT_ASSERT_EQUAL(Response().last_fault, decoded->last_fault);
   }
 
   void damaged_bytes_do_not_crash_the_decoder() {
--- a/tests/proxy/attempt_rules_test.cc
+++ b/tests/proxy/attempt_rules_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(interrupted_stream_is_resumed_only_if_resumable);
   CPPUNIT_TEST(request_after_its_deadline_is_not_retried);
   CPPUNIT_TEST(rules_hold_for_all_combinations_of_facts);
+  CPPUNIT_TEST(request_that_may_crash_endpoints_is_not_sent_again);
   CPPUNIT_TEST_SUITE_END();
 
   static attempt_facts Facts(attempt_end end, bool repeatable) {
@@ -92,11 +93,19 @@
     CPPUNIT_ASSERT(Step(facts) == attempt_step::kFail);
   }
 
+  void request_that_may_crash_endpoints_is_not_sent_again() {
+    attempt_facts facts = Facts(attempt_end::kUnknown, true);
+    facts.may_crash_endpoints = true;
+    CPPUNIT_ASSERT(Step(facts) == attempt_step::kFail);
+    facts.response_started = true;
+    CPPUNIT_ASSERT(Step(facts) == attempt_step::kCutOff);
+  }
+
   void rules_hold_for_all_combinations_of_facts() {
     // In every combination: a request that is not repeatable and may have run
     // is not sent again, and no refusal reports a request that may have run as
     // "not run".
-    for (int bits = 0; bits < 128; ++bits) {
+    for (int bits = 0; bits < 256; ++bits) {
       for (const attempt_end end :
            {attempt_end::kNotSent, attempt_end::kNotRun, attempt_end::kFailed,
             attempt_end::kUnknown}) {
@@ -107,6 +116,7 @@
         facts.may_have_run = (bits & 4) != 0;
         facts.has_time = (bits & 8) != 0;
         facts.sent = 1 + (bits >> 4) % 2;
+        facts.may_crash_endpoints = (bits & 128) != 0;
         const attempt_step step = Step(facts, (bits & 64) != 0);
         if (facts.may_have_run) {
           CPPUNIT_ASSERT(step != attempt_step::kRefuse);
@@ -114,6 +124,9 @@
         if (facts.may_have_run && !facts.is_repeatable) {
           CPPUNIT_ASSERT(step != attempt_step::kTryAgain);
         }
+        if (facts.may_crash_endpoints) {
+          CPPUNIT_ASSERT(step != attempt_step::kTryAgain);
+        }
         if (facts.response_started) {
           CPPUNIT_ASSERT(step == attempt_step::kTryAgain ||
                          step == attempt_step::kCutOff);
