--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -124,8 +124,11 @@
 
 http_field_list fake_endpoint::ResponseFields(
     const std::string& request) const {
-  return {{platform::kRequestId, request},
-          {platform::kServerSignature, settings_.id + "." + request}};
+  http_field_list fields = {
+      {platform::kRequestId, request},
+      {platform::kServerSignature, settings_.id + "." + request}};
+  if (limit_) fields.push_back({platform::kLimit, std::to_string(*limit_)});
+  return fields;
 }
 
 void fake_endpoint::OnRequest(const std::shared_ptr<caller_connection>& caller,
@@ -139,6 +142,7 @@
   if (leave_acknowledged_at_ && now - *leave_acknowledged_at_ > kDrainBound) {
     ledger_.RecordViolation("request after an acknowledged leave: " + request);
   }
+  arrivals_.push_back(now);
   ledger_.RecordRun(request);
   if (ledger_.HasCrashingPart(ValueOf(message, platform::kPromptParts))) {
     CrashInAnswer(caller, request);
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "connection/caller_listener.h"
 #include "connection/caller_message.h"
@@ -55,6 +56,12 @@
   void Crash();
   /// Announces that it leaves, and exits some time after the acknowledgement.
   void Leave();
+  /// From now on its responses name the request rate, per second, that it takes
+  /// from all entry VMs together; nothing: no limit.
+  void SetLimit(std::optional<double> per_second) { limit_ = per_second; }
+  using time_list = std::vector<std::chrono::steady_clock::time_point>;
+  /// When requests arrived.
+  const time_list& arrivals() const { return arrivals_; }
   bool is_running() const { return listener_.has_value(); }
   /// The last stream that began here is the one of this request.
   bool IsStreaming(const std::string& request) const {
@@ -86,6 +93,8 @@
   int start_count_ = 0;
   bool is_leaving_ = false;
   std::string last_stream_;
+  std::optional<double> limit_;
+  time_list arrivals_;
   std::optional<std::chrono::steady_clock::time_point> leave_acknowledged_at_;
 };
 
