placement: divide the request limit of an endpoint among the entry VMs

Cause: nothing read the limit that an endpoint names in its responses. Class: a fact that the whole fleet must act on and one VM alone sees; a limit kept by each VM for itself would still be exceeded as often as there are VMs.

Change: the limit goes to all entry VMs with the load reports. limit_share gives each its part: the limit divided by the number of entry VMs, or, where that would be less than about one request a second, among as many VMs as the limit has requests a second and two more, others for each endpoint. The control processes tell each entry VM its place in the fleet with the number of entry VMs; a lower number counts only after 3 s, since a control process that has restarted does not know all of them yet (the retry budget used it at once). Endpoints whose part is used up are left out before load bounds are computed, every attempt counts, and if no endpoint takes more the request is refused with the time until one does. When the limit is no longer named the rate doubles each second for 4 s.

--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -67,7 +67,7 @@
   known.held_since = now;
   known.respond = std::move(respond);
   if (is_first || HasUrgentUpdates(known) || IsDueForRecords(known, now)) {
-    Respond(known, now);
+    Respond(request.watcher, known, now);
   }
   CheckAwaited(now);
 }
@@ -94,7 +94,7 @@
   return has_room ? kShortLoadHold : kLoadHold;
 }
 
-void watch_hub::Respond(watcher& each, steady_time now) {
+void watch_hub::Respond(const vm_id& vm, watcher& each, steady_time now) {
   watch_response response;
   response.epoch = epoch_;
   AddRecords(each, response, now);
@@ -104,7 +104,7 @@
         std::chrono::duration_cast<milliseconds>(now - each.held_since);
   }
   response.members = from_.members();
-  response.entry_count = EntryCount(now);
+  response.position = PositionOf(vm, now);
   response.last_fault = each.applied_fault;
   response.faults = faults_.TakeSharedAfter(response.last_fault);
   if (each.requests_loads && HasBulkBudget(now)) {
@@ -157,23 +157,24 @@
 
 void watch_hub::Notify(steady_time now) {
   for (auto& [vm, each] : watchers_) {
-    if (each.respond && HasUrgentUpdates(each)) Respond(each, now);
+    if (each.respond && HasUrgentUpdates(each)) Respond(vm, each, now);
   }
   RespondWithRecords(now);
 }
 
 void watch_hub::RespondWithRecords(steady_time now) {
   if (!HasBulkBudget(now)) return;
-  std::vector<watcher*> due;
-  for (auto& [vm, each] : watchers_) {
-    if (each.respond && IsDueForRecords(each, now)) due.push_back(&each);
+  std::vector<std::pair<const vm_id, watcher>*> due;
+  for (auto& item : watchers_) {
+    const watcher& each = item.second;
+    if (each.respond && IsDueForRecords(each, now)) due.push_back(&item);
   }
-  std::sort(due.begin(), due.end(), [](const watcher* a, const watcher* b) {
-    return a->last_records < b->last_records;
+  std::sort(due.begin(), due.end(), [](const auto* a, const auto* b) {
+    return a->second.last_records < b->second.last_records;
   });
-  for (watcher* each : due) {
+  for (auto* item : due) {
     if (!HasBulkBudget(now)) return;
-    Respond(*each, now);
+    Respond(item->first, item->second, now);
   }
 }
 
@@ -182,7 +183,9 @@
     watcher& each = it->second;
     const milliseconds hold =
         each.requests_loads ? LoadHold(now) : milliseconds(kWatchHold);
-    if (each.respond && now - each.held_since >= hold) Respond(each, now);
+    if (each.respond && now - each.held_since >= hold) {
+      Respond(it->first, each, now);
+    }
     const bool is_expired =
         !each.respond && now - each.last_contact > kWatcherExpiry;
     it = is_expired ? watchers_.erase(it) : std::next(it);
@@ -222,11 +225,18 @@
 }
 
 std::uint32_t watch_hub::EntryCount(steady_time now) const {
-  std::uint32_t count = 0;
-  for (const auto& [vm, each] : watchers_) {
-    if (each.is_entry && now - each.last_contact <= kWatcherExpiry) ++count;
+  return PositionOf(vm_id(), now).entry_count;
+}
+
+fleet_position watch_hub::PositionOf(const vm_id& vm, steady_time now) const {
+  fleet_position position;
+  position.entry_count = 0;
+  for (const auto& [other, each] : watchers_) {
+    if (!each.is_entry || now - each.last_contact > kWatcherExpiry) continue;
+    if (other < vm) ++position.entry_index;
+    ++position.entry_count;
   }
-  return count;
+  return position;
 }
 
 }  // namespace marjoramsill
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "process/control/token_bucket.h"
+#include "process/directory/fleet_position.h"
 #include "process/directory/load_report_store.h"
 #include "process/directory/part_fault_store.h"
 #include "process/directory/stream_origin_store.h"
@@ -88,6 +89,8 @@
   std::uint32_t EntryCount(steady_time now) const;
 
  private:
+  /// The place of a watcher among the entry VMs, in the order of their ids.
+  fleet_position PositionOf(const vm_id& vm, steady_time now) const;
   struct watcher {
     bool is_entry = false;
     bool requests_loads = false;
@@ -118,7 +121,7 @@
   bool HasBulkBudget(steady_time now);
   /// Time until a request for load reports gets a response.
   std::chrono::milliseconds LoadHold(steady_time now);
-  void Respond(watcher& each, steady_time now);
+  void Respond(const vm_id& vm, watcher& each, steady_time now);
   /// Adds the records that the watcher may get now, and their change numbers.
   void AddRecords(watcher& each, watch_response& response, steady_time now);
   /// Responds to the held requests of watchers that lack endpoints, beginning
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -27,6 +27,9 @@
 constexpr std::uint32_t kMaxRetryDoublings = 3;
 /// A member that responded within this time counts as reachable.
 constexpr milliseconds kReachableTimeout{1'600};
+/// A lower number of entry VMs counts if none reported the higher one for this
+/// time. A restarted member hears of all within its first two hold times.
+constexpr milliseconds kPositionHold{3'000};
 /// A VM that is neither a seed nor a member is removed this long after its last
 /// response.
 constexpr milliseconds kRemoveUnlistedAfter{20'000};
@@ -173,7 +176,7 @@
   member.document = response.document;
   has_had_contact_ = true;
   if (!std::exchange(member.is_reachable, true)) hooks_.on_contact(vm, true);
-  if (response.entry_count > 0) entry_count_ = response.entry_count;
+  UpdatePosition(response.position, now);
   if (!response.members.empty()) {
     members_ = response.members;
     for (const vm_id& each : members_) {
@@ -198,6 +201,15 @@
   SendWatch(vm, states_.find(vm)->second);
 }
 
+void control_watcher::UpdatePosition(const fleet_position& reported,
+                                     steady_time now) {
+  const bool is_lower = reported.entry_count < position_.entry_count;
+  if (reported.entry_count == 0) return;
+  if (is_lower && now - position_confirmed_ < kPositionHold) return;
+  position_ = reported;
+  position_confirmed_ = now;
+}
+
 void control_watcher::OnFailure(const vm_id& vm) {
   const auto found = states_.find(vm);
   if (found == states_.end()) return;
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "process/directory/endpoint_record.h"
+#include "process/directory/fleet_position.h"
 #include "process/directory/part_fault.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin.h"
@@ -85,8 +86,10 @@
   std::vector<reachable_member> Reachable(steady_time now) const;
   /// True once any member has responded.
   bool HasHadContact() const { return has_had_contact_; }
-  /// Entry VMs in the fleet, as last reported by a member; at least 1.
-  std::uint32_t entry_count() const { return entry_count_; }
+  /// Place of this process among the entry VMs, as reported by the members. A
+  /// lower number of entry VMs counts only after some time, since a member that
+  /// has just started does not know all of them yet.
+  const fleet_position& position() const { return position_; }
   const std::vector<vm_id>& members() const { return members_; }
 
  private:
@@ -118,6 +121,7 @@
   bool ExchangesLoadsWith(const vm_id& vm) const;
   void OnResponse(const vm_id& vm, const watch_response& response);
   void OnFailure(const vm_id& vm);
+  void UpdatePosition(const fleet_position& reported, steady_time now);
   void RemoveStale(steady_time now);
 
   asio::io_context& io_;
@@ -129,7 +133,8 @@
   std::vector<vm_id> members_;
   std::map<vm_id, member_state> states_;
   bool has_had_contact_ = false;
-  std::uint32_t entry_count_ = 1;
+  fleet_position position_;
+  steady_time position_confirmed_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/load_report_store.h
+++ b/source/process/directory/load_report_store.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_PROCESS_DIRECTORY_LOAD_REPORT_STORE_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "process/directory/shared_load.h"
@@ -34,6 +35,7 @@
  private:
   struct stored_load {
     load_report report;
+    std::optional<double> limit;
     steady_time measured_at;
     source from = source::kEntry;
   };
--- a/source/process/directory/shared_load.h
+++ b/source/process/directory/shared_load.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_PROCESS_DIRECTORY_SHARED_LOAD_H_
 
 #include <chrono>
+#include <optional>
 
 #include "process/directory/load_report.h"
 #include "types/ids.h"
@@ -16,12 +17,16 @@
 
 endpoint_digest DigestOf(const endpoint_id& endpoint);
 
-/// A load report that some entry VM received from an endpoint.
+/// What some entry VM learned from an endpoint's response: its load, and the
+/// limit of its request rate.
 struct shared_load {
   endpoint_digest endpoint;
+  /// Without slots if the endpoint does not report its load.
   load_report report;
   /// Time since that entry VM received the endpoint's response.
   std::chrono::milliseconds age{0};
+  /// Requests per second that the endpoint takes from all entry VMs together.
+  std::optional<double> limit = std::nullopt;
 
   friend bool operator==(const shared_load&, const shared_load&) = default;
 };
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -1,6 +1,7 @@
 #include "process/directory/watch_codec.h"
 
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -15,9 +16,10 @@
     std::tuple<std::string, std::string, std::string, std::string,
                std::uint32_t, std::uint8_t, std::uint64_t, std::uint64_t,
                std::uint32_t, std::string>;
-/// Endpoint, running, waiting, slots, age in milliseconds.
+/// Endpoint, running, waiting, slots, age in milliseconds, limit in thousandths
+/// of a request per second.
 using load_fields = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
-                               std::uint32_t, std::uint32_t>;
+                               std::uint32_t, std::uint32_t, std::int64_t>;
 /// Stream, software.
 using origin_fields = std::tuple<std::uint64_t, std::uint32_t>;
 /// Part, clearances, ends.
@@ -32,9 +34,13 @@
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
                std::vector<load_fields>, std::uint64_t, std::int64_t,
-               std::uint32_t, std::vector<fault_fields>, std::uint64_t>;
+               std::uint32_t, std::vector<fault_fields>, std::uint64_t,
+               std::uint32_t>;
 /// Encoded confirmed_after of a response that confirms nothing.
 constexpr std::int64_t kUnconfirmed = -1;
+/// Encoded limit of an endpoint that names none.
+constexpr std::int64_t kUnlimited = -1;
+constexpr double kLimitScale = 1'000;
 
 /// Limit for nested arrays. The deepest message has four: the response, its
 /// list of part faults, one of these, its list of ends.
@@ -97,13 +103,26 @@
   return record;
 }
 
+std::int64_t EncodeLimit(const std::optional<double>& limit) {
+  // A higher limit has no effect and would not fit.
+  constexpr double kMaxLimit = 1e9;
+  if (!limit || *limit > kMaxLimit) return kUnlimited;
+  return std::llround(*limit * kLimitScale);
+}
+
+std::optional<double> DecodeLimit(std::int64_t encoded) {
+  if (encoded < 0) return std::nullopt;
+  return static_cast<double>(encoded) / kLimitScale;
+}
+
 std::vector<load_fields> ToFields(const std::vector<shared_load>& loads) {
   std::vector<load_fields> fields;
   fields.reserve(loads.size());
   for (const shared_load& load : loads) {
     fields.emplace_back(load.endpoint.value(), load.report.running,
                         load.report.waiting, load.report.slots,
-                        static_cast<std::uint32_t>(load.age.count()));
+                        static_cast<std::uint32_t>(load.age.count()),
+                        EncodeLimit(load.limit));
   }
   return fields;
 }
@@ -145,10 +164,12 @@
 std::vector<shared_load> ToLoads(const std::vector<load_fields>& fields) {
   std::vector<shared_load> loads;
   loads.reserve(fields.size());
-  for (const auto& [endpoint, running, waiting, slots, age_ms] : fields) {
+  for (const auto& [endpoint, running, waiting, slots, age_ms, limit] :
+       fields) {
     loads.push_back({endpoint_digest(endpoint),
                      {running, waiting, slots},
-                     std::chrono::milliseconds(age_ms)});
+                     std::chrono::milliseconds(age_ms),
+                     DecodeLimit(limit)});
   }
   return loads;
 }
@@ -197,7 +218,7 @@
   for (const vm_id& member : response.members) {
     std::get<4>(fields).push_back(member.value());
   }
-  std::get<5>(fields) = response.entry_count;
+  std::get<5>(fields) = response.position.entry_count;
   std::get<6>(fields) = ToFields(response.loads);
   std::get<7>(fields) = response.last_ending;
   std::get<8>(fields) = response.confirmed_after
@@ -206,6 +227,7 @@
   std::get<9>(fields) = static_cast<std::uint32_t>(response.history.count());
   std::get<10>(fields) = ToFields(response.faults);
   std::get<11>(fields) = response.last_fault;
+  std::get<12>(fields) = response.position.entry_index;
   return Pack(fields);
 }
 
@@ -224,7 +246,7 @@
   for (std::string& member : std::get<4>(*fields)) {
     response.members.emplace_back(std::move(member));
   }
-  response.entry_count = std::get<5>(*fields);
+  response.position.entry_count = std::get<5>(*fields);
   response.loads = ToLoads(std::get<6>(*fields));
   response.last_ending = std::get<7>(*fields);
   if (const std::int64_t after = std::get<8>(*fields); after >= 0) {
@@ -233,6 +255,7 @@
   response.history = std::chrono::milliseconds(std::get<9>(*fields));
   response.faults = ToFaults(std::get<10>(*fields));
   response.last_fault = std::get<11>(*fields);
+  response.position.entry_index = std::get<12>(*fields);
   return response;
 }
 
--- a/source/process/directory/watch_response.h
+++ b/source/process/directory/watch_response.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "process/directory/endpoint_record.h"
+#include "process/directory/fleet_position.h"
 #include "process/directory/part_fault.h"
 #include "process/directory/shared_load.h"
 #include "types/ids.h"
@@ -36,8 +37,9 @@
   std::optional<std::chrono::milliseconds> confirmed_after;
   /// Members of the control group, as IP:PORT of their peer address.
   std::vector<vm_id> members;
-  /// Number of entry VMs that watch this member.
-  std::uint32_t entry_count = 0;
+  /// Number of entry VMs that watch this member, and the place of the watcher
+  /// among them.
+  fleet_position position;
   /// Load reports from other watchers, if the request includes them.
   std::vector<shared_load> loads;
   /// What the fleet knows against prompt parts, after the last change that the
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -171,7 +171,9 @@
                                     const std::vector<prompt_part>& prompt) {
       end_check_.Start(endpoint, parts_.Suspects(prompt, SteadyNow()));
     };
-    environment_.entry_count = [this] { return watcher_.entry_count(); };
+    environment_.entry_count = [this] {
+      return watcher_.position().entry_count;
+    };
     environment_.clock = SteadyNow;
     environment_.random = SystemRandom();
   }
@@ -437,6 +439,7 @@
     for (const auto& call : calls_) call->Tick(now);
     std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
     watcher_.Tick(now);
+    pools_.SetPosition(watcher_.position());
     fetcher_.Tick(now);
     relay_.Tick(document_, now);
     origins_.Tick(now);
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -37,11 +37,18 @@
   std::unique_ptr<endpoint_pool>& pool = pools_[id];
   if (!pool) {
     pool = std::make_unique<endpoint_pool>(placement_, random_);
+    pool->SetPosition(position_);
   }
   pool->SetCacheCapacity(CacheCapacity(id));
   return pool.get();
 }
 
+void pool_table::SetPosition(const fleet_position& position) {
+  if (position == position_) return;
+  position_ = position;
+  for (const auto& [id, pool] : pools_) pool->SetPosition(position);
+}
+
 retry_window* pool_table::Retries(const model_id& id) {
   std::unique_ptr<retry_window>& window = retries_[id];
   if (!window) window = std::make_unique<retry_window>(retry_settings_);
@@ -120,6 +127,7 @@
     endpoint_estimate* endpoint = Find(load.endpoint);
     if (endpoint != nullptr) {
       endpoint->RecordSharedLoad(load.report, now - load.age);
+      endpoint->RecordSharedLimit(load.limit, now - load.age);
     }
   }
 }
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -55,6 +55,8 @@
                                               steady_time now) const;
   /// The endpoints of the pool that have not ended have several versions.
   bool HasSeveralVersions(const model_id& pool) const;
+  /// Sets this entry VM's place in the fleet.
+  void SetPosition(const fleet_position& position);
   /// Number of endpoints that have not ended.
   std::size_t CountPresent() const { return directory_.CountPresent(); }
   /// Updates the phases of endpoints and removes expired ones.
@@ -79,6 +81,7 @@
   std::shared_ptr<const routing_table> table_;
   endpoint_directory directory_;
   std::uint64_t applied_change_ = 0;
+  fleet_position position_;
   /// Endpoints that were present since then are known.
   std::optional<steady_time> history_since_;
   std::map<endpoint_id, model_id> pool_by_endpoint_;
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -34,6 +34,7 @@
                                      token_count cache_capacity)
     : record_(std::move(record)),
       prefixes_(cache_capacity),
+      limit_(DigestOf(record_.id).value()),
       failures_(kFailureGain) {}
 
 void endpoint_estimate::Update(const endpoint_record& record) {
@@ -45,6 +46,8 @@
     avoid_until_ = {};
     is_misdirected_ = false;
     waiting_since_.reset();
+    limit_ = limit_share(DigestOf(record.id).value());
+    is_limit_shared_ = true;
   }
   if (record.address != record_.address) is_misdirected_ = false;
   record_ = record;
@@ -53,6 +56,7 @@
 void endpoint_estimate::OnCallStart(steady_time now) {
   ++in_flight_;
   last_sent_ = now;
+  limit_.Take(now);
 }
 
 void endpoint_estimate::OnCallEnd() {
@@ -81,6 +85,7 @@
 
 void endpoint_estimate::RecordSharedLoad(const load_report& report,
                                          steady_time measured_at) {
+  if (report.slots == 0) return;
   if (has_report_ && measured_at <= reported_at_) return;
   report_ = report;
   // The report does not include a request sent after it was measured.
@@ -91,15 +96,32 @@
   is_report_shared_ = true;
 }
 
+void endpoint_estimate::RecordLimit(std::optional<double> per_second,
+                                    steady_time now) {
+  // The other VMs have to learn of a limit, and of its end.
+  if (per_second || limit_.per_second()) is_limit_shared_ = false;
+  limit_.Record(per_second, now);
+  limit_heard_at_ = now;
+}
+
+void endpoint_estimate::RecordSharedLimit(std::optional<double> per_second,
+                                          steady_time measured_at) {
+  limit_.RecordShared(per_second, measured_at);
+}
+
 std::optional<shared_load> endpoint_estimate::TakeUnsharedLoad(
     steady_time now) {
-  if (!has_report_ || is_report_shared_) return std::nullopt;
+  const bool has_load = has_report_ && !is_report_shared_;
+  if (!has_load && is_limit_shared_) return std::nullopt;
   is_report_shared_ = true;
+  is_limit_shared_ = true;
   shared_load load;
   load.endpoint = DigestOf(record_.id);
-  load.report = report_;
+  if (has_load) load.report = report_;
+  const steady_time measured_at = has_load ? reported_at_ : limit_heard_at_;
   load.age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - reported_at_);
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - measured_at);
+  load.limit = limit_.per_second();
   return load;
 }
 
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -8,6 +8,7 @@
 #include "process/directory/endpoint_record.h"
 #include "process/directory/load_report.h"
 #include "process/directory/shared_load.h"
+#include "process/placement/limit_share.h"
 #include "process/placement/prefix_cache_model.h"
 #include "process/placement/smoothed_value.h"
 #include "types/steady_time.h"
@@ -43,6 +44,13 @@
   /// The latest report that the endpoint sent to this entry VM, unless an
   /// earlier call returned it.
   std::optional<shared_load> TakeUnsharedLoad(steady_time now);
+  /// A response named the requests per second that the endpoint takes from all
+  /// entry VMs together, or named none.
+  void RecordLimit(std::optional<double> per_second, steady_time now);
+  /// Another entry VM received it at `measured_at`.
+  void RecordSharedLimit(std::optional<double> per_second,
+                         steady_time measured_at);
+  limit_share& limit() { return limit_; }
   /// A complete response arrived; `success` tells whether its status is one.
   void OnResponse(bool success);
   /// The connection could not be established, was lost, or stalled without a
@@ -92,6 +100,9 @@
   steady_time reported_at_;
   bool has_report_ = false;
   bool is_report_shared_ = true;
+  limit_share limit_;
+  steady_time limit_heard_at_;
+  bool is_limit_shared_ = true;
   steady_time last_sent_;
   bool is_misdirected_ = false;
   /// When the first request after the last response data was sent.
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -101,6 +101,7 @@
     if (!endpoint->IsServing()) continue;
     if (!also_avoided && endpoint->IsAvoided(now)) continue;
     if (!IsWithin(limits, endpoint->record())) continue;
+    if (!endpoint->limit().HasAllowance(position_, now)) continue;
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now)});
   }
   return found;
@@ -279,6 +280,19 @@
   return best;
 }
 
+std::optional<std::chrono::microseconds> endpoint_pool::LimitWait(
+    const placement_limits& limits, steady_time now) {
+  std::optional<std::chrono::microseconds> least;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint->IsServing() || !IsWithin(limits, endpoint->record())) {
+      continue;
+    }
+    const auto wait = endpoint->limit().Wait(position_, now);
+    if (wait && (!least || *wait < *least)) least = wait;
+  }
+  return least;
+}
+
 void endpoint_pool::RecordDuration(std::chrono::microseconds duration) {
   duration_ms_.Add(MillisOf(duration));
 }
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -31,6 +31,9 @@
   /// Sets how many tokens of prompt prefixes each endpoint can cache.
   void SetCacheCapacity(token_count capacity);
 
+  /// Sets this entry VM's place in the fleet, by which limits are divided.
+  void SetPosition(const fleet_position& position) { position_ = position; }
+
   /// Adds or updates an endpoint. An ended one stays until Sweep() finds that
   /// its calls have ended.
   void Apply(const endpoint_record& record);
@@ -38,6 +41,10 @@
   std::optional<placement_choice> Choose(const request_demand& demand,
                                          const placement_limits& limits,
                                          steady_time now);
+  /// Time until an endpoint within the limits takes a request, if endpoints
+  /// serve that take none now because of their own limits.
+  std::optional<std::chrono::microseconds> LimitWait(
+      const placement_limits& limits, steady_time now);
   /// Records that a request has arrived, whatever its outcome.
   void RecordDemand(const request_demand& demand);
   /// The endpoint with this id, or null.
@@ -100,6 +107,7 @@
 
   const placement_settings settings_;
   token_count cache_capacity_;
+  fleet_position position_;
   const random_source random_;
   std::map<endpoint_id, std::unique_ptr<endpoint_estimate>> endpoints_;
   smoothed_value duration_ms_;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -22,6 +22,7 @@
 
 class caller_connection;
 class endpoint_connection;
+class endpoint_estimate;
 class endpoint_pool;
 class log_fields;
 class routing_table;
@@ -99,6 +100,8 @@
   /// True if the response belongs to this request.
   bool MatchesRequest(const endpoint_response_head& head) const;
   void OnHead(const endpoint_response_head& head);
+  /// Records the request rate that the endpoint takes, or that it names none.
+  void RecordLimit(endpoint_estimate* endpoint, steady_time now);
   void OnBody(std::string_view data);
   void OnReadEnd();
   void OnEnd();
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -63,10 +63,12 @@
   const steady_time now = environment_.clock();
   const auto choice = pool_->Choose(demand_, limits_, now);
   if (!choice) {
+    const auto wait = pool_->LimitWait(limits_, now);
+    const std::string_view reason = wait ? "endpoint_limits" : "no_endpoint";
     if (may_have_run_ || response_started_) {
-      Fail("no_endpoint");
+      Fail(reason);
     } else {
-      Refuse("no_endpoint", kNoEndpointRetryMs);
+      Refuse(reason, wait ? MillisOf(*wait) : kNoEndpointRetryMs);
     }
     return;
   }
@@ -209,6 +211,7 @@
   const auto load = environment_.dialect.read_load(head.fields);
   if (endpoint != nullptr) endpoint->OnActivity();
   if (endpoint != nullptr && load) endpoint->RecordLoad(*load, now);
+  RecordLimit(endpoint, now);
   is_rejected_ =
       FindField(head.fields, environment_.dialect.not_run) != nullptr ||
       head.status == kStatusMisdirected;
@@ -221,6 +224,15 @@
   if (is_stream_ && !route_->is_resumable) StartResponse();
 }
 
+void proxied_call::RecordLimit(endpoint_estimate* endpoint, steady_time now) {
+  const auto limit = environment_.dialect.read_limit(head_.fields);
+  if (endpoint == nullptr || head_.status == kStatusMisdirected) return;
+  // A failure may come from a part of the endpoint that does not know the
+  // limit.
+  if (!limit && !IsSuccessStatus(head_.status)) return;
+  endpoint->RecordLimit(limit, now);
+}
+
 void proxied_call::OnBody(std::string_view data) {
   last_progress_ = environment_.clock();
   received_bytes_ += data.size();
--- a/source/request/request_dialect.h
+++ b/source/request/request_dialect.h
@@ -45,6 +45,8 @@
 
   std::function<request_demand(const http_field_list&)> read_demand;
   std::function<std::optional<load_report>(const http_field_list&)> read_load;
+  /// Requests per second that an endpoint takes from all entry VMs together.
+  std::function<std::optional<double>(const http_field_list&)> read_limit;
 };
 
 }  // namespace marjoramsill
