placement: prefer endpoints with a limit by the rate that a VM may send

Cause: a limit is divided among few VMs, which preferred each of these endpoints for as many prefixes as any other: one that may send 0.8 requests a second sent 0.1, and the rest of the requests went to the endpoints without a limit.

Change: the preference of prefixes for endpoints is weighted: one with a limit gets prefixes in proportion to the rate that this VM may send to it, against its usual rate for one endpoint. Without limits the order is as before.

--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -51,6 +51,7 @@
   void RecordSharedLimit(std::optional<double> per_second,
                          steady_time measured_at);
   limit_share& limit() { return limit_; }
+  const limit_share& limit() const { return limit_; }
   /// A complete response arrived; `success` tells whether its status is one.
   void OnResponse(bool success);
   /// The connection could not be established, was lost, or stalled without a
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -22,6 +22,10 @@
 constexpr int kDoubleBits = 53;
 constexpr int kDoubleShift = 64 - kDoubleBits;
 
+/// Limits of the preference for an endpoint that limits its request rate.
+constexpr double kMinWeight = 0.05;
+constexpr double kMaxWeight = 20;
+
 /// Rendezvous hash: all entry VMs rank the endpoints for a prefix alike.
 std::uint64_t PreferenceScore(const endpoint_record& record,
                               std::uint64_t prefix_hash) {
@@ -29,6 +33,14 @@
   return XXH3_64bits_withSeed(id.data(), id.size(), prefix_hash);
 }
 
+/// The same order for equal weights; otherwise an endpoint is first for a share
+/// of the prefixes in proportion to its weight.
+double WeightedScore(std::uint64_t score, double weight) {
+  const double uniform = (static_cast<double>(score >> kDoubleShift) + 0.5) *
+                         std::ldexp(1, -kDoubleBits);
+  return weight / -std::log(uniform);
+}
+
 bool IsWithin(const placement_limits& limits, const endpoint_record& record) {
   if (limits.software && DigestOfSoftware(record) != *limits.software) {
     return false;
@@ -102,11 +114,22 @@
     if (!also_avoided && endpoint->IsAvoided(now)) continue;
     if (!IsWithin(limits, endpoint->record())) continue;
     if (!endpoint->limit().HasAllowance(position_, now)) continue;
-    found.push_back({endpoint.get(), endpoint->EstimatedLoad(now)});
+    found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
+                     PreferenceWeight(*endpoint, now)});
   }
   return found;
 }
 
+double endpoint_pool::PreferenceWeight(const endpoint_estimate& endpoint,
+                                       steady_time now) const {
+  const auto own_rate = endpoint.limit().OwnRate(position_, now);
+  if (!own_rate) return 1;
+  const double usual =
+      choices_.PerSecond(now) / static_cast<double>(endpoints_.size());
+  if (usual <= 0) return 1;
+  return std::clamp(*own_rate / usual, kMinWeight, kMaxWeight);
+}
+
 double endpoint_pool::MeanLoad(const std::vector<candidate>& candidates) {
   double total = 0;
   for (const candidate& each : candidates) total += each.load;
@@ -146,11 +169,11 @@
 const endpoint_estimate* endpoint_pool::PickPreferred(
     std::uint64_t prefix_hash, const std::vector<candidate>& candidates,
     double mean) const {
-  std::array<std::pair<std::uint64_t, const candidate*>, 2> best{};
+  std::array<std::pair<double, const candidate*>, 2> best{};
   for (const candidate& each : candidates) {
-    const std::uint64_t score =
-        PreferenceScore(each.endpoint->record(), prefix_hash);
-    const std::pair<std::uint64_t, const candidate*> scored(score, &each);
+    const double score = WeightedScore(
+        PreferenceScore(each.endpoint->record(), prefix_hash), each.weight);
+    const std::pair<double, const candidate*> scored(score, &each);
     if (scored > best[0]) {
       best[1] = std::exchange(best[0], scored);
     } else if (scored > best[1]) {
@@ -254,6 +277,7 @@
 std::optional<placement_choice> endpoint_pool::Choose(
     const request_demand& demand, const placement_limits& limits,
     steady_time now) {
+  choices_.Count(now);
   std::vector<candidate> candidates = FindCandidates(limits, false, now);
   // An endpoint that failed recently is better than none.
   if (candidates.empty()) candidates = FindCandidates(limits, true, now);
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -9,6 +9,7 @@
 
 #include "process/directory/shared_load.h"
 #include "process/placement/endpoint_estimate.h"
+#include "process/placement/event_rate.h"
 #include "process/placement/placement_choice.h"
 #include "process/placement/placement_limits.h"
 #include "process/placement/placement_settings.h"
@@ -69,11 +70,17 @@
   struct candidate {
     endpoint_estimate* endpoint = nullptr;
     double load = 0;
+    /// Share of the prefixes that prefer this endpoint, relative to one
+    /// without a limit.
+    double weight = 1;
   };
   /// Endpoints within the limits that serve; avoided ones only if
   /// `also_avoided`.
   std::vector<candidate> FindCandidates(const placement_limits& limits,
                                         bool also_avoided, steady_time now);
+  /// An endpoint with a limit is preferred as often as this VM may send to it.
+  double PreferenceWeight(const endpoint_estimate& endpoint,
+                          steady_time now) const;
   /// `candidates` must not be empty.
   static double MeanLoad(const std::vector<candidate>& candidates);
   void RemoveOverloaded(std::vector<candidate>& candidates, double mean) const;
@@ -111,6 +118,8 @@
   const random_source random_;
   std::map<endpoint_id, std::unique_ptr<endpoint_estimate>> endpoints_;
   smoothed_value duration_ms_;
+  /// Requests per second for which this VM chooses an endpoint.
+  event_rate choices_;
   session_detector sessions_;
 };
 
--- a/source/process/placement/limit_share.cc
+++ b/source/process/placement/limit_share.cc
@@ -67,6 +67,12 @@
   return limit / sharing;
 }
 
+std::optional<double> limit_share::OwnRate(const fleet_position& position,
+                                           steady_time now) const {
+  if (IsFree(now)) return std::nullopt;
+  return Rate(position, now);
+}
+
 void limit_share::Refill(const fleet_position& position, steady_time now) {
   if (now <= refilled_at_) return;
   const double rate = Rate(position, now);
--- a/source/process/placement/limit_share.h
+++ b/source/process/placement/limit_share.h
@@ -30,6 +30,9 @@
   std::optional<double> per_second() const;
   /// Whether a request may be sent now.
   bool HasAllowance(const fleet_position& position, steady_time now);
+  /// Requests per second that this VM may send; nothing without a limit.
+  std::optional<double> OwnRate(const fleet_position& position,
+                                steady_time now) const;
   /// A request is sent.
   void Take(steady_time now);
   /// Time until HasAllowance() is true; nothing if this VM has no part.
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(restart_of_an_endpoint_clears_its_cached_prefixes);
   CPPUNIT_TEST(begun_stream_is_placed_at_its_software_version_only);
   CPPUNIT_TEST(ended_endpoint_stays_until_its_calls_have_ended);
+  CPPUNIT_TEST(limited_endpoints_are_used_up_to_their_limit);
   CPPUNIT_TEST_SUITE_END();
 
   static endpoint_record MakeRecord(int number) {
@@ -287,6 +288,35 @@
     pool.Sweep();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.size());
   }
+
+  // Guards against endpoints that get far less than they take, while those
+  // without a limit are overloaded.
+  void limited_endpoints_are_used_up_to_their_limit() {
+    constexpr int kEndpoints = 90;
+    constexpr int kLimited = 63;
+    constexpr double kLimitPerSecond = 7;
+    constexpr int kSeconds = 60;
+    constexpr int kRequestsPerSecond = 10;
+    const fleet_position position{71, 5};
+    endpoint_pool pool = Pool(kEndpoints);
+    pool.SetPosition(position);
+    double own_rate = 0;
+    for (int i = 0; i < kLimited; ++i) {
+      Endpoint(pool, i).RecordLimit(kLimitPerSecond, now_);
+      own_rate += Endpoint(pool, i).limit().OwnRate(position, now_).value_or(0);
+    }
+    std::mt19937_64 random(3);
+    int limited = 0;
+    for (int i = 0; i < kSeconds * kRequestsPerSecond; ++i) {
+      now_ += milliseconds(1'000 / kRequestsPerSecond);
+      const auto choice =
+          pool.Choose(Demand(random() % 200, 1'000 + i), {}, now_);
+      choice->endpoint->OnCallStart(now_);
+      choice->endpoint->OnCallEnd();
+      if (choice->endpoint->limit().per_second()) ++limited;
+    }
+    CPPUNIT_ASSERT(limited >= 0.5 * own_rate * kSeconds);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_pool_test);
