operations: add failing test of answers without framing and without end

What callers see: a stream that its endpoint broke off, but that looks complete; an entry VM that is killed for its memory.

An endpoint of raw bytes answers with neither a length nor chunks, complete or broken off inside an event, and with heads, bodies and streams without end.

--- /dev/null
+++ b/tests/operations/raw_endpoint.cc
@@ -0,0 +1,109 @@
+#include "raw_endpoint.h"
+
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+#include "http_call.h"
+#include "platform/field_names.h"
+
+namespace marjoramsill {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kHeartbeatInterval{300};
+constexpr milliseconds kHeartbeatTimeout{1'000};
+constexpr int kSlots = 32;
+constexpr std::string_view kIdMark = "{id}";
+
+}  // namespace
+
+class raw_endpoint::session : public std::enable_shared_from_this<session> {
+ public:
+  session(tcp::socket socket, raw_answer answer)
+      : socket_(std::move(socket)), answer_(std::move(answer)) {}
+
+  void Start() {
+    asio::async_read_until(
+        socket_, asio::dynamic_buffer(request_), "\r\n\r\n",
+        [self = shared_from_this()](std::error_code error, std::size_t) {
+          if (error) return;
+          self->InsertId();
+          self->Write(self->answer_.begin);
+        });
+  }
+
+ private:
+  void InsertId() {
+    const std::string name = std::string(platform::kRequestId) + ": ";
+    const std::size_t field = request_.find(name);
+    const std::size_t at = answer_.begin.find(kIdMark);
+    if (field == std::string::npos || at == std::string::npos) return;
+    const std::size_t begin = field + name.size();
+    const std::size_t end = request_.find("\r\n", begin);
+    answer_.begin.replace(at, kIdMark.size(),
+                          request_.substr(begin, end - begin));
+  }
+
+  void Write(const std::string& bytes) {
+    asio::async_write(
+        socket_, asio::buffer(bytes),
+        [self = shared_from_this()](std::error_code error, std::size_t) {
+          if (error) return;
+          if (!self->answer_.repeated.empty()) {
+            self->Write(self->answer_.repeated);
+          }
+        });
+  }
+
+  tcp::socket socket_;
+  raw_answer answer_;
+  std::string request_;
+};
+
+raw_endpoint::raw_endpoint(asio::io_context& io, const socket_address& listen,
+                           std::function<socket_address()> control)
+    : io_(io),
+      listen_(listen),
+      control_(std::move(control)),
+      acceptor_(io, {asio::ip::make_address(listen.ip), listen.port}),
+      heartbeat_(io) {
+  Accept();
+  SendHeartbeat();
+}
+
+void raw_endpoint::Accept() {
+  acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
+    if (error) return;
+    std::make_shared<session>(std::move(socket), answer_)->Start();
+    Accept();
+  });
+}
+
+void raw_endpoint::SendHeartbeat() {
+  const nlohmann::json body{{"service", "raw"},
+                            {"address", FormatSocketAddress(listen_)},
+                            {"zone", "d0"},
+                            {"version", "v1"},
+                            {"slots", kSlots},
+                            {"state", "ready"},
+                            {"coldRemainingMs", 0},
+                            {"sequence", ++sequence_},
+                            {"born", 1'700'000'000'000}};
+  soak::Call(io_, control_(),
+             soak::RequestText("PUT", "/instances/raw-1", {}, body.dump()),
+             kHeartbeatTimeout, [](const auto& /*response*/) {});
+  heartbeat_.expires_after(kHeartbeatInterval);
+  heartbeat_.async_wait([this](std::error_code error) {
+    if (!error) SendHeartbeat();
+  });
+}
+
+}  // namespace marjoramsill
--- a/tests/soak/child_process.h
+++ b/tests/soak/child_process.h
@@ -27,6 +27,7 @@
   /// True once, after the process has ended; `status` is set by waitpid().
   bool HasEnded(int& status);
   bool is_running() const { return pid_ > 0; }
+  pid_t id() const { return pid_; }
 
  private:
   pid_t pid_ = 0;
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 #include "platform/field_names.h"
 #include "soak_text.h"
@@ -43,10 +44,19 @@
                         Route("/prompt/", "streaming", 3, false),
                         Route("/resumed-prompt/", "streaming", 3, true),
                         Route("/ask/", "idempotent", 3, false)};
-  for (std::size_t i = 4; i < document["routes"].size(); ++i) {
+  for (std::size_t i = 4; i < 7; ++i) {
     document["routes"][i]["sticky"] = true;
   }
-  document["services"] = {{{"name", "svc"}, {"maxConns", 500}}};
+  for (const char* path : {"/raw-ask/", "/raw-stream/", "/raw-resumable/"}) {
+    const bool is_answer = std::string_view(path) == "/raw-ask/";
+    nlohmann::json route =
+        Route(path, is_answer ? "idempotent" : "streaming", 1,
+              std::string_view(path) == "/raw-resumable/");
+    route["service"] = "raw";
+    document["routes"].push_back(route);
+  }
+  document["services"] = {{{"name", "svc"}, {"maxConns", 500}},
+                          {{"name", "raw"}, {"maxConns", 500}}};
   return document.dump();
 }
 
