entry: take a stream that ends inside an event for broken off

What callers saw: a stream that an endpoint broke off ended like a complete one.

Cause: a body with neither a length nor chunks ends with its connection, whether the endpoint had finished or not, and every such end counted as complete.

Change: the head of a response says that its body ends with the connection. A stream of that kind that ends inside an event is a broken answer: it is resumed where its route allows it, otherwise the caller's connection is cut off.

--- a/source/connection/endpoint_response_head.h
+++ b/source/connection/endpoint_response_head.h
@@ -14,6 +14,9 @@
   http_field_list fields;
   /// Length of the body, if the endpoint has declared it.
   std::optional<std::uint64_t> length;
+  /// Neither a length nor chunks: the body ends with the connection, also if
+  /// the endpoint broke it off.
+  bool ends_with_connection = false;
 };
 
 }  // namespace marjoramsill
--- a/source/connection/response_parser.cc
+++ b/source/connection/response_parser.cc
@@ -91,6 +91,8 @@
   if ((parser->flags & F_CONTENTLENGTH) != 0) {
     self.head_.length = parser->content_length;
   }
+  self.head_.ends_with_connection =
+      (parser->flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
   self.state_ = parse_state::kInBody;
   // Read() returns after the head, so that its caller can check the head before
   // the body is passed to the hook.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -260,6 +260,10 @@
 }
 
 void proxied_call::OnEnd() {
+  if (IsBrokenOff()) {
+    OnFailure(call_failure::kBroken);
+    return;
+  }
   const steady_time now = environment_.clock();
   const auto self = shared_from_this();
   endpoint_estimate* endpoint = pool_->Find(endpoint_);
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -11,6 +11,13 @@
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
+namespace {
+
+/// Enough for the blank line that ends an event.
+constexpr std::size_t kTailBytes = 4;
+
+}  // namespace
+
 /// Starts the streamed response with the head of the endpoint's response.
 void proxied_call::StartResponse() {
   response_started_ = true;
@@ -34,6 +41,10 @@
   if (!route_->is_resumable) {
     RecordResponseBytes();
     caller_->Write(data);
+    stream_tail_ +=
+        data.substr(data.size() - std::min(data.size(), kTailBytes));
+    stream_tail_.erase(
+        0, stream_tail_.size() - std::min(stream_tail_.size(), kTailBytes));
     return;
   }
   const std::string_view complete = events_.Add(data);
@@ -47,6 +58,13 @@
   caller_->Write(complete);
 }
 
+bool proxied_call::IsBrokenOff() const {
+  if (!is_stream_ || !head_.ends_with_connection) return false;
+  if (route_->is_resumable) return !events_.rest().empty();
+  return !stream_tail_.empty() && !stream_tail_.ends_with("\n\n") &&
+         !stream_tail_.ends_with("\r\n\r\n");
+}
+
 void proxied_call::OnReadEnd() {
   if (response_started_) caller_->Flush();
 }
