entry: bound what is held of an endpoint's answer

What callers saw: nothing yet; an endpoint that sends a body without end would have got the entry VM killed for its memory.

Cause: a body that is not streamed was collected until its end, and a stream was buffered for a caller that reads slower than the endpoint sends, both without a bound.

Change: with more than 8 MB held for the end of a body, the end of an event or a slow caller, the answer counts as malformed.

--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -46,6 +46,8 @@
   void Write(std::string_view data);
   void End();
   void Abort();
+  /// Bytes of responses that the caller has not taken yet.
+  std::size_t unsent_bytes() const { return output_.size() - written_; }
   /// Sends the data that Write() has buffered.
   void Flush();
 
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <utility>
 
+#include "connection/caller_connection.h"
 #include "connection/endpoint_connection.h"
 #include "connection/endpoint_connection_pool.h"
 #include "process/entry/call_environment.h"
@@ -42,6 +43,9 @@
 /// reach an endpoint that refused or failed here.
 constexpr double kFailedRetryMs = 300;
 constexpr int kMaxEnginePriority = 9;
+/// Bytes of a response that may be held for the end of its body or event, or
+/// for the caller to take them. An endpoint may send bytes without end.
+constexpr std::size_t kMaxHeldBytes = std::size_t{8} * 1024 * 1024;
 /// Characters of a prompt's list of parts in a log line.
 constexpr std::size_t kMaxLoggedPrompt = 256;
 
@@ -244,6 +248,9 @@
   } else if (!is_rejected_) {
     body_ += data;
   }
+  const std::size_t held =
+      body_.size() + events_.rest().size() + caller_->unsent_bytes();
+  if (held > kMaxHeldBytes) OnFailure(call_failure::kMalformed);
 }
 
 void proxied_call::ReleaseEndpoint() {
