entry: let only framed answers speak for a prompt part

What callers saw: nothing yet. Cause: an answer with neither a length nor chunks that an endpoint breaks off between two events as it crashes looks complete, and would have cleared the prompt part that crashed it.

Change: such an answer does not clear its parts; the end of the endpoint is looked for as after a broken one.

The case itself has no test of its own.

--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -108,6 +108,8 @@
   void OnFailure(call_failure failure);
   /// The connection of an endpoint ended before its answer was complete.
   void OnBrokenAnswer();
+  /// Records a complete answer in favour of the prompt's parts.
+  void JudgeParts(const endpoint_estimate* endpoint, steady_time now);
   /// Logs an answer that an endpoint did not complete, with the prompt, so that
   /// the prompts of several of them can be compared.
   void LogBrokenAnswer() const;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -288,7 +288,7 @@
   }
   if (endpoint != nullptr) endpoint->OnResponse(IsSuccessStatus(head_.status));
   if (IsSuccessStatus(head_.status)) {
-    environment_.parts->RecordAnswer(demand_.parts, now);
+    JudgeParts(endpoint, now);
     pool_->RecordDuration(now - attempt_started_);
     if (is_stream_) {
       EndStream();
@@ -332,6 +332,17 @@
   environment_.check_end(endpoint->record(), demand_.parts);
 }
 
+/// An answer that ends with its connection may have been broken off between two
+/// events, by an endpoint that crashed.
+void proxied_call::JudgeParts(const endpoint_estimate* endpoint,
+                              steady_time now) {
+  if (!head_.ends_with_connection) {
+    environment_.parts->RecordAnswer(demand_.parts, now);
+  } else if (endpoint != nullptr && !demand_.parts.empty()) {
+    environment_.check_end(endpoint->record(), demand_.parts);
+  }
+}
+
 void proxied_call::LogBrokenAnswer() const {
   const endpoint_estimate* endpoint = pool_->Find(endpoint_);
   const http_field* prompt =
