soak: add prompt parts that crash endpoints, and endpoint limits

The fake endpoints of the soak crash on one prompt part, which every twelfth request with a prompt has, and name a request limit for some seconds as one of their faults. The ledger checks the rule: at most three requests with the part reach endpoints later than 3 s after the fifth crash. The proxy of an endpoint that is down refuses connections; it used to accept and drop them.

--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -64,11 +64,13 @@
   if (!listener_->Listen()) {
     ledger_.RecordViolation("fake endpoint cannot listen");
   }
+  settings_.on_running(true);
   SendHeartbeat();
 }
 
 void fake_endpoint::Crash() {
   ++start_count_;
+  settings_.on_running(false);
   heartbeat_.cancel();
   listener_.reset();
 }
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -34,6 +34,8 @@
   std::string software = "v1";
   /// After a crash by a prompt part it starts again under another id.
   bool renews_id = false;
+  /// Called when it starts or stops accepting connections.
+  std::function<void(bool)> on_running = [](bool) {};
   /// Chooses the control process that receives the next heartbeat.
   std::function<socket_address()> control;
 };
--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -109,14 +109,25 @@
 link_proxy::link_proxy(asio::io_context& io, const socket_address& listen,
                        socket_address target)
     : io_(io),
+      listen_(EndpointOf(listen)),
       target_(std::move(target)),
-      acceptor_(io, EndpointOf(listen)),
+      acceptor_(io, listen_),
       mode_(std::make_shared<link_mode>(link_mode::kPass)) {
   Accept();
 }
 
 link_proxy::~link_proxy() { Reset(); }
 
+void link_proxy::Listen(bool listens) {
+  if (listens == acceptor_.is_open()) return;
+  if (!listens) {
+    acceptor_.close();
+    return;
+  }
+  acceptor_ = asio::ip::tcp::acceptor(io_, listen_);
+  Accept();
+}
+
 void link_proxy::SetMode(link_mode mode) { *mode_ = mode; }
 
 void link_proxy::Reset() {
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -34,6 +34,8 @@
   link_proxy(const link_proxy&) = delete;
   link_proxy& operator=(const link_proxy&) = delete;
 
+  /// While it does not listen, connections are refused.
+  void Listen(bool listens);
   void SetMode(link_mode mode);
   /// Resets all open connections.
   void Reset();
@@ -43,6 +45,7 @@
   void Accept();
 
   asio::io_context& io_;
+  const asio::ip::tcp::endpoint listen_;
   const socket_address target_;
   asio::ip::tcp::acceptor acceptor_;
   std::list<std::weak_ptr<link>> links_;
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -68,6 +68,22 @@
     }
   }
 
+  /// Checks that requests with a crashing part stop reaching endpoints: at most
+  /// three later than 3 s after the fifth crash.
+  void CheckCrashingParts() {
+    constexpr std::size_t kCountedCrashes = 5;
+    constexpr std::chrono::seconds kContactTime{3};
+    constexpr int kMaxRequests = 3;
+    if (part_crashes_.size() < kCountedCrashes) return;
+    const auto end = part_crashes_[kCountedCrashes - 1] + kContactTime;
+    const auto after =
+        std::count_if(crashing_requests_.begin(), crashing_requests_.end(),
+                      [end](auto time) { return time > end; });
+    if (after <= kMaxRequests) return;
+    RecordViolation("requests with a crashing part reached endpoints " +
+                    std::to_string(after) + " times after the fifth crash");
+  }
+
   const std::vector<std::string>& violations() const { return violations_; }
 
  private:
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace marjoramsill::soak {
@@ -99,7 +100,15 @@
 
 void soak_faults::InjectEndpointFault(fake_endpoint& endpoint) {
   if (!endpoint.is_running()) return;
-  if (random_() % 2 == 0) {
+  const std::size_t kind = random_() % 3;
+  if (kind == 0) {
+    constexpr double kLimit = 5;
+    endpoint.SetLimit(kLimit);
+    RunAfter(RandomDuration(),
+             [&endpoint] { endpoint.SetLimit(std::nullopt); });
+    return;
+  }
+  if (kind == 1) {
     endpoint.Leave();
   } else {
     endpoint.Crash();
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -98,6 +98,9 @@
   settings.listen = bound;
   settings.announced = FormatSocketAddress(
       settings_.reaches_endpoints_directly ? bound : announced);
+  settings.on_running = [link = endpoint_links_.back().get()](bool running) {
+    link->Listen(running);
+  };
   settings.renews_id = settings_.renews_ids && index % 2 == 1;
   settings.domain = DomainOf(index);
   settings.software = settings_.software[static_cast<std::size_t>(index) %
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -83,6 +83,25 @@
        });
 }
 
+void soak_load::SendPrompt() {
+  const std::vector<soak_node*> entries = fleet_.EntryNodes();
+  const std::string number = std::to_string(++next_prompt_);
+  const bool is_crashing = random_() % 12 == 0;
+  const std::string parts = "a0:400," +
+                            std::string(is_crashing ? kCrashingPart : "b") +
+                            (is_crashing ? "" : std::to_string(random_() % 6)) +
+                            ":300," + number + "e:50";
+  Call(io_, entries[random_() % entries.size()]->callers,
+       RequestText("POST", "/ask/p" + number,
+                   {{platform::kRequestId, "prompt-" + number},
+                    {platform::kRemainingMs, "2500"},
+                    {platform::kModel, "m"},
+                    {platform::kTokens, "900,10"},
+                    {platform::kPromptParts, parts}},
+                   "body"),
+       kCallerTimeout, [](const auto& /*response*/) {});
+}
+
 /// Takes a broken stream up again. The caller may have more events than it
 /// says; the endpoints check which version goes on.
 void soak_load::ResumeStream(const std::string& stream) {
--- a/tests/soak/soak_load.h
+++ b/tests/soak/soak_load.h
@@ -15,6 +15,9 @@
 /// Prefix of the ids of requests that may run at most once.
 inline constexpr const char* kOncePrefix = "once-";
 
+/// Prompt part that crashes endpoints.
+inline constexpr const char* kCrashingPart = "c0de";
+
 /// Simulates the callers and the operator of a soak test and verifies the
 /// responses.
 class soak_load {
@@ -24,6 +27,9 @@
 
   /// Sends one request of a random kind to a random entry process.
   void SendRequest();
+  /// Sends a request with a prompt to a random entry process; every twelfth one
+  /// has a part that crashes endpoints.
+  void SendPrompt();
   /// Submits the next version of the document to random control processes until
   /// one acknowledges it. Does nothing while a submission is in progress.
   void SubmitDocument();
@@ -51,6 +57,7 @@
   run_ledger& ledger_;
   std::mt19937_64 random_;
   std::uint64_t next_request_ = 0;
+  std::uint64_t next_prompt_ = 0;
   std::uint64_t next_version_ = 1;
   std::uint64_t acknowledged_ = 0;
   bool is_submitting_ = false;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -24,6 +24,7 @@
 /// Within this time after the last fault, requests must be served again.
 constexpr milliseconds kRecoveryTime{9'000};
 constexpr milliseconds kRequestInterval{12};
+constexpr milliseconds kPromptInterval{40};
 constexpr milliseconds kFaultInterval{700};
 constexpr milliseconds kDocumentInterval{400};
 constexpr milliseconds kCheckInterval{50};
@@ -70,6 +71,7 @@
                            std::to_string(sent) + " served");
   }
   ledger.CheckRuns(kOncePrefix);
+  ledger.CheckCrashingParts();
 }
 
 int Run(const soak_run& run) {
@@ -83,6 +85,8 @@
   load.SubmitDocument();
   io.run_for(kStartupTime);
   periodic_action requests(io, kRequestInterval, [&] { load.SendRequest(); });
+  ledger.AddCrashingPart(kCrashingPart);
+  periodic_action prompts(io, kPromptInterval, [&] { load.SendPrompt(); });
   periodic_action documents(io, kDocumentInterval, [&] {
     load.SubmitDocument();
     load.ReadDocument();
@@ -105,6 +109,7 @@
   }
   std::cout << "seed=" << run.seed << " sent=" << load.sent()
             << " served=" << load.served() << " resumed=" << load.resumed()
+            << " part_crashes=" << ledger.part_crashes().size()
             << " documents=" << load.acknowledged()
             << " violations=" << ledger.violations().size() << "\n";
   return ledger.violations().empty() ? 0 : 1;
