directory: format a test

clang-format folds a line of watch_codec_test that the renamed field made longer than 80 columns. No check changes. scripts/check_format failed on it and passes.

--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -75,7 +75,8 @@
     CPPUNIT_ASSERT(decoded->members == response.members);
     CPPUNIT_ASSERT(decoded->document == response.document);
     CPPUNIT_ASSERT_EQUAL(response.last_change, decoded->last_change);
-    CPPUNIT_ASSERT_EQUAL(response.position.entry_count, decoded->position.entry_count);
+    CPPUNIT_ASSERT_EQUAL(response.position.entry_count,
+                         decoded->position.entry_count);
     CPPUNIT_ASSERT(decoded->loads == response.loads);
     CPPUNIT_ASSERT(decoded->faults == Response().faults);
     CPPUNIT_ASSERT_EQUAL(Response().last_fault, decoded->last_fault);
