--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -39,6 +39,8 @@
                           });
   }
 
+  void Silence() { drops_all_bytes_ = true; }
+
   void Reset() {
     std::error_code ignored;
     caller_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -118,6 +120,12 @@
 
 link_proxy::~link_proxy() { Reset(); }
 
+void link_proxy::Silence() {
+  for (const auto& each : links_) {
+    if (const auto open = each.lock()) open->Silence();
+  }
+}
+
 void link_proxy::Listen(bool listens) {
   if (listens == acceptor_.is_open()) return;
   if (!listens) {
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -34,6 +34,9 @@
   link_proxy(const link_proxy&) = delete;
   link_proxy& operator=(const link_proxy&) = delete;
 
+  /// The connections that are open now carry nothing more, but stay open; new
+  /// ones work.
+  void Silence();
   /// While it does not listen, connections are refused.
   void Listen(bool listens);
   void SetMode(link_mode mode);
