entry: move log lines about the fleet out of the entry process

The lines about endpoints, suspects, control processes and document requests are functions of entry_events now, with the same names and fields. No behaviour changes.

--- /dev/null
+++ b/source/process/entry/entry_events.cc
@@ -0,0 +1,50 @@
+#include "process/entry/entry_events.h"
+
+#include "process/entry/decision_log.h"
+#include "process/entry/log_fields.h"
+
+namespace marjoramsill {
+
+void LogEndpoint(decision_log& log, const endpoint_record& changed) {
+  log.Write("endpoint", log_fields()
+                            .Add("endpoint", changed.id.value())
+                            .Add("phase", EndpointPhaseText(changed.phase))
+                            .Add("pool", changed.pool.value())
+                            .Add("address", changed.address)
+                            .Add("software", changed.software)
+                            .Add("born", changed.incarnation.value())
+                            .Add("sequence", changed.sequence)
+                            .text());
+}
+
+void LogSuspects(decision_log& log, const endpoint_record& ended,
+                 const std::vector<part_digest>& suspects) {
+  for (const part_digest part : suspects) {
+    log.Write("part_suspected",
+              log_fields()
+                  .Add("part", PartText(part))
+                  .Add("endpoint", ended.id.value())
+                  .Add("born", ended.incarnation.value())
+                  .Add("run", RunsText({DigestOfRun(ended)}))
+                  .text(),
+              line_class::kFrequent);
+  }
+}
+
+void LogContact(decision_log& log, const vm_id& vm, bool reachable) {
+  log.Write("control_contact", log_fields()
+                                   .Add("vm", vm.value())
+                                   .Add("state", reachable ? "up" : "lost")
+                                   .text());
+}
+
+void LogFetch(decision_log& log, const vm_id& vm, document_version required,
+              std::string_view outcome) {
+  log.Write("document_asked", log_fields()
+                                  .Add("vm", vm.value())
+                                  .Add("version", required.value())
+                                  .Add("outcome", outcome)
+                                  .text());
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/process/entry/entry_events.h
@@ -0,0 +1,31 @@
+#ifndef MARJORAMSILL_PROCESS_ENTRY_ENTRY_EVENTS_H_
+#define MARJORAMSILL_PROCESS_ENTRY_ENTRY_EVENTS_H_
+
+#include <string_view>
+#include <vector>
+
+#include "process/directory/endpoint_record.h"
+#include "process/directory/part_fault.h"
+#include "types/ids.h"
+
+namespace marjoramsill {
+
+class decision_log;
+
+// Log lines of an entry process about what it learns of the fleet. Operators
+// find them by the names in docs/OPERATIONS.md.
+
+/// The record of an endpoint has changed.
+void LogEndpoint(decision_log& log, const endpoint_record& changed);
+/// An endpoint has ended, and a part of a request under it may be the cause.
+void LogSuspects(decision_log& log, const endpoint_record& ended,
+                 const std::vector<part_digest>& suspects);
+/// A control process was lost or regained.
+void LogContact(decision_log& log, const vm_id& vm, bool reachable);
+/// Another VM was asked for a routing document.
+void LogFetch(decision_log& log, const vm_id& vm, document_version required,
+              std::string_view outcome);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_PROCESS_ENTRY_ENTRY_EVENTS_H_
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -34,6 +34,7 @@
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetcher.h"
 #include "process/entry/endpoint_end_check.h"
+#include "process/entry/entry_events.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/part_breaker.h"
@@ -106,7 +107,9 @@
             watcher_, settings_.vm, settings_.failure_domain,
             [this](const stored_document& document) { OnDocument(document); },
             [this](const vm_id& vm, document_version required,
-                   const char* outcome) { LogFetch(vm, required, outcome); },
+                   const char* outcome) {
+              LogFetch(log_, vm, required, outcome);
+            },
             SteadyNow),
         proof_(settings_.document_apply),
         relay_(settings_.link_mbps),
@@ -249,10 +252,7 @@
       UpdateServing(SteadyNow());
     };
     hooks.on_contact = [this](const vm_id& vm, bool reachable) {
-      log_.Write("control_contact", log_fields()
-                                        .Add("vm", vm.value())
-                                        .Add("state", reachable ? "up" : "lost")
-                                        .text());
+      LogContact(log_, vm, reachable);
     };
     hooks.known_endpoints = [this] { return pools_.CountPresent(); };
     hooks.on_history = [this](steady_time since) { pools_.SetHistory(since); };
@@ -278,15 +278,7 @@
   }
 
   void OnEndpointChange(const endpoint_record& changed) {
-    log_.Write("endpoint", log_fields()
-                               .Add("endpoint", changed.id.value())
-                               .Add("phase", EndpointPhaseText(changed.phase))
-                               .Add("pool", changed.pool.value())
-                               .Add("address", changed.address)
-                               .Add("software", changed.software)
-                               .Add("born", changed.incarnation.value())
-                               .Add("sequence", changed.sequence)
-                               .text());
+    LogEndpoint(log_, changed);
     const bool is_ending = changed.phase == endpoint_phase::kLeaving ||
                            changed.phase == endpoint_phase::kEnded;
     if (is_ending) connections_.Drop(changed.id);
@@ -294,27 +286,8 @@
 
   void OnEndpointCrash(const endpoint_record& endpoint,
                        const std::vector<part_digest>& suspects) {
-    const endpoint_run_digest run = DigestOfRun(endpoint);
-    parts_.RecordEnd(run, suspects, SteadyNow());
-    for (const part_digest part : suspects) {
-      log_.Write("part_suspected",
-                 log_fields()
-                     .Add("part", PartText(part))
-                     .Add("endpoint", endpoint.id.value())
-                     .Add("born", endpoint.incarnation.value())
-                     .Add("run", RunsText({run}))
-                     .text(),
-                 line_class::kFrequent);
-    }
-  }
-
-  void LogFetch(const vm_id& vm, document_version required,
-                const char* outcome) {
-    log_.Write("document_asked", log_fields()
-                                     .Add("vm", vm.value())
-                                     .Add("version", required.value())
-                                     .Add("outcome", outcome)
-                                     .text());
+    parts_.RecordEnd(DigestOfRun(endpoint), suspects, SteadyNow());
+    LogSuspects(log_, endpoint, suspects);
   }
 
   /// Runs on the transport's thread. Other entry processes request the routing
