controller: let records of prompt parts ride on watch messages

Suspected cause: each end made entry VMs send records at once, and each record with two ends made control processes answer all watchers at once, with their load reports, which used up the share of the link for these.

Change: only a part with three ends is sent on at once, at most every 100 ms to a watcher, and an entry VM reports at once from two ends on; everything else goes with the watch messages. An early response holds no load reports before their time.

--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -32,6 +32,9 @@
 /// Time between two responses with records to a watcher that lacks endpoints,
 /// so that a directory that fills up is sent in few responses.
 constexpr milliseconds kRecordInterval{100};
+/// Time between two early responses with part faults to a watcher. They change
+/// with each end of an endpoint, and must not use up the link.
+constexpr milliseconds kFaultInterval{100};
 /// After this time it is no longer counted as an entry VM.
 constexpr milliseconds kWatcherExpiry{15'000};
 
@@ -66,16 +69,17 @@
   known.last_contact = now;
   known.held_since = now;
   known.respond = std::move(respond);
-  if (is_first || HasUrgentUpdates(known) || IsDueForRecords(known, now)) {
+  if (is_first || HasUrgentUpdates(known, now) || IsDueForRecords(known, now)) {
     Respond(request.watcher, known, now);
   }
   CheckAwaited(now);
 }
 
-bool watch_hub::HasUrgentUpdates(const watcher& each) const {
+bool watch_hub::HasUrgentUpdates(const watcher& each, steady_time now) const {
+  const bool lacks_faults = each.applied_fault < faults_.last_urgent_change() &&
+                            now - each.last_faults >= kFaultInterval;
   return each.applied_ending < from_.directory->last_ending() ||
-         each.document < from_.document() ||
-         each.applied_fault < faults_.last_shared_change();
+         each.document < from_.document() || lacks_faults;
 }
 
 bool watch_hub::IsDueForRecords(const watcher& each, steady_time now) {
@@ -107,7 +111,11 @@
   response.position = PositionOf(vm, now);
   response.last_fault = each.applied_fault;
   response.faults = faults_.TakeSharedAfter(response.last_fault);
-  if (each.requests_loads && HasBulkBudget(now)) {
+  if (!response.faults.empty()) each.last_faults = now;
+  const bool is_due_for_loads =
+      each.requests_loads && now - each.last_loads >= LoadHold(now);
+  if (is_due_for_loads && HasBulkBudget(now)) {
+    each.last_loads = now;
     response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
   }
   std::string bytes = EncodeWatchResponse(response);
@@ -150,14 +158,14 @@
 
 void watch_hub::RecordFaults(const std::vector<part_fault>& faults,
                              steady_time now) {
-  const std::uint64_t before = faults_.last_shared_change();
+  const std::uint64_t before = faults_.last_urgent_change();
   for (const part_fault& each : faults) faults_.Merge(each, now);
-  if (faults_.last_shared_change() != before) Notify(now);
+  if (faults_.last_urgent_change() != before) Notify(now);
 }
 
 void watch_hub::Notify(steady_time now) {
   for (auto& [vm, each] : watchers_) {
-    if (each.respond && HasUrgentUpdates(each)) Respond(vm, each, now);
+    if (each.respond && HasUrgentUpdates(each, now)) Respond(vm, each, now);
   }
   RespondWithRecords(now);
 }
@@ -183,7 +191,9 @@
     watcher& each = it->second;
     const milliseconds hold =
         each.requests_loads ? LoadHold(now) : milliseconds(kWatchHold);
-    if (each.respond && now - each.held_since >= hold) {
+    const bool is_due =
+        now - each.held_since >= hold || HasUrgentUpdates(each, now);
+    if (each.respond && is_due) {
       Respond(it->first, each, now);
     }
     const bool is_expired =
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -105,6 +105,8 @@
     steady_time last_contact;
     steady_time held_since;
     steady_time last_records;
+    steady_time last_loads;
+    steady_time last_faults;
     /// Set while a request is held.
     response_hook respond;
   };
@@ -115,7 +117,7 @@
   };
 
   /// The watcher must get a response at once.
-  bool HasUrgentUpdates(const watcher& each) const;
+  bool HasUrgentUpdates(const watcher& each, steady_time now) const;
   /// The watcher lacks endpoints and may get their records now.
   bool IsDueForRecords(const watcher& each, steady_time now);
   bool HasBulkBudget(steady_time now);
--- a/source/process/directory/part_fault_store.cc
+++ b/source/process/directory/part_fault_store.cc
@@ -112,7 +112,9 @@
   changed.change = ++last_change_;
   changed.updated_at = now;
   changes_.emplace(last_change_, changed.fault.part);
-  if (IsShared(changed.fault)) last_shared_change_ = last_change_;
+  if (changed.fault.ends.size() >= kUrgentEnds) {
+    last_urgent_change_ = last_change_;
+  }
 }
 
 std::vector<part_fault> part_fault_store::Take(std::uint64_t& number,
--- a/source/process/directory/part_fault_store.h
+++ b/source/process/directory/part_fault_store.h
@@ -15,6 +15,8 @@
 /// Ends of endpoints under one part, without an answer in between, from which
 /// on all VMs have to know of it.
 inline constexpr std::size_t kSharedEnds = 2;
+/// Ends from which on they have to know of it at once.
+inline constexpr std::size_t kUrgentEnds = 3;
 
 /// The prompt parts that one process knows something against. Changes are
 /// numbered, so that a receiver can go on after the last one that it has. The
@@ -43,8 +45,8 @@
   std::vector<part_fault> TakeSharedAfter(std::uint64_t& number) const;
   /// Number of the last change.
   std::uint64_t last_change() const { return last_change_; }
-  /// Number of the last change of a record that all VMs have to know.
-  std::uint64_t last_shared_change() const { return last_shared_change_; }
+  /// Number of the last change of a record that all VMs have to know at once.
+  std::uint64_t last_urgent_change() const { return last_urgent_change_; }
   void Expire(steady_time now);
   std::size_t size() const { return entries_.size(); }
 
@@ -63,7 +65,7 @@
   std::unordered_map<part_digest, entry> entries_;
   std::map<std::uint64_t, part_digest> changes_;
   std::uint64_t last_change_ = 0;
-  std::uint64_t last_shared_change_ = 0;
+  std::uint64_t last_urgent_change_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/part_breaker.cc
+++ b/source/process/entry/part_breaker.cc
@@ -13,7 +13,7 @@
 /// Endpoints that must have ended under a part, without an answer in between,
 /// before requests with it are refused. One or two also happen to parts of
 /// sound requests when endpoints fail in a row.
-constexpr std::size_t kOpenEnds = 3;
+constexpr std::size_t kOpenEnds = kUrgentEnds;
 /// From this number on no trial is made for kLongOpenTime.
 constexpr std::size_t kNoTrialEnds = 5;
 constexpr seconds kOpenTime{10};
@@ -105,14 +105,18 @@
 void part_breaker::RecordEnd(endpoint_run_digest run,
                              const std::vector<part_digest>& suspects,
                              steady_time now) {
-  for (const part_digest part : suspects) faults_.RecordEnd(part, run, now);
-  last_own_change_ = faults_.last_change();
+  for (const part_digest part : suspects) {
+    faults_.RecordEnd(part, run, now);
+    const bool is_repeated = faults_.Find(part)->ends.size() >= kSharedEnds;
+    if (is_repeated) last_own_change_ = faults_.last_change();
+  }
 }
 
 void part_breaker::Clear(part_digest part, steady_time now) {
-  const std::uint64_t before = faults_.last_change();
+  const part_fault* fault = faults_.Find(part);
+  const bool is_refused = fault != nullptr && fault->ends.size() >= kOpenEnds;
   faults_.Clear(part, now);
-  if (faults_.last_change() != before) last_own_change_ = faults_.last_change();
+  if (is_refused) last_own_change_ = faults_.last_change();
 }
 
 void part_breaker::RecordAnswer(const std::vector<prompt_part>& parts,
--- a/source/process/entry/part_breaker.h
+++ b/source/process/entry/part_breaker.h
@@ -49,7 +49,9 @@
 
   /// What this process knows against parts, in the order of its changes.
   const part_fault_store& faults() const { return faults_; }
-  /// Number of the last change that did not come from another VM.
+  /// Number of the last change here that the other VMs should know at once. The
+  /// others go with watch requests: control processes have little time for more
+  /// messages when many endpoints end.
   std::uint64_t last_own_change() const { return last_own_change_; }
   void Expire(steady_time now);
 
