entry: log answers that end with their connection

Cause: a complete answer without a length and without chunks left no line, so the logs could not tell a whole one from one that was broken off and delivered as complete.

Change: unframed_answer names the bytes of the body and what the answer was taken for.

Measured: test_broken_answers logs a line for each of its answers; no decision changes.

--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -113,6 +113,9 @@
   /// Logs an answer that an endpoint did not complete, with the prompt, so that
   /// the prompts of several of them can be compared.
   void LogBrokenAnswer() const;
+  /// Logs an answer whose end is that of its connection, so that a whole one
+  /// and one that was broken off can be told apart afterwards.
+  void LogUnframedAnswer() const;
   void AfterAttempt(attempt_end end, std::string_view cause);
   void ReleaseEndpoint();
   void DropConnection();
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -267,6 +267,7 @@
 }
 
 void proxied_call::OnEnd() {
+  if (head_.ends_with_connection) LogUnframedAnswer();
   if (IsBrokenOff()) {
     OnFailure(call_failure::kBroken);
     return;
@@ -364,6 +365,20 @@
       line_class::kFrequent);
 }
 
+void proxied_call::LogUnframedAnswer() const {
+  environment_.log->Write(
+      "unframed_answer",
+      log_fields()
+          .Add("request", request_id_)
+          .Add("endpoint", endpoint_.value())
+          .Add("status", head_.status)
+          .Add("bytes", received_bytes_)
+          .Add("took_ms", MillisOf(environment_.clock() - attempt_started_))
+          .Add("taken_for", IsBrokenOff() ? "broken_off" : "complete")
+          .text(),
+      line_class::kFrequent);
+}
+
 void proxied_call::AfterAttempt(attempt_end end, std::string_view cause) {
   if (is_done()) return;
   const steady_time now = environment_.clock();
