operations: add failing test of answers broken off at every place

What callers see: a complete 200 for an answer that its endpoint broke off.

A real entry process in front of an endpoint that answers without a length and without chunks, on routes of every kind, and ends each answer at each of its bytes: closed, reset, or with its process. Streams have all line ends of the format, comments and fields without data. A caller without chunks (HTTP/1.0) must see a reset where the answer is not whole.

Answers that are reset, and heads that are cut, are never complete.

--- /dev/null
+++ b/tests/operations/broken_answer_test.cc
@@ -0,0 +1,203 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <asio/connect.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet_fixture.h"
+#include "platform/field_names.h"
+#include "raw_endpoint.h"
+
+namespace marjoramsill {
+
+using std::chrono::milliseconds;
+
+/// An entry process in front of an endpoint whose answers have neither a length
+/// nor chunks, and which breaks them off at every place.
+class broken_answer_test : public fleet_fixture {
+  CPPUNIT_TEST_SUITE(broken_answer_test);
+  CPPUNIT_TEST(stream_closed_at_every_byte_is_complete_only_after_an_event);
+  CPPUNIT_TEST(event_stream_on_plain_route_is_complete_only_after_an_event);
+  CPPUNIT_TEST(answer_reset_at_every_byte_is_never_complete);
+  CPPUNIT_TEST(head_closed_at_every_byte_is_never_complete);
+  CPPUNIT_TEST(answer_of_endpoint_that_ended_is_never_complete);
+  CPPUNIT_TEST(broken_answer_without_chunks_is_reset_for_its_caller);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint16_t kPort = 29'000;
+
+  static constexpr const char* kHead =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: raw\r\n";
+  static constexpr const char* kEventStream =
+      "Content-Type: text/event-stream\r\n";
+
+  /// A part of a stream; `ends_whole`: the stream is whole if it ends after it.
+  struct stream_piece {
+    std::string bytes;
+    bool ends_whole = false;
+  };
+  using stream_pieces = std::vector<stream_piece>;
+
+  /// Streams with all line ends of the event stream format.
+  static std::vector<stream_pieces> Streams() {
+    return {
+        {{"id: 1\ndata: a\n\n", true}, {"id: 2\ndata: b\n\n", true}},
+        {{"id: 1\r\ndata: a\r\n\r", true},
+         {"\n", true},
+         {"data: b\r\n", false}},
+        {{"id: 1\rdata: a\r\r", true}, {"data: b\r\r", true}},
+        {{"data: a\n\r\n", true}, {": still here\n", true}, {"data", false}},
+        {{": comment\n\n", false}, {"id: 3\n\n", false}, {"data: a\n\n", true}},
+        {{"event: end\n\n", false}, {"data\n\n", true}},
+    };
+  }
+
+  std::unique_ptr<raw_endpoint> endpoint_;
+  int number_ = 0;
+
+  int Ask(const std::string& path) {
+    return Status(0, path, "broken" + std::to_string(++number_));
+  }
+
+  void CheckAnswer(const std::string& path, const raw_answer& answer,
+                   bool is_whole) {
+    endpoint_->SetAnswer(answer);
+    const int status = Ask(path);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(path + " after: " + answer.begin, is_whole,
+                                 status == 200);
+  }
+
+  /// Ends each stream at each of its bytes.
+  void CheckStreams(const std::string& path, const std::string& head) {
+    for (const stream_pieces& pieces : Streams()) {
+      std::string sent;
+      bool is_whole = false;
+      CheckAnswer(path, {head + "\r\n", "", raw_end::kClose}, false);
+      for (const stream_piece& piece : pieces) {
+        for (std::size_t i = 0; i < piece.bytes.size(); ++i) {
+          sent += piece.bytes[i];
+          is_whole = i + 1 == piece.bytes.size() && piece.ends_whole;
+          CheckAnswer(path, {head + "\r\n" + sent, "", raw_end::kClose},
+                      is_whole);
+        }
+      }
+    }
+  }
+
+  struct old_response {
+    std::string bytes;
+    bool is_reset = false;
+  };
+
+  /// Sends a request of a caller that accepts no chunks.
+  old_response AskWithoutChunks(const std::string& path) {
+    const soak::soak_node& entry = *fleet_->EntryNodes()[0];
+    asio::ip::tcp::socket socket(io_);
+    socket.connect(
+        {asio::ip::make_address(entry.callers.ip), entry.callers.port});
+    const std::string request =
+        "POST " + path + "x HTTP/1.0\r\nHost: soak.example\r\n" +
+        platform::kRequestId + ": old" + std::to_string(++number_) + "\r\n" +
+        platform::kRemainingMs + ": 2500\r\nContent-Length: 0\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    old_response response;
+    std::error_code ended;
+    asio::async_read(socket, asio::dynamic_buffer(response.bytes),
+                     [&ended](std::error_code error, std::size_t /*bytes*/) {
+                       ended = error;
+                     });
+    CPPUNIT_ASSERT(RunUntil([&ended] { return static_cast<bool>(ended); }));
+    response.is_reset = ended != asio::error::eof;
+    return response;
+  }
+
+ public:
+  void setUp() override {
+    soak::soak_settings settings;
+    settings.port = kPort;
+    settings.entry_processes = 1;
+    settings.endpoints = 1;
+    StartFleet(settings, MARJORAMSILL_BINARY, MARJORAMSILL_FOLDER);
+    endpoint_ = std::make_unique<raw_endpoint>(
+        io_, socket_address{"127.0.2.9", kPort + 9},
+        [this] { return fleet_->ControlNodes()[0]->control; });
+    endpoint_->SetAnswer({"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", ""});
+    CPPUNIT_ASSERT(RunUntil([this] { return Ask("/raw-ask/") == 500; }));
+  }
+
+  void tearDown() override {
+    endpoint_.reset();
+    fleet_fixture::tearDown();
+  }
+
+  // Guards against a stream that looks complete to its caller although its
+  // endpoint broke it off.
+  void stream_closed_at_every_byte_is_complete_only_after_an_event() {
+    for (const char* path : {"/raw-stream/", "/raw-resumable/"}) {
+      CheckStreams(path, std::string(kHead) + kEventStream);
+    }
+  }
+
+  void event_stream_on_plain_route_is_complete_only_after_an_event() {
+    CheckStreams("/raw-ask/", std::string(kHead) + kEventStream);
+  }
+
+  void answer_reset_at_every_byte_is_never_complete() {
+    for (const char* path :
+         {"/raw-ask/", "/raw-book/", "/raw-stream/", "/raw-resumable/"}) {
+      const std::string whole = std::string(kHead) + "\r\ndata: a\n\n";
+      for (std::size_t i = 1; i <= whole.size(); ++i) {
+        CheckAnswer(path, {whole.substr(0, i), "", raw_end::kReset}, false);
+      }
+    }
+  }
+
+  void head_closed_at_every_byte_is_never_complete() {
+    for (const char* path :
+         {"/raw-ask/", "/raw-book/", "/raw-stream/", "/raw-resumable/"}) {
+      const std::string head = std::string(kHead) + "\r\n";
+      for (std::size_t i = 1; i < head.size(); ++i) {
+        CheckAnswer(path, {head.substr(0, i), "", raw_end::kClose}, false);
+      }
+    }
+  }
+
+  // Guards against an answer that looks complete although its endpoint ended
+  // between two events, or in the middle of a plain body.
+  void answer_of_endpoint_that_ended_is_never_complete() {
+    for (const char* path :
+         {"/raw-ask/", "/raw-book/", "/raw-stream/", "/raw-resumable/"}) {
+      CheckAnswer(
+          path,
+          {std::string(kHead) + "\r\ndata: a\n\n", "", raw_end::kProcessEnd},
+          false);
+      endpoint_->Restart();
+      CheckAnswer(path,
+                  {std::string(kHead) + "\r\ndata: a\n\n", "", raw_end::kClose},
+                  true);
+    }
+  }
+
+  // Guards against a broken stream that ends like a whole one for a caller
+  // whose response ends with its connection.
+  void broken_answer_without_chunks_is_reset_for_its_caller() {
+    const std::string head = std::string(kHead) + "\r\n";
+    for (const char* path : {"/raw-stream/", "/raw-resumable/"}) {
+      endpoint_->SetAnswer({head + "data: a\n\ndata: b", ""});
+      CPPUNIT_ASSERT(AskWithoutChunks(path).is_reset);
+      endpoint_->SetAnswer({head + "data: a\n\n", ""});
+      const old_response whole = AskWithoutChunks(path);
+      CPPUNIT_ASSERT(!whole.is_reset);
+      CPPUNIT_ASSERT(whole.bytes.ends_with("data: a\n\n"));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
+
+}  // namespace marjoramsill
--- a/tests/operations/raw_endpoint.cc
+++ b/tests/operations/raw_endpoint.cc
@@ -27,8 +27,11 @@
 
 class raw_endpoint::session : public std::enable_shared_from_this<session> {
  public:
-  session(tcp::socket socket, raw_answer answer)
-      : socket_(std::move(socket)), answer_(std::move(answer)) {}
+  session(tcp::socket socket, raw_answer answer,
+          std::function<void()> end_process)
+      : socket_(std::move(socket)),
+        answer_(std::move(answer)),
+        end_process_(std::move(end_process)) {}
 
   void Start() {
     asio::async_read_until(
@@ -40,6 +43,11 @@
         });
   }
 
+  void Close() {
+    std::error_code ignored;
+    socket_.close(ignored);
+  }
+
  private:
   void InsertId() {
     const std::string name = std::string(platform::kRequestId) + ": ";
@@ -59,34 +67,63 @@
           if (error) return;
           if (!self->answer_.repeated.empty()) {
             self->Write(self->answer_.repeated);
+          } else {
+            self->End();
           }
         });
   }
 
+  void End() {
+    std::error_code ignored;
+    if (answer_.end == raw_end::kReset) {
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    if (answer_.end == raw_end::kProcessEnd) end_process_();
+    Close();
+  }
+
   tcp::socket socket_;
   raw_answer answer_;
+  const std::function<void()> end_process_;
   std::string request_;
 };
 
 raw_endpoint::raw_endpoint(asio::io_context& io, const socket_address& listen,
                            std::function<socket_address()> control)
-    : io_(io),
-      listen_(listen),
-      control_(std::move(control)),
-      acceptor_(io, {asio::ip::make_address(listen.ip), listen.port}),
-      heartbeat_(io) {
-  Accept();
+    : io_(io), listen_(listen), control_(std::move(control)), heartbeat_(io) {
+  Listen();
   SendHeartbeat();
 }
 
+void raw_endpoint::Restart() {
+  if (!acceptor_) Listen();
+}
+
+void raw_endpoint::Listen() {
+  acceptor_.emplace(
+      io_, tcp::endpoint{asio::ip::make_address(listen_.ip), listen_.port});
+  Accept();
+}
+
 void raw_endpoint::Accept() {
-  acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
+  acceptor_->async_accept([this](std::error_code error, tcp::socket socket) {
     if (error) return;
-    std::make_shared<session>(std::move(socket), answer_)->Start();
+    std::erase_if(sessions_, [](const auto& each) { return each.expired(); });
+    const auto begun = std::make_shared<session>(std::move(socket), answer_,
+                                                 [this] { EndProcess(); });
+    sessions_.push_back(begun);
+    begun->Start();
     Accept();
   });
 }
 
+void raw_endpoint::EndProcess() {
+  acceptor_.reset();
+  for (const auto& each : std::exchange(sessions_, {})) {
+    if (const auto open = each.lock()) open->Close();
+  }
+}
+
 void raw_endpoint::SendHeartbeat() {
   const nlohmann::json body{{"service", "raw"},
                             {"address", FormatSocketAddress(listen_)},
--- a/tests/operations/raw_endpoint.h
+++ b/tests/operations/raw_endpoint.h
@@ -6,12 +6,23 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "connection/socket_address.h"
 
 namespace marjoramsill {
 
+/// What follows the bytes of a raw_answer.
+enum class raw_end {
+  kClose,
+  kReset,
+  /// The process ends: its connections are closed, and nothing listens any
+  /// more.
+  kProcessEnd,
+};
+
 /// Bytes that a raw_endpoint answers with.
 struct raw_answer {
   /// Sent once, after the head of the request was received. "{id}" stands for
@@ -20,6 +31,7 @@
   /// Sent again and again until the caller closes; empty: the connection is
   /// closed after `begin`.
   std::string repeated;
+  raw_end end = raw_end::kClose;
 };
 
 /// Announces itself as an endpoint of the pool `raw` and answers every request
@@ -31,17 +43,22 @@
                std::function<socket_address()> control);
 
   void SetAnswer(raw_answer answer) { answer_ = std::move(answer); }
+  /// Listens again after the end of its process.
+  void Restart();
 
  private:
   class session;
 
+  void Listen();
   void Accept();
+  void EndProcess();
   void SendHeartbeat();
 
   asio::io_context& io_;
   const socket_address listen_;
   const std::function<socket_address()> control_;
-  asio::ip::tcp::acceptor acceptor_;
+  std::optional<asio::ip::tcp::acceptor> acceptor_;
+  std::vector<std::weak_ptr<session>> sessions_;
   asio::steady_timer heartbeat_;
   raw_answer answer_;
   int sequence_ = 0;
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -47,11 +47,11 @@
   for (std::size_t i = 4; i < 7; ++i) {
     document["routes"][i]["sticky"] = true;
   }
-  for (const char* path : {"/raw-ask/", "/raw-stream/", "/raw-resumable/"}) {
-    const bool is_answer = std::string_view(path) == "/raw-ask/";
-    nlohmann::json route =
-        Route(path, is_answer ? "idempotent" : "streaming", 1,
-              std::string_view(path) == "/raw-resumable/");
+  for (nlohmann::json route :
+       {Route("/raw-ask/", "idempotent", 1, false),
+        Route("/raw-book/", "non_idempotent", 1, false),
+        Route("/raw-stream/", "streaming", 1, false),
+        Route("/raw-resumable/", "streaming", 1, true)}) {
     route["service"] = "raw";
     document["routes"].push_back(route);
   }
