connection: reset a caller without chunks whose answer is broken off

What callers saw: for a caller that accepts no chunks (HTTP/1.0) a response without a length ends with the connection, so that a broken stream, a deadline in a stream, or the end of the entry process looked like the end of the answer.

Cause: Abort() closed the connection in the ordinary way. Class: an end of a connection taken for the end of an answer.

Change: from the head of such a response until everything is handed to the network, any close of the connection is a reset, also by the end of the process.

Measured: broken_answer_without_chunks_is_reset_for_its_caller failed and passes; whole answers still end with an ordinary close.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
+#include <asio/socket_base.hpp>
 #include <charconv>
 #include <utility>
 
@@ -162,7 +163,11 @@
                               std::optional<std::uint64_t> length) {
   if (!is_open_) return;
   // Without chunks the body ends when the connection is closed.
-  if (!length && !accepts_chunks_) keep_alive_ = false;
+  ends_with_connection_ = !length && !accepts_chunks_;
+  if (ends_with_connection_) {
+    keep_alive_ = false;
+    SetResetOnClose(true);
+  }
   AppendHead(status, fields);
   is_chunked_ = !length && accepts_chunks_;
   if (is_chunked_) {
@@ -195,6 +200,12 @@
   FinishResponse();
 }
 
+void caller_connection::SetResetOnClose(bool resets) {
+  // An error is ignored: the socket then closes in the ordinary way.
+  std::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 void caller_connection::FinishResponse() {
   on_disconnect_ = nullptr;
   has_request_ = false;
@@ -251,6 +262,8 @@
 }
 
 void caller_connection::StartLinger() {
+  // Everything was handed to the network.
+  if (ends_with_connection_) SetResetOnClose(false);
   idle_since_ = now_;
   std::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -40,7 +40,8 @@
   void Respond(int status, const http_field_list& fields,
                std::string_view body);
   /// Without a length the body is sent in chunks, or until the connection is
-  /// closed if the caller does not accept chunks.
+  /// closed if the caller does not accept chunks. Such a caller gets a reset
+  /// unless the response is sent up to End().
   void Begin(int status, const http_field_list& fields,
              std::optional<std::uint64_t> length);
   void Write(std::string_view data);
@@ -78,6 +79,9 @@
   void StartLinger();
   void Close();
   void AppendHead(int status, const http_field_list& fields);
+  /// Makes any close of the connection, also by the end of the process, a
+  /// reset.
+  void SetResetOnClose(bool resets);
 
   asio::ip::tcp::socket socket_;
   const caller_connection_hooks& hooks_;
@@ -93,6 +97,8 @@
   bool waiting_writable_ = false;
   bool has_request_ = false;
   bool is_chunked_ = false;
+  /// The end of the response in progress is that of the connection.
+  bool ends_with_connection_ = false;
   bool keep_alive_ = true;
   bool accepts_chunks_ = true;
   bool close_after_response_ = false;
