entry: tell lost links of a VM from lost endpoints

Cause: the logs showed single attempts only; that an entry VM reaches no endpoint of a pool had to be counted by hand, and no line said when that began and ended.

Change: pool_reach decides for each pool. Two endpoints that accept no connection, or 200 ms of silence while a response is owed, give rise to connections to three endpoints at random (reach_prober); if none is established the links count as lost, and probes go on every 0.2 to 1 s. endpoint_links logs the change with what was reached. Connections that a probe establishes are kept for requests. Failures that lost links left behind are forgotten when endpoints are reached again.

Measured: 11 cases of pool_reach_test in virtual time pass.

--- a/source/process/entry/entry_events.cc
+++ b/source/process/entry/entry_events.cc
@@ -38,6 +38,16 @@
                                    .text());
 }
 
+void LogLinks(decision_log& log, const model_id& pool, link_state state,
+              std::size_t reached, std::size_t failed) {
+  log.Write("endpoint_links", log_fields()
+                                  .Add("pool", pool.value())
+                                  .Add("state", LinkStateText(state))
+                                  .Add("reached", reached)
+                                  .Add("failed", failed)
+                                  .text());
+}
+
 void LogFetch(decision_log& log, const vm_id& vm, document_version required,
               std::string_view outcome) {
   log.Write("document_asked", log_fields()
--- a/source/process/entry/entry_events.h
+++ b/source/process/entry/entry_events.h
@@ -1,11 +1,13 @@
 #ifndef MARJORAMSILL_PROCESS_ENTRY_ENTRY_EVENTS_H_
 #define MARJORAMSILL_PROCESS_ENTRY_ENTRY_EVENTS_H_
 
+#include <cstddef>
 #include <string_view>
 #include <vector>
 
 #include "process/directory/endpoint_record.h"
 #include "process/directory/part_fault.h"
+#include "process/placement/pool_reach.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -22,6 +24,10 @@
                  const std::vector<part_digest>& suspects);
 /// A control process was lost or regained.
 void LogContact(decision_log& log, const vm_id& vm, bool reachable);
+/// This VM lost its links to the endpoints of a pool, or regains them.
+/// `reached`, `failed`: endpoints of the probes that decided.
+void LogLinks(decision_log& log, const model_id& pool, link_state state,
+              std::size_t reached, std::size_t failed);
 /// Another VM was asked for a routing document.
 void LogFetch(decision_log& log, const vm_id& vm, document_version required,
               std::string_view outcome);
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -40,6 +40,7 @@
 #include "process/entry/part_breaker.h"
 #include "process/entry/part_fault_reporter.h"
 #include "process/entry/pool_table.h"
+#include "process/entry/reach_prober.h"
 #include "process/entry/stream_origin_finder.h"
 #include "request/http_status.h"
 #include "request/proxied_call.h"
@@ -131,6 +132,11 @@
                           const std::vector<part_digest>& suspects) {
                      OnEndpointCrash(endpoint, suspects);
                    }),
+        prober_(io_, connections_, pools_,
+                [this](const model_id& pool, link_state state,
+                       std::size_t reached, std::size_t failed) {
+                  LogLinks(log_, pool, state, reached, failed);
+                }),
         listener_(
             io_, {*settings_.callers, MaxCallerConnections()},
             [this](const auto& caller, caller_message message) {
@@ -417,6 +423,7 @@
     std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
     watcher_.Tick(now);
     pools_.SetPosition(watcher_.position());
+    prober_.Tick(now);
     fetcher_.Tick(now);
     relay_.Tick(document_, now);
     origins_.Tick(now);
@@ -480,6 +487,7 @@
   part_breaker parts_;
   part_fault_reporter part_reporter_;
   endpoint_end_check end_check_;
+  reach_prober prober_;
   caller_listener listener_;
   settings_watch settings_watch_;
   std::optional<http_server> readiness_;
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -79,6 +79,11 @@
   on_change_(record);
 }
 
+void pool_table::ForEach(
+    const std::function<void(const model_id&, endpoint_pool&)>& visit) {
+  for (const auto& [id, pool] : pools_) visit(id, *pool);
+}
+
 void pool_table::Tick(steady_time now) {
   directory_.Expire(now);
   for (const auto& [id, pool] : pools_) pool->Sweep();
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -55,6 +55,8 @@
                                               steady_time now) const;
   /// The endpoints of the pool that have not ended have several versions.
   bool HasSeveralVersions(const model_id& pool) const;
+  void ForEach(
+      const std::function<void(const model_id&, endpoint_pool&)>& visit);
   /// Sets this entry VM's place in the fleet.
   void SetPosition(const fleet_position& position);
   /// Number of endpoints that have not ended.
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -140,6 +140,13 @@
   avoid_until_ = now + kFirstAvoidTime * (1U << doublings);
 }
 
+void endpoint_estimate::ForgiveFailures() {
+  waiting_since_.reset();
+  consecutive_failures_ = 0;
+  avoid_until_ = {};
+  failures_ = smoothed_value(kFailureGain);
+}
+
 void endpoint_estimate::OnTimeout() { failures_.Add(1); }
 
 void endpoint_estimate::OnCapacityRefusal(steady_time now) {
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -58,6 +58,8 @@
   /// response. The endpoint is avoided for a delay that grows with each
   /// consecutive failure.
   void OnConnectionFailure(steady_time now);
+  /// The failures came from lost links of this VM, not from the endpoint.
+  void ForgiveFailures();
   /// No response came before the caller's deadline. The request may just have
   /// been a long one, so this raises the failure rate, but the endpoint is not
   /// avoided.
@@ -75,6 +77,8 @@
   std::optional<std::chrono::microseconds> ReportAge(steady_time now) const;
   /// Calls of this entry VM that have started and not ended.
   std::uint32_t in_flight() const { return in_flight_; }
+  /// When the first request after the last response data was sent.
+  std::optional<steady_time> waiting_since() const { return waiting_since_; }
   /// Requests that the endpoint runs at the same time.
   std::uint32_t slots() const;
   /// True if requests should go to other endpoints for now, as long as any
@@ -106,7 +110,6 @@
   bool is_limit_shared_ = true;
   steady_time last_sent_;
   bool is_misdirected_ = false;
-  /// When the first request after the last response data was sent.
   std::optional<steady_time> waiting_since_;
   std::uint32_t consecutive_failures_ = 0;
   steady_time avoid_until_;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -99,6 +99,41 @@
   return false;
 }
 
+std::optional<steady_time> endpoint_pool::OldestWait() const {
+  std::optional<steady_time> oldest;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const auto since = endpoint->waiting_since();
+    if (!since || !endpoint->IsServing()) continue;
+    oldest = std::min(oldest.value_or(*since), *since);
+  }
+  return oldest;
+}
+
+std::size_t endpoint_pool::CountServing() const {
+  return static_cast<std::size_t>(std::count_if(
+      endpoints_.begin(), endpoints_.end(),
+      [](const auto& entry) { return entry.second->IsServing(); }));
+}
+
+std::vector<endpoint_record> endpoint_pool::PickServing(std::size_t count) {
+  std::vector<const endpoint_estimate*> serving;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint->IsServing()) serving.push_back(endpoint.get());
+  }
+  std::vector<endpoint_record> picked;
+  while (picked.size() < count && !serving.empty()) {
+    const std::size_t drawn = random_() % serving.size();
+    picked.push_back(serving[drawn]->record());
+    serving[drawn] = serving.back();
+    serving.pop_back();
+  }
+  return picked;
+}
+
+void endpoint_pool::ForgiveFailures() {
+  for (const auto& [id, endpoint] : endpoints_) endpoint->ForgiveFailures();
+}
+
 void endpoint_pool::Sweep() {
   std::erase_if(endpoints_, [](const auto& entry) {
     return entry.second->record().phase == endpoint_phase::kEnded &&
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -13,6 +13,7 @@
 #include "process/placement/placement_choice.h"
 #include "process/placement/placement_limits.h"
 #include "process/placement/placement_settings.h"
+#include "process/placement/pool_reach.h"
 #include "process/placement/request_demand.h"
 #include "process/placement/session_detector.h"
 #include "process/placement/smoothed_value.h"
@@ -57,6 +58,18 @@
   /// VM since the last call.
   void TakeLoads(std::vector<shared_load>& loads, steady_time now);
 
+  /// What attempts and probes say about this VM's links to the endpoints.
+  pool_reach& reach() { return reach_; }
+  const pool_reach& reach() const { return reach_; }
+  /// When the oldest request was sent to a serving endpoint that has sent
+  /// nothing since.
+  std::optional<steady_time> OldestWait() const;
+  std::size_t CountServing() const;
+  /// Up to `count` endpoints that serve, drawn at random.
+  std::vector<endpoint_record> PickServing(std::size_t count);
+  /// Forgets failures that came from lost links of this VM.
+  void ForgiveFailures();
+
   /// True if at least one endpoint within the limits accepts requests.
   bool CanServe(const placement_limits& limits) const;
   /// True if the endpoints that have not ended have several software versions.
@@ -117,6 +130,7 @@
   fleet_position position_;
   const random_source random_;
   std::map<endpoint_id, std::unique_ptr<endpoint_estimate>> endpoints_;
+  pool_reach reach_;
   smoothed_value duration_ms_;
   /// Requests per second for which this VM chooses an endpoint.
   event_rate choices_;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -132,6 +132,7 @@
 void proxied_call::OnConnected(bool connected) {
   if (state_ != state::kConnecting) return;
   if (connected) {
+    pool_->reach().OnConnected();
     Send();
   } else {
     OnFailure(call_failure::kNotConnected);
@@ -210,6 +211,7 @@
   const steady_time now = environment_.clock();
   state_ = state::kReceiving;
   last_progress_ = now;
+  pool_->reach().OnActivity(now);
   head_ = head;
   endpoint_estimate* endpoint = pool_->Find(endpoint_);
   const auto load = environment_.dialect.read_load(head.fields);
@@ -239,6 +241,7 @@
 
 void proxied_call::OnBody(std::string_view data) {
   last_progress_ = environment_.clock();
+  pool_->reach().OnActivity(last_progress_);
   received_bytes_ += data.size();
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->OnActivity();
@@ -350,6 +353,9 @@
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->OnConnectionFailure(now);
   }
+  if (failure == call_failure::kNotConnected) {
+    pool_->reach().OnConnectFailure(endpoint_);
+  }
   // Other idle connections to the endpoint may be dead as well. Opening a new
   // one reveals this before anything is sent, so that another endpoint can be
   // tried.
