operations: add failing test of entry VMs without links to endpoints

What callers see: 503 from a VM that reaches no endpoint, although the other VMs serve.

Real processes: four entry VMs, of which one, three or all are cut off from the endpoints, while callers, control processes and the other entry VMs reach them. Kept connections are silent, reset, or go on to work; new ones get no answer. The proxies in front of the endpoints attach a socket filter that drops the packets of a VM, for which the setting endpoint_source gives each entry process connections from its own IP.

--- a/source/connection/endpoint_connection.cc
+++ b/source/connection/endpoint_connection.cc
@@ -61,6 +61,7 @@
 void endpoint_connection::Connect(std::function<void(bool)> done) {
   std::error_code error;
   const asio::ip::address address = asio::ip::make_address(remote_.ip, error);
+  if (!error && !source_.empty()) error = BindSource();
   if (error) {
     done(false);
     return;
@@ -77,6 +78,16 @@
                         });
 }
 
+std::error_code endpoint_connection::BindSource() {
+  std::error_code error;
+  const auto source = asio::ip::make_address(source_, error);
+  if (error) return error;
+  const asio::ip::tcp::endpoint local(source, 0);
+  socket_.open(local.protocol(), error);
+  if (!error) socket_.bind(local, error);
+  return error;
+}
+
 void endpoint_connection::SetOptions() {
   std::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/source/connection/endpoint_connection.h
+++ b/source/connection/endpoint_connection.h
@@ -33,6 +33,9 @@
   endpoint_connection(const endpoint_connection&) = delete;
   endpoint_connection& operator=(const endpoint_connection&) = delete;
 
+  /// Local IP of the connection; empty: chosen by the system. Call before
+  /// Connect().
+  void SetSource(const std::string& ip) { source_ = ip; }
   /// `done` receives whether the connection was established.
   void Connect(std::function<void(bool)> done);
   /// Sends one request. `head_request`: its response has no body.
@@ -56,6 +59,7 @@
   std::chrono::milliseconds idle_limit() const { return idle_limit_; }
 
  private:
+  std::error_code BindSource();
   void SetOptions();
   void Write();
   void WaitWritable();
@@ -72,6 +76,7 @@
 
   asio::ip::tcp::socket socket_;
   const socket_address remote_;
+  std::string source_;
   const idle_end_hook on_idle_end_;
   response_parser parser_;
   endpoint_call_hooks hooks_;
--- a/source/connection/endpoint_connection_pool.cc
+++ b/source/connection/endpoint_connection_pool.cc
@@ -19,8 +19,9 @@
 
 }  // namespace
 
-endpoint_connection_pool::endpoint_connection_pool(asio::io_context& io)
-    : io_(io) {}
+endpoint_connection_pool::endpoint_connection_pool(asio::io_context& io,
+                                                   std::string source)
+    : io_(io), source_(std::move(source)) {}
 
 endpoint_connection_pool::~endpoint_connection_pool() {
   for (auto& [endpoint, idle] : idle_) {
@@ -52,6 +53,7 @@
       [this, endpoint](endpoint_connection& ended) {
         RemoveIdle(endpoint, ended);
       });
+  connection->SetSource(source_);
   auto& all = all_[endpoint];
   std::erase_if(all, [](const auto& each) { return each.expired(); });
   all.push_back(connection);
--- a/source/connection/endpoint_connection_pool.h
+++ b/source/connection/endpoint_connection_pool.h
@@ -19,7 +19,9 @@
 /// closed. Not thread-safe.
 class endpoint_connection_pool {
  public:
-  explicit endpoint_connection_pool(asio::io_context& io);
+  /// `source`: local IP of the connections; empty: chosen by the system.
+  explicit endpoint_connection_pool(asio::io_context& io,
+                                    std::string source = "");
   ~endpoint_connection_pool();
   endpoint_connection_pool(const endpoint_connection_pool&) = delete;
   endpoint_connection_pool& operator=(const endpoint_connection_pool&) = delete;
@@ -52,6 +54,7 @@
   void RemoveIdle(const endpoint_id& endpoint, endpoint_connection& ended);
 
   asio::io_context& io_;
+  const std::string source_;
   std::map<endpoint_id, idle_list> idle_;
   /// All connections, also those that calls use.
   std::map<endpoint_id, std::vector<std::weak_ptr<endpoint_connection>>> all_;
--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -21,6 +21,12 @@
                       "a text that is not empty"};
 const text_rule kAnyText{[](std::string_view /*text*/) { return true; },
                          "a text"};
+const text_rule kOptionalIp{
+    [](std::string_view text) {
+      return text.empty() ||
+             ParseSocketAddress(std::string(text) + ":1").has_value();
+    },
+    "an IP or nothing"};
 const text_rule kAddress{
     [](std::string_view text) { return ParseSocketAddress(text).has_value(); },
     "IP:PORT or [IPv6]:PORT"};
@@ -67,6 +73,8 @@
   parsed.callers = OptionalAddress(reader, "callers");
   parsed.readiness = OptionalAddress(reader, "readiness");
   parsed.control = OptionalAddress(reader, "control");
+  parsed.endpoint_source =
+      reader.Text("endpoint_source", kOptionalIp, std::string());
   parsed.metrics = OptionalAddress(reader, "metrics");
   for (const std::string& seed : reader.Texts("seeds", kAddress, false)) {
     if (auto address = ParseSocketAddress(seed)) {
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -32,6 +32,9 @@
   /// For operators and endpoints; control processes only.
   std::optional<socket_address> control;
   std::optional<socket_address> metrics;
+  /// Local IP of connections to endpoints, on a VM with several; empty: chosen
+  /// by the system.
+  std::string endpoint_source;
   /// Control addresses of some control processes.
   std::vector<socket_address> seeds;
   /// Durable state of a control process.
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -114,7 +114,7 @@
             SteadyNow),
         proof_(settings_.document_apply),
         relay_(settings_.link_mbps),
-        connections_(io_),
+        connections_(io_, settings_.endpoint_source),
         pools_(PlacementSettings(settings_), settings_.retries, SystemRandom(),
                [this](const endpoint_record& changed) {
                  OnEndpointChange(changed);
--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -1,10 +1,15 @@
 #include "link_proxy.h"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/address.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -40,6 +45,12 @@
   }
 
   void Silence() { drops_all_bytes_ = true; }
+  bool IsFrom(const std::vector<std::string>& sources) const {
+    std::error_code error;
+    const std::string ip = caller_.remote_endpoint(error).address().to_string();
+    return std::find(sources.begin(), sources.end(), ip) != sources.end();
+  }
+  int caller_socket() { return caller_.native_handle(); }
 
   void Reset() {
     std::error_code ignored;
@@ -126,6 +137,43 @@
   }
 }
 
+void link_proxy::FilterPackets(int socket) const {
+  // Packets of a cut source are dropped, all others are kept whole.
+  constexpr std::uint32_t kSourceAddress =
+      static_cast<std::uint32_t>(SKF_NET_OFF) + 12;
+  constexpr std::uint32_t kKeepAll = 0xffffffff;
+  const auto sources = static_cast<std::uint8_t>(cut_sources_.size());
+  std::vector<sock_filter> program;
+  program.push_back(BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kSourceAddress));
+  for (std::uint8_t i = 0; i < sources; ++i) {
+    const auto ip = asio::ip::make_address_v4(cut_sources_[i]).to_uint();
+    program.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ip,
+                               static_cast<std::uint8_t>(sources - i), 0));
+  }
+  program.push_back(BPF_STMT(BPF_RET | BPF_K, kKeepAll));
+  program.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
+  const sock_fprog filter{static_cast<unsigned short>(program.size()),
+                          program.data()};
+  ::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+}
+
+void link_proxy::CutFrom(const std::vector<std::string>& sources,
+                         cut_form form) {
+  cut_sources_ = sources;
+  if (acceptor_.is_open()) FilterPackets(acceptor_.native_handle());
+  if (form == cut_form::kKept) return;
+  for (const auto& each : links_) {
+    const auto open = each.lock();
+    if (!open || !open->IsFrom(sources)) continue;
+    if (form == cut_form::kReset) {
+      open->Reset();
+    } else {
+      open->Silence();
+      FilterPackets(open->caller_socket());
+    }
+  }
+}
+
 void link_proxy::Listen(bool listens) {
   if (listens == acceptor_.is_open()) return;
   if (!listens) {
@@ -133,6 +181,7 @@
     return;
   }
   acceptor_ = asio::ip::tcp::acceptor(io_, listen_);
+  if (!cut_sources_.empty()) FilterPackets(acceptor_.native_handle());
   Accept();
 }
 
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <list>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "connection/socket_address.h"
 
@@ -25,6 +27,16 @@
   kRefuse,
 };
 
+/// What happens to the connections of a VM that is cut off. New ones get no
+/// answer in any case.
+enum class cut_form {
+  /// They stay open and carry nothing.
+  kSilent,
+  kReset,
+  /// They go on to work.
+  kKept,
+};
+
 /// Loopback proxy in front of one address that injects connection faults.
 class link_proxy {
  public:
@@ -37,6 +49,8 @@
   /// The connections that are open now carry nothing more, but stay open; new
   /// ones work.
   void Silence();
+  /// Cuts off the VMs with these IPs, or none any more.
+  void CutFrom(const std::vector<std::string>& sources, cut_form form);
   /// While it does not listen, connections are refused.
   void Listen(bool listens);
   void SetMode(link_mode mode);
@@ -46,6 +60,8 @@
  private:
   class link;
   void Accept();
+  /// Makes the kernel drop the packets of the VMs that are cut off.
+  void FilterPackets(int socket) const;
 
   asio::io_context& io_;
   const asio::ip::tcp::endpoint listen_;
@@ -53,6 +69,7 @@
   asio::ip::tcp::acceptor acceptor_;
   std::list<std::weak_ptr<link>> links_;
   std::shared_ptr<link_mode> mode_;
+  std::vector<std::string> cut_sources_;
 };
 
 }  // namespace marjoramsill::soak
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -50,6 +50,7 @@
   node->is_control = is_control;
   node->settings_file = settings_.folder + "/" + node->name + ".yaml";
   node->data_folder = settings_.folder + "/" + node->name + ".data";
+  node->ip = PeerIp(index);
   node->callers = {PeerIp(index), port(kCallers)};
   node->control = {PeerIp(index), port(kControl)};
   node->proxy = std::make_unique<link_proxy>(
@@ -75,7 +76,8 @@
          << "founds_group: " << (founds_group ? "true" : "false") << "\n";
   } else {
     file << "callers: " << address(kCallers)
-         << "readiness: " << address(kReadiness);
+         << "readiness: " << address(kReadiness) << "endpoint_source: " << ip
+         << "\n";
   }
   file << "seeds:\n";
   for (int i = 0; i < settings_.control_processes; ++i) {
@@ -146,7 +148,15 @@
   }
 }
 
+void soak_fleet::CutFromEndpoints(const std::vector<soak_node*>& cut,
+                                  cut_form form) {
+  std::vector<std::string> sources;
+  for (const soak_node* node : cut) sources.push_back(node->ip);
+  for (const auto& link : endpoint_links_) link->CutFrom(sources, form);
+}
+
 void soak_fleet::EndFaults() {
+  CutFromEndpoints({}, cut_form::kKept);
   for (const auto& node : nodes_) {
     node->proxy->SetMode(link_mode::kPass);
     // Connections that dropped bytes stay broken; the fleet must detect them.
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -39,6 +39,7 @@
   std::string name;
   bool is_control = false;
   std::string settings_file;
+  std::string ip;
   std::string data_folder;
   socket_address callers;
   socket_address control;
@@ -74,6 +75,8 @@
   std::vector<std::unique_ptr<fake_endpoint>>& endpoints() {
     return endpoints_;
   }
+  /// Cuts entry processes off from all endpoints; none: ends the cut.
+  void CutFromEndpoints(const std::vector<soak_node*>& cut, cut_form form);
   std::vector<std::unique_ptr<link_proxy>>& endpoint_links() {
     return endpoint_links_;
   }
