entry: hand requests on to another entry VM while links are lost

What callers saw: 503, deadlines and cut streams at entry VMs that had lost their links to the endpoints, while the other VMs served.

Cause: an entry VM took its own lost links for lost endpoints. Each attempt that could not connect led to the next endpoint, and after the last one the request was refused. Class: a fault of the observer taken for one of what it observes.

Change: while pool_reach says that a VM has lost its links to a pool, it hands the requests for it on to another entry VM over HTTP/1.1, at a listener of its own (setting relay). That VM routes, places, limits and repeats the request by its own state, if its document is not older, and answers; it never hands a request on again. Control processes name up to eight VMs with links, half of them near, from what watch requests say; the VM that hands on spreads by requests in progress. A refusal that another VM can do better is marked, and up to three are tried; any other 503 is passed on, since the other VM knows that the request has not run. A VM takes at most 400 requests of others, and none while its own loop is late. Requests in flight on lost links are repeated after 0.2 s if they may be; endpoints lost with the links do not count as attempts. Kept connections that carry responses are used first.

--- a/source/connection/endpoint_connection_pool.h
+++ b/source/connection/endpoint_connection_pool.h
@@ -35,6 +35,10 @@
   /// Returns a new connection that is not yet established.
   std::shared_ptr<endpoint_connection> Open(const endpoint_id& endpoint,
                                             const std::string& address);
+  bool HasIdle(const endpoint_id& endpoint) const {
+    const auto found = idle_.find(endpoint);
+    return found != idle_.end() && !found->second.empty();
+  }
   /// True if any connection to the endpoint is established, idle or in use.
   bool HasOpen(const endpoint_id& endpoint) const;
   /// Returns a connection to the pool after a call; closes it if it cannot be
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -349,6 +349,9 @@
       const auto stream = DecodeStreamDigest(message.body);
       const auto software = stream ? hub_.FindOrigin(*stream) : std::nullopt;
       respond(software ? EncodeSoftwareDigest(*software) : std::string());
+    } else if (message.kind == kRelayListKind) {
+      respond(
+          EncodeRelayOffers(hub_.RelaysFor(vm_id(message.from), SteadyNow())));
     } else if (message.kind == kDocumentKind) {
       documents_->OnDocumentMessage(vm_id(message.from), message.body, respond);
     } else if (message.kind == kReadDocumentKind) {
--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -73,6 +73,10 @@
   parsed.callers = OptionalAddress(reader, "callers");
   parsed.readiness = OptionalAddress(reader, "readiness");
   parsed.control = OptionalAddress(reader, "control");
+  parsed.relay = OptionalAddress(reader, "relay")
+                     .value_or(socket_address{
+                         parsed.peers.ip,
+                         static_cast<std::uint16_t>(parsed.peers.port + 1)});
   parsed.endpoint_source =
       reader.Text("endpoint_source", kOptionalIp, std::string());
   parsed.metrics = OptionalAddress(reader, "metrics");
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -32,6 +32,8 @@
   /// For operators and endpoints; control processes only.
   std::optional<socket_address> control;
   std::optional<socket_address> metrics;
+  /// For requests that other entry VMs hand on; entry processes only.
+  socket_address relay;
   /// Local IP of connections to endpoints, on a VM with several; empty: chosen
   /// by the system.
   std::string endpoint_source;
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "connection/socket_address.h"
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/watch_codec.h"
 
@@ -35,6 +36,9 @@
 /// Time between two early responses with part faults to a watcher. They change
 /// with each end of an endpoint, and must not use up the link.
 constexpr milliseconds kFaultInterval{100};
+/// Entry VMs that are named to one without links to endpoints, up to half of
+/// them of its failure domain.
+constexpr std::size_t kRelayOffers = 8;
 /// After this time it is no longer counted as an entry VM.
 constexpr milliseconds kWatcherExpiry{15'000};
 
@@ -66,6 +70,7 @@
       is_first ? 0 : std::max(request.applied_change, request.applied_ending);
   known.known_endpoints = request.known_endpoints;
   known.document = request.document;
+  known.relay = request.relay;
   known.last_contact = now;
   known.held_since = now;
   known.respond = std::move(respond);
@@ -163,6 +168,38 @@
   if (faults_.last_urgent_change() != before) Notify(now);
 }
 
+std::vector<relay_offer> watch_hub::RelaysFor(const vm_id& vm,
+                                              steady_time now) {
+  const auto asker = watchers_.find(vm);
+  std::vector<relay_offer> near;
+  std::vector<relay_offer> far;
+  for (const auto& [id, each] : watchers_) {
+    const bool is_connected = now - each.last_contact <= kWatcherLifetime;
+    const relay_state& relay = each.relay;
+    if (id == vm || !is_connected || !relay.has_links || relay.port == 0) {
+      continue;
+    }
+    auto address = ParseSocketAddress(id.value());
+    if (!address) continue;
+    address->port = relay.port;
+    const bool is_near =
+        asker != watchers_.end() && asker->second.relay.domain == relay.domain;
+    (is_near ? near : far).push_back({FormatSocketAddress(*address), is_near});
+  }
+  const std::size_t start = next_relay_++;
+  std::vector<relay_offer> offers;
+  const auto take = [&](const std::vector<relay_offer>& from,
+                        std::size_t most) {
+    const std::size_t count = std::min(most, from.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      offers.push_back(from[(start + i) % from.size()]);
+    }
+  };
+  take(near, kRelayOffers / 2);
+  take(far, kRelayOffers - offers.size());
+  return offers;
+}
+
 void watch_hub::Notify(steady_time now) {
   for (auto& [vm, each] : watchers_) {
     if (each.respond && HasUrgentUpdates(each, now)) Respond(vm, each, now);
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -13,6 +13,7 @@
 #include "process/directory/fleet_position.h"
 #include "process/directory/load_report_store.h"
 #include "process/directory/part_fault_store.h"
+#include "process/directory/relay_offer.h"
 #include "process/directory/stream_origin_store.h"
 #include "process/directory/watch_request.h"
 #include "types/ids.h"
@@ -76,6 +77,9 @@
   /// know of it get a response at once.
   void RecordFaults(const std::vector<part_fault>& faults, steady_time now);
   const part_fault_store& faults() const { return faults_; }
+  /// Entry VMs with links to endpoints that take requests of this one, those of
+  /// its failure domain first. Differs from call to call where there are many.
+  std::vector<relay_offer> RelaysFor(const vm_id& vm, steady_time now);
   /// What was sent to watchers since the start of this process.
   struct traffic {
     std::uint64_t responses = 0;
@@ -102,6 +106,7 @@
     /// Last change of the part faults that the watcher has.
     std::uint64_t applied_fault = 0;
     document_version document;
+    relay_state relay;
     steady_time last_contact;
     steady_time held_since;
     steady_time last_records;
@@ -145,6 +150,8 @@
   std::optional<token_bucket> bulk_budget_;
   std::int64_t bulk_burst_ = 0;
   traffic sent_;
+  /// Where the next list of relays begins.
+  std::size_t next_relay_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/daemon/peer_kinds.h
+++ b/source/process/daemon/peer_kinds.h
@@ -20,6 +20,7 @@
 inline constexpr std::string_view kStreamsBegunKind = "stream/begun";
 inline constexpr std::string_view kStreamOriginKind = "stream/origin";
 inline constexpr std::string_view kPartFaultsKind = "part/faults";
+inline constexpr std::string_view kRelayListKind = "relay/list";
 inline constexpr std::string_view kReadDocumentKind = "document/read";
 inline constexpr std::string_view kSubmitDocumentKind = "document/submit";
 
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -96,6 +96,7 @@
         static_cast<std::uint32_t>(hooks_.known_endpoints());
   }
   request.document = hooks_.document();
+  if (hooks_.relay) request.relay = hooks_.relay();
   request.requests_loads = ExchangesLoadsWith(vm);
   if (request.requests_loads) request.loads = hooks_.take_loads();
   if (hooks_.take_origins) {
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -13,6 +13,7 @@
 #include "process/directory/endpoint_record.h"
 #include "process/directory/fleet_position.h"
 #include "process/directory/part_fault.h"
+#include "process/directory/relay_offer.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin.h"
 #include "process/directory/watch_response.h"
@@ -56,6 +57,9 @@
     /// Returns what this process knows against prompt parts after the change
     /// with this number, and moves the number to the last of these changes.
     std::function<std::vector<part_fault>(std::uint64_t&)> take_faults;
+    /// Returns what other entry VMs are told of this one; null for a control
+    /// member.
+    std::function<relay_state()> relay;
     /// Returns the number of endpoints that this process knows and that have
     /// not ended; null for a control member, which needs every record.
     std::function<std::size_t()> known_endpoints;
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -29,7 +29,7 @@
     std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t,
                bool, std::vector<load_fields>, std::uint64_t, std::uint32_t,
                std::vector<origin_fields>, std::uint64_t,
-               std::vector<fault_fields>>;
+               std::vector<fault_fields>, std::uint16_t, std::uint32_t, bool>;
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
@@ -177,12 +177,13 @@
 }  // namespace
 
 std::string EncodeWatchRequest(const watch_request& request) {
-  return Pack(request_fields{request.watcher.value(), request.is_entry,
-                             request.epoch, request.applied_change,
-                             request.document.value(), request.requests_loads,
-                             ToFields(request.loads), request.applied_ending,
-                             request.known_endpoints, ToFields(request.origins),
-                             request.applied_fault, ToFields(request.faults)});
+  return Pack(request_fields{
+      request.watcher.value(), request.is_entry, request.epoch,
+      request.applied_change, request.document.value(), request.requests_loads,
+      ToFields(request.loads), request.applied_ending, request.known_endpoints,
+      ToFields(request.origins), request.applied_fault,
+      ToFields(request.faults), request.relay.port, request.relay.domain,
+      request.relay.has_links});
 }
 
 std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
@@ -204,6 +205,8 @@
   }
   request.applied_fault = std::get<10>(*fields);
   request.faults = ToFaults(std::get<11>(*fields));
+  request.relay = {std::get<12>(*fields), std::get<13>(*fields),
+                   std::get<14>(*fields)};
   return request;
 }
 
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "process/directory/part_fault.h"
+#include "process/directory/relay_offer.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin.h"
 #include "types/ids.h"
@@ -40,6 +41,8 @@
   std::uint64_t applied_fault = 0;
   /// What the watcher has learned against prompt parts since its last request.
   std::vector<part_fault> faults;
+  /// Whether the watcher takes requests of other entry VMs.
+  relay_state relay;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -21,6 +21,7 @@
 class endpoint_pool;
 class entry_metrics;
 class part_breaker;
+class relay_table;
 class retry_window;
 class routing_table;
 struct endpoint_record;
@@ -62,6 +63,9 @@
   std::function<void(const endpoint_record&,
                      std::function<void(endpoint_end_finding)>)>
       find_end;
+  /// Connections to other entry VMs, and those that take requests.
+  endpoint_connection_pool* relay_connections = nullptr;
+  relay_table* relays = nullptr;
   /// Returns the number of entry VMs in the fleet, as last reported.
   std::function<std::uint32_t()> entry_count;
   std::function<steady_time()> clock;
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -37,6 +37,13 @@
       "Further attempts that the retry budget did not allow");
   connections_ = registry_.AddCounter("marjoramsill_entry_connections_total",
                                       "Connections opened to endpoints");
+  handed_on_ = registry_.AddCounter("marjoramsill_entry_handed_on_total",
+                                    "Requests handed on to another entry VM");
+  relayed_ = registry_.AddCounter("marjoramsill_entry_relayed_total",
+                                  "Requests taken from other entry VMs");
+  relays_refused_ = registry_.AddCounter(
+      "marjoramsill_entry_relays_refused_total",
+      "Requests of other entry VMs refused for want of room");
   unreadable_ =
       registry_.AddCounter("marjoramsill_entry_unreadable_total",
                            "Requests of callers that could not be read");
@@ -78,6 +85,12 @@
 
 void entry_metrics::CountConnection() { connections_->Increment(); }
 
+void entry_metrics::CountHandedOn() { handed_on_->Increment(); }
+
+void entry_metrics::CountRelayed(bool taken) {
+  (taken ? relayed_ : relays_refused_)->Increment();
+}
+
 void entry_metrics::CountUnreadable() { unreadable_->Increment(); }
 
 void entry_metrics::ObserveFirstByte(double seconds) {
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -32,6 +32,10 @@
   void CountRetry(bool allowed);
   /// A connection to an endpoint was opened.
   void CountConnection();
+  /// A request was handed on to another entry VM.
+  void CountHandedOn();
+  /// A request of another entry VM was taken, or refused for want of room.
+  void CountRelayed(bool taken);
   /// A caller's request could not be parsed.
   void CountUnreadable();
   /// Time from the request to the first byte of the response.
@@ -57,6 +61,9 @@
   prometheus::Counter* retries_ = nullptr;
   prometheus::Counter* retries_denied_ = nullptr;
   prometheus::Counter* connections_ = nullptr;
+  prometheus::Counter* handed_on_ = nullptr;
+  prometheus::Counter* relayed_ = nullptr;
+  prometheus::Counter* relays_refused_ = nullptr;
   prometheus::Counter* unreadable_ = nullptr;
   prometheus::Histogram* first_byte_ = nullptr;
   prometheus::Histogram* gap_ = nullptr;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -41,9 +41,12 @@
 #include "process/entry/part_fault_reporter.h"
 #include "process/entry/pool_table.h"
 #include "process/entry/reach_prober.h"
+#include "process/entry/relay_finder.h"
+#include "process/entry/relay_table.h"
 #include "process/entry/stream_origin_finder.h"
 #include "request/http_status.h"
 #include "request/proxied_call.h"
+#include "request/relay_terms.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
@@ -70,6 +73,14 @@
 /// File descriptors reserved for endpoints, peers and files.
 constexpr std::size_t kOtherDescriptors = 1'500;
 constexpr std::size_t kMinCallerConnections = 500;
+/// Connections of other entry VMs that hand requests on.
+constexpr std::size_t kMaxRelayConnections = 500;
+/// Requests of other entry VMs that are in progress at the same time.
+constexpr std::ptrdiff_t kMaxRelayedCalls = 400;
+/// Bytes that a VM adds to the head of a request that it hands on.
+constexpr std::size_t kRelayHeaderBytes = 256;
+/// With a later tick the process takes no requests of other VMs.
+constexpr milliseconds kMaxTickDelay{100};
 
 placement_settings PlacementSettings(const node_settings& settings) {
   placement_settings placement;
@@ -115,10 +126,13 @@
         proof_(settings_.document_apply),
         relay_(settings_.link_mbps),
         connections_(io_, settings_.endpoint_source),
+        relay_connections_(io_),
         pools_(PlacementSettings(settings_), settings_.retries, SystemRandom(),
                [this](const endpoint_record& changed) {
                  OnEndpointChange(changed);
                }),
+        relays_(SystemRandom()),
+        relay_finder_(watcher_, relays_, SystemRandom(), SteadyNow),
         origins_(
             watcher_, settings_.vm,
             [this](const model_id& id, milliseconds period) {
@@ -146,6 +160,15 @@
               OnUnreadable(state, status);
             },
             SteadyNow),
+        relay_listener_(
+            io_, {settings_.relay, kMaxRelayConnections},
+            [this](const auto& caller, caller_message message) {
+              OnRelayRequest(caller, std::move(message));
+            },
+            [this](parse_state state, int status) {
+              OnUnreadable(state, status);
+            },
+            SteadyNow),
         settings_watch_(std::move(settings_file),
                         [this](const node_settings& changed) {
                           watcher_.SetSeeds(SeedVms(changed));
@@ -155,6 +178,8 @@
     });
     environment_.dialect = std::move(requests);
     environment_.connections = &connections_;
+    environment_.relay_connections = &relay_connections_;
+    environment_.relays = &relays_;
     environment_.metrics = &metrics_;
     environment_.log = &log_;
     environment_.table = [this] {
@@ -203,6 +228,9 @@
     if (auto listening = listener_.Listen(); !listening) {
       return failure(StartError(listening.assume_error()));
     }
+    if (auto listening = relay_listener_.Listen(); !listening) {
+      return failure(StartError(listening.assume_error()));
+    }
     if (auto listening = ListenHttp(readiness_, settings_.readiness);
         !listening) {
       return listening;
@@ -275,6 +303,7 @@
     hooks.take_faults = [this](std::uint64_t& number) {
       return parts_.faults().TakeAfter(number);
     };
+    hooks.relay = [this] { return RelayState(); };
     hooks.document = [this] {
       return std::max(CurrentVersion(), fetcher_.required());
     };
@@ -341,7 +370,10 @@
                      .text());
       return;
     }
-    listener_.SetLimits(parsed.assume_value().limits);
+    caller_limits limits = parsed.assume_value().limits;
+    listener_.SetLimits(limits);
+    limits.max_header_bytes += kRelayHeaderBytes;
+    relay_listener_.SetLimits(limits);
     if (!table_) first_document_at_ = SteadyNow();
     table_ =
         std::make_shared<const routing_table>(std::move(parsed).assume_value());
@@ -385,6 +417,46 @@
     if (!call->is_done()) calls_.push_back(std::move(call));
   }
 
+  /// Requests that other entry VMs hand on.
+  void OnRelayRequest(const std::shared_ptr<caller_connection>& caller,
+                      caller_message message) {
+    const auto terms = TakeRelayTerms(message.fields);
+    const auto taken =
+        std::count_if(calls_.begin(), calls_.end(),
+                      [](const auto& call) { return call->is_relayed(); });
+    const bool has_room = taken < kMaxRelayedCalls && !IsBehind();
+    if (terms) metrics_.CountRelayed(has_room);
+    if (!terms || !has_room) {
+      caller->Respond(kStatusUnavailable, {{kRelayField, kRelayUnavailable}},
+                      "");
+      return;
+    }
+    auto call = std::make_shared<proxied_call>(environment_, caller,
+                                               std::move(message), terms);
+    call->Start();
+    if (!call->is_done()) calls_.push_back(std::move(call));
+  }
+
+  /// This process does not get the processor time that it needs.
+  bool IsBehind() const { return tick_delay_ > kMaxTickDelay; }
+
+  relay_state RelayState() {
+    relay_state state;
+    state.port = settings_.relay.port;
+    state.domain = DigestOfDomain(settings_.failure_domain);
+    state.has_links = is_serving_ && !stopping_since_ && !HasLostLinks();
+    return state;
+  }
+
+  bool HasLostLinks() {
+    const steady_time now = SteadyNow();
+    bool has_lost = false;
+    pools_.ForEach([&](const model_id& /*id*/, const endpoint_pool& pool) {
+      has_lost = has_lost || pool.reach().state(now) != link_state::kUp;
+    });
+    return has_lost;
+  }
+
   void OnUnreadable(parse_state state, int status) {
     metrics_.CountUnreadable();
     log_.Write("unreadable_request", log_fields()
@@ -415,15 +487,22 @@
         "stopping",
         log_fields().Add("role", "entry").Add("calls", calls_.size()).text());
     listener_.CloseAfterResponses();
+    relay_listener_.CloseAfterResponses();
   }
 
   void Tick() {
     const steady_time now = SteadyNow();
+    if (ticks_ > 0) {
+      tick_delay_ =
+          std::chrono::duration_cast<milliseconds>(now - last_tick_ - kTick);
+    }
+    last_tick_ = now;
     for (const auto& call : calls_) call->Tick(now);
     std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
     watcher_.Tick(now);
     pools_.SetPosition(watcher_.position());
     prober_.Tick(now);
+    relay_finder_.Tick(HasLostLinks(), now);
     fetcher_.Tick(now);
     relay_.Tick(document_, now);
     origins_.Tick(now);
@@ -439,7 +518,9 @@
   void Sweep(steady_time now) {
     UpdateServing(now);
     listener_.Tick(now);
+    relay_listener_.Tick(now);
     connections_.Expire(now);
+    relay_connections_.Expire(now);
     pools_.Tick(now);
     parts_.Expire(now);
     settings_watch_.Tick(now);
@@ -455,6 +536,8 @@
     if (since < kDrainDelay) return false;
     listener_.StopAccepting();
     listener_.CloseIdle();
+    relay_listener_.StopAccepting();
+    relay_listener_.CloseIdle();
     const bool is_late = since >= settings_.grace - kStopMargin;
     if (!calls_.empty() && !is_late) return false;
     for (const auto& call : calls_) call->Stop();
@@ -482,18 +565,25 @@
   bool is_serving_ = false;
   document_relay relay_;
   endpoint_connection_pool connections_;
+  endpoint_connection_pool relay_connections_;
   pool_table pools_;
+  relay_table relays_;
+  relay_finder relay_finder_;
   stream_origin_finder origins_;
   part_breaker parts_;
   part_fault_reporter part_reporter_;
   endpoint_end_check end_check_;
   reach_prober prober_;
   caller_listener listener_;
+  caller_listener relay_listener_;
   settings_watch settings_watch_;
   std::optional<http_server> readiness_;
   std::optional<http_server> metrics_server_;
   std::vector<std::shared_ptr<proxied_call>> calls_;
   int ticks_ = 0;
+  steady_time last_tick_;
+  /// How late the last tick came.
+  milliseconds tick_delay_{0};
   std::optional<steady_time> stopping_since_;
 };
 
--- a/source/request/forwarded_head.cc
+++ b/source/request/forwarded_head.cc
@@ -50,6 +50,21 @@
   });
 }
 
+/// The lines of all fields except hop-by-hop fields and those that `is_omitted`
+/// names.
+template <class Predicate>
+std::string LinesWithout(const http_field_list& fields,
+                         const Predicate& is_omitted) {
+  const std::vector<std::string_view> listed = ListedFields(fields);
+  std::string lines;
+  for (const http_field& field : fields) {
+    if (Contains(kConnectionFields, field.name)) continue;
+    if (Contains(listed, field.name) || is_omitted(field.name)) continue;
+    AppendField(lines, field.name, field.value);
+  }
+  return lines;
+}
+
 }  // namespace
 
 void AppendField(std::string& head, const std::string& name,
@@ -63,24 +78,23 @@
 std::string ForwardedLines(const http_field_list& fields,
                            const request_dialect& dialect,
                            bool keep_last_event_id) {
-  const std::vector<std::string_view> listed = ListedFields(fields);
   const std::array<std::string_view, 6> replaced{
       dialect.remaining_ms,    dialect.key,
       dialect.workspace,       dialect.endpoint,
       dialect.engine_priority, dialect.cache_source};
-  std::string lines;
-  for (const http_field& field : fields) {
-    if (Contains(kConnectionFields, field.name)) continue;
-    if (Contains(replaced, field.name)) continue;
-    if (Contains(dialect.reserved, field.name)) continue;
-    if (Contains(listed, field.name)) continue;
-    if (!keep_last_event_id &&
-        SameFieldName(field.name, dialect.last_event_id)) {
-      continue;
-    }
-    AppendField(lines, field.name, field.value);
-  }
-  return lines;
+  return LinesWithout(fields, [&](std::string_view name) {
+    return Contains(replaced, name) || Contains(dialect.reserved, name) ||
+           (!keep_last_event_id && SameFieldName(name, dialect.last_event_id));
+  });
+}
+
+std::string HandedOnLines(const http_field_list& fields,
+                          const request_dialect& dialect,
+                          bool keep_last_event_id) {
+  return LinesWithout(fields, [&](std::string_view name) {
+    return SameFieldName(name, dialect.remaining_ms) ||
+           (!keep_last_event_id && SameFieldName(name, dialect.last_event_id));
+  });
 }
 
 http_field_list ReturnedFields(const http_field_list& fields) {
--- a/source/request/forwarded_head.h
+++ b/source/request/forwarded_head.h
@@ -16,6 +16,12 @@
                            const request_dialect& dialect,
                            bool keep_last_event_id);
 
+/// The header lines of a caller's request that is handed on to another entry
+/// VM: without hop-by-hop fields and those that the entry VM sends anew.
+std::string HandedOnLines(const http_field_list& fields,
+                          const request_dialect& dialect,
+                          bool keep_last_event_id);
+
 /// The fields of an endpoint's response that are forwarded to the caller: all
 /// except hop-by-hop fields.
 http_field_list ReturnedFields(const http_field_list& fields);
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -64,11 +64,15 @@
 
 proxied_call::proxied_call(const call_environment& environment,
                            std::shared_ptr<caller_connection> caller,
-                           caller_message message)
+                           caller_message message,
+                           std::optional<relay_terms> terms)
     : environment_(environment),
       caller_(std::move(caller)),
       message_(std::move(message)),
-      arrived_(environment.clock()) {}
+      arrived_(environment.clock()),
+      terms_(std::move(terms)),
+      return_position_(static_cast<double>(environment.random() % 1024) / 1024),
+      sent_(terms_ ? terms_->sent : 0) {}
 
 proxied_call::~proxied_call() { DropConnection(); }
 
@@ -83,6 +87,10 @@
       FindField(message_.fields, environment_.dialect.resumed_request);
   if (resumed != nullptr) resumed_request_ = resumed->value;
   table_ = environment_.table();
+  if (terms_ && (!table_ || table_->version() < terms_->document)) {
+    RefuseRelay("older_document");
+    return;
+  }
   if (!table_) {
     Refuse("no_document", kStartingRetryMs);
     return;
@@ -92,7 +100,10 @@
   if (route_->uses_prefix_cache) {
     demand_ = environment_.dialect.read_demand(message_.fields);
   }
-  if (ResumesStream()) {
+  if (terms_ && terms_->software) {
+    limits_.software = terms_->software;
+    BeginAttempts();
+  } else if (ResumesStream()) {
     FindOrigin();
   } else {
     BeginAttempts();
@@ -134,7 +145,10 @@
 void proxied_call::BeginAttempts() {
   if (RefuseCrashingPart()) return;
   PickPool();
-  environment_.retries(pool_id_)->RecordRequest(arrived_);
+  // A request that is handed on is counted by the VM that takes it.
+  if (sent_ == 0 && !IsRelayDue(arrived_)) {
+    environment_.retries(pool_id_)->RecordRequest(arrived_);
+  }
   Attempt();
   // Recorded after the endpoint was chosen, since the choice depends on whether
   // the prompt was seen before.
@@ -312,6 +326,9 @@
           .Add("route", route_ == nullptr ? "" : route_->name)
           .Add("rank", Rank())
           .Add("sent", sent_)
+          .Add("relay", terms_                  ? "taken"
+                        : tried_relays_.empty() ? "none"
+                                                : "handed_on")
           .Add("took_ms", MillisOf(taken))
           .Add("gap_ms", MillisOf(longest_gap_))
           .Add("document", table_ ? table_->version().value() : 0)
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "process/placement/request_demand.h"
 #include "request/attempt_facts.h"
 #include "request/event_splitter.h"
+#include "request/relay_terms.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
 
@@ -23,6 +25,7 @@
 
 class caller_connection;
 class endpoint_connection;
+class endpoint_connection_pool;
 class endpoint_estimate;
 class endpoint_pool;
 class log_fields;
@@ -38,9 +41,11 @@
 /// forwards the response. Used only on the thread of the entry process.
 class proxied_call : public std::enable_shared_from_this<proxied_call> {
  public:
+  /// `terms`: set if another entry VM has handed the request on.
   proxied_call(const call_environment& environment,
                std::shared_ptr<caller_connection> caller,
-               caller_message message);
+               caller_message message,
+               std::optional<relay_terms> terms = std::nullopt);
   ~proxied_call();
   proxied_call(const proxied_call&) = delete;
   proxied_call& operator=(const proxied_call&) = delete;
@@ -51,6 +56,8 @@
   /// Ends the call because the process is stopping.
   void Stop();
   bool is_done() const { return state_ == state::kDone; }
+  /// Another entry VM has handed the request on.
+  bool is_relayed() const { return terms_.has_value(); }
 
  private:
   enum class state {
@@ -98,6 +105,9 @@
   // proxied_call_attempt.cc: attempts at endpoints.
   void Attempt();
   void OpenConnection(const placement_choice& choice);
+  /// Sends the request on an idle connection or opens a new one.
+  void Connect(const std::string& address);
+  void ResetAttempt(endpoint_id target);
   void OnConnected(bool connected);
   void Send();
   std::string RequestBytes() const;
@@ -130,6 +140,25 @@
   void DropConnection();
   void CheckStall(steady_time now);
   bool CanTryAnotherEndpoint() const;
+  /// Attempts that count towards the limit of the route.
+  int CountedAttempts() const;
+
+  // proxied_call_relay.cc: requests between entry VMs. One that was handed on
+  // is never handed on again.
+  /// This VM has no links to the pool, so another VM should take the request.
+  bool IsRelayDue(steady_time now) const;
+  bool IsLinkLost(steady_time now) const;
+  /// Hands the request on to another VM, if one is left.
+  bool HandOn(steady_time now);
+  std::string HandedOnBytes() const;
+  /// Responds 503 to the VM that handed the request on: another may take it.
+  void RefuseRelay(std::string_view reason);
+  /// The other VM took no request. Returns false if the response is no such
+  /// refusal.
+  bool OnRelayRefusal();
+  void EndRelay();
+  /// The connections to which `connection_` belongs.
+  endpoint_connection_pool& Connections() const;
 
   // proxied_call_response.cc: the response to the caller.
   void StartResponse();
@@ -160,9 +189,17 @@
   steady_time arrived_;
   steady_time deadline_;
 
+  /// Set if another entry VM has handed the request on.
+  const std::optional<relay_terms> terms_;
+  /// Position of this request in the gradual return to own links, 0 to 1.
+  const double return_position_;
+
   // The current attempt.
   std::shared_ptr<endpoint_connection> connection_;
+  /// The endpoint, or the address of the VM that the request was handed on to.
   endpoint_id endpoint_;
+  /// The attempt is at another entry VM.
+  bool is_handed_on_ = false;
   software_digest software_;
   std::string fetch_from_;
   /// The endpoint's load estimate counts this attempt as in progress.
@@ -181,6 +218,9 @@
   // All attempts.
   placement_limits limits_;
   int sent_ = 0;
+  /// Attempts of `sent_` that ended because this VM lost its links.
+  int lost_with_links_ = 0;
+  std::vector<std::string> tried_relays_;
   /// The connection of an endpoint ended before its answer was complete.
   bool endpoint_broke_ = false;
   bool may_have_run_ = false;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -10,6 +10,7 @@
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/part_breaker.h"
+#include "process/entry/relay_table.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/retry_window.h"
 #include "request/attempt_rules.h"
@@ -34,6 +35,11 @@
 /// The timeouts are at least these multiples of the route's latency targets.
 constexpr int kResponseTimeoutFactor = 3;
 constexpr int kEventTimeoutFactor = 3;
+/// Another entry VM makes attempts of its own within this multiple.
+constexpr int kHandedOnTimeoutFactor = 2;
+/// The timeout while the links to all endpoints are lost. A response that is
+/// still on its way arrives within this time.
+constexpr milliseconds kLostLinkTimeout{200};
 /// A request is refused if its estimated queueing time at the endpoint exceeds
 /// this fraction of the time to the deadline.
 constexpr double kMaxWaitShare = 0.6;
@@ -65,7 +71,29 @@
 
 void proxied_call::Attempt() {
   const steady_time now = environment_.clock();
+  if (terms_ && IsLinkLost(now)) {
+    RefuseRelay("no_links");
+    return;
+  }
+  const bool is_relay_due = IsRelayDue(now);
+  // Kept connections may go on to work while new ones fail.
+  const bool may_use_kept =
+      is_relay_due && pool_->reach().HasRecentActivity(now);
+  if (is_relay_due && !may_use_kept && HandOn(now)) return;
   const auto choice = pool_->Choose(demand_, limits_, now);
+  if (choice && may_use_kept &&
+      !environment_.connections->HasIdle(choice->endpoint->record().id) &&
+      HandOn(now)) {
+    return;
+  }
+  if (is_relay_due && !may_use_kept && IsLinkLost(now)) {
+    if (may_have_run_ || response_started_) {
+      Fail("no_links");
+    } else {
+      Refuse("no_links", kFailedRetryMs);
+    }
+    return;
+  }
   if (!choice) {
     const auto wait = pool_->LimitWait(limits_, now);
     const std::string_view reason = wait ? "endpoint_limits" : "no_endpoint";
@@ -96,30 +124,37 @@
 }
 
 void proxied_call::OpenConnection(const placement_choice& choice) {
-  const steady_time now = environment_.clock();
-  endpoint_ = choice.endpoint->record().id;
+  ResetAttempt(choice.endpoint->record().id);
+  is_handed_on_ = false;
   fetch_from_ = choice.fetch_from;
   limits_.tried.push_back(endpoint_);
   software_ = DigestOfSoftware(choice.endpoint->record());
-  attempt_started_ = now;
-  last_progress_ = now;
-  choice.endpoint->OnCallStart(now);
+  choice.endpoint->OnCallStart(attempt_started_);
   is_counted_ = true;
+  Connect(choice.endpoint->record().address);
+}
+
+void proxied_call::ResetAttempt(endpoint_id target) {
+  endpoint_ = std::move(target);
+  attempt_started_ = environment_.clock();
+  last_progress_ = attempt_started_;
   head_ = {};
   body_.clear();
   received_bytes_ = 0;
   is_rejected_ = false;
   is_stream_ = false;
-  connection_ = environment_.connections->TakeIdle(
-      endpoint_, !route_->IsRepeatable(), now);
+}
+
+void proxied_call::Connect(const std::string& address) {
+  connection_ = Connections().TakeIdle(endpoint_, !route_->IsRepeatable(),
+                                       attempt_started_);
   if (connection_) {
     Send();
     return;
   }
   state_ = state::kConnecting;
   environment_.metrics->CountConnection();
-  connection_ = environment_.connections->Open(
-      endpoint_, choice.endpoint->record().address);
+  connection_ = Connections().Open(endpoint_, address);
   connection_->Connect(
       [self = weak_from_this(), opened = connection_.get()](bool connected) {
         const auto call = self.lock();
@@ -132,7 +167,7 @@
 void proxied_call::OnConnected(bool connected) {
   if (state_ != state::kConnecting) return;
   if (connected) {
-    pool_->reach().OnConnected();
+    if (!is_handed_on_) pool_->reach().OnConnected();
     Send();
   } else {
     OnFailure(call_failure::kNotConnected);
@@ -196,7 +231,8 @@
   hooks.on_failure = [this](call_failure failure) { OnFailure(failure); };
   const auto self = shared_from_this();
   const auto connection = connection_;
-  connection->Send(RequestBytes(), message_.method == "HEAD", std::move(hooks));
+  connection->Send(is_handed_on_ ? HandedOnBytes() : RequestBytes(),
+                   message_.method == "HEAD", std::move(hooks));
 }
 
 /// Endpoints echo the request id, but may omit it in a refusal or failure.
@@ -211,7 +247,7 @@
   const steady_time now = environment_.clock();
   state_ = state::kReceiving;
   last_progress_ = now;
-  pool_->reach().OnActivity(now);
+  if (!is_handed_on_) pool_->reach().OnActivity(now);
   head_ = head;
   endpoint_estimate* endpoint = pool_->Find(endpoint_);
   const auto load = environment_.dialect.read_load(head.fields);
@@ -220,7 +256,7 @@
   RecordLimit(endpoint, now);
   is_rejected_ =
       FindField(head.fields, environment_.dialect.not_run) != nullptr ||
-      head.status == kStatusMisdirected;
+      (!is_handed_on_ && head.status == kStatusMisdirected);
   if (!IsSuccessStatus(head.status) || is_rejected_) return;
   if (FindField(head.fields, environment_.dialect.endpoint_proof) == nullptr) {
     OnFailure(call_failure::kMalformed);
@@ -241,7 +277,7 @@
 
 void proxied_call::OnBody(std::string_view data) {
   last_progress_ = environment_.clock();
-  pool_->reach().OnActivity(last_progress_);
+  if (!is_handed_on_) pool_->reach().OnActivity(last_progress_);
   received_bytes_ += data.size();
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->OnActivity();
@@ -257,6 +293,7 @@
 }
 
 void proxied_call::ReleaseEndpoint() {
+  EndRelay();
   if (!is_counted_) return;
   is_counted_ = false;
   if (endpoint_estimate* target = pool_->Find(endpoint_)) target->OnCallEnd();
@@ -314,9 +351,10 @@
   const steady_time now = environment_.clock();
   const auto self = shared_from_this();
   endpoint_estimate* endpoint = pool_->Find(endpoint_);
-  environment_.connections->Release(endpoint_, std::move(connection_), now);
+  Connections().Release(endpoint_, std::move(connection_), now);
   connection_.reset();
   ReleaseEndpoint();
+  if (is_handed_on_ && OnRelayRefusal()) return;
   if (is_rejected_) {
     if (endpoint != nullptr && head_.status == kStatusMisdirected) {
       endpoint->OnMisdirection();
@@ -353,13 +391,16 @@
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->OnConnectionFailure(now);
   }
-  if (failure == call_failure::kNotConnected) {
+  if (is_handed_on_) {
+    environment_.relays->OnUnavailable(endpoint_.value(), now);
+  } else if (failure == call_failure::kNotConnected) {
     pool_->reach().OnConnectFailure(endpoint_);
   }
+  if (was_sent && !is_handed_on_ && IsLinkLost(now)) ++lost_with_links_;
   // Other idle connections to the endpoint may be dead as well. Opening a new
   // one reveals this before anything is sent, so that another endpoint can be
   // tried.
-  environment_.connections->Drop(endpoint_);
+  Connections().Drop(endpoint_);
   DropConnection();
   if (was_sent) may_have_run_ = true;
   if (was_sent && failure == call_failure::kBroken) OnBrokenAnswer();
@@ -429,9 +470,11 @@
   events_.DropRest();
   attempt_facts facts;
   facts.end = end;
-  facts.is_repeatable = route_->IsRepeatable();
+  // Which software goes on with a stream is known to the other VM only.
+  facts.is_repeatable =
+      route_->IsRepeatable() && !(is_handed_on_ && response_started_);
   facts.response_started = response_started_;
-  facts.sent = sent_;
+  facts.sent = CountedAttempts();
   facts.max_attempts = route_->max_attempts;
   facts.may_have_run = may_have_run_;
   facts.may_crash_endpoints =
@@ -469,13 +512,23 @@
 bool proxied_call::CanTryAnotherEndpoint() const {
   const bool may_repeat = environment_.parts->MayRepeat(
       demand_.parts, endpoint_broke_, environment_.clock());
-  return may_repeat && route_->IsRepeatable() && sent_ < route_->max_attempts &&
-         pool_->CanServe(limits_);
+  if (!may_repeat || !route_->IsRepeatable()) return false;
+  if (is_handed_on_) {
+    return !response_started_ && CountedAttempts() < route_->max_attempts;
+  }
+  const steady_time now = environment_.clock();
+  if (IsRelayDue(now) && IsLinkLost(now)) {
+    return environment_.relays->Pick(tried_relays_, now).has_value();
+  }
+  return CountedAttempts() < route_->max_attempts && pool_->CanServe(limits_);
 }
 
+int proxied_call::CountedAttempts() const { return sent_ - lost_with_links_; }
+
 void proxied_call::CheckStall(steady_time now) {
   if (state_ == state::kConnecting) {
-    if (now - attempt_started_ > kConnectTimeout) {
+    const bool is_hopeless = !is_handed_on_ && IsLinkLost(now);
+    if (is_hopeless || now - attempt_started_ > kConnectTimeout) {
       OnFailure(call_failure::kNotConnected);
     }
     return;
@@ -488,7 +541,9 @@
   const milliseconds event_timeout =
       std::max(kMinEventTimeout, kEventTimeoutFactor * route_->gap_target);
   const bool in_stream = state_ == state::kReceiving;
-  const milliseconds timeout = in_stream ? event_timeout : response_timeout;
+  milliseconds timeout = in_stream ? event_timeout : response_timeout;
+  if (is_handed_on_) timeout *= kHandedOnTimeoutFactor;
+  if (!is_handed_on_ && IsLinkLost(now)) timeout = kLostLinkTimeout;
   if (now - last_progress_ > timeout) OnFailure(call_failure::kStalled);
 }
 
--- /dev/null
+++ b/source/request/proxied_call_relay.cc
@@ -0,0 +1,110 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "connection/caller_connection.h"
+#include "connection/endpoint_connection_pool.h"
+#include "process/entry/call_environment.h"
+#include "process/entry/entry_metrics.h"
+#include "process/entry/log_fields.h"
+#include "process/entry/relay_table.h"
+#include "process/placement/endpoint_pool.h"
+#include "request/forwarded_head.h"
+#include "request/http_status.h"
+#include "request/proxied_call.h"
+#include "version/routing/routing_table.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// VMs that a request is offered to. Each takes a round trip, or the connect
+/// timeout if it cannot be reached.
+constexpr std::size_t kMaxRelays = 3;
+
+}  // namespace
+
+bool proxied_call::IsLinkLost(steady_time now) const {
+  return pool_->reach().state(now) == link_state::kLost;
+}
+
+bool proxied_call::IsRelayDue(steady_time now) const {
+  return !terms_ && return_position_ >= pool_->reach().DirectShare(now);
+}
+
+endpoint_connection_pool& proxied_call::Connections() const {
+  return is_handed_on_ ? *environment_.relay_connections
+                       : *environment_.connections;
+}
+
+bool proxied_call::HandOn(steady_time now) {
+  if (tried_relays_.size() >= kMaxRelays) return false;
+  const auto address = environment_.relays->Pick(tried_relays_, now);
+  if (!address) return false;
+  tried_relays_.push_back(*address);
+  LogStep("handed_on", log_fields()
+                           .Add("vm", *address)
+                           .Add("pool", pool_id_.value())
+                           .Add("sent", sent_));
+  environment_.metrics->CountHandedOn();
+  ResetAttempt(endpoint_id(*address));
+  is_handed_on_ = true;
+  is_counted_ = true;
+  environment_.relays->OnStart(*address);
+  Connect(*address);
+  return true;
+}
+
+void proxied_call::EndRelay() {
+  if (!is_handed_on_ || !is_counted_) return;
+  environment_.relays->OnEnd(endpoint_.value());
+}
+
+std::string proxied_call::HandedOnBytes() const {
+  const request_dialect& dialect = environment_.dialect;
+  const bool resumes = !events_.last_id().empty();
+  // This attempt is counted already; the other VM counts its own.
+  const relay_terms terms{table_->version(), CountedAttempts() - 1,
+                          limits_.software};
+  std::string bytes = message_.method + " " + message_.target + " HTTP/1.1\r\n";
+  AppendField(bytes, kRelayField, EncodeRelayTerms(terms));
+  bytes += HandedOnLines(message_.fields, dialect, !resumes);
+  if (resumes) AppendField(bytes, dialect.last_event_id, events_.last_id());
+  const auto remaining = std::chrono::duration_cast<milliseconds>(
+      deadline_ - environment_.clock());
+  AppendField(bytes, dialect.remaining_ms,
+              std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+  AppendField(bytes, "Content-Length", std::to_string(message_.body.size()));
+  bytes += "\r\n";
+  bytes += message_.body;
+  return bytes;
+}
+
+void proxied_call::RefuseRelay(std::string_view reason) {
+  caller_->Respond(kStatusUnavailable, {{kRelayField, kRelayUnavailable}}, "");
+  Finish(call_outcome::kRefused, reason);
+}
+
+bool proxied_call::OnRelayRefusal() {
+  if (FindField(head_.fields, kRelayField) != nullptr) {
+    // Nothing was sent to an endpoint.
+    environment_.relays->OnUnavailable(endpoint_.value(), environment_.clock());
+    --sent_;
+    AfterAttempt(attempt_end::kNotSent, "relay_unavailable");
+    return true;
+  }
+  const bool is_from_endpoint =
+      FindField(head_.fields, environment_.dialect.endpoint_proof) != nullptr;
+  if (is_from_endpoint || !SignalsNotRun(head_.status)) return false;
+  // The other VM knows that the request has not run.
+  if (may_have_run_ || response_started_) {
+    Fail("relay_refused");
+    return true;
+  }
+  caller_->Respond(head_.status, ReturnedFields(head_.fields), body_);
+  Finish(call_outcome::kRefused, "relay_refused");
+  return true;
+}
+
+}  // namespace marjoramsill
--- /dev/null
+++ b/source/request/relay_terms.h
@@ -0,0 +1,40 @@
+#ifndef MARJORAMSILL_REQUEST_RELAY_TERMS_H_
+#define MARJORAMSILL_REQUEST_RELAY_TERMS_H_
+
+#include <optional>
+#include <string>
+
+#include "process/directory/stream_origin.h"
+#include "request/http_field.h"
+#include "types/ids.h"
+
+namespace marjoramsill {
+
+/// What an entry VM tells another one with a request that it hands on, because
+/// it has no links to the endpoints itself.
+struct relay_terms {
+  /// Document by which the request was allowed; an older one must not decide.
+  document_version document;
+  /// Endpoints that the request was sent to before.
+  int sent = 0;
+  /// Software that began the stream which the request goes on with, if any.
+  std::optional<software_digest> software;
+
+  friend bool operator==(const relay_terms&, const relay_terms&) = default;
+};
+
+/// Field of a request that is handed on, and of a response that refuses to take
+/// it.
+inline constexpr const char* kRelayField = "Marjoramsill-Relay";
+/// Value of the field in a response: another VM may take the request.
+inline constexpr const char* kRelayUnavailable = "unavailable";
+
+/// Value of the field in a request.
+std::string EncodeRelayTerms(const relay_terms& terms);
+/// Removes the first field with this name, which the sending VM has set, and
+/// returns its terms; nothing if they are missing or malformed.
+std::optional<relay_terms> TakeRelayTerms(http_field_list& fields);
+
+}  // namespace marjoramsill
+
+#endif  // MARJORAMSILL_REQUEST_RELAY_TERMS_H_
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -19,6 +19,7 @@
 constexpr int kMetrics = 5;
 constexpr int kEndpoint = 6;
 constexpr int kEndpointBind = 7;
+constexpr int kRelay = 8;
 
 std::string DomainOf(int index) {
   return "d" + std::to_string(index % kDomains);
@@ -76,8 +77,8 @@
          << "founds_group: " << (founds_group ? "true" : "false") << "\n";
   } else {
     file << "callers: " << address(kCallers)
-         << "readiness: " << address(kReadiness) << "endpoint_source: " << ip
-         << "\n";
+         << "readiness: " << address(kReadiness) << "relay: " << address(kRelay)
+         << "endpoint_source: " << ip << "\n";
   }
   file << "seeds:\n";
   for (int i = 0; i < settings_.control_processes; ++i) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -19,7 +19,7 @@
 struct soak_settings {
   std::string binary;
   std::string folder;
-  /// First port; the test uses this and the next seven on 127.0.1.x and
+  /// First port; the test uses this and the next eight on 127.0.1.x and
   /// 127.0.2.x.
   std::uint16_t port = 21'000;
   int control_processes = 3;
