entry: pass on the failure of a VM that took a request

Cause: after a failure response from another entry VM, the VM that had handed the request on made a further attempt by its own count, although the other VM had used up the attempts.

Change: a failure response that came through another VM is passed on. A failure response after part of a stream was forwarded now ends the caller's response as broken instead of following it.

Measured: request_that_is_handed_on_runs_within_the_attempts_of_its_route failed (three and more runs of two allowed) and passes.

--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -376,7 +376,8 @@
     return;
   }
   may_have_run_ = true;
-  if (IsTransientFailure(head_.status)) {
+  // Another entry VM has made all the attempts that it may.
+  if (!is_handed_on_ && IsTransientFailure(head_.status)) {
     AfterAttempt(attempt_end::kFailed, "endpoint_failure");
   } else {
     ForwardBuffered();
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -91,6 +91,10 @@
 }
 
 void proxied_call::ForwardBuffered() {
+  if (response_started_) {
+    Fail("endpoint_failure");
+    return;
+  }
   // The endpoint did not confirm that the request has not run, so the status
   // could be wrong and make the caller repeat a request that has run.
   if (!route_->IsRepeatable() && SignalsNotRun(head_.status)) {
--- a/tests/operations/entry_cut_test.cc
+++ b/tests/operations/entry_cut_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(callers_of_entry_that_opens_no_connections_are_served);
   CPPUNIT_TEST(callers_of_most_entries_without_links_are_served);
   CPPUNIT_TEST(all_entries_without_links_refuse_at_once);
+  CPPUNIT_TEST(request_that_is_handed_on_runs_within_the_attempts_of_its_route);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint16_t kPort = 30'000;
@@ -143,6 +144,20 @@
     CheckCut(kEntries - 1, soak::cut_form::kSilent);
   }
 
+  // Guards against attempts of both VMs at endpoints that fail.
+  void request_that_is_handed_on_runs_within_the_attempts_of_its_route() {
+    constexpr int kMaxAttempts = 2;
+    fleet_->CutFromEndpoints(FirstEntries(1), soak::cut_form::kSilent);
+    SendFor(kFindingTime, false);
+    for (const auto& endpoint : fleet_->endpoints()) endpoint->SetFailing(true);
+    for (int i = 0; i < 20; ++i) {
+      const std::string request = "failing-" + std::to_string(i);
+      CPPUNIT_ASSERT_EQUAL(500, Status(0, "/look/", request));
+      const int runs = ledger_.CountRuns(request);
+      CPPUNIT_ASSERT(runs >= 1 && runs <= kMaxAttempts);
+    }
+  }
+
   void all_entries_without_links_refuse_at_once() {
     fleet_->CutFromEndpoints(FirstEntries(kEntries), soak::cut_form::kSilent);
     SendFor(milliseconds(2'000), false);
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -29,6 +29,7 @@
 constexpr milliseconds kRestartDelay{1'500};
 constexpr int kSlots = 32;
 constexpr int kMisdirected = 421;
+constexpr int kInternalError = 500;
 
 std::string ValueOf(const caller_message& message, const char* name) {
   const http_field* field = FindField(message.fields, name);
@@ -146,6 +147,10 @@
   }
   arrivals_.push_back(now);
   ledger_.RecordRun(request);
+  if (fails_) {
+    caller->Respond(kInternalError, ResponseFields(request), "failed");
+    return;
+  }
   if (ledger_.HasCrashingPart(ValueOf(message, platform::kPromptParts))) {
     CrashInAnswer(caller, request);
     return;
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -61,6 +61,8 @@
   /// From now on its responses name the request rate, per second, that it takes
   /// from all entry VMs together; nothing: no limit.
   void SetLimit(std::optional<double> per_second) { limit_ = per_second; }
+  /// From now on it runs requests and responds 500 to them, or no more.
+  void SetFailing(bool fails) { fails_ = fails; }
   using time_list = std::vector<std::chrono::steady_clock::time_point>;
   /// When requests arrived.
   const time_list& arrivals() const { return arrivals_; }
@@ -94,6 +96,7 @@
   /// Counts starts and crashes, so that timers from before do nothing.
   int start_count_ = 0;
   bool is_leaving_ = false;
+  bool fails_ = false;
   std::string last_stream_;
   std::optional<double> limit_;
   time_list arrivals_;
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -15,6 +15,11 @@
 class run_ledger {
  public:
   void RecordRun(const std::string& request) { ++runs_[request]; }
+  /// Endpoints that a request ran on.
+  int CountRuns(const std::string& request) const {
+    const auto found = runs_.find(request);
+    return found == runs_.end() ? 0 : found->second;
+  }
   bool HasRun(const std::string& request) const {
     return runs_.contains(request);
   }
