soak: cut entry VMs off, and add unframed and silent endpoints

Cause: the soak had none of the new disruptions.

Unit tests of the terms of a handed-on request, of the choice of a VM, and of the list of VMs at the control processes.

The control processes' code no longer uses the address parser of the connection layer, without which test_directory did not link.

--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -45,6 +45,9 @@
   void Begin(int status, const http_field_list& fields,
              std::optional<std::uint64_t> length);
   void Write(std::string_view data);
+  /// From now on responses without a length end with the connection, as for a
+  /// caller that accepts no chunks.
+  void SendWithoutChunks() { accepts_chunks_ = false; }
   void End();
   void Abort();
   /// Bytes of responses that the caller has not taken yet.
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -5,7 +5,6 @@
 #include <iterator>
 #include <utility>
 
-#include "connection/socket_address.h"
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/watch_codec.h"
 
@@ -179,12 +178,11 @@
     if (id == vm || !is_connected || !relay.has_links || relay.port == 0) {
       continue;
     }
-    auto address = ParseSocketAddress(id.value());
-    if (!address) continue;
-    address->port = relay.port;
+    const std::string address = RelayAddress(id, relay.port);
+    if (address.empty()) continue;
     const bool is_near =
         asker != watchers_.end() && asker->second.relay.domain == relay.domain;
-    (is_near ? near : far).push_back({FormatSocketAddress(*address), is_near});
+    (is_near ? near : far).push_back({address, is_near});
   }
   const std::size_t start = next_relay_++;
   std::vector<relay_offer> offers;
--- a/source/process/directory/relay_offer.cc
+++ b/source/process/directory/relay_offer.cc
@@ -24,6 +24,12 @@
       XXH3_64bits(domain.value().data(), domain.value().size()));
 }
 
+std::string RelayAddress(const vm_id& vm, std::uint16_t port) {
+  const std::size_t colon = vm.value().rfind(':');
+  if (colon == std::string::npos) return "";
+  return vm.value().substr(0, colon + 1) + std::to_string(port);
+}
+
 std::string EncodeRelayOffers(const std::vector<relay_offer>& offers) {
   std::vector<offer_fields> fields;
   fields.reserve(offers.size());
--- a/source/process/directory/relay_offer.h
+++ b/source/process/directory/relay_offer.h
@@ -20,10 +20,16 @@
   std::uint32_t domain = 0;
   /// It has links to the endpoints of all pools, and is not stopping.
   bool has_links = false;
+
+  friend bool operator==(const relay_state&, const relay_state&) = default;
 };
 
 std::uint32_t DigestOfDomain(const failure_domain_id& domain);
 
+/// IP:PORT at which the VM takes requests of others; empty if its id is not the
+/// address of a VM.
+std::string RelayAddress(const vm_id& vm, std::uint16_t port);
+
 /// An entry VM that takes requests of others.
 struct relay_offer {
   /// IP:PORT.
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -52,6 +52,7 @@
     request.loads = {{endpoint_digest(9), {2, 0, 16}, milliseconds(40)}};
     request.applied_fault = 30;
     request.faults = {{part_digest(6), 0, {endpoint_run_digest(9)}}};
+    request.relay = {7'341, 4'000'000'000, true};
     const auto decoded = DecodeWatchRequest(EncodeWatchRequest(request));
     CPPUNIT_ASSERT(decoded.has_value());
     CPPUNIT_ASSERT(decoded->watcher == request.watcher);
@@ -63,6 +64,7 @@
     CPPUNIT_ASSERT(decoded->loads == request.loads);
     CPPUNIT_ASSERT_EQUAL(request.applied_fault, decoded->applied_fault);
     CPPUNIT_ASSERT(decoded->faults == request.faults);
+    CPPUNIT_ASSERT(decoded->relay == request.relay);
     const auto sent_apart = DecodePartFaults(EncodePartFaults(request.faults));
     CPPUNIT_ASSERT(sent_apart == request.faults);
   }
--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(response_says_for_how_long_its_records_are_complete);
   CPPUNIT_TEST(document_is_confirmed_only_while_the_member_leads);
   CPPUNIT_TEST(part_suspected_by_three_vms_reaches_the_others_at_once);
+  CPPUNIT_TEST(relays_are_connected_entry_vms_with_links);
+  CPPUNIT_TEST(relays_of_many_vms_change_and_half_are_near);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint64_t kEpoch = 77;
@@ -48,6 +50,17 @@
         now_);
   }
 
+  void WatchAsRelay(const std::string& vm, const relay_state& relay) {
+    watch_request request;
+    request.watcher = vm_id(vm);
+    request.is_entry = true;
+    request.epoch = kEpoch;
+    request.document = document_version(1);
+    request.relay = relay;
+    hub_.OnWatch(
+        request, [](const std::string& /*bytes*/) {}, now_);
+  }
+
   void AddEndpoint(const std::string& id) {
     endpoint_record record;
     record.id = endpoint_id(id);
@@ -65,6 +78,35 @@
   std::vector<std::optional<watch_response>> responses_;
 
  public:
+  void relays_are_connected_entry_vms_with_links() {
+    WatchAsRelay("10.0.0.1:7340", {7'341, 1, false});
+    WatchAsRelay("10.0.0.2:7340", {7'341, 1, true});
+    WatchAsRelay("10.0.0.3:7340", {7'341, 2, true});
+    WatchAsRelay("10.0.0.4:7340", {7'341, 1, false});
+    WatchAsRelay("10.0.0.5:7340", {0, 1, true});
+    const auto relays = hub_.RelaysFor(vm_id("10.0.0.1:7340"), now_);
+    const std::vector<relay_offer> expected{{"10.0.0.2:7341", true},
+                                            {"10.0.0.3:7341", false}};
+    CPPUNIT_ASSERT(relays == expected);
+    now_ += std::chrono::milliseconds(2'000);
+    CPPUNIT_ASSERT(hub_.RelaysFor(vm_id("10.0.0.1:7340"), now_).empty());
+  }
+
+  void relays_of_many_vms_change_and_half_are_near() {
+    for (int i = 1; i <= 60; ++i) {
+      WatchAsRelay("10.0.1." + std::to_string(i) + ":7340",
+                   {7'341, static_cast<std::uint32_t>(i % 3), true});
+    }
+    const auto first = hub_.RelaysFor(vm_id("10.0.1.3:7340"), now_);
+    const auto second = hub_.RelaysFor(vm_id("10.0.1.3:7340"), now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, first.size());
+    CPPUNIT_ASSERT(first != second);
+    const auto near =
+        std::count_if(first.begin(), first.end(),
+                      [](const relay_offer& each) { return each.is_near; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{4}, near);
+  }
+
   // Guards against load reports so old that entry VMs overload an endpoint.
   void load_reports_come_sooner_while_the_link_has_room() {
     watch_hub hub({.directory = &directory_,
--- a/tests/proxy/forwarded_head_test.cc
+++ b/tests/proxy/forwarded_head_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(key_is_never_forwarded);
   CPPUNIT_TEST(field_reserved_for_the_fleet_is_dropped);
   CPPUNIT_TEST(last_event_id_is_dropped_when_a_stream_is_resumed);
+  CPPUNIT_TEST(request_that_is_handed_on_keeps_the_key);
   CPPUNIT_TEST_SUITE_END();
 
   static request_dialect Dialect() {
@@ -59,6 +60,16 @@
                                                {"X-Cache-Source", "a:1"}}));
   }
 
+  void request_that_is_handed_on_keeps_the_key() {
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Api-Key: secret\r\nX-Pin: 4\r\n"),
+                         HandedOnLines({{"X-Api-Key", "secret"},
+                                        {"X-Pin", "4"},
+                                        {"X-Remaining-Ms", "900"},
+                                        {"Connection", "close"},
+                                        {"Last-Event-Id", "4"}},
+                                       Dialect(), false));
+  }
+
   void last_event_id_is_dropped_when_a_stream_is_resumed() {
     const http_field_list fields{{"Last-Event-Id", "4"}};
     CPPUNIT_ASSERT_EQUAL(std::string("Last-Event-Id: 4\r\n"), Lines(fields));
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -170,6 +170,7 @@
                                 settings_.software);
   }
   last_stream_ = request;
+  if (is_unframed_) caller->SendWithoutChunks();
   caller->Begin(200, ResponseFields(request), std::nullopt);
   SendEvents(caller, request, last.empty() ? 1 : std::stoi(last) + 1);
 }
@@ -181,6 +182,17 @@
   timer->async_wait([this, start_count = start_count_, caller, request,
                      timer](std::error_code) {
     if (start_count != start_count_) return;
+    if (is_silent_) {
+      SendResponse(caller, request);
+      return;
+    }
+    if (is_unframed_) {
+      caller->SendWithoutChunks();
+      caller->Begin(200, ResponseFields(request), std::nullopt);
+      caller->Write(PlainBody(request));
+      caller->End();
+      return;
+    }
     caller->Respond(200, ResponseFields(request), PlainBody(request));
   });
 }
@@ -210,16 +222,19 @@
 
 void fake_endpoint::SendEvents(const std::shared_ptr<caller_connection>& caller,
                                const std::string& request, int next) {
-  if (next > kStreamEvents) {
-    caller->End();
-    return;
+  if (!is_silent_) {
+    if (next > kStreamEvents) {
+      caller->End();
+      return;
+    }
+    caller->Write(EventText(request, next));
+    caller->Flush();
+    ++next;
   }
-  caller->Write(EventText(request, next));
-  caller->Flush();
   auto timer = std::make_shared<asio::steady_timer>(io_, kEventInterval);
   timer->async_wait([this, start_count = start_count_, caller, request, next,
                      timer](std::error_code) {
-    if (start_count == start_count_) SendEvents(caller, request, next + 1);
+    if (start_count == start_count_) SendEvents(caller, request, next);
   });
 }
 
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -63,6 +63,10 @@
   void SetLimit(std::optional<double> per_second) { limit_ = per_second; }
   /// From now on it runs requests and responds 500 to them, or no more.
   void SetFailing(bool fails) { fails_ = fails; }
+  /// From now on its answers have neither a length nor chunks, or do again.
+  void SetUnframed(bool is_unframed) { is_unframed_ = is_unframed; }
+  /// From now on it sends nothing, until it goes on.
+  void SetSilent(bool is_silent) { is_silent_ = is_silent; }
   using time_list = std::vector<std::chrono::steady_clock::time_point>;
   /// When requests arrived.
   const time_list& arrivals() const { return arrivals_; }
@@ -97,6 +101,8 @@
   int start_count_ = 0;
   bool is_leaving_ = false;
   bool fails_ = false;
+  bool is_unframed_ = false;
+  bool is_silent_ = false;
   std::string last_stream_;
   std::optional<double> limit_;
   time_list arrivals_;
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -1,11 +1,13 @@
 #include "soak_faults.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <csignal>
 #include <iostream>
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace marjoramsill::soak {
 namespace {
@@ -15,6 +17,8 @@
 /// A restarted control process counts as down until it has had this time to
 /// catch up.
 constexpr milliseconds kCatchUpTime{4'000};
+/// Time for which a sound endpoint may be silent.
+constexpr milliseconds kSilence{1'200};
 
 }  // namespace
 
@@ -37,7 +41,7 @@
   auto& nodes = fleet_.nodes();
   auto& links = fleet_.endpoint_links();
   auto& endpoints = fleet_.endpoints();
-  switch (random_() % 4) {
+  switch (random_() % 5) {
     case 0:
     case 1:
       InjectNodeFault(*nodes[random_() % nodes.size()]);
@@ -45,6 +49,9 @@
     case 2:
       InjectLinkFault(*links[random_() % links.size()]);
       return;
+    case 3:
+      CutEntries();
+      return;
     default:
       InjectEndpointFault(*endpoints[random_() % endpoints.size()]);
   }
@@ -98,9 +105,36 @@
   RunAfter(RandomDuration(), [&link] { link.SetMode(link_mode::kPass); });
 }
 
+void soak_faults::CutEntries() {
+  if (std::exchange(is_entry_cut_, true)) return;
+  static constexpr cut_form kForms[] = {cut_form::kSilent, cut_form::kReset,
+                                        cut_form::kKept};
+  std::vector<soak_node*> entries = fleet_.EntryNodes();
+  std::shuffle(entries.begin(), entries.end(), random_);
+  entries.resize(1 + random_() % entries.size());
+  const std::size_t form = random_() % 3;
+  std::cout << "fault cut entries=" << entries.size() << " form=" << form
+            << "\n";
+  fleet_.CutFromEndpoints(entries, kForms[form]);
+  RunAfter(RandomDuration(), [this] {
+    fleet_.CutFromEndpoints({}, cut_form::kKept);
+    is_entry_cut_ = false;
+  });
+}
+
 void soak_faults::InjectEndpointFault(fake_endpoint& endpoint) {
   if (!endpoint.is_running()) return;
-  const std::size_t kind = random_() % 3;
+  const std::size_t kind = random_() % 5;
+  if (kind == 3) {
+    endpoint.SetUnframed(true);
+    RunAfter(RandomDuration(), [&endpoint] { endpoint.SetUnframed(false); });
+    return;
+  }
+  if (kind == 4) {
+    endpoint.SetSilent(true);
+    RunAfter(kSilence, [&endpoint] { endpoint.SetSilent(false); });
+    return;
+  }
   if (kind == 0) {
     constexpr double kLimit = 5;
     endpoint.SetLimit(kLimit);
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -25,6 +25,8 @@
   void InjectNodeFault(soak_node& node);
   void InjectLinkFault(link_proxy& link);
   void InjectEndpointFault(fake_endpoint& endpoint);
+  /// Cuts some entry processes off from all endpoints.
+  void CutEntries();
   void RunAfter(std::chrono::milliseconds delay, std::function<void()> action);
   std::chrono::milliseconds RandomDuration();
 
@@ -32,6 +34,7 @@
   soak_fleet& fleet_;
   std::mt19937_64 random_;
   bool is_control_down_ = false;
+  bool is_entry_cut_ = false;
 };
 
 }  // namespace marjoramsill::soak
