entry: bear endpoints that are silent for a second or so

What callers saw: a stream whose sound endpoint was silent for 0.9 s was taken from it and read in again elsewhere.

Cause: the least time without an event was 0.9 s, and unacknowledged data ended a connection after 1.5 s, although a sound endpoint may be silent for a second or so. Lost links, for which the short times were set, are now found by probes.

Change: 1.3 s for an event, below the two seconds after which callers give up; TCP_USER_TIMEOUT 3 s. The number of keep-alive probes is removed: with a user timeout set it decides nothing.

--- a/source/connection/endpoint_connection.cc
+++ b/source/connection/endpoint_connection.cc
@@ -16,12 +16,12 @@
 /// Used if the endpoint does not declare how long it keeps an idle connection.
 constexpr std::chrono::milliseconds kDefaultIdleLimit{4'000};
 /// The connection is closed if sent data is not acknowledged for this long, to
-/// detect a network partition. Long enough for several retransmissions.
-constexpr unsigned kUserTimeoutMs = 1'500;
+/// detect a network partition. A sound endpoint may be silent for a second or
+/// so. This also decides when keep-alive probes give up, whatever their number.
+constexpr unsigned kUserTimeoutMs = 3'000;
 /// Keep-alive probes detect a network partition while a response is awaited.
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
 
 void SetSocketOption(int socket, int level, int name, int value) {
   // An error is ignored: without the option a partition is only detected later.
@@ -97,7 +97,6 @@
   SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPINTVL,
                   kKeepAliveIntervalSeconds);
-  SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
   SetSocketOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -28,10 +28,10 @@
 /// for one retransmission.
 constexpr milliseconds kConnectTimeout{300};
 /// Minimum time without a response, or without a further event, after which a
-/// repeatable request is sent to another endpoint. Longer than any pause of a
-/// healthy endpoint that is not overloaded.
+/// repeatable request is sent to another endpoint. A sound endpoint may be
+/// silent for a second or so in a stream; callers give up after two.
 constexpr milliseconds kMinResponseTimeout{600};
-constexpr milliseconds kMinEventTimeout{900};
+constexpr milliseconds kMinEventTimeout{1'300};
 /// The timeouts are at least these multiples of the route's latency targets.
 constexpr int kResponseTimeoutFactor = 3;
 constexpr int kEventTimeoutFactor = 3;
