operations: test the end of a VM that takes requests of others

Cause: the hop between two entry VMs is one more place where an answer can break off or a request can run twice.

Change: two cases with two of four entry VMs without links: one of the others gets SIGTERM, or is killed.

--- a/tests/operations/entry_cut_test.cc
+++ b/tests/operations/entry_cut_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   CPPUNIT_TEST(callers_of_most_entries_without_links_are_served);
   CPPUNIT_TEST(all_entries_without_links_refuse_at_once);
   CPPUNIT_TEST(request_that_is_handed_on_runs_within_the_attempts_of_its_route);
+  CPPUNIT_TEST(vm_that_takes_requests_and_stops_cuts_none);
+  CPPUNIT_TEST(vm_that_takes_requests_and_is_killed_leaves_none_run_twice);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint16_t kPort = 30'000;
@@ -158,6 +161,29 @@
     }
   }
 
+  void vm_that_takes_requests_and_stops_cuts_none() {
+    fleet_->CutFromEndpoints(FirstEntries(2), soak::cut_form::kSilent);
+    SendFor(kFindingTime, false);
+    fleet_->EntryNodes().back()->process.Signal(SIGTERM);
+    SendFor(kCutTime, true);
+    RunFor(kHealTime);
+    for (std::size_t i = 0; i < kEntries - 1; ++i) CheckServed(i);
+  }
+
+  void vm_that_takes_requests_and_is_killed_leaves_none_run_twice() {
+    fleet_->CutFromEndpoints(FirstEntries(2), soak::cut_form::kSilent);
+    SendFor(kFindingTime, false);
+    fleet_->KillNode(*fleet_->EntryNodes().back(), false);
+    SendFor(kCutTime, true);
+    RunFor(kHealTime);
+    for (std::size_t i = 0; i < kEntries - 1; ++i) {
+      const tally& counted = tallies_[i];
+      CPPUNIT_ASSERT(counted.served >= kServedShare * counted.sent);
+    }
+    ledger_.CheckRuns(soak::kOncePrefix);
+    CPPUNIT_ASSERT(ledger_.violations().empty());
+  }
+
   void all_entries_without_links_refuse_at_once() {
     fleet_->CutFromEndpoints(FirstEntries(kEntries), soak::cut_form::kSilent);
     SendFor(milliseconds(2'000), false);
