--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -70,7 +70,7 @@
       caller_(std::move(caller)),
       message_(std::move(message)),
       arrived_(environment.clock()),
-      terms_(std::move(terms)),
+      terms_(terms),
       return_position_(static_cast<double>(environment.random() % 1024) / 1024),
       sent_(terms_ ? terms_->sent : 0) {}
 
