entry: take a refused connection for an answer of an endpoint

Cause: overloaded endpoints reset new connections, and a round of such probes counted as lost links.

Change: a refusal is an answer, so that it changes nothing for the pool. A request that three endpoints refused is handed on while no kept connection carries responses, and one that all refused in any case, before it is refused itself; a VM that takes a request and is refused everywhere itself says so, and another one is tried.

--- a/source/process/entry/reach_prober.cc
+++ b/source/process/entry/reach_prober.cc
@@ -78,7 +78,9 @@
           [opened](const auto& each) { return each.get() == opened; });
       if (found == round->open.end()) return;
       if (connected) connections_.Release(endpoint, *found, SteadyNow());
-      ++(connected ? round->reached : round->failed);
+      // A refusal is an answer: an endpoint with too many connections resets
+      // new ones.
+      ++round->reached;
       round->open.erase(found);
       if (round->open.empty()) finish();
     });
--- a/source/process/placement/pool_reach.h
+++ b/source/process/placement/pool_reach.h
@@ -32,8 +32,8 @@
   void OnActivity(steady_time now) { last_activity_ = now; }
   /// A connection to any endpoint was established.
   void OnConnected() { failed_.clear(); }
-  /// A connection to this endpoint could not be established.
-  void OnConnectFailure(const endpoint_id& endpoint) {
+  /// A connection to this endpoint got no answer.
+  void OnConnectTimeout(const endpoint_id& endpoint) {
     failed_.insert(endpoint);
   }
 
@@ -44,7 +44,7 @@
                   steady_time now) const;
   void OnProbeStart() { is_probing_ = true; }
   /// Returns true if the state has changed. `reached`, `failed`: numbers of
-  /// probed endpoints.
+  /// probed endpoints that answered, also by a refusal, and that did not.
   bool OnProbeEnd(std::size_t reached, std::size_t failed, steady_time now);
 
   link_state state(steady_time now) const;
@@ -58,7 +58,7 @@
                    std::size_t serving, steady_time now) const;
   void OnLost(steady_time now);
 
-  /// Endpoints that failed to accept a connection since the last success.
+  /// Endpoints that did not answer a connection attempt since the last success.
   std::set<endpoint_id> failed_;
   steady_time last_activity_;
   bool is_probing_ = false;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -148,6 +148,9 @@
   /// This VM has no links to the pool, so another VM should take the request.
   bool IsRelayDue(steady_time now) const;
   bool IsLinkLost(steady_time now) const;
+  /// Several endpoints refused a connection of this request, and none sends
+  /// anything on kept ones: this VM may be the one that is cut off.
+  bool IsRefusedEverywhere(steady_time now) const;
   /// Hands the request on to another VM, if one is left.
   bool HandOn(steady_time now);
   std::string HandedOnBytes() const;
@@ -221,6 +224,8 @@
   /// Attempts of `sent_` that ended because this VM lost its links.
   int lost_with_links_ = 0;
   std::vector<std::string> tried_relays_;
+  /// Endpoints that refused a connection.
+  int refused_connections_ = 0;
   /// The connection of an endpoint ended before its answer was complete.
   bool endpoint_broke_ = false;
   bool may_have_run_ = false;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -75,6 +75,7 @@
     RefuseRelay("no_links");
     return;
   }
+  if (IsRefusedEverywhere(now) && HandOn(now)) return;
   const bool is_relay_due = IsRelayDue(now);
   // Kept connections may go on to work while new ones fail.
   const bool may_use_kept =
@@ -94,6 +95,13 @@
     }
     return;
   }
+  if (!choice && refused_connections_ > 0) {
+    if (HandOn(now)) return;
+    if (terms_ && !may_have_run_) {
+      RefuseRelay("no_links");
+      return;
+    }
+  }
   if (!choice) {
     const auto wait = pool_->LimitWait(limits_, now);
     const std::string_view reason = wait ? "endpoint_limits" : "no_endpoint";
@@ -395,7 +403,11 @@
   if (is_handed_on_) {
     environment_.relays->OnUnavailable(endpoint_.value(), now);
   } else if (failure == call_failure::kNotConnected) {
-    pool_->reach().OnConnectFailure(endpoint_);
+    if (now - attempt_started_ > kConnectTimeout) {
+      pool_->reach().OnConnectTimeout(endpoint_);
+    } else {
+      ++refused_connections_;
+    }
   }
   if (was_sent && !is_handed_on_ && IsLinkLost(now)) ++lost_with_links_;
   // Other idle connections to the endpoint may be dead as well. Opening a new
--- a/source/request/proxied_call_relay.cc
+++ b/source/request/proxied_call_relay.cc
@@ -22,6 +22,8 @@
 /// VMs that a request is offered to. Each takes a round trip, or the connect
 /// timeout if it cannot be reached.
 constexpr std::size_t kMaxRelays = 3;
+/// Refused connections after which a request is handed on.
+constexpr int kMaxRefusedConnections = 3;
 
 }  // namespace
 
@@ -29,6 +31,11 @@
   return pool_->reach().state(now) == link_state::kLost;
 }
 
+bool proxied_call::IsRefusedEverywhere(steady_time now) const {
+  return refused_connections_ >= kMaxRefusedConnections &&
+         !pool_->reach().HasRecentActivity(now);
+}
+
 bool proxied_call::IsRelayDue(steady_time now) const {
   return !terms_ && return_position_ >= pool_->reach().DirectShare(now);
 }
@@ -39,7 +46,7 @@
 }
 
 bool proxied_call::HandOn(steady_time now) {
-  if (tried_relays_.size() >= kMaxRelays) return false;
+  if (terms_ || tried_relays_.size() >= kMaxRelays) return false;
   const auto address = environment_.relays->Pick(tried_relays_, now);
   if (!address) return false;
   tried_relays_.push_back(*address);
