entry: take only a refusal of the other VM for one

Cause, found by reading: a response that came through another VM counted as its refusal if it had the field of the hop, whatever its status and wherever from. An endpoint that sends this field with a success would have had its request sent again.

Change: only a status that says 'not run', without an endpoint's proof, is a refusal of the VM. ForgiveFailures is now ForgetFailures.

--- a/source/process/entry/reach_prober.cc
+++ b/source/process/entry/reach_prober.cc
@@ -61,7 +61,7 @@
     const steady_time now = SteadyNow();
     if (!pool.reach().OnProbeEnd(round->reached, round->failed, now)) return;
     const link_state state = pool.reach().state(now);
-    if (state == link_state::kReturning) pool.ForgiveFailures();
+    if (state == link_state::kReturning) pool.ForgetFailures();
     on_change_(id, state, round->reached, round->failed);
   };
   timer->async_wait([finish](std::error_code error) {
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -140,7 +140,7 @@
   avoid_until_ = now + kFirstAvoidTime * (1U << doublings);
 }
 
-void endpoint_estimate::ForgiveFailures() {
+void endpoint_estimate::ForgetFailures() {
   waiting_since_.reset();
   consecutive_failures_ = 0;
   avoid_until_ = {};
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -59,7 +59,7 @@
   /// consecutive failure.
   void OnConnectionFailure(steady_time now);
   /// The failures came from lost links of this VM, not from the endpoint.
-  void ForgiveFailures();
+  void ForgetFailures();
   /// No response came before the caller's deadline. The request may just have
   /// been a long one, so this raises the failure rate, but the endpoint is not
   /// avoided.
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -130,8 +130,8 @@
   return picked;
 }
 
-void endpoint_pool::ForgiveFailures() {
-  for (const auto& [id, endpoint] : endpoints_) endpoint->ForgiveFailures();
+void endpoint_pool::ForgetFailures() {
+  for (const auto& [id, endpoint] : endpoints_) endpoint->ForgetFailures();
 }
 
 void endpoint_pool::Sweep() {
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -68,7 +68,7 @@
   /// Up to `count` endpoints that serve, drawn at random.
   std::vector<endpoint_record> PickServing(std::size_t count);
   /// Forgets failures that came from lost links of this VM.
-  void ForgiveFailures();
+  void ForgetFailures();
 
   /// True if at least one endpoint within the limits accepts requests.
   bool CanServe(const placement_limits& limits) const;
--- a/source/request/proxied_call_relay.cc
+++ b/source/request/proxied_call_relay.cc
@@ -94,6 +94,9 @@
 }
 
 bool proxied_call::OnRelayRefusal() {
+  const bool is_from_endpoint =
+      FindField(head_.fields, environment_.dialect.endpoint_proof) != nullptr;
+  if (is_from_endpoint || !SignalsNotRun(head_.status)) return false;
   if (FindField(head_.fields, kRelayField) != nullptr) {
     // Nothing was sent to an endpoint.
     environment_.relays->OnUnavailable(endpoint_.value(), environment_.clock());
@@ -101,9 +104,6 @@
     AfterAttempt(attempt_end::kNotSent, "relay_unavailable");
     return true;
   }
-  const bool is_from_endpoint =
-      FindField(head_.fields, environment_.dialect.endpoint_proof) != nullptr;
-  if (is_from_endpoint || !SignalsNotRun(head_.status)) return false;
   // The other VM knows that the request has not run.
   if (may_have_run_ || response_started_) {
     Fail("relay_refused");
