--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -298,6 +298,12 @@
   if (is_idle) Close();
 }
 
+std::string caller_connection::RemoteIp() const {
+  std::error_code error;
+  const auto remote = socket_.remote_endpoint(error);
+  return error ? std::string() : remote.address().to_string();
+}
+
 void caller_connection::Close() {
   if (!is_open_) return;
   is_open_ = false;
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -68,6 +68,8 @@
   void CheckTimeouts(const caller_limits& limits, steady_time now);
   void CloseIfIdle();
   bool has_request() const { return has_request_; }
+  /// IP of the caller; empty if the connection has ended.
+  std::string RemoteIp() const;
 
  private:
   void ReadNext();
--- a/tests/operations/brittle_endpoint_fixture.h
+++ b/tests/operations/brittle_endpoint_fixture.h
@@ -77,7 +77,8 @@
     return *played;
   }
 
-  void CheckFalls(std::size_t brittle, microseconds interval = kBusyInterval) {
+  /// Plays the load and checks that few endpoints end.
+  counts CheckEnds(std::size_t brittle, microseconds interval = kBusyInterval) {
     Play(kContactTime, kBusyInterval);
     refused_without_room_ = 0;
     const counts played = PlayWithSlots(milliseconds(8'000), interval);
@@ -93,21 +94,32 @@
               << std::endl;
     CPPUNIT_ASSERT(falls <=
                    kFallAllowance + kFallShare * static_cast<double>(brittle));
+    return played;
+  }
+
+  /// As CheckEnds(), and checks that few requests are refused while there is
+  /// room.
+  void CheckFalls(std::size_t brittle, microseconds interval = kBusyInterval) {
+    const counts played = CheckEnds(brittle, interval);
     CPPUNIT_ASSERT(RefusedWithRoom(played) <=
                    kMaxRefusedWithRoom * played.sent);
   }
 
   void RestartEntry(std::size_t number) {
     restarts_entries_ = true;
-    soak::soak_node& node = *fleet_->EntryNodes()[number];
+    Restart(*fleet_->EntryNodes()[number]);
+  }
+
+  void Restart(soak::soak_node& node) {
     node.is_end_expected = true;
     fleet_->KillNode(node, false);
     RunAfter(milliseconds(300), [this, &node] { fleet_->StartNode(node); });
   }
 
+  bool restarts_entries_ = false;
+
  private:
   int refused_without_room_ = 0;
-  bool restarts_entries_ = false;
 };
 
 }  // namespace marjoramsill
--- a/tests/operations/raw_endpoint.cc
+++ b/tests/operations/raw_endpoint.cc
@@ -1,7 +1,10 @@
 #include "raw_endpoint.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/ip/address.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <chrono>
@@ -22,40 +25,64 @@
 constexpr milliseconds kHeartbeatTimeout{1'000};
 constexpr int kSlots = 32;
 constexpr std::string_view kIdMark = "{id}";
+constexpr const char* kHeadEnd = "\r\n\r\n";
+constexpr milliseconds kLaterDelay{150};
 
 }  // namespace
 
 class raw_endpoint::session : public std::enable_shared_from_this<session> {
  public:
   session(tcp::socket socket, raw_endpoint& owner)
-      : socket_(std::move(socket)), owner_(owner) {}
+      : socket_(std::move(socket)),
+        owner_(owner),
+        timer_(socket_.get_executor()) {}
 
   void Start() {
     asio::async_read_until(
-        socket_, asio::dynamic_buffer(request_), "\r\n\r\n",
-        [self = shared_from_this()](std::error_code error, std::size_t) {
-          if (error) return;
-          self->answer_ = self->owner_.answer_;
-          self->InsertId();
-          self->Write(self->answer_.begin);
+        socket_, asio::dynamic_buffer(input_), kHeadEnd,
+        [self = shared_from_this()](std::error_code error, std::size_t head) {
+          if (!error) self->ReadBody(head);
         });
   }
 
   void Close() {
     std::error_code ignored;
+    timer_.cancel();
     socket_.close(ignored);
   }
 
  private:
-  void InsertId() {
-    const std::string name = std::string(platform::kRequestId) + ": ";
-    const std::size_t field = request_.find(name);
-    const std::size_t at = answer_.begin.find(kIdMark);
-    if (field == std::string::npos || at == std::string::npos) return;
-    const std::size_t begin = field + name.size();
-    const std::size_t end = request_.find("\r\n", begin);
-    answer_.begin.replace(at, kIdMark.size(),
-                          request_.substr(begin, end - begin));
+  void ReadBody(std::size_t head) {
+    const std::string length = FieldValue("Content-Length");
+    const std::size_t size = head + (length.empty() ? 0 : std::stoul(length));
+    const std::size_t missing = size > input_.size() ? size - input_.size() : 0;
+    asio::async_read(
+        socket_, asio::dynamic_buffer(input_), asio::transfer_exactly(missing),
+        [self = shared_from_this(), size](std::error_code error, std::size_t) {
+          if (!error) self->Answer(size);
+        });
+  }
+
+  void Answer(std::size_t size) {
+    id_ = FieldValue(platform::kRequestId);
+    input_.erase(0, size);
+    answer_ = owner_.TakeAnswer();
+    InsertId(answer_.begin);
+    InsertId(answer_.later);
+    Write(answer_.begin);
+  }
+
+  std::string FieldValue(const std::string& name) const {
+    const std::string start = name + ": ";
+    const std::size_t field = input_.find(start);
+    if (field == std::string::npos) return "";
+    const std::size_t begin = field + start.size();
+    return input_.substr(begin, input_.find("\r\n", begin) - begin);
+  }
+
+  void InsertId(std::string& bytes) const {
+    const std::size_t at = bytes.find(kIdMark);
+    if (at != std::string::npos) bytes.replace(at, kIdMark.size(), id_);
   }
 
   void Write(const std::string& bytes) {
@@ -65,13 +92,28 @@
           if (error) return;
           if (!self->answer_.repeated.empty()) {
             self->Write(self->answer_.repeated);
+          } else if (!self->answer_.later.empty()) {
+            self->WriteLater();
           } else {
             self->End();
           }
         });
   }
 
+  void WriteLater() {
+    timer_.expires_after(kLaterDelay);
+    timer_.async_wait([self = shared_from_this()](std::error_code error) {
+      if (error) return;
+      self->later_ = std::exchange(self->answer_.later, "");
+      self->Write(self->later_);
+    });
+  }
+
   void End() {
+    if (answer_.end == raw_end::kKeep) {
+      Start();
+      return;
+    }
     std::error_code ignored;
     if (answer_.end == raw_end::kReset) {
       socket_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -82,8 +124,11 @@
 
   tcp::socket socket_;
   raw_endpoint& owner_;
+  asio::steady_timer timer_;
   raw_answer answer_;
-  std::string request_;
+  std::string later_;
+  std::string input_;
+  std::string id_;
 };
 
 raw_endpoint::raw_endpoint(asio::io_context& io, const socket_address& listen,
@@ -114,6 +159,18 @@
   });
 }
 
+void raw_endpoint::SetAnswers(std::vector<raw_answer> answers) {
+  answers_ = std::move(answers);
+  next_answer_ = 0;
+}
+
+raw_answer raw_endpoint::TakeAnswer() {
+  ++request_count_;
+  if (answers_.empty()) return {};
+  const std::size_t taken = std::min(next_answer_++, answers_.size() - 1);
+  return answers_[taken];
+}
+
 void raw_endpoint::EndProcess() {
   acceptor_.reset();
   for (const auto& each : std::exchange(sessions_, {})) {
--- a/tests/operations/raw_endpoint.h
+++ b/tests/operations/raw_endpoint.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,6 +19,8 @@
 enum class raw_end {
   kClose,
   kReset,
+  /// The connection stays open, and the next request on it is answered.
+  kKeep,
   /// The process ends: its connections are closed, and nothing listens any
   /// more.
   kProcessEnd,
@@ -32,6 +35,8 @@
   /// closed after `begin`.
   std::string repeated;
   raw_end end = raw_end::kClose;
+  /// Sent kLaterDelay after `begin`; "{id}" as there.
+  std::string later = {};
 };
 
 /// Announces itself as an endpoint of the pool `raw` and answers every request
@@ -42,7 +47,11 @@
   raw_endpoint(asio::io_context& io, const socket_address& listen,
                std::function<socket_address()> control);
 
-  void SetAnswer(raw_answer answer) { answer_ = std::move(answer); }
+  void SetAnswer(raw_answer answer) { SetAnswers({std::move(answer)}); }
+  /// The next requests get these answers in their order, all others the last.
+  void SetAnswers(std::vector<raw_answer> answers);
+  /// Requests that have arrived.
+  int request_count() const { return request_count_; }
   /// Listens again after the end of its process.
   void Restart();
 
@@ -53,6 +62,7 @@
   void Accept();
   void EndProcess();
   void SendHeartbeat();
+  raw_answer TakeAnswer();
 
   asio::io_context& io_;
   const socket_address listen_;
@@ -60,7 +70,9 @@
   std::optional<asio::ip::tcp::acceptor> acceptor_;
   std::vector<std::weak_ptr<session>> sessions_;
   asio::steady_timer heartbeat_;
-  raw_answer answer_;
+  std::vector<raw_answer> answers_;
+  std::size_t next_answer_ = 0;
+  int request_count_ = 0;
   int sequence_ = 0;
 };
 
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -1,5 +1,6 @@
 #include "fake_endpoint.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -70,6 +71,7 @@
   settings_.on_running(true);
   held_count_ = 0;
   ledger_.pool_load().Start(settings_.id);
+  ledger_.pauses().StartEndpoint(settings_.id);
   SendHeartbeat();
 }
 
@@ -101,7 +103,10 @@
 }
 
 void fake_endpoint::SendHeartbeat() {
-  const nlohmann::json body{{"service", settings_.pool},
+  const std::string pool = next_heartbeat_pool_.empty()
+                               ? settings_.pool
+                               : std::exchange(next_heartbeat_pool_, "");
+  const nlohmann::json body{{"service", pool},
                             {"address", settings_.announced},
                             {"zone", settings_.domain},
                             {"version", settings_.software},
@@ -158,6 +163,8 @@
     ledger_.RecordViolation("request after an acknowledged leave: " + request);
   }
   arrivals_.push_back(now);
+  ledger_.pauses().Arrive(caller->RemoteIp(), settings_.id, now);
+  if (TurnsAway(caller, request)) return;
   if (RefusesForWantOfRoom(caller, request)) return;
   ledger_.RecordRun(request);
   const auto held = Hold(caller);
@@ -193,6 +200,19 @@
   SendEvents(caller, request, last.empty() ? 1 : std::stoi(last) + 1, held);
 }
 
+bool fake_endpoint::TurnsAway(const std::shared_ptr<caller_connection>& caller,
+                              const std::string& request) {
+  if (!retry_after_) return false;
+  http_field_list fields = ResponseFields(request);
+  fields.push_back({platform::kNotRun, "1"});
+  fields.push_back({"Retry-After", *retry_after_});
+  ledger_.pauses().TurnAway(caller->RemoteIp(), settings_.id,
+                            std::strtod(retry_after_->c_str(), nullptr),
+                            std::chrono::steady_clock::now());
+  caller->Respond(kUnavailable, fields, "");
+  return true;
+}
+
 void fake_endpoint::SetBrittle(std::optional<int> refusals) {
   if (!brittle_refusals_) brittle_since_ = std::chrono::steady_clock::now();
   brittle_refusals_ = refusals;
@@ -233,6 +253,7 @@
         --held_count_;
         ledger_.pool_load().Release(settings_.id);
       });
+  if (finishes_dropped_) return held;
   caller->OnCallerDisconnected([dropped = std::weak_ptr<held_request>(held)] {
     if (const auto request = dropped.lock()) request->Release();
   });
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "connection/caller_listener.h"
@@ -63,6 +64,10 @@
   void StartRenewed();
   /// Closes all connections without announcing that it leaves.
   void Crash();
+  /// Its next heartbeat names another pool, later ones its own again.
+  void AnnounceOnceInPool(const std::string& pool) {
+    next_heartbeat_pool_ = pool;
+  }
   /// Announces that it leaves, and exits some time after the acknowledgement.
   void Leave();
   /// From now on its responses name the request rate, per second, that it takes
@@ -72,6 +77,19 @@
   /// and kContactTime later it refuses requests beyond its slots and crashes
   /// after more refusals; nothing: no longer.
   void SetBrittle(std::optional<int> refusals);
+  /// From now on it turns each request away and asks the sender for a pause
+  /// with this value of Retry-After; nothing: no longer.
+  void SetPausing(std::optional<std::string> retry_after) {
+    retry_after_ = std::move(retry_after);
+  }
+  /// From now on it goes on with requests whose caller has left.
+  void SetFinishingDropped(bool finishes) { finishes_dropped_ = finishes; }
+  /// Its heartbeats name this software from its next start on.
+  void SetSoftware(const std::string& software) {
+    settings_.software = software;
+  }
+  const std::string& id() const { return settings_.id; }
+  const std::string& announced() const { return settings_.announced; }
   /// Crashes after too many refusals.
   int fall_count() const { return fall_count_; }
   /// Requests that it refused for want of room.
@@ -111,6 +129,9 @@
   /// in a second it crashes.
   bool RefusesForWantOfRoom(const std::shared_ptr<caller_connection>& caller,
                             const std::string& request);
+  /// True if it turns the request away and asks for a pause.
+  bool TurnsAway(const std::shared_ptr<caller_connection>& caller,
+                 const std::string& request);
   /// Begins an answer and crashes; starts again some seconds later.
   void CrashInAnswer(const std::shared_ptr<caller_connection>& caller,
                      const std::string& request);
@@ -136,6 +157,9 @@
   bool fails_ = false;
   bool is_unframed_ = false;
   bool is_silent_ = false;
+  bool finishes_dropped_ = false;
+  std::optional<std::string> retry_after_;
+  std::string next_heartbeat_pool_;
   std::string last_stream_;
   int held_count_ = 0;
   /// Expires before this object: timers with requests may outlive it.
--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -36,6 +36,7 @@
         timers_{asio::steady_timer(io), asio::steady_timer(io)} {}
 
   void Start(const socket_address& address) {
+    BindToCallerIp();
     target_.async_connect(EndpointOf(address),
                           [self = shared_from_this()](std::error_code error) {
                             if (error) return self->Reset();
@@ -61,6 +62,15 @@
   }
 
  private:
+  /// The target sees the IP of the caller, by which it tells VMs apart.
+  void BindToCallerIp() {
+    std::error_code ignored;
+    const auto ip = caller_.remote_endpoint(ignored).address();
+    target_.open(tcp::v4(), ignored);
+    target_.set_option(asio::ip::tcp::socket::reuse_address(true), ignored);
+    target_.bind(tcp::endpoint(ip, 0), ignored);
+  }
+
   /// Direction 0 is towards the target, 1 towards the caller.
   void ReadNext(std::size_t direction) {
     tcp::socket& from = direction == 0 ? caller_ : target_;
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "pause_ledger.h"
 #include "pool_load_ledger.h"
 
 namespace marjoramsill::soak {
@@ -119,6 +120,17 @@
   /// What the endpoints of the pool hold.
   pool_load_ledger& pool_load() { return pool_load_; }
 
+  /// The pauses that endpoints asked for.
+  pause_ledger& pauses() { return pauses_; }
+
+  /// Checks that endpoints got the pauses that they asked for.
+  void CheckPauses() {
+    const int most = pauses_.most_arrivals();
+    if (most <= pause_ledger::kAllowedArrivals) return;
+    RecordViolation(std::to_string(most) +
+                    " requests of a VM reached an endpoint in its pause");
+  }
+
   /// Checks that no window breaks the load bound of the pool that begins later
   /// than the contact time after `calm_since`, when the last disruption ended.
   void CheckPoolLoad(pool_load_ledger::time_point calm_since) {
@@ -156,6 +168,7 @@
   time_list crashing_requests_;
   time_list part_crashes_;
   pool_load_ledger pool_load_;
+  pause_ledger pauses_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -47,6 +47,9 @@
   for (std::size_t i = 4; i < 7; ++i) {
     document["routes"][i]["sticky"] = true;
   }
+  nlohmann::json long_chat = Route("/long-chat/", "streaming", 3, true);
+  long_chat["timeoutMs"] = 6'000;
+  document["routes"].push_back(long_chat);
   for (nlohmann::json route :
        {Route("/raw-ask/", "idempotent", 1, false),
         Route("/raw-book/", "non_idempotent", 1, false),
