placement: keep the pauses that endpoints ask for

Cause: nobody read the field; choosing left an endpoint out for 50 ms after a refusal. Class: what an endpoint says of itself was read in several places, and a new statement had no place that all paths ask. Change: endpoint_terms owns what an endpoint states (rate, limit of refusals, pause), read by one function of the dialect. Choosing, repeating, resuming, taking requests of other VMs and the check before an attempt is sent on a new connection ask it; an avoided endpoint may be the last resort, one in a pause never. The terms outlive the estimate of an endpoint in a pool, so that a record that names another pool or ends and comes back loses no pause. A restart under the same id keeps a recent pause for 10 s at most, and forgets that no limit of refusals was named. The pause counts also if it comes with a response to an earlier request. VMs return up to a fifth of the pause, 500 ms at most, after its end, each another time. If all endpoints are paused the caller is refused at once, with a Retry-After that does not end before the first pause. serve: endpoint_registry refuses to dispatch in a pause. Fractions are kept: the users' text says seconds, and obeying is safe.

--- a/source/process/daemon/call_executor.cc
+++ b/source/process/daemon/call_executor.cc
@@ -16,6 +16,8 @@
 #include "process/daemon/process_metrics.h"
 #include "process/daemon/shard_actions.h"
 #include "process/daemon/steady_clock.h"
+#include "request/http_status.h"
+#include "request/retry_after.h"
 #include "version/policy_snapshot.h"
 
 namespace marjoramsill {
@@ -354,9 +356,7 @@
 
 void call_executor::HandleHead(const attempt_id& attempt, int status,
                                const http_field_list& fields) {
-  if (attempt_ && attempt_->id == attempt) {
-    ReportAttempt(status < 500, fields);
-  }
+  if (attempt_ && attempt_->id == attempt) ReportAttempt(status, fields);
   const response_head head =
       MakeResponseHead(status, fields, classified_.method);
   Drive([&](auto& plan, steady_time now) {
@@ -374,28 +374,45 @@
 void call_executor::HandleEnd(const attempt_id& attempt,
                               endpoint_call_end end) {
   const bool done = end == endpoint_call_end::kComplete;
-  if (!done && attempt_ && attempt_->id == attempt) ReportAttempt(false, {});
+  if (!done && attempt_ && attempt_->id == attempt) ReportBrokenAttempt();
   Drive([&](auto& plan, steady_time now) {
     return done ? plan.OnEnd(attempt, now) : plan.OnFailure(attempt, now);
   });
 }
 
-void call_executor::ReportAttempt(bool succeeded,
-                                  const http_field_list& fields) {
+void call_executor::ReportAttempt(int status, const http_field_list& fields) {
+  attempt_report report = NewReport();
+  report.succeeded = !IsServerError(status);
   // A success is reported once, with the head. A stream that breaks later is
   // reported as a failure in addition.
-  if (attempt_->reported && succeeded) return;
-  attempt_->reported = true;
-  attempt_report report;
-  report.incarnation = attempt_->incarnation;
-  report.succeeded = succeeded;
-  report.sent_at = attempt_->sent_at;
+  if (attempt_->reported && report.succeeded) return;
+  const auto* pause = FindField(fields, kRetryAfterField);
+  if (status == kStatusUnavailable && pause != nullptr) {
+    report.pause = ParseRetryAfter(pause->value);
+    LogEvent(
+        log_level::kInfo, report.pause ? "endpoint_paused" : "pause_ignored",
+        {{"endpoint", attempt_->endpoint.value()}, {"request", id_.value()}});
+  }
   if (const auto* state = FindField(fields, "X-Endpoint-State")) {
     report.state = ParseEndpointState(state->value);
   }
   if (const auto* load = FindField(fields, "X-Endpoint-Load")) {
     report.load = ParseEndpointLoad(load->value);
   }
+  Report(report);
+}
+
+void call_executor::ReportBrokenAttempt() { Report(NewReport()); }
+
+attempt_report call_executor::NewReport() const {
+  attempt_report report;
+  report.incarnation = attempt_->incarnation;
+  report.sent_at = attempt_->sent_at;
+  return report;
+}
+
+void call_executor::Report(const attempt_report& report) {
+  attempt_->reported = true;
   services_.membership.OnAttempt(attempt_->endpoint, report, *shard_);
 }
 
--- a/source/process/daemon/call_executor.h
+++ b/source/process/daemon/call_executor.h
@@ -26,6 +26,7 @@
 namespace marjoramsill {
 
 class http_responder;
+struct attempt_report;
 
 /// Executes one call: passes events to the attempt plan or the claim flow under
 /// the shard's lock and executes the resulting actions after unlocking. All
@@ -93,7 +94,12 @@
                   const http_field_list& fields);
   void HandleData(const attempt_id& attempt, const std::string& data);
   void HandleEnd(const attempt_id& attempt, endpoint_call_end end);
-  void ReportAttempt(bool succeeded, const http_field_list& fields);
+  /// Reports what a response says of the endpoint.
+  void ReportAttempt(int status, const http_field_list& fields);
+  /// Reports an attempt without a complete response.
+  void ReportBrokenAttempt();
+  attempt_report NewReport() const;
+  void Report(const attempt_report& report);
   void ReleaseEndpoint();
   void SendProblem(const problem& reason);
   /// The outcome, with the rank's latency targets taken into account.
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -50,6 +50,8 @@
   full_pools_ = registry_.AddCounter(
       "marjoramsill_entry_pool_full_total",
       "Requests without an endpoint within the load bound of their pool");
+  pauses_ = registry_.AddCounter("marjoramsill_entry_pauses_total",
+                                 "Pauses that endpoints asked this VM for");
   endpoint_refusals_ =
       registry_.AddCounter("marjoramsill_entry_endpoint_refusals_total",
                            "Requests that an endpoint refused");
@@ -107,6 +109,8 @@
 
 void entry_metrics::CountFullPool() { full_pools_->Increment(); }
 
+void entry_metrics::CountPause() { pauses_->Increment(); }
+
 void entry_metrics::CountEndpointRefusal() { endpoint_refusals_->Increment(); }
 
 void entry_metrics::CountUnderestimate() { underestimates_->Increment(); }
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -40,6 +40,8 @@
   void CountOverBound();
   /// A request got no endpoint because of the load bound of its pool.
   void CountFullPool();
+  /// An endpoint asked for a pause.
+  void CountPause();
   /// An endpoint refused a request.
   void CountEndpointRefusal();
   /// An endpoint reported clearly more load than was estimated.
@@ -74,6 +76,7 @@
   prometheus::Counter* relays_refused_ = nullptr;
   prometheus::Counter* over_bound_ = nullptr;
   prometheus::Counter* full_pools_ = nullptr;
+  prometheus::Counter* pauses_ = nullptr;
   prometheus::Counter* endpoint_refusals_ = nullptr;
   prometheus::Counter* underestimates_ = nullptr;
   prometheus::Counter* unreadable_ = nullptr;
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -36,7 +36,7 @@
 endpoint_pool* pool_table::Pool(const model_id& id) {
   std::unique_ptr<endpoint_pool>& pool = pools_[id];
   if (!pool) {
-    pool = std::make_unique<endpoint_pool>(placement_, random_);
+    pool = std::make_unique<endpoint_pool>(placement_, random_, terms_);
     pool->SetPosition(position_);
   }
   pool->SetCacheCapacity(CacheCapacity(id));
@@ -87,6 +87,7 @@
 void pool_table::Tick(steady_time now) {
   directory_.Expire(now);
   for (const auto& [id, pool] : pools_) pool->Sweep();
+  terms_->Expire(now);
   std::erase_if(pool_by_endpoint_, [this](const auto& entry) {
     return directory_.Find(entry.first) == nullptr;
   });
@@ -132,10 +133,8 @@
     endpoint_estimate* endpoint = Find(load.endpoint);
     if (endpoint != nullptr) {
       endpoint->RecordSharedLoad(load.report, now - load.age);
-      endpoint->RecordSharedLimit(load.limit, now - load.age);
-      if (load.refusal_limit) {
-        endpoint->RecordSharedRefusalLimit(*load.refusal_limit, now - load.age);
-      }
+      endpoint->terms().RecordShared(load.limit, load.refusal_limit,
+                                     now - load.age);
     }
   }
 }
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -93,6 +93,8 @@
   std::optional<steady_time> history_since_;
   std::map<endpoint_id, model_id> pool_by_endpoint_;
   std::map<endpoint_digest, endpoint_id> endpoint_by_digest_;
+  const std::shared_ptr<endpoint_terms_table> terms_ =
+      std::make_shared<endpoint_terms_table>();
   std::map<model_id, std::unique_ptr<endpoint_pool>> pools_;
   std::map<model_id, std::unique_ptr<retry_window>> retries_;
 };
--- a/source/process/membership/endpoint_registry.cc
+++ b/source/process/membership/endpoint_registry.cc
@@ -10,6 +10,8 @@
 
 /// Earliest time of the clock: evidence from this time is never fresh.
 constexpr steady_time kNever = steady_time::min();
+/// A longer pause that an endpoint asks for ends after this time.
+constexpr std::chrono::milliseconds kMaxPause{3'600'000};
 
 }  // namespace
 
@@ -78,6 +80,7 @@
   entry.evidence_at.reset();
   entry.schedule.Reset();
   entry.breaker = circuit_breaker(settings_.breaker);
+  entry.paused_until = {};
   entry.damper.OnReturn(now);
 }
 
@@ -172,6 +175,10 @@
   if (found == entries_.end()) return;
   registry_entry& entry = found->second;
   if (entry.record.endpoint.incarnation != attempt.incarnation) return;
+  if (attempt.pause) {
+    entry.paused_until =
+        std::max(entry.paused_until, now + std::min(*attempt.pause, kMaxPause));
+  }
   if (!attempt.succeeded) {
     entry.breaker.OnFailure(now);
     return;
@@ -186,6 +193,7 @@
   if (entry.record.endpoint.state == endpoint_state::kLeaving) {
     return dispatch_decision::kLeaving;
   }
+  if (now < entry.paused_until) return dispatch_decision::kPaused;
   if (entry.damper.IsHeld(now)) return dispatch_decision::kHeldDown;
   if (!entry.breaker.WouldAdmit(now)) return dispatch_decision::kCircuitOpen;
   if (!IsFresh(entry, now)) return dispatch_decision::kNeedsProbe;
--- a/source/process/membership/endpoint_registry.h
+++ b/source/process/membership/endpoint_registry.h
@@ -90,6 +90,8 @@
   steady_time sent_at;
   std::optional<endpoint_state> state;
   std::optional<endpoint_load> load;
+  /// Time for which the endpoint wants no request from this VM.
+  std::optional<std::chrono::milliseconds> pause = std::nullopt;
 };
 
 /// Whether new work may be sent to an endpoint, or why not.
@@ -101,7 +103,9 @@
   kUnknown,
   kLeaving,
   kHeldDown,
-  kCircuitOpen
+  kCircuitOpen,
+  /// The endpoint asked this VM for a pause.
+  kPaused
 };
 
 /// State of one endpoint, as needed to select endpoints and to report status.
@@ -211,6 +215,7 @@
     /// Probes without a response since the latest evidence.
     std::uint32_t probes_without_response = 0;
     steady_time silent_since{};
+    steady_time paused_until{};
     circuit_breaker breaker;
     flap_damper damper;
   };
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -31,10 +31,11 @@
 }  // namespace
 
 endpoint_estimate::endpoint_estimate(endpoint_record record,
-                                     token_count cache_capacity)
+                                     token_count cache_capacity,
+                                     std::shared_ptr<endpoint_terms> terms)
     : record_(std::move(record)),
       prefixes_(cache_capacity),
-      limit_(DigestOf(record_.id).value()),
+      terms_(std::move(terms)),
       failures_(kFailureGain) {}
 
 void endpoint_estimate::Update(const endpoint_record& record) {
@@ -46,8 +47,6 @@
     avoid_until_ = {};
     is_misdirected_ = false;
     waiting_since_.reset();
-    limit_ = limit_share(DigestOf(record.id).value());
-    is_limit_shared_ = true;
   }
   if (record.address != record_.address) is_misdirected_ = false;
   record_ = record;
@@ -56,7 +55,7 @@
 void endpoint_estimate::OnCallStart(steady_time now) {
   ++in_flight_;
   own_calls_.Add(1, now);
-  limit_.Take(now);
+  terms_->limit().Take(now);
 }
 
 void endpoint_estimate::OnCallEnd(steady_time now) {
@@ -98,52 +97,20 @@
   is_report_shared_ = true;
 }
 
-void endpoint_estimate::RecordLimit(std::optional<double> per_second,
-                                    steady_time now) {
-  // The other VMs have to learn of a limit, and of its end.
-  if (per_second || limit_.per_second()) is_limit_shared_ = false;
-  limit_.Record(per_second, now);
-  limit_heard_at_ = now;
-}
-
-void endpoint_estimate::RecordSharedLimit(std::optional<double> per_second,
-                                          steady_time measured_at) {
-  limit_.RecordShared(per_second, measured_at);
-}
-
-void endpoint_estimate::RecordRefusalLimit(std::uint32_t refusals,
-                                           steady_time now) {
-  const std::uint32_t known = refusal_limit_.value_or(kUnlimitedRefusals);
-  // A limit is shared again and again, since a control process forgets it.
-  if (refusals != kUnlimitedRefusals || known != kUnlimitedRefusals) {
-    is_limit_shared_ = false;
-  }
-  refusal_limit_ = refusals;
-  refusal_limit_at_ = now;
-  limit_heard_at_ = now;
-}
-
-void endpoint_estimate::RecordSharedRefusalLimit(std::uint32_t refusals,
-                                                 steady_time measured_at) {
-  if (refusal_limit_ && measured_at <= refusal_limit_at_) return;
-  refusal_limit_ = refusals;
-  refusal_limit_at_ = measured_at;
-}
-
 std::optional<shared_load> endpoint_estimate::TakeUnsharedLoad(
     steady_time now) {
   const bool has_load = has_report_ && !is_report_shared_;
-  if (!has_load && is_limit_shared_) return std::nullopt;
+  if (!has_load && !terms_->has_unshared()) return std::nullopt;
   is_report_shared_ = true;
-  is_limit_shared_ = true;
+  terms_->MarkShared();
   shared_load load;
   load.endpoint = DigestOf(record_.id);
   if (has_load) load.report = report_;
-  const steady_time measured_at = has_load ? reported_at_ : limit_heard_at_;
+  const steady_time measured_at = has_load ? reported_at_ : terms_->stated_at();
   load.age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - measured_at);
-  load.limit = limit_.per_second();
-  load.refusal_limit = refusal_limit_;
+  load.limit = terms_->limit().per_second();
+  load.refusal_limit = terms_->refusal_limit();
   return load;
 }
 
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -3,12 +3,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 
 #include "process/directory/endpoint_record.h"
 #include "process/directory/load_report.h"
 #include "process/directory/shared_load.h"
-#include "process/placement/limit_share.h"
+#include "process/placement/endpoint_terms.h"
 #include "process/placement/own_call_history.h"
 #include "process/placement/prefix_cache_model.h"
 #include "process/placement/smoothed_value.h"
@@ -22,7 +23,8 @@
 /// reports and the outcomes of recent calls.
 class endpoint_estimate {
  public:
-  endpoint_estimate(endpoint_record record, token_count cache_capacity);
+  endpoint_estimate(endpoint_record record, token_count cache_capacity,
+                    std::shared_ptr<endpoint_terms> terms);
 
   const endpoint_record& record() const { return record_; }
   /// Replaces the record by a newer one. A new incarnation of the
@@ -45,24 +47,9 @@
   /// The latest report that the endpoint sent to this entry VM, unless an
   /// earlier call returned it.
   std::optional<shared_load> TakeUnsharedLoad(steady_time now);
-  /// A response named the requests per second that the endpoint takes from all
-  /// entry VMs together, or named none.
-  void RecordLimit(std::optional<double> per_second, steady_time now);
-  /// Another entry VM received it at `measured_at`.
-  void RecordSharedLimit(std::optional<double> per_second,
-                         steady_time measured_at);
-  /// A response named the refusals for want of room in one second that the
-  /// endpoint survives, or kUnlimitedRefusals.
-  void RecordRefusalLimit(std::uint32_t refusals, steady_time now);
-  /// Another entry VM received it at `measured_at`.
-  void RecordSharedRefusalLimit(std::uint32_t refusals,
-                                steady_time measured_at);
-  /// The limit that was named last; nothing before the first response.
-  const std::optional<std::uint32_t>& refusal_limit() const {
-    return refusal_limit_;
-  }
-  limit_share& limit() { return limit_; }
-  const limit_share& limit() const { return limit_; }
+  /// The terms on which the endpoint takes requests.
+  endpoint_terms& terms() { return *terms_; }
+  const endpoint_terms& terms() const { return *terms_; }
   /// A complete response arrived; `success` tells whether its status is one.
   void OnResponse(bool success);
   /// The connection could not be established, was lost, or stalled without a
@@ -129,12 +116,7 @@
   /// The report came with a response to this VM.
   bool is_report_own_ = false;
   bool is_report_shared_ = true;
-  limit_share limit_;
-  steady_time limit_heard_at_;
-  std::optional<std::uint32_t> refusal_limit_;
-  steady_time refusal_limit_at_;
-  /// Neither limit has to be shared.
-  bool is_limit_shared_ = true;
+  const std::shared_ptr<endpoint_terms> terms_;
   bool is_misdirected_ = false;
   std::optional<steady_time> waiting_since_;
   std::uint32_t consecutive_failures_ = 0;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -52,9 +52,12 @@
 
 }  // namespace
 
-endpoint_pool::endpoint_pool(placement_settings settings, random_source random)
+endpoint_pool::endpoint_pool(placement_settings settings, random_source random,
+                             std::shared_ptr<endpoint_terms_table> terms)
     : settings_(std::move(settings)),
       random_(std::move(random)),
+      terms_(terms ? std::move(terms)
+                   : std::make_shared<endpoint_terms_table>()),
       duration_ms_(kDurationGain, kInitialDurationMs),
       others_in_progress_(kProgressGain) {}
 
@@ -69,12 +72,13 @@
 void endpoint_pool::Apply(const endpoint_record& record) {
   const auto found = endpoints_.find(record.id);
   if (found != endpoints_.end()) {
+    terms_->Of(record);
     found->second->Update(record);
     return;
   }
   if (record.phase == endpoint_phase::kEnded) return;
-  endpoints_[record.id] =
-      std::make_unique<endpoint_estimate>(record, cache_capacity_);
+  endpoints_[record.id] = std::make_unique<endpoint_estimate>(
+      record, cache_capacity_, terms_->Of(record));
 }
 
 endpoint_estimate* endpoint_pool::Find(const endpoint_id& id) {
@@ -82,10 +86,12 @@
   return found == endpoints_.end() ? nullptr : found->second.get();
 }
 
-bool endpoint_pool::CanServe(const placement_limits& limits) const {
+bool endpoint_pool::CanServe(const placement_limits& limits,
+                             steady_time now) const {
   return std::any_of(endpoints_.begin(), endpoints_.end(),
-                     [&limits](const auto& entry) {
+                     [&limits, now](const auto& entry) {
                        return entry.second->IsServing() &&
+                              !entry.second->terms().IsPaused(now) &&
                               IsWithin(limits, entry.second->record());
                      });
 }
@@ -149,10 +155,11 @@
   const double usual_rate = UsualRate(now);
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint->IsServing()) continue;
-    endpoint->limit().SetUsualRate(usual_rate);
+    endpoint->terms().limit().SetUsualRate(usual_rate);
     if (!also_avoided && endpoint->IsAvoided(now)) continue;
     if (!IsWithin(limits, endpoint->record())) continue;
-    if (!endpoint->limit().HasAllowance(position_, now)) continue;
+    if (endpoint->terms().IsPaused(now)) continue;
+    if (!endpoint->terms().limit().HasAllowance(position_, now)) continue;
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
                      PreferenceWeight(*endpoint, now)});
   }
@@ -165,7 +172,7 @@
 
 double endpoint_pool::PreferenceWeight(const endpoint_estimate& endpoint,
                                        steady_time now) const {
-  const auto own_rate = endpoint.limit().OwnRate(position_, now);
+  const auto own_rate = endpoint.terms().limit().OwnRate(position_, now);
   if (!own_rate) return 1;
   const double usual = UsualRate(now);
   if (usual <= 0) return 1;
@@ -360,12 +367,27 @@
     if (!endpoint->IsServing() || !IsWithin(limits, endpoint->record())) {
       continue;
     }
-    const auto wait = endpoint->limit().Wait(position_, now);
+    if (endpoint->terms().IsPaused(now)) continue;
+    const auto wait = endpoint->terms().limit().Wait(position_, now);
     if (wait && (!least || *wait < *least)) least = wait;
   }
   return least;
 }
 
+std::optional<std::chrono::microseconds> endpoint_pool::PauseWait(
+    const placement_limits& limits, steady_time now) const {
+  std::optional<std::chrono::microseconds> least;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint->IsServing() || !IsWithin(limits, endpoint->record())) {
+      continue;
+    }
+    if (!endpoint->terms().IsPaused(now)) return std::nullopt;
+    const auto left = endpoint->terms().PauseLeft(now);
+    if (!least || left < *least) least = left;
+  }
+  return least;
+}
+
 void endpoint_pool::RecordDuration(std::chrono::microseconds duration) {
   duration_ms_.Add(MillisOf(duration));
 }
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -9,6 +9,7 @@
 
 #include "process/directory/shared_load.h"
 #include "process/placement/endpoint_estimate.h"
+#include "process/placement/endpoint_terms_table.h"
 #include "process/placement/event_rate.h"
 #include "process/placement/full_pool.h"
 #include "process/placement/load_bound.h"
@@ -30,7 +31,9 @@
 /// failure domain.
 class endpoint_pool {
  public:
-  endpoint_pool(placement_settings settings, random_source random);
+  /// `terms`: those of all endpoints; null: the pool has its own.
+  endpoint_pool(placement_settings settings, random_source random,
+                std::shared_ptr<endpoint_terms_table> terms = nullptr);
 
   /// Sets how many tokens of prompt prefixes each endpoint can cache.
   void SetCacheCapacity(token_count capacity);
@@ -50,6 +53,10 @@
   /// serve that take none now because of their own limits.
   std::optional<std::chrono::microseconds> LimitWait(
       const placement_limits& limits, steady_time now);
+  /// Time until an endpoint within the limits wants requests again, if all
+  /// that serve have asked this VM for a pause.
+  std::optional<std::chrono::microseconds> PauseWait(
+      const placement_limits& limits, steady_time now) const;
   /// What keeps a request from the endpoints that could serve it, after
   /// Choose() has found none; nothing if there are no such endpoints.
   std::optional<full_pool> FindFull(const placement_limits& limits,
@@ -89,7 +96,7 @@
   void ForgetFailures();
 
   /// True if at least one endpoint within the limits accepts requests.
-  bool CanServe(const placement_limits& limits) const;
+  bool CanServe(const placement_limits& limits, steady_time now) const;
   /// True if the endpoints that have not ended have several software versions.
   bool HasSeveralVersions() const;
   /// Removes endpoints that have ended and have no call in flight.
@@ -179,6 +186,7 @@
   token_count cache_capacity_;
   fleet_position position_;
   const random_source random_;
+  const std::shared_ptr<endpoint_terms_table> terms_;
   std::map<endpoint_id, std::unique_ptr<endpoint_estimate>> endpoints_;
   pool_reach reach_;
   smoothed_value duration_ms_;
--- a/source/process/placement/endpoint_pool_bound.cc
+++ b/source/process/placement/endpoint_pool_bound.cc
@@ -53,15 +53,15 @@
 }
 
 bool endpoint_pool::LimitsRefusals() const {
-  return std::any_of(endpoints_.begin(), endpoints_.end(),
-                     [](const auto& entry) {
-                       const auto& limit = entry.second->refusal_limit();
-                       return limit && *limit != kUnlimitedRefusals;
-                     });
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [](const auto& entry) {
+        const auto& limit = entry.second->terms().refusal_limit();
+        return limit && *limit != kUnlimitedRefusals;
+      });
 }
 
 bool endpoint_pool::MayRefuse(const endpoint_estimate& endpoint) {
-  return endpoint.refusal_limit() == kUnlimitedRefusals;
+  return endpoint.terms().refusal_limit() == kUnlimitedRefusals;
 }
 
 std::uint32_t endpoint_pool::OwnSlots(const endpoint_estimate& endpoint) const {
@@ -117,7 +117,7 @@
   double total = 0;
   double count = 0;
   for (const candidate& each : candidates) {
-    if (each.endpoint->limit().per_second()) continue;
+    if (each.endpoint->terms().limit().per_second()) continue;
     total += each.load;
     ++count;
   }
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -224,10 +224,11 @@
 void proxied_call::PickPool() {
   pool_id_ = routing_table::PickPool(*route_, environment_.random());
   pool_ = environment_.pool(pool_id_);
-  if (pool_->CanServe(limits_)) return;
+  const steady_time now = environment_.clock();
+  if (pool_->CanServe(limits_, now)) return;
   for (const route_target& target : route_->targets) {
     endpoint_pool* other = environment_.pool(target.pool);
-    if (target.weight == 0 || !other->CanServe(limits_)) continue;
+    if (target.weight == 0 || !other->CanServe(limits_, now)) continue;
     pool_id_ = target.pool;
     pool_ = other;
     return;
@@ -243,7 +244,8 @@
   CountRequest();
   // Jittered, so that refused callers do not all retry at the same time.
   const double jitter =
-      0.75 + 0.5 * static_cast<double>(environment_.random() % 1024) / 1024;
+      kMinRetryJitter +
+      0.5 * static_cast<double>(environment_.random() % 1024) / 1024;
   const double wait =
       std::clamp(retry_after_ms * jitter, kMinRetryAfterMs, kMaxRetryAfterMs);
   caller_->Respond(kStatusUnavailable, {{"Retry-After", FormatSeconds(wait)}},
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -38,6 +38,7 @@
 struct placement_choice;
 struct request_content;
 struct route_rule;
+struct stated_terms;
 struct workspace_spec;
 
 /// One request of a caller from its arrival to the end of its response: finds
@@ -69,6 +70,9 @@
   bool is_relayed() const { return terms_.has_value(); }
 
  private:
+  /// Smallest factor by which a Retry-After is varied.
+  static constexpr double kMinRetryJitter = 0.75;
+
   enum class state {
     kNew,
     /// Waits for the software version that began the stream.
@@ -126,13 +130,19 @@
   void Connect(const std::string& address);
   void ResetAttempt(endpoint_id target);
   void OnConnected(bool connected);
+  bool IsTargetPaused() const;
+  /// Ends the attempt at its endpoint and keeps the connection for others.
+  void LeaveConnection();
   void Send();
   std::string RequestBytes() const;
   /// True if the response belongs to this request.
   bool MatchesRequest(const endpoint_response_head& head) const;
   void OnHead(const endpoint_response_head& head);
-  /// Records the request rate that the endpoint takes, or that it names none.
-  void RecordLimits(endpoint_estimate* endpoint, steady_time now);
+  /// Records what the response says about the requests that its endpoint takes.
+  void RecordTerms(endpoint_estimate* endpoint, steady_time now);
+  /// A response on this connection belongs to an earlier request. What it says
+  /// of its endpoint counts all the same.
+  void OnOtherResponse(const endpoint_response_head& head);
   void OnBody(std::string_view data);
   void OnReadEnd();
   void OnCompleteAnswer();
@@ -177,6 +187,8 @@
   /// Logs that an endpoint reports clearly more load than was estimated when it
   /// was chosen for this request.
   void LogUnderestimate(const load_report& report) const;
+  /// Logs that the endpoint asked for a pause, or for one that is unreadable.
+  void LogPause(const stated_terms& stated) const;
   /// Logs a refusal of an endpoint, with what it says of the endpoint and of
   /// the request that it belongs to.
   void LogRefusal() const;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -57,6 +57,12 @@
          status == kStatusRequestTimeout;
 }
 
+/// Uniform from 0 to 1.
+double RandomShare(const random_source& random) {
+  constexpr std::uint64_t kSteps = 1024;
+  return static_cast<double>(random() % kSteps) / kSteps;
+}
+
 /// The engine's queue serves lower numbers first. Every other number is left
 /// free for ranks in between.
 int EnginePriority(int rank) {
@@ -174,12 +180,31 @@
 
 void proxied_call::OnConnected(bool connected) {
   if (state_ != state::kConnecting) return;
-  if (connected) {
-    if (!is_handed_on_) pool_->reach().OnConnected();
-    Send();
-  } else {
+  if (!connected) {
     OnFailure(call_failure::kNotConnected);
+    return;
   }
+  if (!is_handed_on_) pool_->reach().OnConnected();
+  if (IsTargetPaused()) {
+    LeaveConnection();
+    AfterAttempt(attempt_end::kNotSent, "paused");
+    return;
+  }
+  Send();
+}
+
+/// The endpoint asked for a pause while this request was connecting to it.
+bool proxied_call::IsTargetPaused() const {
+  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  return endpoint != nullptr &&
+         endpoint->terms().IsPaused(environment_.clock());
+}
+
+void proxied_call::LeaveConnection() {
+  Connections().Release(endpoint_, std::move(connection_),
+                        environment_.clock());
+  connection_.reset();
+  ReleaseEndpoint();
 }
 
 std::string proxied_call::RequestBytes() const {
@@ -230,7 +255,9 @@
   // The hooks may therefore use `this`.
   endpoint_call_hooks hooks;
   hooks.accepts = [this](const endpoint_response_head& head) {
-    return MatchesRequest(head);
+    const bool matches = MatchesRequest(head);
+    if (!matches) OnOtherResponse(head);
+    return matches;
   };
   hooks.on_head = [this](const endpoint_response_head& head) { OnHead(head); };
   hooks.on_body = [this](std::string_view data) { OnBody(data); };
@@ -264,7 +291,7 @@
     endpoint->RecordLoad(*load, now);
     LogUnderestimate(*load);
   }
-  RecordLimits(endpoint, now);
+  RecordTerms(endpoint, now);
   is_rejected_ =
       FindField(head.fields, environment_.dialect.not_run) != nullptr ||
       (!is_handed_on_ && head.status == kStatusMisdirected);
@@ -279,18 +306,23 @@
   if (is_stream_ && !route_->is_resumable) StartResponse();
 }
 
-void proxied_call::RecordLimits(endpoint_estimate* endpoint, steady_time now) {
+void proxied_call::RecordTerms(endpoint_estimate* endpoint, steady_time now) {
   if (endpoint == nullptr || head_.status == kStatusMisdirected) return;
-  const request_dialect& dialect = environment_.dialect;
-  const auto limit = dialect.read_limit(head_.fields);
-  const auto refusals = dialect.read_refusal_limit(head_.fields);
-  // A failure may come from a part of the endpoint that does not know the
-  // limits.
-  const bool is_success = IsSuccessStatus(head_.status);
-  if (limit || is_success) endpoint->RecordLimit(limit, now);
-  if (refusals || is_success) {
-    endpoint->RecordRefusalLimit(refusals.value_or(kUnlimitedRefusals), now);
-  }
+  const stated_terms stated =
+      environment_.dialect.read_terms(head_.status, head_.fields);
+  endpoint->terms().Record(stated, IsSuccessStatus(head_.status),
+                           RandomShare(environment_.random), now);
+  LogPause(stated);
+}
+
+void proxied_call::OnOtherResponse(const endpoint_response_head& head) {
+  endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  if (endpoint == nullptr) return;
+  const stated_terms stated =
+      environment_.dialect.read_terms(head.status, head.fields);
+  endpoint->terms().RecordPause(stated, RandomShare(environment_.random),
+                                environment_.clock());
+  LogPause(stated);
 }
 
 void proxied_call::OnBody(std::string_view data) {
@@ -330,9 +362,7 @@
   const steady_time now = environment_.clock();
   const auto self = shared_from_this();
   endpoint_estimate* endpoint = pool_->Find(endpoint_);
-  Connections().Release(endpoint_, std::move(connection_), now);
-  connection_.reset();
-  ReleaseEndpoint();
+  LeaveConnection();
   if (is_handed_on_ && OnRelayRefusal()) return;
   if (is_rejected_) {
     if (endpoint != nullptr && head_.status == kStatusMisdirected) {
@@ -446,7 +476,7 @@
   if (IsRelayDue(now) && IsLinkLost(now)) {
     return environment_.relays->Pick(tried_relays_, pool_id_, now).has_value();
   }
-  return HasAttemptLeft() && pool_->CanServe(limits_);
+  return HasAttemptLeft() && pool_->CanServe(limits_, now);
 }
 
 int proxied_call::CountedAttempts() const { return sent_ - lost_with_links_; }
--- a/source/request/proxied_call_log.cc
+++ b/source/request/proxied_call_log.cc
@@ -6,7 +6,9 @@
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/placement/endpoint_pool.h"
+#include "process/placement/stated_terms.h"
 #include "request/proxied_call.h"
+#include "request/retry_after.h"
 
 namespace marjoramsill {
 namespace {
@@ -68,11 +70,24 @@
       line_class::kFrequent);
 }
 
+void proxied_call::LogPause(const stated_terms& stated) const {
+  if (!stated.pause && !stated.is_pause_unreadable) return;
+  if (stated.pause) environment_.metrics->CountPause();
+  environment_.log->Write(
+      stated.pause ? "endpoint_paused" : "pause_ignored",
+      log_fields()
+          .Add("request", request_id_)
+          .Add("endpoint", endpoint_.value())
+          .Add("pause_ms", stated.pause ? stated.pause->count() : 0)
+          .text(),
+      line_class::kFrequent);
+}
+
 void proxied_call::LogRefusal() const {
   const endpoint_estimate* endpoint = pool_->Find(endpoint_);
   const http_field* id =
       FindField(head_.fields, environment_.dialect.request_id);
-  const http_field* pause = FindField(head_.fields, "Retry-After");
+  const http_field* pause = FindField(head_.fields, kRetryAfterField);
   const auto load = environment_.dialect.read_load(head_.fields);
   environment_.metrics->CountEndpointRefusal();
   environment_.log->Write(
--- a/source/request/proxied_call_place.cc
+++ b/source/request/proxied_call_place.cc
@@ -22,11 +22,17 @@
   double retry_after_ms = kNoEndpointRetryMs;
   const auto wait = pool_->LimitWait(limits_, now);
   const auto full = pool_->FindFull(limits_, now);
-  if ((wait || full) && OfferElsewhere(now)) return;
+  const auto pause = pool_->PauseWait(limits_, now);
+  if ((wait || full || pause) && OfferElsewhere(now)) return;
   if (wait) {
     reason = "endpoint_limits";
     retry_after_ms = MillisOf(*wait);
   }
+  if (pause) {
+    reason = "endpoints_paused";
+    // No caller should come back before the first endpoint takes requests.
+    retry_after_ms = MillisOf(*pause) / kMinRetryJitter;
+  }
   if (full) {
     if (AwaitPlace(*full, now)) return;
     reason = "pool_full";
--- a/source/request/request_dialect.h
+++ b/source/request/request_dialect.h
@@ -8,6 +8,7 @@
 
 #include "process/directory/load_report.h"
 #include "process/placement/request_demand.h"
+#include "process/placement/stated_terms.h"
 #include "request/http_field.h"
 
 namespace marjoramsill {
@@ -45,11 +46,9 @@
 
   std::function<request_demand(const http_field_list&)> read_demand;
   std::function<std::optional<load_report>(const http_field_list&)> read_load;
-  /// Requests per second that an endpoint takes from all entry VMs together.
-  std::function<std::optional<double>(const http_field_list&)> read_limit;
-  /// Refusals for want of room in one second that an endpoint survives.
-  std::function<std::optional<std::uint32_t>(const http_field_list&)>
-      read_refusal_limit;
+  /// What a response with this status says about the requests that its endpoint
+  /// takes.
+  std::function<stated_terms(int status, const http_field_list&)> read_terms;
 };
 
 }  // namespace marjoramsill
--- a/tests/membership/endpoint_registry_test.cc
+++ b/tests/membership/endpoint_registry_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(endpoint_leaving_by_header_gets_no_work);
   CPPUNIT_TEST(endpoint_leaving_does_not_become_active_again);
   CPPUNIT_TEST(endpoint_flapping_is_held_down);
+  CPPUNIT_TEST(endpoint_that_asks_for_a_pause_gets_no_work_until_its_end);
   CPPUNIT_TEST(freeze_makes_evidence_stale);
   CPPUNIT_TEST(summary_lists_overdue_leases);
   CPPUNIT_TEST(probes_stay_within_budget);
@@ -112,6 +113,29 @@
                    incarnation_number(5));
   }
 
+  // Guards against requests that reach an endpoint in the pause that it asked
+  // this VM for.
+  void endpoint_that_asks_for_a_pause_gets_no_work_until_its_end() {
+    RunTo(milliseconds(101000));
+    attempt_report refused;
+    refused.incarnation = announcement_.incarnation;
+    refused.sent_at = Now();
+    refused.pause = milliseconds(2500);
+    registry_.OnAttempt(announcement_.id, refused, Now());
+    const milliseconds end = at_ + milliseconds(2500);
+    while (at_ + milliseconds(100) < end) {
+      RunTo(at_ + milliseconds(100));
+      CPPUNIT_ASSERT(Decision() == dispatch_decision::kPaused);
+    }
+    RunTo(end + milliseconds(100));
+    CPPUNIT_ASSERT(Decision() == dispatch_decision::kUsable);
+    refused.pause = std::chrono::hours(24);
+    registry_.OnAttempt(announcement_.id, refused, Now());
+    announcement_ = Announcement("e1", 2);
+    RunTo(at_ + milliseconds(6000));
+    CPPUNIT_ASSERT(Decision() != dispatch_decision::kPaused);
+  }
+
   // Guards against endpoints that stay usable after they have stopped.
   void endpoint_silent_expires() {
     RunTo(milliseconds(105000));
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -6,6 +6,8 @@
 #include <random>
 #include <string>
 
+#include "process/placement/stated_terms.h"
+
 namespace marjoramsill {
 
 using std::chrono::milliseconds;
@@ -85,6 +87,13 @@
     return *pool.Find(MakeRecord(number).id);
   }
 
+  /// A success that names this limit of refusals, or none.
+  void RecordRefusals(endpoint_estimate& endpoint, std::uint32_t refusals) {
+    stated_terms stated;
+    if (refusals != kUnlimitedRefusals) stated.refusal_limit = refusals;
+    endpoint.terms().Record(stated, true, 0, now_);
+  }
+
   steady_time now_{milliseconds(100'000)};
 
  public:
@@ -283,8 +292,8 @@
       limits.tried.push_back(choice->endpoint->record().id);
     }
     CPPUNIT_ASSERT(!pool.Choose({}, limits, now_));
-    CPPUNIT_ASSERT(!pool.CanServe(limits));
-    CPPUNIT_ASSERT(pool.CanServe({}));
+    CPPUNIT_ASSERT(!pool.CanServe(limits, now_));
+    CPPUNIT_ASSERT(pool.CanServe({}, now_));
   }
 
   void ended_endpoint_stays_until_its_calls_have_ended() {
@@ -313,8 +322,10 @@
     pool.SetPosition(position);
     double own_rate = 0;
     for (int i = 0; i < kLimited; ++i) {
-      Endpoint(pool, i).RecordLimit(kLimitPerSecond, now_);
-      own_rate += Endpoint(pool, i).limit().OwnRate(position, now_).value_or(0);
+      Endpoint(pool, i).terms().Record({.limit = kLimitPerSecond}, false, 0,
+                                       now_);
+      own_rate +=
+          Endpoint(pool, i).terms().limit().OwnRate(position, now_).value_or(0);
     }
     std::mt19937_64 random(3);
     int limited = 0;
@@ -324,7 +335,7 @@
           pool.Choose(Demand(random() % 200, 1'000 + i), {}, now_);
       choice->endpoint->OnCallStart(now_);
       choice->endpoint->OnCallEnd(now_);
-      if (choice->endpoint->limit().per_second()) ++limited;
+      if (choice->endpoint->terms().limit().per_second()) ++limited;
     }
     CPPUNIT_ASSERT(limited >= 0.5 * own_rate * kSeconds);
   }
@@ -332,7 +343,8 @@
   /// Requests that an endpoint beside three limited ones gets.
   int CountPlaced(endpoint_pool& pool) {
     Endpoint(pool, 3).RecordLoad({0, 0, 16}, now_);
-    for (int i = 0; i < 3; ++i) Endpoint(pool, i).RecordLimit(0.01, now_);
+    for (int i = 0; i < 3; ++i)
+      Endpoint(pool, i).terms().Record({.limit = 0.01}, false, 0, now_);
     int sent = 0;
     while (const auto choice = pool.Choose({}, {}, now_)) {
       choice->endpoint->OnCallStart(now_);
@@ -361,7 +373,8 @@
   void endpoint_beside_limited_ones_is_refused_above_the_pool_bound() {
     // Guards against a mean over the endpoints that are left.
     endpoint_pool pool = Pool(4);
-    for (int i = 0; i < 3; ++i) Endpoint(pool, i).RecordLimit(0.01, now_);
+    for (int i = 0; i < 3; ++i)
+      Endpoint(pool, i).terms().Record({.limit = 0.01}, false, 0, now_);
     int sent = 0;
     while (const auto choice = pool.Choose({}, {}, now_)) {
       CPPUNIT_ASSERT_EQUAL(std::string("e3"),
@@ -399,7 +412,7 @@
       endpoint_pool each = Pool(1);
       each.SetOthersProgress(100, now_);
       Endpoint(each, 0).RecordLoad({0, 0, 16}, now_);
-      Endpoint(each, 0).RecordRefusalLimit(1, now_);
+      RecordRefusals(Endpoint(each, 0), 1);
       each.SetPosition({6, index});
       while (const auto choice = each.Choose({}, {}, now_)) {
         choice->endpoint->OnCallStart(now_);
@@ -414,7 +427,7 @@
     endpoint_pool pool = Pool(2);
     pool.SetOthersProgress(100, now_);
     Endpoint(pool, 0).RecordLoad({16, 0, 16}, now_);
-    Endpoint(pool, 0).RecordRefusalLimit(1, now_);
+    RecordRefusals(Endpoint(pool, 0), 1);
     CPPUNIT_ASSERT(CountPlacedOfSixVms(pool) <= 2 * 3);
   }
 
@@ -422,25 +435,25 @@
     endpoint_pool pool = Pool(1);
     pool.SetOthersProgress(100, now_);
     Endpoint(pool, 0).RecordLoad({0, 0, 16}, now_);
-    Endpoint(pool, 0).RecordRefusalLimit(1, now_);
-    Endpoint(pool, 0).RecordRefusalLimit(kUnlimitedRefusals, now_);
+    RecordRefusals(Endpoint(pool, 0), 1);
+    RecordRefusals(Endpoint(pool, 0), kUnlimitedRefusals);
     CPPUNIT_ASSERT(CountPlacedOfSixVms(pool) > 16);
   }
 
   void limit_of_refusals_is_shared_and_the_newest_one_counts() {
     endpoint_pool pool = Pool(1);
     endpoint_estimate& endpoint = Endpoint(pool, 0);
-    endpoint.RecordRefusalLimit(kUnlimitedRefusals, now_);
+    RecordRefusals(endpoint, kUnlimitedRefusals);
     std::vector<shared_load> loads;
     pool.TakeLoads(loads, now_);
     CPPUNIT_ASSERT(loads.empty());
-    endpoint.RecordRefusalLimit(2, now_);
+    RecordRefusals(endpoint, 2);
     pool.TakeLoads(loads, now_);
     CPPUNIT_ASSERT(loads.size() == 1 && loads[0].refusal_limit == 2U);
-    endpoint.RecordSharedRefusalLimit(5, now_ - milliseconds(10));
-    CPPUNIT_ASSERT(endpoint.refusal_limit() == 2U);
-    endpoint.RecordSharedRefusalLimit(5, now_ + milliseconds(10));
-    CPPUNIT_ASSERT(endpoint.refusal_limit() == 5U);
+    endpoint.terms().RecordShared(std::nullopt, 5, now_ - milliseconds(10));
+    CPPUNIT_ASSERT(endpoint.terms().refusal_limit() == 2U);
+    endpoint.terms().RecordShared(std::nullopt, 5, now_ + milliseconds(10));
+    CPPUNIT_ASSERT(endpoint.terms().refusal_limit() == 5U);
   }
 
   void endpoint_beside_failed_ones_is_not_bound_by_their_emptiness() {
--- a/tests/placement/entry_fleet_model.cc
+++ b/tests/placement/entry_fleet_model.cc
@@ -6,6 +6,7 @@
 
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/request_demand.h"
+#include "process/placement/stated_terms.h"
 
 namespace marjoramsill {
 namespace {
@@ -150,7 +151,8 @@
                         demand](const load_report& report) {
     endpoint_estimate& endpoint = *pool.Find(id);
     if (IsLimited(number)) {
-      endpoint.RecordLimit(parameters_.limit_per_s, now_);
+      endpoint.terms().Record({.limit = parameters_.limit_per_s}, false, 0,
+                              now_);
     }
     endpoint.RecordLoad(report, now_);
     endpoint.prefixes().Record(demand.parts);
--- a/tests/platform/platform_decoder_test.cc
+++ b/tests/platform/platform_decoder_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(prefixes_of_different_models_have_different_hashes);
   CPPUNIT_TEST(malformed_load_is_ignored);
   CPPUNIT_TEST(malformed_refusal_limit_is_ignored);
+  CPPUNIT_TEST(pause_is_decoded_from_a_refusal);
   CPPUNIT_TEST_SUITE_END();
 
   static json Document() {
@@ -171,12 +172,35 @@
   }
 
   void malformed_refusal_limit_is_ignored() {
-    CPPUNIT_ASSERT(DecodeRefusalLimit({{"Server-Brittle", "3"}}) == 3U);
-    CPPUNIT_ASSERT(DecodeRefusalLimit({{"Server-Brittle", "0"}}) == 0U);
+    const auto decode = [](const char* text) {
+      return DecodeTerms(200, {{"Server-Brittle", text}}).refusal_limit;
+    };
+    CPPUNIT_ASSERT(decode("3") == 3U);
+    CPPUNIT_ASSERT(decode("0") == 0U);
     for (const char* text : {"", "x", "-1", "1.5", "3 ", "4294967295"}) {
-      CPPUNIT_ASSERT(!DecodeRefusalLimit({{"Server-Brittle", text}}));
+      CPPUNIT_ASSERT(!decode(text));
     }
-    CPPUNIT_ASSERT(!DecodeRefusalLimit({}));
+    CPPUNIT_ASSERT(!DecodeTerms(200, {}).refusal_limit);
+  }
+
+  void pause_is_decoded_from_a_refusal() {
+    const auto decode = [](int status, const char* text) {
+      return DecodeTerms(status, {{"Retry-After", text}});
+    };
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2'000}, decode(503, "2").pause->count());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1'751},
+                         decode(503, "1.7505").pause->count());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, decode(503, "0").pause->count());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{86'400'000},
+                         decode(503, "99999999999999999999").pause->count());
+    for (const char* text : {"", "-1", "soon", "2 s", "nan", "inf", "0x2",
+                             "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !decode(503, text).pause);
+      CPPUNIT_ASSERT_MESSAGE(text, decode(503, text).is_pause_unreadable);
+    }
+    CPPUNIT_ASSERT(!decode(200, "2").pause);
+    CPPUNIT_ASSERT(!decode(200, "soon").is_pause_unreadable);
+    CPPUNIT_ASSERT(!DecodeTerms(503, {}).is_pause_unreadable);
   }
 
   void malformed_load_is_ignored() {
