placement: count the slots of calls that were dropped at brittle endpoints

Cause: a VM took the slot of a call for free when its caller left, or when it gave up a silent answer, while the endpoint went on. The slots that VMs divide then held more requests than slots. Class: the end of our call stands for the end of the work. Change: a slot of a dropped call stays taken for the mean duration of a call, or until the deadline that the endpoint was sent. An endpoint that limits its refusals and reports a queue gets no request for 500 ms: its memory may be full before its slots are. Other endpoints are not affected.

--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -11,6 +11,9 @@
 constexpr double kFailureGain = 0.1;
 /// A load report is not used after this time.
 constexpr std::chrono::milliseconds kMaxReportAge{3'000};
+/// A queue that was reported is expected to last for this time. Endpoints with
+/// running requests report several times within it.
+constexpr std::chrono::milliseconds kMaxQueueReportAge{500};
 /// The endpoint is avoided for this time after the first connection failure;
 /// the time doubles with each consecutive one.
 constexpr std::chrono::milliseconds kFirstAvoidTime{200};
@@ -47,6 +50,7 @@
     avoid_until_ = {};
     is_misdirected_ = false;
     waiting_since_.reset();
+    dropped_until_.clear();
   }
   if (record.address != record_.address) is_misdirected_ = false;
   record_ = record;
@@ -64,6 +68,17 @@
   own_calls_.Add(-1, now);
 }
 
+std::uint32_t endpoint_estimate::SlotsTaken(steady_time now) {
+  std::erase_if(dropped_until_,
+                [now](steady_time until) { return until <= now; });
+  return in_flight_ + static_cast<std::uint32_t>(dropped_until_.size());
+}
+
+bool endpoint_estimate::HasQueue(steady_time now) const {
+  return has_report_ && report_.waiting > 0 &&
+         now - reported_at_ <= kMaxQueueReportAge;
+}
+
 void endpoint_estimate::OnRequestSent(steady_time now) {
   if (!waiting_since_) waiting_since_ = now;
 }
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "process/directory/endpoint_record.h"
 #include "process/directory/load_report.h"
@@ -35,6 +36,10 @@
   void OnCallStart(steady_time now);
   /// A call to the endpoint has ended, with any outcome.
   void OnCallEnd(steady_time now);
+  /// A call whose request was sent is closed before the end of its response.
+  /// The endpoint may go on with the request, until `until` at most as far as
+  /// is known. OnCallEnd() follows.
+  void OnCallDropped(steady_time until) { dropped_until_.push_back(until); }
   /// The bytes of a request were handed to the network.
   void OnRequestSent(steady_time now);
   /// Part of a response arrived.
@@ -83,6 +88,11 @@
   std::optional<std::chrono::microseconds> ReportAge(steady_time now) const;
   /// Calls of this entry VM that have started and not ended.
   std::uint32_t in_flight() const { return in_flight_; }
+  /// Slots that requests of this VM may take: calls in progress, and dropped
+  /// ones that the endpoint may go on with.
+  std::uint32_t SlotsTaken(steady_time now);
+  /// The endpoint has reported a short time ago that requests wait there.
+  bool HasQueue(steady_time now) const;
   /// When the first request after the last response data was sent.
   std::optional<steady_time> waiting_since() const { return waiting_since_; }
   /// Requests that the endpoint runs at the same time.
@@ -106,6 +116,8 @@
   endpoint_record record_;
   prefix_cache_model prefixes_;
   std::uint32_t in_flight_ = 0;
+  /// For each dropped call, until when the endpoint may go on with it.
+  std::vector<steady_time> dropped_until_;
   load_report report_;
   /// Starts and ends of own calls, of which some may be newer than the report.
   own_call_history own_calls_;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -324,7 +324,7 @@
   std::vector<candidate> candidates = FindUsable(limits, now);
   if (candidates.empty()) return std::nullopt;
   const std::size_t found = candidates.size();
-  candidates = WithinSlots(std::move(candidates));
+  candidates = WithinSlots(std::move(candidates), now);
   if (candidates.empty()) return std::nullopt;
   const auto bound = Bound(now);
   if (bound) candidates = WithinBound(candidates, *bound);
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -138,7 +138,10 @@
   static double MeanLoad(const std::vector<candidate>& candidates);
   /// The candidates without those that would have to refuse a request for want
   /// of a slot and end after a number of refusals.
-  std::vector<candidate> WithinSlots(std::vector<candidate> candidates) const;
+  std::vector<candidate> WithinSlots(std::vector<candidate> candidates,
+                                     steady_time now) const;
+  /// Sending another request there might make the endpoint refuse one.
+  bool IsFull(const candidate& each, steady_time now) const;
   /// An endpoint of the pool ends after a number of refusals.
   bool LimitsRefusals() const;
   /// Requests that this VM may have in progress at an endpoint that ends after
--- a/source/process/placement/endpoint_pool_bound.cc
+++ b/source/process/placement/endpoint_pool_bound.cc
@@ -42,16 +42,20 @@
 }
 
 std::vector<endpoint_pool::candidate> endpoint_pool::WithinSlots(
-    std::vector<candidate> candidates) const {
+    std::vector<candidate> candidates, steady_time now) const {
   if (!LimitsRefusals()) return candidates;
-  std::erase_if(candidates, [this](const candidate& each) {
-    const endpoint_estimate& endpoint = *each.endpoint;
-    return !MayRefuse(endpoint) && (each.load > endpoint.slots() ||
-                                    endpoint.in_flight() >= OwnSlots(endpoint));
+  std::erase_if(candidates, [this, now](const candidate& each) {
+    return !MayRefuse(*each.endpoint) && IsFull(each, now);
   });
   return candidates;
 }
 
+bool endpoint_pool::IsFull(const candidate& each, steady_time now) const {
+  endpoint_estimate& endpoint = *each.endpoint;
+  return each.load > endpoint.slots() || endpoint.HasQueue(now) ||
+         endpoint.SlotsTaken(now) >= OwnSlots(endpoint);
+}
+
 bool endpoint_pool::LimitsRefusals() const {
   return std::any_of(
       endpoints_.begin(), endpoints_.end(), [](const auto& entry) {
@@ -132,7 +136,7 @@
 
 bool endpoint_pool::HasPlace(const placement_limits& limits, steady_time now) {
   const std::vector<candidate> candidates =
-      WithinSlots(FindUsable(limits, now));
+      WithinSlots(FindUsable(limits, now), now);
   if (candidates.empty()) return false;
   const auto bound = Bound(now);
   return !bound || !WithinBound(candidates, *bound).empty();
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -326,6 +326,7 @@
 void proxied_call::Finish(call_outcome outcome, std::string_view reason) {
   if (is_done()) return;
   if (is_awaiting_place()) pool_->RemoveWaiting();
+  RecordDroppedCall();
   state_ = state::kDone;
   DropConnection();
   environment_.metrics->CountOutcome(Rank(), outcome);
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -150,6 +150,9 @@
   void AfterAttempt(attempt_end end, std::string_view cause);
   void ReleaseEndpoint();
   void DropConnection();
+  /// The endpoint may go on with the request of a connection that is closed
+  /// before the end of its response.
+  void RecordDroppedCall();
   void CheckStall(steady_time now);
   bool CanTryAnotherEndpoint() const;
   /// Attempts that count towards the limit of the route.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -351,6 +351,19 @@
   }
 }
 
+void proxied_call::RecordDroppedCall() {
+  if (is_handed_on_ || !connection_ || !connection_->has_sent()) return;
+  endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  if (endpoint == nullptr) return;
+  const std::chrono::duration<double, std::milli> usual(
+      pool_->mean_duration_ms());
+  const auto remaining =
+      std::chrono::duration_cast<std::chrono::microseconds>(usual);
+  // An endpoint stops work at the deadline that it was sent.
+  endpoint->OnCallDropped(
+      std::min(deadline_, environment_.clock() + remaining));
+}
+
 void proxied_call::DropConnection() {
   ReleaseEndpoint();
   if (!connection_) return;
@@ -415,6 +428,7 @@
   // one reveals this before anything is sent, so that another endpoint can be
   // tried.
   Connections().Drop(endpoint_);
+  if (failure != call_failure::kBroken) RecordDroppedCall();
   DropConnection();
   if (was_sent) may_have_run_ = true;
   if (was_sent && failure == call_failure::kBroken) {
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(slots_of_endpoints_that_end_after_refusals_are_divided);
   CPPUNIT_TEST(
       endpoint_without_response_beside_brittle_ones_has_own_slots_only);
+  CPPUNIT_TEST(slot_of_a_dropped_call_stays_taken_at_a_brittle_endpoint);
+  CPPUNIT_TEST(brittle_endpoint_with_a_queue_gets_no_requests);
   CPPUNIT_TEST(slots_are_not_divided_once_no_limit_of_refusals_is_named);
   CPPUNIT_TEST(limit_of_refusals_is_shared_and_the_newest_one_counts);
   CPPUNIT_TEST(endpoint_beside_failed_ones_is_not_bound_by_their_emptiness);
@@ -431,6 +433,37 @@
     CPPUNIT_ASSERT(CountPlacedOfSixVms(pool) <= 2 * 3);
   }
 
+  // Guards against a slot that counts as free although the endpoint goes on
+  // with the request of a caller who has left.
+  void slot_of_a_dropped_call_stays_taken_at_a_brittle_endpoint() {
+    endpoint_pool pool = Pool(1);
+    endpoint_estimate& endpoint = Endpoint(pool, 0);
+    RecordRefusals(endpoint, 1);
+    for (std::uint32_t i = 0; i < endpoint.slots(); ++i) {
+      CPPUNIT_ASSERT(pool.Choose({}, {}, now_).has_value());
+      endpoint.OnCallStart(now_);
+    }
+    CPPUNIT_ASSERT(!pool.Choose({}, {}, now_).has_value());
+    endpoint.OnCallDropped(now_ + milliseconds(100));
+    endpoint.OnCallEnd(now_);
+    CPPUNIT_ASSERT(!pool.Choose({}, {}, now_).has_value());
+    CPPUNIT_ASSERT(pool.Choose({}, {}, now_ + milliseconds(100)).has_value());
+  }
+
+  // Guards against an endpoint that has slots and no memory for more requests.
+  void brittle_endpoint_with_a_queue_gets_no_requests() {
+    endpoint_pool pool = Pool(1);
+    endpoint_estimate& endpoint = Endpoint(pool, 0);
+    RecordRefusals(endpoint, 1);
+    endpoint.RecordLoad({3, 1, 16}, now_);
+    CPPUNIT_ASSERT(!pool.Choose({}, {}, now_).has_value());
+    endpoint.RecordLoad({3, 0, 16}, now_);
+    CPPUNIT_ASSERT(pool.Choose({}, {}, now_).has_value());
+    endpoint.RecordLoad({3, 1, 16}, now_);
+    now_ += milliseconds(600);
+    CPPUNIT_ASSERT(pool.Choose({}, {}, now_).has_value());
+  }
+
   void slots_are_not_divided_once_no_limit_of_refusals_is_named() {
     endpoint_pool pool = Pool(1);
     pool.SetOthersProgress(100, now_);
