directory: keep the software of records that were replaced

Cause: a VM without the origin of a stream takes the only version that its directory knows for it, and a record that is replaced leaves no trace. Class: the present stands for the whole time that a statement is about. Change: the directory keeps, for two minutes, the software of records that were replaced or removed, and sends it with every response that has records, in a field appended to the message. pool_table::OnlySoftware counts it. With several versions in the time limit of the route the control processes are asked for the origin, as before. The codec test expects one more empty list in responses; all earlier fields are compared as before.

--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -118,6 +118,9 @@
   }
   response.members = from_.members();
   response.position = PositionOf(vm, now);
+  if (!response.records.empty()) {
+    response.former_software = from_.directory->former_software().All(now);
+  }
   response.progress = ProgressFor(vm, each, now);
   response.last_fault = each.applied_fault;
   response.faults = faults_.TakeSharedAfter(response.last_fault);
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -197,6 +197,9 @@
       if (each != self_) states_.try_emplace(each);
     }
   }
+  if (!response.former_software.empty()) {
+    hooks_.on_former_software(response.former_software);
+  }
   if (!response.records.empty()) hooks_.on_records(response.records);
   if (hooks_.on_history && response.history.count() > 0) {
     // The response left the member after the request was sent.
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -34,6 +34,10 @@
   struct hooks {
     /// Called with records that changed in a member's directory.
     std::function<void(const std::vector<endpoint_record>&)> on_records;
+    /// Called before on_records with software that endpoints of the member's
+    /// directory had before.
+    std::function<void(const std::vector<software_presence>&)>
+        on_former_software;
     /// A member has a newer document than the version that `document` returns.
     std::function<void(document_version)> on_newer_document;
     /// A leader confirmed that no version newer than this one had been
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -15,6 +15,10 @@
          a.domain == b.domain && a.software == b.software;
 }
 
+bool HasSameSoftware(const endpoint_record& a, const endpoint_record& b) {
+  return a.pool == b.pool && a.software == b.software;
+}
+
 bool IsLeavingOrEnded(endpoint_phase phase) {
   return phase == endpoint_phase::kLeaving || phase == endpoint_phase::kEnded;
 }
@@ -76,6 +80,9 @@
   // The process that received the heartbeats so far must not mark the endpoint
   // as silent, so it has to receive this record.
   const bool takes_over = !added && received_here && !known.received_here;
+  if (!added && !HasSameSoftware(record, known.record)) {
+    former_software_.Record(known.record, now);
+  }
   known.record = record;
   known.received_here = received_here;
   known.received_at = now;
@@ -126,6 +133,7 @@
 
 bool endpoint_directory::Expire(steady_time now) {
   bool changed = false;
+  former_software_.Expire(now);
   for (auto it = entries_.begin(); it != entries_.end();) {
     entry& known = it->second;
     if (known.received_here && known.record.phase == endpoint_phase::kReady &&
@@ -135,6 +143,7 @@
       changed = true;
     }
     if (IsExpired(known, now)) {
+      former_software_.Record(known.record, known.received_at);
       changes_.erase(known.change);
       it = entries_.erase(it);
     } else {
--- a/source/process/directory/endpoint_directory.h
+++ b/source/process/directory/endpoint_directory.h
@@ -8,6 +8,7 @@
 
 #include "process/directory/directory_settings.h"
 #include "process/directory/endpoint_record.h"
+#include "process/directory/software_history.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
@@ -51,6 +52,13 @@
   /// The record of an endpoint, or null.
   const endpoint_record* Find(const endpoint_id& id) const;
   std::size_t size() const { return entries_.size(); }
+  /// Software of endpoints whose records were replaced or removed. A watcher
+  /// that gets records needs it too.
+  const software_history& former_software() const { return former_software_; }
+  void MergeFormerSoftware(const std::vector<software_presence>& presences,
+                           steady_time now) {
+    former_software_.Merge(presences, now);
+  }
 
  private:
   struct entry {
@@ -73,6 +81,7 @@
   const directory_settings settings_;
   std::unordered_map<endpoint_id, entry> entries_;
   std::map<std::uint64_t, endpoint_id> changes_;
+  software_history former_software_;
   std::uint64_t last_change_ = 0;
   std::uint64_t last_ending_ = 0;
 };
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -28,6 +28,8 @@
     std::tuple<std::uint64_t, std::uint32_t, std::vector<std::uint32_t>>;
 /// Pool, requests in progress.
 using progress_fields = std::tuple<std::uint64_t, std::uint32_t>;
+/// Pool, software, age in milliseconds.
+using presence_fields = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t>;
 using request_fields =
     std::tuple<std::string, bool, std::uint64_t, std::uint64_t, std::uint64_t,
                bool, std::vector<load_fields>, std::uint64_t, std::uint32_t,
@@ -39,7 +41,8 @@
                std::uint64_t, std::vector<std::string>, std::uint32_t,
                std::vector<load_fields>, std::uint64_t, std::int64_t,
                std::uint32_t, std::vector<fault_fields>, std::uint64_t,
-               std::uint32_t, std::uint32_t, std::vector<progress_fields>>;
+               std::uint32_t, std::uint32_t, std::vector<progress_fields>,
+               std::vector<presence_fields>>;
 /// Encoded confirmed_after of a response that confirms nothing.
 constexpr std::int64_t kUnconfirmed = -1;
 /// Encoded limit of an endpoint that names none.
@@ -180,6 +183,28 @@
   return fields;
 }
 
+std::vector<presence_fields> ToFields(
+    const std::vector<software_presence>& presences) {
+  std::vector<presence_fields> fields;
+  fields.reserve(presences.size());
+  for (const software_presence& each : presences) {
+    fields.emplace_back(each.pool.value(), each.software.value(),
+                        static_cast<std::uint32_t>(each.age.count()));
+  }
+  return fields;
+}
+
+std::vector<software_presence> ToPresences(
+    const std::vector<presence_fields>& fields) {
+  std::vector<software_presence> presences;
+  presences.reserve(fields.size());
+  for (const auto& [pool, software, age_ms] : fields) {
+    presences.push_back({pool_digest(pool), software_digest(software),
+                         std::chrono::milliseconds(age_ms)});
+  }
+  return presences;
+}
+
 std::vector<pool_progress> ToProgress(
     const std::vector<progress_fields>& fields) {
   std::vector<pool_progress> pools;
@@ -278,6 +303,7 @@
   std::get<12>(fields) = response.position.entry_index;
   std::get<13>(fields) = response.progress.entry_count;
   std::get<14>(fields) = ToFields(response.progress.pools);
+  std::get<15>(fields) = ToFields(response.former_software);
   return Pack(fields);
 }
 
@@ -308,6 +334,7 @@
   response.position.entry_index = std::get<12>(*fields);
   response.progress = {std::get<13>(*fields),
                        ToProgress(std::get<14>(*fields))};
+  response.former_software = ToPresences(std::get<15>(*fields));
   return response;
 }
 
--- a/source/process/directory/watch_response.h
+++ b/source/process/directory/watch_response.h
@@ -11,6 +11,7 @@
 #include "process/directory/fleet_position.h"
 #include "process/directory/fleet_progress.h"
 #include "process/directory/shared_load.h"
+#include "process/directory/software_presence.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -27,6 +28,9 @@
   /// that leave or have ended.
   std::uint64_t last_ending = 0;
   std::vector<endpoint_record> records;
+  /// Software of endpoints whose records were replaced or removed, in each
+  /// response with records.
+  std::vector<software_presence> former_software;
   /// Newest committed document of the member.
   document_version document;
   /// Time for which the member has known endpoints, if the watcher has all of
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -284,6 +284,10 @@
     hooks.on_records = [this](const std::vector<endpoint_record>& records) {
       pools_.Merge(records, SteadyNow());
     };
+    hooks.on_former_software =
+        [this](const std::vector<software_presence>& presences) {
+          pools_.MergeFormerSoftware(presences, SteadyNow());
+        };
     hooks.on_loads = [this](const std::vector<shared_load>& loads) {
       pools_.MergeLoads(loads, SteadyNow());
     };
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -119,6 +119,12 @@
     if (only && *only != software) return std::nullopt;
     only = software;
   }
+  const pool_digest digest = DigestOf(pool);
+  for (const software_presence& each : directory_.former_software().All(now)) {
+    if (each.pool != digest || each.age > period) continue;
+    if (only && *only != each.software) return std::nullopt;
+    only = each.software;
+  }
   return only;
 }
 
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -36,6 +36,11 @@
 
   /// Merges records of endpoints that a control process sent.
   void Merge(const std::vector<endpoint_record>& records, steady_time now);
+  /// Merges what a control process knows of software that endpoints had before.
+  void MergeFormerSoftware(const std::vector<software_presence>& presences,
+                           steady_time now) {
+    directory_.MergeFormerSoftware(presences, now);
+  }
   /// Merges load reports that other entry VMs received.
   void MergeLoads(const std::vector<shared_load>& loads, steady_time now);
   /// Returns the load reports that endpoints sent with responses to this entry
--- a/tests/directory/endpoint_directory_test.cc
+++ b/tests/directory/endpoint_directory_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(endpoint_that_sends_heartbeats_elsewhere_is_not_marked_silent);
   CPPUNIT_TEST(reused_address_ends_its_earlier_owner);
   CPPUNIT_TEST(late_heartbeat_does_not_take_an_address_from_a_newer_endpoint);
+  CPPUNIT_TEST(software_of_a_replaced_record_is_kept);
   CPPUNIT_TEST(changes_after_a_number_are_complete);
   CPPUNIT_TEST(records_merged_in_any_order_give_the_same_state);
   CPPUNIT_TEST_SUITE_END();
@@ -141,6 +142,32 @@
     CPPUNIT_ASSERT(PhaseOf("new") == endpoint_phase::kReady);
   }
 
+  // Guards against software that leaves no trace when its endpoint starts again
+  // with another one under its id.
+  void software_of_a_replaced_record_is_kept() {
+    endpoint_record record = MakeRecord("e", 100, 1);
+    record.software = "v1";
+    const software_digest first = DigestOfSoftware(record);
+    directory_.ReceiveHeartbeat(record, now_);
+    CPPUNIT_ASSERT(directory_.former_software().All(now_).empty());
+    now_ += milliseconds(500);
+    record.incarnation = incarnation_number(200);
+    record.software = "v2";
+    directory_.ReceiveHeartbeat(record, now_);
+    const auto former = directory_.former_software().All(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, former.size());
+    CPPUNIT_ASSERT(former.front().software == first);
+    CPPUNIT_ASSERT(former.front().pool == DigestOf(record.pool));
+    endpoint_directory other;
+    other.MergeFormerSoftware(former, now_);
+    now_ += milliseconds(1'000);
+    CPPUNIT_ASSERT(other.former_software().All(now_).front().age ==
+                   milliseconds(1'000));
+    now_ += std::chrono::minutes(3);
+    other.Expire(now_);
+    CPPUNIT_ASSERT(other.former_software().All(now_).empty());
+  }
+
   void changes_after_a_number_are_complete() {
     directory_.ReceiveHeartbeat(MakeRecord("a", 100, 1), now_);
     const std::uint64_t seen = directory_.last_change();
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -33,6 +33,8 @@
     response.faults = {{content_digest(5), 2, {endpoint_run_digest(8)}}};
     response.last_fault = 31;
     response.progress = {5, {{pool_digest(3), 21}}};
+    response.former_software = {
+        {pool_digest(3), software_digest(17), milliseconds(900)}};
     response.loads = {{endpoint_digest(77), {3, 1, 16}, milliseconds(120)}};
     endpoint_record record;
     record.id = endpoint_id("e");
@@ -84,7 +86,7 @@
 
   /// Headers of arrays with the number of fields that this build writes.
   const std::string kRequestHeader = Bytes("dc0011");
-  const std::string kResponseHeader = Bytes("9f");
+  const std::string kResponseHeader = Bytes("dc0010");
 
   static void CheckEarlierRequest(const watch_request& request) {
     CPPUNIT_ASSERT(request.watcher == vm_id("10.0.0.3:7340"));
@@ -125,7 +127,7 @@
     CPPUNIT_ASSERT_EQUAL(2U, response->position.entry_index);
     CPPUNIT_ASSERT_EQUAL(0U, response->progress.entry_count);
     CPPUNIT_ASSERT_EQUAL(
-        kResponseHeader + Bytes(kResponseFields) + Bytes("0090"),
+        kResponseHeader + Bytes(kResponseFields) + Bytes("009090"),
         EncodeWatchResponse(*response));
   }
 
@@ -140,7 +142,7 @@
     CPPUNIT_ASSERT(response.has_value());
     response->progress = {5, {{pool_digest(3), 21}}};
     CPPUNIT_ASSERT_EQUAL(
-        kResponseHeader + Bytes(kResponseFields) + Bytes("0591920315"),
+        kResponseHeader + Bytes(kResponseFields) + Bytes("059192031590"),
         EncodeWatchResponse(*response));
   }
 
@@ -199,6 +201,7 @@
     CPPUNIT_ASSERT_EQUAL(response.position.entry_count,
                          decoded->position.entry_count);
     CPPUNIT_ASSERT(decoded->loads == response.loads);
+    CPPUNIT_ASSERT(decoded->former_software == response.former_software);
     CPPUNIT_ASSERT(decoded->faults == Response().faults);
     CPPUNIT_ASSERT_EQUAL(Response().last_fault, decoded->last_fault);
     CPPUNIT_ASSERT(decoded->progress == response.progress);
