platform, controller: refuse heartbeats with numbers, texts or starts out of range

Cause: the decoder checked types, not ranges, and the start of an endpoint was believed though it lies after all that can follow. Class: a value that decides for everyone is used as it comes. A record that a watcher cannot use is left out, and no longer makes the whole response unreadable. The same class elsewhere: floats in the document, load reports that wrapped, Keep-Alive that was multiplied unchecked.

--- a/source/connection/endpoint_connection.cc
+++ b/source/connection/endpoint_connection.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/ip/address.hpp>
 #include <cerrno>
@@ -15,6 +16,8 @@
 
 /// Used if the endpoint does not declare how long it keeps an idle connection.
 constexpr std::chrono::milliseconds kDefaultIdleLimit{4'000};
+/// A longer time that the endpoint declares counts as this one.
+constexpr int kMaxIdleSeconds = 3'600;
 /// The connection is closed if sent data is not acknowledged for this long, to
 /// detect a network partition. A sound endpoint may be silent for a second or
 /// so. This also decides when keep-alive probes give up, whatever their number.
@@ -215,7 +218,8 @@
 
 void endpoint_connection::UpdateIdleLimit(const endpoint_response_head& head) {
   if (const auto seconds = KeepAliveSeconds(head)) {
-    idle_limit_ = std::chrono::seconds(*seconds);
+    idle_limit_ =
+        std::chrono::seconds(std::clamp(*seconds, 0, kMaxIdleSeconds));
   }
 }
 
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <utility>
 
 #include "process/daemon/event_log.h"
@@ -16,6 +17,11 @@
 
 /// Endpoints try another control process after 1 s without a response.
 constexpr milliseconds kAcknowledgeTimeout{700};
+/// The clock of an endpoint may be ahead of this VM's by this time.
+constexpr std::chrono::duration<std::uint64_t, std::milli> kMaxClockLead{
+    24 * 3'600 * 1'000};
+/// Ids go to every process of the fleet.
+constexpr std::size_t kMaxIdBytes = 256;
 /// Characters of an unusable id in a log line.
 constexpr std::size_t kMaxLoggedId = 64;
 
@@ -25,6 +31,12 @@
       std::chrono::duration_cast<milliseconds>(now).count()));
 }
 
+/// The start of an endpoint decides which one has an address and which record
+/// of an id is the latest, so none may lie after all that follow.
+bool IsInFuture(incarnation_number start) {
+  return start.value() > WallTime().value() + kMaxClockLead.count();
+}
+
 }  // namespace
 
 endpoint_service::endpoint_service(const control_dialect& dialect,
@@ -49,18 +61,27 @@
             {"sequence", std::to_string(record.sequence)}});
 }
 
+void endpoint_service::Refuse(const endpoint_id& id, const std::string& field,
+                              const response_hook& done) const {
+  LogEvent(
+      log_level::kWarning, "heartbeat_refused",
+      {{"endpoint", id.value().substr(0, kMaxLoggedId)}, {"field", field}});
+  done(kStatusBadRequest, "");
+}
+
 void endpoint_service::OnHeartbeat(const endpoint_id& id,
                                    const std::string& body,
                                    const response_hook& done, steady_time now) {
   const auto decoded = dialect_.read_heartbeat(id, body);
   if (!decoded) {
-    LogEvent(log_level::kWarning, "heartbeat_refused",
-             {{"endpoint", id.value().substr(0, kMaxLoggedId)},
-              {"field", decoded.assume_error().field}});
-    done(kStatusBadRequest, "");
+    Refuse(id, decoded.assume_error().field, done);
     return;
   }
   const endpoint_record& record = decoded.assume_value();
+  if (IsInFuture(record.incarnation)) {
+    Refuse(id, "start", done);
+    return;
+  }
   if (directory_.ReceiveHeartbeat(record, now)) {
     Log(record);
     hub_.Notify(now);
@@ -74,6 +95,10 @@
 
 void endpoint_service::OnEnd(const endpoint_id& id, const response_hook& done,
                              steady_time now) {
+  if (id.value().size() > kMaxIdBytes) {
+    Refuse(id, "id", done);
+    return;
+  }
   if (directory_.End(id, WallTime(), now)) {
     Log(*directory_.Find(id));
     hub_.Notify(now);
--- a/source/process/controller/endpoint_service.h
+++ b/source/process/controller/endpoint_service.h
@@ -42,6 +42,9 @@
   /// recently.
   bool IsInMajority(steady_time now) const;
   void Log(const endpoint_record& record) const;
+  /// Responds 400 to a heartbeat that describes no usable endpoint.
+  void Refuse(const endpoint_id& id, const std::string& field,
+              const response_hook& done) const;
 
   const control_dialect& dialect_;
   watch_hub& hub_;
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -314,9 +314,9 @@
   response.epoch = std::get<0>(*fields);
   response.last_change = std::get<1>(*fields);
   for (record_fields& each : std::get<2>(*fields)) {
+    // A record that this build cannot use must not keep back the others.
     auto record = ToRecord(std::move(each));
-    if (!record) return std::nullopt;
-    response.records.push_back(std::move(*record));
+    if (record) response.records.push_back(std::move(*record));
   }
   response.document = document_version(std::get<3>(*fields));
   for (std::string& member : std::get<4>(*fields)) {
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(response_of_earlier_builds_is_read);
   CPPUNIT_TEST(messages_only_grow_at_the_end);
   CPPUNIT_TEST(request_with_a_later_field_is_read);
+  CPPUNIT_TEST(record_of_an_unknown_phase_does_not_keep_back_the_others);
   CPPUNIT_TEST_SUITE_END();
 
   static watch_response Response() {
@@ -146,6 +147,17 @@
         EncodeWatchResponse(*response));
   }
 
+  // Guards against a watcher that stops following because of one record.
+  void record_of_an_unknown_phase_does_not_keep_back_the_others() {
+    watch_response response = Response();
+    response.records.push_back(response.records.front());
+    response.records.front().phase = static_cast<endpoint_phase>(9);
+    const auto decoded = DecodeWatchResponse(EncodeWatchResponse(response));
+    CPPUNIT_ASSERT(decoded.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded->records.size());
+    CPPUNIT_ASSERT(decoded->records.front() == response.records.back());
+  }
+
   void request_with_a_later_field_is_read() {
     // One field more than the 17 that this build knows.
     const std::string later =
--- a/tests/platform/platform_decoder_test.cc
+++ b/tests/platform/platform_decoder_test.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "platform/dialect.h"
 #include "platform/document_decoder.h"
@@ -19,10 +21,12 @@
   CPPUNIT_TEST(document_is_decoded_into_routes_pools_and_keys);
   CPPUNIT_TEST(document_without_keys_requires_none);
   CPPUNIT_TEST(document_with_a_field_of_a_wrong_type_is_malformed);
+  CPPUNIT_TEST(document_with_a_number_too_large_is_malformed);
   CPPUNIT_TEST(truncated_document_is_malformed);
   CPPUNIT_TEST(damaged_document_does_not_throw);
   CPPUNIT_TEST(heartbeat_is_decoded);
   CPPUNIT_TEST(heartbeat_without_a_valid_required_field_is_malformed);
+  CPPUNIT_TEST(heartbeat_with_a_field_out_of_range_is_refused);
   CPPUNIT_TEST(demand_is_decoded_with_its_parts);
   CPPUNIT_TEST(prefixes_of_different_models_have_different_hashes);
   CPPUNIT_TEST(malformed_load_is_ignored);
@@ -103,6 +107,16 @@
     }
   }
 
+  // Guards against a conversion of a number that no integer can hold.
+  void document_with_a_number_too_large_is_malformed() {
+    for (const char* path : {"/routes/0/timeoutMs", "/services/0/maxConns",
+                             "/limits/maxBodyBytes"}) {
+      json document = Document();
+      document[json::json_pointer(path)] = 1e300;
+      CPPUNIT_ASSERT_MESSAGE(path, !DecodeDocument(document.dump()));
+    }
+  }
+
   void truncated_document_is_malformed() {
     const std::string text = Document().dump();
     for (std::size_t length = 0; length < text.size(); ++length) {
@@ -154,6 +168,35 @@
     CPPUNIT_ASSERT(!DecodeHeartbeat(endpoint_id("e"), "\xff{").has_value());
   }
 
+  // Guards against numbers that wrap or outlive all others, and texts that fill
+  // links and logs.
+  void heartbeat_with_a_field_out_of_range_is_refused() {
+    const std::string long_text(257, 'a');
+    const std::vector<std::pair<const char*, json>> fields = {
+        {"slots", 4294967296},
+        {"slots", 4294967295},
+        {"coldRemainingMs", 18446744073709551615U},
+        {"born", 18446744073709551615U},
+        {"sequence", 18446744073709551615U},
+        {"zone", long_text},
+        {"zone", "a\nb"},
+        {"version", long_text},
+        {"service", ""},
+        {"service", std::string("a\0b", 3)},
+        {"address", "10.0.0.1:65536"},
+        {"address", "10.0.0.1:0"}};
+    for (const auto& [name, value] : fields) {
+      json body = Heartbeat();
+      body[name] = value;
+      const auto decoded = DecodeHeartbeat(endpoint_id("e"), body.dump());
+      CPPUNIT_ASSERT_MESSAGE(body.dump(), !decoded);
+      CPPUNIT_ASSERT_EQUAL(std::string(name), decoded.assume_error().field);
+    }
+    CPPUNIT_ASSERT(
+        !DecodeHeartbeat(endpoint_id(long_text), Heartbeat().dump()));
+    CPPUNIT_ASSERT(!DecodeHeartbeat(endpoint_id("a\nb"), Heartbeat().dump()));
+  }
+
   void demand_is_decoded_with_its_parts() {
     const request_demand demand =
         DecodeDemand({{"Token-Usage", "1460,80"},
@@ -205,7 +248,8 @@
 
   void malformed_load_is_ignored() {
     CPPUNIT_ASSERT_EQUAL(3U, DecodeLoad({{"Server-Load", "3,0,8"}})->running);
-    for (const char* text : {"", "3", "3,0", "a,b,c", "3,-1,8"}) {
+    for (const char* text :
+         {"", "3", "3,0", "a,b,c", "3,-1,8", "4294967297,0,8", "0,0,1e3"}) {
       CPPUNIT_ASSERT(!DecodeLoad({{"Server-Load", text}}).has_value());
     }
   }
