entry: take no unnamed refusal on a kept connection for the answer

Cause: MatchesRequest accepted a refusal without the request's id on any connection. Class: a statement without a subject is taken for one on what is at hand. A request without an id gets a connection of its own. A pause that a skipped refusal asks for is kept. serve compares the id of each attempt already, and takes a response without it for an unknown outcome.

--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -192,6 +192,8 @@
   void LogUnderestimate(const load_report& report) const;
   /// Logs that the endpoint asked for a pause, or for one that is unreadable.
   void LogPause(const stated_terms& stated) const;
+  /// Logs a response that may belong to an earlier request of its connection.
+  void LogSkippedResponse(const endpoint_response_head& head) const;
   /// Logs a refusal of an endpoint, with what it says of the endpoint and of
   /// the request that it belongs to.
   void LogRefusal() const;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -160,8 +160,12 @@
 }
 
 void proxied_call::Connect(const std::string& address) {
-  connection_ = Connections().TakeIdle(endpoint_, !route_->IsRepeatable(),
-                                       attempt_started_);
+  // A response to a request without an id can only be told from one to an
+  // earlier request by its connection.
+  if (!request_id_.empty()) {
+    connection_ = Connections().TakeIdle(endpoint_, !route_->IsRepeatable(),
+                                         attempt_started_);
+  }
   if (connection_) {
     Send();
     return;
@@ -270,12 +274,15 @@
                    message_.method == "HEAD", std::move(hooks));
 }
 
-/// Endpoints echo the request id, but may omit it in a refusal or failure.
+/// Endpoints echo the request id, but may omit it in a refusal or failure. On a
+/// connection that carried another request before, a response without it may
+/// be one to that request, written once more, and proves nothing.
 bool proxied_call::MatchesRequest(const endpoint_response_head& head) const {
   const http_field* id =
       FindField(head.fields, environment_.dialect.request_id);
-  if (id == nullptr) return !IsSuccessStatus(head.status);
-  return id->value == request_id_;
+  if (id != nullptr) return id->value == request_id_;
+  const bool may_be_earlier = !is_handed_on_ && connection_->is_reused();
+  return !IsSuccessStatus(head.status) && !may_be_earlier;
 }
 
 void proxied_call::OnHead(const endpoint_response_head& head) {
@@ -316,6 +323,7 @@
 }
 
 void proxied_call::OnOtherResponse(const endpoint_response_head& head) {
+  LogSkippedResponse(head);
   endpoint_estimate* endpoint = pool_->Find(endpoint_);
   if (endpoint == nullptr) return;
   const stated_terms stated =
--- a/source/request/proxied_call_log.cc
+++ b/source/request/proxied_call_log.cc
@@ -83,6 +83,22 @@
       line_class::kFrequent);
 }
 
+void proxied_call::LogSkippedResponse(
+    const endpoint_response_head& head) const {
+  const http_field* id =
+      FindField(head.fields, environment_.dialect.request_id);
+  const std::string_view named =
+      id == nullptr ? std::string_view() : std::string_view(id->value);
+  environment_.log->Write("response_skipped",
+                          log_fields()
+                              .Add("request", request_id_)
+                              .Add("endpoint", endpoint_.value())
+                              .Add("status", head.status)
+                              .Add("names", named.substr(0, kMaxLoggedValue))
+                              .text(),
+                          line_class::kFrequent);
+}
+
 void proxied_call::LogRefusal() const {
   const endpoint_estimate* endpoint = pool_->Find(endpoint_);
   const http_field* id =
