soak: pauses, other software, restarts of all entry processes, odd entries

Endpoints ask for pauses, and the ledger counts the requests of one VM that arrive in them; restarts, pauses and cuts of a VM and harmed links excuse it. Every 300 ms another writer sends an odd entry, which no control process may accept.

--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -42,6 +42,8 @@
   int slots = 32;
   /// After a crash by a prompt part it starts again under another id.
   bool renews_id = false;
+  /// Its responses reach the VMs.
+  std::function<bool()> has_sound_link = [] { return true; };
   /// Called when it starts or stops accepting connections.
   std::function<void(bool)> on_running = [](bool) {};
   /// Chooses the control process that receives the next heartbeat.
@@ -88,6 +90,7 @@
   void SetSoftware(const std::string& software) {
     settings_.software = software;
   }
+  const std::string& software() const { return settings_.software; }
   const std::string& id() const { return settings_.id; }
   const std::string& announced() const { return settings_.announced; }
   /// Crashes after too many refusals.
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -4,9 +4,11 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "connection/socket_address.h"
@@ -46,6 +48,12 @@
   link_proxy(const link_proxy&) = delete;
   link_proxy& operator=(const link_proxy&) = delete;
 
+  /// Called when bytes may be lost or connections are reset from now on.
+  void OnFault(std::function<void()> hook) { on_fault_ = std::move(hook); }
+  /// Bytes of new connections are delivered.
+  bool is_sound() const {
+    return *mode_ == link_mode::kPass && cut_sources_.empty();
+  }
   /// The connections that are open now carry nothing more, but stay open; new
   /// ones work.
   void Silence();
@@ -70,6 +78,7 @@
   std::list<std::weak_ptr<link>> links_;
   std::shared_ptr<link_mode> mode_;
   std::vector<std::string> cut_sources_;
+  std::function<void()> on_fault_ = [] {};
 };
 
 }  // namespace marjoramsill::soak
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -27,6 +27,11 @@
   void InjectEndpointFault(fake_endpoint& endpoint);
   /// Cuts some entry processes off from all endpoints.
   void CutEntries();
+  /// Kills all entry processes and starts them again, with other software at
+  /// some endpoints just before.
+  void RestartEntries();
+  /// The endpoint starts again under its id, with the other software.
+  void ReplaceSoftware(fake_endpoint& endpoint);
   void RunAfter(std::chrono::milliseconds delay, std::function<void()> action);
   std::chrono::milliseconds RandomDuration();
 
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -69,6 +69,9 @@
   /// Kills the process. `erase_disk` also removes its data folder, if it is a
   /// control process.
   void KillNode(soak_node& node, bool erase_disk);
+  /// Stops the process until ResumeNode().
+  void PauseNode(soak_node& node);
+  void ResumeNode(soak_node& node);
   /// Restarts processes that have ended, and records a violation for each that
   /// ended unexpectedly.
   void CheckNodes();
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -26,6 +26,7 @@
 constexpr milliseconds kRequestInterval{12};
 constexpr milliseconds kPromptInterval{40};
 constexpr milliseconds kCrashingInterval{400};
+constexpr milliseconds kOddEntryInterval{300};
 constexpr milliseconds kFaultInterval{700};
 constexpr milliseconds kDocumentInterval{400};
 constexpr milliseconds kCheckInterval{50};
@@ -74,6 +75,7 @@
   ledger.CheckRuns(kOncePrefix);
   ledger.CheckCrashingParts();
   ledger.CheckCrashingTargets();
+  ledger.CheckPauses();
 }
 
 int Run(const soak_run& run) {
@@ -91,6 +93,8 @@
   periodic_action prompts(io, kPromptInterval, [&] { load.SendPrompt(); });
   ledger.AddCrashingTarget(kCrashingTarget);
   periodic_action crashing(io, kCrashingInterval, [&] { load.SendCrashing(); });
+  periodic_action odd_entries(io, kOddEntryInterval,
+                              [&] { load.SendOddEntry(); });
   periodic_action documents(io, kDocumentInterval, [&] {
     load.SubmitDocument();
     load.ReadDocument();
@@ -116,6 +120,7 @@
   std::cout << "seed=" << run.seed << " sent=" << load.sent()
             << " served=" << load.served() << " resumed=" << load.resumed()
             << " part_crashes=" << ledger.part_crashes().size()
+            << " pauses=" << ledger.pauses().pause_count()
             << " documents=" << load.acknowledged()
             << " violations=" << ledger.violations().size() << "\n";
   return ledger.violations().empty() ? 0 : 1;
