entry: resume no stream at an endpoint that may have started again

Cause: a record is taken for the process that a connection leads to. Class: as in, a statement is used for a time that it does not cover. Change: an endpoint of which this VM lost a connection, idle ones included, gets no resumed stream for 2 s, unless its new record arrives. On a new connection a resumed stream waits 150 ms for a record and is sent elsewhere if the software has changed; kept connections lead to the process that the record is about. Lines of requests that take a stream up are always logged: sampling had left no trace of the joined ones. A VM that opens its first connection in the window and gets the record later than 150 ms still joins the stream.

--- a/source/connection/endpoint_connection_pool.cc
+++ b/source/connection/endpoint_connection_pool.cc
@@ -107,9 +107,10 @@
                                           endpoint_connection& ended) {
   const auto found = idle_.find(endpoint);
   if (found == idle_.end()) return;
-  std::erase_if(found->second, [&ended](const auto& connection) {
-    return connection.get() == &ended;
-  });
+  const std::size_t removed = std::erase_if(
+      found->second,
+      [&ended](const auto& connection) { return connection.get() == &ended; });
+  if (removed > 0) on_idle_end_(endpoint);
 }
 
 }  // namespace marjoramsill
--- a/source/connection/endpoint_connection_pool.h
+++ b/source/connection/endpoint_connection_pool.h
@@ -3,9 +3,11 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "connection/endpoint_connection.h"
@@ -53,6 +55,11 @@
 
   std::uint64_t opened() const { return opened_; }
 
+  /// Called when an endpoint has closed an idle connection.
+  void OnIdleEnd(std::function<void(const endpoint_id&)> hook) {
+    on_idle_end_ = std::move(hook);
+  }
+
  private:
   using idle_list = std::vector<std::shared_ptr<endpoint_connection>>;
   void RemoveIdle(const endpoint_id& endpoint, endpoint_connection& ended);
@@ -63,6 +70,8 @@
   /// All connections, also those that calls use.
   std::map<endpoint_id, std::vector<std::weak_ptr<endpoint_connection>>> all_;
   std::uint64_t opened_ = 0;
+  std::function<void(const endpoint_id&)> on_idle_end_ =
+      [](const endpoint_id&) {};
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -180,6 +180,9 @@
     SetLogWriter([this](std::string_view event, std::string_view fields) {
       log_.Write(event, fields);
     });
+    connections_.OnIdleEnd([this](const endpoint_id& endpoint) {
+      pools_.OnIdleConnectionLost(endpoint, SteadyNow());
+    });
     environment_.dialect = std::move(requests);
     environment_.connections = &connections_;
     environment_.relay_connections = &relay_connections_;
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -104,6 +104,13 @@
   return Pool(pool->second)->Find(id->second);
 }
 
+void pool_table::OnIdleConnectionLost(const endpoint_id& id, steady_time now) {
+  const auto pool = pool_by_endpoint_.find(id);
+  if (pool == pool_by_endpoint_.end()) return;
+  endpoint_estimate* endpoint = Pool(pool->second)->Find(id);
+  if (endpoint != nullptr) endpoint->OnIdleConnectionLost(now);
+}
+
 void pool_table::SetHistory(steady_time since) {
   history_since_ = std::min(history_since_.value_or(since), since);
 }
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -67,6 +67,8 @@
   bool HasSeveralVersions(const model_id& pool) const;
   void ForEach(
       const std::function<void(const model_id&, endpoint_pool&)>& visit);
+  /// The endpoint closed a kept connection that carried no call.
+  void OnIdleConnectionLost(const endpoint_id& id, steady_time now);
   /// Sets this entry VM's place in the fleet.
   void SetPosition(const fleet_position& position);
   /// Number of endpoints that have not ended.
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -28,6 +28,9 @@
 /// An unresponsive endpoint is tried again this long after the request that
 /// got no response.
 constexpr std::chrono::milliseconds kUnresponsiveFor{2'500};
+/// The record of an endpoint that starts again arrives within this time: one
+/// interval of heartbeats, and the way over a control process.
+constexpr std::chrono::milliseconds kRecordDelay{2'000};
 /// Assumed until the endpoint reports how many requests it runs at once.
 constexpr std::uint32_t kDefaultSlots = 8;
 
@@ -51,6 +54,7 @@
     is_misdirected_ = false;
     waiting_since_.reset();
     dropped_until_.clear();
+    connection_lost_at_.reset();
   }
   if (record.address != record_.address) is_misdirected_ = false;
   record_ = record;
@@ -142,9 +146,14 @@
       std::min(consecutive_failures_, kMaxAvoidTimeDoublings);
   ++consecutive_failures_;
   failed_at_ = now;
+  connection_lost_at_ = now;
   avoid_until_ = now + kFirstAvoidTime * (1U << doublings);
 }
 
+bool endpoint_estimate::MayHaveRestarted(steady_time now) const {
+  return connection_lost_at_ && now - *connection_lost_at_ < kRecordDelay;
+}
+
 void endpoint_estimate::ForgetFailures() {
   waiting_since_.reset();
   consecutive_failures_ = 0;
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -10,6 +10,7 @@
 #include "process/directory/endpoint_record.h"
 #include "process/directory/load_report.h"
 #include "process/directory/shared_load.h"
+#include "process/directory/stream_origin.h"
 #include "process/placement/endpoint_terms.h"
 #include "process/placement/own_call_history.h"
 #include "process/placement/prefix_cache_model.h"
@@ -61,6 +62,16 @@
   /// response. The endpoint is avoided for a delay that grows with each
   /// consecutive failure.
   void OnConnectionFailure(steady_time now);
+  /// The endpoint closed a kept connection that carried no call.
+  void OnIdleConnectionLost(steady_time now) { connection_lost_at_ = now; }
+  /// A connection was lost so short a time ago that the endpoint may have
+  /// started again, with other software, without its record showing it yet.
+  bool MayHaveRestarted(steady_time now) const;
+  /// The endpoint runs this software, and nothing says that it may run another
+  /// one by now.
+  bool HasSoftware(software_digest software, steady_time now) const {
+    return DigestOfSoftware(record_) == software && !MayHaveRestarted(now);
+  }
   /// The failures came from lost links of this VM, not from the endpoint.
   void ForgetFailures();
   /// No response came before the caller's deadline. The request may just have
@@ -133,6 +144,7 @@
   std::optional<steady_time> waiting_since_;
   std::uint32_t consecutive_failures_ = 0;
   steady_time failed_at_;
+  std::optional<steady_time> connection_lost_at_;
   steady_time avoid_until_;
   smoothed_value failures_;
 };
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -42,8 +42,10 @@
   return weight / -std::log(uniform);
 }
 
-bool IsWithin(const placement_limits& limits, const endpoint_record& record) {
-  if (limits.software && DigestOfSoftware(record) != *limits.software) {
+bool IsWithin(const placement_limits& limits, const endpoint_estimate& endpoint,
+              steady_time now) {
+  const endpoint_record& record = endpoint.record();
+  if (limits.software && !endpoint.HasSoftware(*limits.software, now)) {
     return false;
   }
   return std::find(limits.tried.begin(), limits.tried.end(), record.id) ==
@@ -92,7 +94,7 @@
                      [&limits, now](const auto& entry) {
                        return entry.second->IsServing() &&
                               !entry.second->terms().IsPaused(now) &&
-                              IsWithin(limits, entry.second->record());
+                              IsWithin(limits, *entry.second, now);
                      });
 }
 
@@ -157,7 +159,7 @@
     if (!endpoint->IsServing()) continue;
     endpoint->terms().limit().SetUsualRate(usual_rate);
     if (!also_avoided && endpoint->IsAvoided(now)) continue;
-    if (!IsWithin(limits, endpoint->record())) continue;
+    if (!IsWithin(limits, *endpoint, now)) continue;
     if (endpoint->terms().IsPaused(now)) continue;
     if (!endpoint->terms().limit().HasAllowance(position_, now)) continue;
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
@@ -364,7 +366,7 @@
     const placement_limits& limits, steady_time now) {
   std::optional<std::chrono::microseconds> least;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (!endpoint->IsServing() || !IsWithin(limits, endpoint->record())) {
+    if (!endpoint->IsServing() || !IsWithin(limits, *endpoint, now)) {
       continue;
     }
     if (endpoint->terms().IsPaused(now)) continue;
@@ -378,7 +380,7 @@
     const placement_limits& limits, steady_time now) const {
   std::optional<std::chrono::microseconds> least;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (!endpoint->IsServing() || !IsWithin(limits, endpoint->record())) {
+    if (!endpoint->IsServing() || !IsWithin(limits, *endpoint, now)) {
       continue;
     }
     if (!endpoint->terms().IsPaused(now)) return std::nullopt;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -336,7 +336,9 @@
   }
   const bool is_ordinary =
       outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
-  if (is_ordinary && environment_.random() % kLogSample != 0) return;
+  // A stream that was taken up again can only be explained by its lines.
+  const bool is_sampled = is_ordinary && resumed_request_.empty();
+  if (is_sampled && environment_.random() % kLogSample != 0) return;
   // The log limits the rate of frequent lines, so that a flood of immediate
   // refusals cannot displace the lines of requests that failed at an endpoint.
   const bool is_frequent = is_ordinary || sent_ == 0;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -80,6 +80,9 @@
     /// Waits until an endpoint of a full pool has finished a request.
     kAwaitingPlace,
     kConnecting,
+    /// Waits whether the endpoint that the new connection leads to has started
+    /// again with other software.
+    kAwaitingRecord,
     kAwaitingHead,
     kReceiving,
     /// Waits whether the endpoint ended with an answer that ended with its
@@ -130,10 +133,15 @@
   void Connect(const std::string& address);
   void ResetAttempt(endpoint_id target);
   void OnConnected(bool connected);
+  /// A stream that goes on waits on a new connection, since the record of an
+  /// endpoint that has just started again is on its way.
+  void CheckRecord(steady_time now);
   bool IsTargetPaused() const;
+  bool HasTargetSoftware(steady_time now) const;
   /// Ends the attempt at its endpoint and keeps the connection for others.
   void LeaveConnection();
   void Send();
+  void SendUnlessPaused();
   std::string RequestBytes() const;
   /// True if the response belongs to this request.
   bool MatchesRequest(const endpoint_response_head& head) const;
@@ -280,6 +288,7 @@
   double estimate_age_ms_ = -1;
   steady_time attempt_started_;
   steady_time last_progress_;
+  steady_time connected_at_;
   endpoint_response_head head_;
   /// Bytes of the body that this attempt has received.
   std::uint64_t received_bytes_ = 0;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -27,6 +27,9 @@
 /// Connecting takes a few milliseconds within a deployment; this leaves time
 /// for one retransmission.
 constexpr milliseconds kConnectTimeout{300};
+/// The record of an endpoint that has started again takes some 50 to 100 ms
+/// from its first heartbeat to the entry VMs.
+constexpr milliseconds kRecordWait{150};
 /// Minimum time without a response, or without a further event, after which a
 /// repeatable request is sent to another endpoint. A sound endpoint may be
 /// silent for a second or so in a stream; callers give up after two.
@@ -189,12 +192,36 @@
     return;
   }
   if (!is_handed_on_) pool_->reach().OnConnected();
-  if (IsTargetPaused()) {
-    LeaveConnection();
-    AfterAttempt(attempt_end::kNotSent, "paused");
+  if (limits_.software && !is_handed_on_) {
+    state_ = state::kAwaitingRecord;
+    connected_at_ = environment_.clock();
     return;
   }
-  Send();
+  SendUnlessPaused();
+}
+
+void proxied_call::CheckRecord(steady_time now) {
+  if (now - connected_at_ < kRecordWait) return;
+  if (HasTargetSoftware(now)) {
+    SendUnlessPaused();
+    return;
+  }
+  LeaveConnection();
+  AfterAttempt(attempt_end::kNotSent, "software_changed");
+}
+
+void proxied_call::SendUnlessPaused() {
+  if (!IsTargetPaused()) {
+    Send();
+    return;
+  }
+  LeaveConnection();
+  AfterAttempt(attempt_end::kNotSent, "paused");
+}
+
+bool proxied_call::HasTargetSoftware(steady_time now) const {
+  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  return endpoint != nullptr && endpoint->HasSoftware(*limits_.software, now);
 }
 
 /// The endpoint asked for a pause while this request was connecting to it.
@@ -511,6 +538,10 @@
     }
     return;
   }
+  if (state_ == state::kAwaitingRecord) {
+    CheckRecord(now);
+    return;
+  }
   const bool is_waiting =
       state_ == state::kFindingOrigin || state_ == state::kAwaitingPlace ||
       state_ == state::kConfirmingEnd || state_ == state::kCheckingEndpoint;
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(endpoint_with_cached_prefix_copies_nothing);
   CPPUNIT_TEST(restart_of_an_endpoint_clears_its_cached_prefixes);
   CPPUNIT_TEST(begun_stream_is_placed_at_its_software_version_only);
+  CPPUNIT_TEST(begun_stream_is_not_placed_where_software_may_have_changed);
   CPPUNIT_TEST(ended_endpoint_stays_until_its_calls_have_ended);
   CPPUNIT_TEST(limited_endpoints_are_used_up_to_their_limit);
   CPPUNIT_TEST(endpoint_beside_limited_ones_is_refused_above_the_pool_bound);
@@ -298,6 +299,27 @@
     CPPUNIT_ASSERT(pool.CanServe({}, now_));
   }
 
+  // Guards against a stream that goes on at an endpoint which has started again
+  // with other software, before its record shows it.
+  void begun_stream_is_not_placed_where_software_may_have_changed() {
+    endpoint_pool pool = Pool(1);
+    placement_limits limits;
+    limits.software = DigestOfSoftware(MakeRecord(0));
+    CPPUNIT_ASSERT(pool.Choose({}, limits, now_).has_value());
+    Endpoint(pool, 0).OnIdleConnectionLost(now_);
+    CPPUNIT_ASSERT(!pool.Choose({}, limits, now_).has_value());
+    CPPUNIT_ASSERT(!pool.CanServe(limits, now_));
+    CPPUNIT_ASSERT(pool.Choose({}, {}, now_).has_value());
+    endpoint_record restarted = MakeRecord(0);
+    restarted.incarnation = incarnation_number(2);
+    pool.Apply(restarted);
+    CPPUNIT_ASSERT(pool.Choose({}, limits, now_).has_value());
+    Endpoint(pool, 0).OnConnectionFailure(now_);
+    CPPUNIT_ASSERT(!pool.Choose({}, limits, now_).has_value());
+    now_ += milliseconds(2'000);
+    CPPUNIT_ASSERT(pool.Choose({}, limits, now_).has_value());
+  }
+
   void ended_endpoint_stays_until_its_calls_have_ended() {
     endpoint_pool pool = Pool(2);
     Endpoint(pool, 0).OnCallStart(now_);
