placement: send nothing to endpoints that say in a response that they leave

Change: endpoint_terms keeps it beside the pause, from every response of the endpoint, refusals and responses to earlier requests included, until the endpoint starts anew. New requests, repetitions and resumed streams go elsewhere, what runs there goes on, and kept connections are closed. If all endpoints leave, the reason is no_endpoint. The soak's endpoints say it too, and the ledger counts requests that arrive 2 s or more after a VM was told.

--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -90,12 +90,11 @@
 
 bool endpoint_pool::CanServe(const placement_limits& limits,
                              steady_time now) const {
-  return std::any_of(endpoints_.begin(), endpoints_.end(),
-                     [&limits, now](const auto& entry) {
-                       return entry.second->IsServing() &&
-                              !entry.second->terms().IsPaused(now) &&
-                              IsWithin(limits, *entry.second, now);
-                     });
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&limits, now](const auto& entry) {
+        return entry.second->IsServing() && entry.second->terms().IsOpen(now) &&
+               IsWithin(limits, *entry.second, now);
+      });
 }
 
 bool endpoint_pool::HasSeveralVersions() const {
@@ -160,7 +159,7 @@
     endpoint->terms().limit().SetUsualRate(usual_rate);
     if (!also_avoided && endpoint->IsAvoided(now)) continue;
     if (!IsWithin(limits, *endpoint, now)) continue;
-    if (endpoint->terms().IsPaused(now)) continue;
+    if (!endpoint->terms().IsOpen(now)) continue;
     if (!endpoint->terms().limit().HasAllowance(position_, now)) continue;
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
                      PreferenceWeight(*endpoint, now)});
@@ -369,7 +368,7 @@
     if (!endpoint->IsServing() || !IsWithin(limits, *endpoint, now)) {
       continue;
     }
-    if (endpoint->terms().IsPaused(now)) continue;
+    if (!endpoint->terms().IsOpen(now)) continue;
     const auto wait = endpoint->terms().limit().Wait(position_, now);
     if (wait && (!least || *wait < *least)) least = wait;
   }
@@ -383,7 +382,8 @@
     if (!endpoint->IsServing() || !IsWithin(limits, *endpoint, now)) {
       continue;
     }
-    if (!endpoint->terms().IsPaused(now)) return std::nullopt;
+    if (endpoint->terms().is_leaving()) continue;
+    if (endpoint->terms().IsOpen(now)) return std::nullopt;
     const auto left = endpoint->terms().PauseLeft(now);
     if (!least || left < *least) least = left;
   }
--- a/source/process/placement/endpoint_terms.cc
+++ b/source/process/placement/endpoint_terms.cc
@@ -31,13 +31,18 @@
   if (stated.refusal_limit || is_success) {
     RecordRefusalLimit(stated.refusal_limit.value_or(kUnlimitedRefusals), now);
   }
-  RecordPause(stated, spread, now);
+  RecordOwn(stated, spread, now);
 }
 
-void endpoint_terms::RecordPause(const stated_terms& stated, double spread,
+void endpoint_terms::RecordOwn(const stated_terms& stated, double spread,
+                               steady_time now) {
+  if (stated.is_leaving) is_leaving_ = true;
+  if (stated.pause) RecordPause(*stated.pause, spread, now);
+}
+
+void endpoint_terms::RecordPause(milliseconds asked, double spread,
                                  steady_time now) {
-  if (!stated.pause) return;
-  const milliseconds pause = std::min(*stated.pause, kMaxPause);
+  const milliseconds pause = std::min(asked, kMaxPause);
   const auto most = std::min<microseconds>(
       std::chrono::duration_cast<microseconds>(pause * kReturnShare),
       kMaxReturnDelay);
@@ -79,6 +84,7 @@
 void endpoint_terms::Restart() {
   limit_ = limit_share(endpoint_.value());
   is_shared_ = true;
+  is_leaving_ = false;
   // That it named no limit says nothing about its new start.
   if (refusal_limit_ == kUnlimitedRefusals) refusal_limit_.reset();
   paused_until_ = std::min(paused_until_, paused_at_ + kMaxPauseAfterRestart);
--- a/source/process/placement/endpoint_terms.h
+++ b/source/process/placement/endpoint_terms.h
@@ -26,8 +26,9 @@
   /// which VMs return at different times after a pause.
   void Record(const stated_terms& stated, bool is_success, double spread,
               steady_time now);
-  /// Records the pause only, from a response to an earlier request.
-  void RecordPause(const stated_terms& stated, double spread, steady_time now);
+  /// Records what counts for this VM alone, from a response to an earlier
+  /// request.
+  void RecordOwn(const stated_terms& stated, double spread, steady_time now);
   /// Another entry VM received it at `measured_at`. Without a refusal limit it
   /// knew none.
   void RecordShared(std::optional<double> limit,
@@ -37,7 +38,11 @@
   /// for a time, since the new start may have asked for it already.
   void Restart();
 
-  /// The endpoint wants no request from this VM now.
+  /// The endpoint takes requests from this VM now.
+  bool IsOpen(steady_time now) const { return !is_leaving_ && !IsPaused(now); }
+  /// The endpoint said in a response that it leaves.
+  bool is_leaving() const { return is_leaving_; }
+  /// The endpoint wants no request from this VM now, but may later.
   bool IsPaused(steady_time now) const { return now < paused_until_; }
   /// Time until the pause ends; 0 without one.
   std::chrono::microseconds PauseLeft(steady_time now) const;
@@ -56,6 +61,8 @@
   steady_time stated_at() const { return stated_at_; }
 
  private:
+  void RecordPause(std::chrono::milliseconds asked, double spread,
+                   steady_time now);
   void RecordLimit(std::optional<double> per_second, steady_time now);
   void RecordRefusalLimit(std::uint32_t refusals, steady_time now);
 
@@ -67,6 +74,7 @@
   steady_time stated_at_;
   steady_time paused_at_;
   steady_time paused_until_;
+  bool is_leaving_ = false;
 };
 
 }  // namespace marjoramsill
--- a/source/process/placement/endpoint_terms_table.cc
+++ b/source/process/placement/endpoint_terms_table.cc
@@ -1,8 +1,17 @@
 #include "process/placement/endpoint_terms_table.h"
 
+#include <chrono>
+#include <iterator>
+
 #include "process/directory/endpoint_record.h"
 
 namespace marjoramsill {
+namespace {
+
+/// An endpoint that leaves and that no pool has any more has ended by then.
+constexpr std::chrono::minutes kLeavingMemory{2};
+
+}  // namespace
 
 std::shared_ptr<endpoint_terms> endpoint_terms_table::Of(
     const endpoint_record& record) {
@@ -18,10 +27,15 @@
 }
 
 void endpoint_terms_table::Expire(steady_time now) {
-  std::erase_if(entries_, [now](const auto& item) {
-    const std::shared_ptr<endpoint_terms>& terms = item.second.terms;
-    return terms.use_count() == 1 && !terms->IsPaused(now);
-  });
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    entry& known = it->second;
+    if (known.terms.use_count() > 1) known.used_at = now;
+    const bool is_old = now - known.used_at > kLeavingMemory;
+    const bool is_needed =
+        known.terms->IsPaused(now) || (known.terms->is_leaving() && !is_old);
+    const bool is_used = known.terms.use_count() > 1;
+    it = is_used || is_needed ? std::next(it) : entries_.erase(it);
+  }
 }
 
 }  // namespace marjoramsill
--- a/source/process/placement/endpoint_terms_table.h
+++ b/source/process/placement/endpoint_terms_table.h
@@ -19,7 +19,8 @@
  public:
   /// The terms of the endpoint with this record; never null.
   std::shared_ptr<endpoint_terms> Of(const endpoint_record& record);
-  /// Removes the terms that no pool uses, unless the endpoint is in a pause.
+  /// Removes the terms that no pool uses, unless the endpoint is in a pause or
+  /// leaves.
   void Expire(steady_time now);
   std::size_t size() const { return entries_.size(); }
 
@@ -27,6 +28,8 @@
   struct entry {
     std::shared_ptr<endpoint_terms> terms;
     incarnation_number incarnation;
+    /// When a pool was last seen to use the terms.
+    steady_time used_at;
   };
 
   std::map<endpoint_id, entry> entries_;
--- a/source/process/placement/stated_terms.h
+++ b/source/process/placement/stated_terms.h
@@ -16,6 +16,8 @@
   std::optional<std::uint32_t> refusal_limit = std::nullopt;
   /// Time for which it wants no request from the VM that it refused.
   std::optional<std::chrono::milliseconds> pause = std::nullopt;
+  /// It leaves, and wants no further request from this VM.
+  bool is_leaving = false;
   /// A refusal names a pause that is no time from now.
   bool is_pause_unreadable = false;
 };
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -136,12 +136,14 @@
   /// A stream that goes on waits on a new connection, since the record of an
   /// endpoint that has just started again is on its way.
   void CheckRecord(steady_time now);
-  bool IsTargetPaused() const;
+  /// False if the endpoint asked for a pause, or said that it leaves, while
+  /// this request was connecting to it.
+  bool IsTargetOpen() const;
   bool HasTargetSoftware(steady_time now) const;
   /// Ends the attempt at its endpoint and keeps the connection for others.
   void LeaveConnection();
   void Send();
-  void SendUnlessPaused();
+  void SendIfOpen();
   std::string RequestBytes() const;
   /// True if the response belongs to this request.
   bool MatchesRequest(const endpoint_response_head& head) const;
@@ -198,6 +200,9 @@
   /// Logs that an endpoint reports clearly more load than was estimated when it
   /// was chosen for this request.
   void LogUnderestimate(const load_report& report) const;
+  /// Logs the first response in which the endpoint says that it leaves.
+  void LogLeaving(const endpoint_estimate& endpoint,
+                  const stated_terms& stated) const;
   /// Logs that the endpoint asked for a pause, or for one that is unreadable.
   void LogPause(const stated_terms& stated) const;
   /// Logs a response that may belong to an earlier request of its connection.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -197,26 +197,26 @@
     connected_at_ = environment_.clock();
     return;
   }
-  SendUnlessPaused();
+  SendIfOpen();
 }
 
 void proxied_call::CheckRecord(steady_time now) {
   if (now - connected_at_ < kRecordWait) return;
   if (HasTargetSoftware(now)) {
-    SendUnlessPaused();
+    SendIfOpen();
     return;
   }
   LeaveConnection();
   AfterAttempt(attempt_end::kNotSent, "software_changed");
 }
 
-void proxied_call::SendUnlessPaused() {
-  if (!IsTargetPaused()) {
+void proxied_call::SendIfOpen() {
+  if (IsTargetOpen()) {
     Send();
     return;
   }
   LeaveConnection();
-  AfterAttempt(attempt_end::kNotSent, "paused");
+  AfterAttempt(attempt_end::kNotSent, "closed_to_requests");
 }
 
 bool proxied_call::HasTargetSoftware(steady_time now) const {
@@ -224,14 +224,17 @@
   return endpoint != nullptr && endpoint->HasSoftware(*limits_.software, now);
 }
 
-/// The endpoint asked for a pause while this request was connecting to it.
-bool proxied_call::IsTargetPaused() const {
+bool proxied_call::IsTargetOpen() const {
   const endpoint_estimate* endpoint = pool_->Find(endpoint_);
-  return endpoint != nullptr &&
-         endpoint->terms().IsPaused(environment_.clock());
+  return endpoint == nullptr || endpoint->terms().IsOpen(environment_.clock());
 }
 
 void proxied_call::LeaveConnection() {
+  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  if (endpoint != nullptr && endpoint->terms().is_leaving()) {
+    Connections().Drop(endpoint_);
+    connection_->Close();
+  }
   Connections().Release(endpoint_, std::move(connection_),
                         environment_.clock());
   connection_.reset();
@@ -344,6 +347,7 @@
   if (endpoint == nullptr || head_.status == kStatusMisdirected) return;
   const stated_terms stated =
       environment_.dialect.read_terms(head_.status, head_.fields);
+  LogLeaving(*endpoint, stated);
   endpoint->terms().Record(stated, IsSuccessStatus(head_.status),
                            RandomShare(environment_.random), now);
   LogPause(stated);
@@ -355,8 +359,9 @@
   if (endpoint == nullptr) return;
   const stated_terms stated =
       environment_.dialect.read_terms(head.status, head.fields);
-  endpoint->terms().RecordPause(stated, RandomShare(environment_.random),
-                                environment_.clock());
+  LogLeaving(*endpoint, stated);
+  endpoint->terms().RecordOwn(stated, RandomShare(environment_.random),
+                              environment_.clock());
   LogPause(stated);
 }
 
--- a/source/request/proxied_call_log.cc
+++ b/source/request/proxied_call_log.cc
@@ -70,6 +70,16 @@
       line_class::kFrequent);
 }
 
+void proxied_call::LogLeaving(const endpoint_estimate& endpoint,
+                              const stated_terms& stated) const {
+  if (!stated.is_leaving || endpoint.terms().is_leaving()) return;
+  environment_.log->Write("endpoint_leaving",
+                          log_fields()
+                              .Add("request", request_id_)
+                              .Add("endpoint", endpoint_.value())
+                              .text());
+}
+
 void proxied_call::LogPause(const stated_terms& stated) const {
   if (!stated.pause && !stated.is_pause_unreadable) return;
   if (stated.pause) environment_.metrics->CountPause();
--- a/tests/operations/endpoint_pause_test.cc
+++ b/tests/operations/endpoint_pause_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(pool_of_which_all_ask_for_a_pause_refuses_at_once);
   CPPUNIT_TEST(pause_outlives_a_record_that_names_another_pool);
   CPPUNIT_TEST(unreadable_pause_changes_nothing);
+  CPPUNIT_TEST(endpoints_that_say_that_they_leave_get_no_requests);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint16_t kPort = 22'000;
@@ -147,7 +148,6 @@
     std::vector<soak::soak_node*> cut = fleet_->EntryNodes();
     cut.resize(2);
     fleet_->CutFromEndpoints(cut, soak::cut_form::kReset);
-    for (const soak::soak_node* node : cut) ledger_.pauses().ExcuseVm(node->ip);
     Play(milliseconds(1'500));
     SetPausing(kPausing, "2");
     CheckServed(Play(milliseconds(6'000)));
@@ -188,6 +188,28 @@
       CPPUNIT_ASSERT(fleet_->endpoints()[0]->arrivals().size() > before);
     }
   }
+
+  // Guards against requests that reach an endpoint which has said in an answer
+  // to this VM that it leaves, whatever its heartbeats say.
+  void endpoints_that_say_that_they_leave_get_no_requests() {
+    for (std::size_t i = 0; i < kPausing; ++i) {
+      fleet_->endpoints()[i]->SetLeavingInResponses();
+    }
+    CheckServed(Play(milliseconds(7'000)));
+    const int told = ledger_.pauses().leave_count();
+    std::cout << " told " << told << ", late arrivals "
+              << ledger_.pauses().late_arrivals() << std::endl;
+    CPPUNIT_ASSERT(told > 0);
+    CPPUNIT_ASSERT_EQUAL(0, ledger_.pauses().late_arrivals());
+    for (std::size_t i = 0; i < kPausing; ++i) {
+      auto& endpoint = *fleet_->endpoints()[i];
+      endpoint.Crash();
+      endpoint.Start();
+      const std::size_t before = endpoint.arrivals().size();
+      Play(milliseconds(1'500));
+      CPPUNIT_ASSERT(endpoint.arrivals().size() > before);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_pause_test);
--- a/tests/placement/endpoint_terms_test.cc
+++ b/tests/placement/endpoint_terms_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(terms_of_an_endpoint_in_no_pool_expire_after_its_pause);
   CPPUNIT_TEST(endpoint_in_a_pause_is_never_chosen);
   CPPUNIT_TEST(pool_in_a_pause_names_the_first_end);
+  CPPUNIT_TEST(endpoint_that_says_that_it_leaves_is_chosen_after_a_restart);
   CPPUNIT_TEST_SUITE_END();
 
   static endpoint_record MakeRecord(int number) {
@@ -195,6 +196,21 @@
     CPPUNIT_ASSERT(!pool.CanServe({}, now_));
     CPPUNIT_ASSERT(pool.PauseWait({}, now_) == milliseconds(1'200));
   }
+
+  void endpoint_that_says_that_it_leaves_is_chosen_after_a_restart() {
+    endpoint_pool pool({}, std::mt19937_64(1));
+    pool.Apply(MakeRecord(0));
+    stated_terms leaving;
+    leaving.is_leaving = true;
+    pool.Find(MakeRecord(0).id)->terms().Record(leaving, true, 0, now_);
+    now_ += milliseconds(60'000);
+    CPPUNIT_ASSERT(!pool.Choose({}, {}, now_));
+    CPPUNIT_ASSERT(!pool.PauseWait({}, now_));
+    endpoint_record restarted = MakeRecord(0);
+    restarted.incarnation = incarnation_number(2);
+    pool.Apply(restarted);
+    CPPUNIT_ASSERT(pool.Choose({}, {}, now_).has_value());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_terms_test);
--- a/tests/platform/platform_decoder_test.cc
+++ b/tests/platform/platform_decoder_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(malformed_load_is_ignored);
   CPPUNIT_TEST(malformed_refusal_limit_is_ignored);
   CPPUNIT_TEST(pause_is_decoded_from_a_refusal);
+  CPPUNIT_TEST(leaving_is_decoded_from_any_response);
   CPPUNIT_TEST_SUITE_END();
 
   static json Document() {
@@ -226,6 +227,15 @@
     CPPUNIT_ASSERT(!DecodeTerms(200, {}).refusal_limit);
   }
 
+  void leaving_is_decoded_from_any_response() {
+    for (const int status : {200, 500, 503}) {
+      CPPUNIT_ASSERT(DecodeTerms(status, {{"Server-Leaving", "1"}}).is_leaving);
+      CPPUNIT_ASSERT(
+          !DecodeTerms(status, {{"Server-Leaving", "0"}}).is_leaving);
+      CPPUNIT_ASSERT(!DecodeTerms(status, {}).is_leaving);
+    }
+  }
+
   void pause_is_decoded_from_a_refusal() {
     const auto decode = [](int status, const char* text) {
       return DecodeTerms(status, {{"Retry-After", text}});
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -58,6 +58,7 @@
                             .count();
   sequence_ = 0;
   is_leaving_ = false;
+  says_that_it_leaves_ = false;
   leave_acknowledged_at_.reset();
   listener_.emplace(
       io_, caller_listener::settings{settings_.listen, 1'000},
@@ -136,10 +137,18 @@
 }
 
 http_field_list fake_endpoint::ResponseFields(
+    const std::shared_ptr<caller_connection>& caller,
     const std::string& request) const {
   http_field_list fields = {
       {platform::kRequestId, request},
       {platform::kServerSignature, settings_.id + "." + request}};
+  if (says_that_it_leaves_) {
+    fields.push_back({platform::kLeaving, "1"});
+    if (settings_.has_sound_link(caller->RemoteIp())) {
+      ledger_.pauses().AnswerLeaving(caller->RemoteIp(), settings_.id,
+                                     std::chrono::steady_clock::now());
+    }
+  }
   if (limit_) fields.push_back({platform::kLimit, std::to_string(*limit_)});
   if (brittle_refusals_) {
     fields.push_back({platform::kBrittle, std::to_string(*brittle_refusals_)});
@@ -169,7 +178,7 @@
   ledger_.RecordRun(request);
   const auto held = Hold(caller);
   if (fails_) {
-    caller->Respond(kInternalError, ResponseFields(request), "failed");
+    caller->Respond(kInternalError, ResponseFields(caller, request), "failed");
     return;
   }
   if (ledger_.HasCrashingPart(ValueOf(message, platform::kPromptParts))) {
@@ -196,17 +205,17 @@
   }
   last_stream_ = request;
   if (is_unframed_) caller->SendWithoutChunks();
-  caller->Begin(200, ResponseFields(request), std::nullopt);
+  caller->Begin(200, ResponseFields(caller, request), std::nullopt);
   SendEvents(caller, request, last.empty() ? 1 : std::stoi(last) + 1, held);
 }
 
 bool fake_endpoint::TurnsAway(const std::shared_ptr<caller_connection>& caller,
                               const std::string& request) {
   if (!retry_after_) return false;
-  http_field_list fields = ResponseFields(request);
+  http_field_list fields = ResponseFields(caller, request);
   fields.push_back({platform::kNotRun, "1"});
   fields.push_back({"Retry-After", *retry_after_});
-  if (settings_.has_sound_link()) {
+  if (settings_.has_sound_link(caller->RemoteIp())) {
     ledger_.pauses().TurnAway(caller->RemoteIp(), settings_.id,
                               std::strtod(retry_after_->c_str(), nullptr),
                               std::chrono::steady_clock::now());
@@ -228,7 +237,7 @@
       held_count_ < settings_.slots) {
     return false;
   }
-  http_field_list fields = ResponseFields(request);
+  http_field_list fields = ResponseFields(caller, request);
   fields.push_back({platform::kNotRun, "1"});
   caller->Respond(kUnavailable, fields, "");
   ++refusal_count_;
@@ -277,19 +286,19 @@
     held->Release();
     if (is_unframed_) {
       caller->SendWithoutChunks();
-      caller->Begin(200, ResponseFields(request), std::nullopt);
+      caller->Begin(200, ResponseFields(caller, request), std::nullopt);
       caller->Write(PlainBody(request));
       caller->End();
       return;
     }
-    caller->Respond(200, ResponseFields(request), PlainBody(request));
+    caller->Respond(200, ResponseFields(caller, request), PlainBody(request));
   });
 }
 
 void fake_endpoint::CrashInAnswer(
     const std::shared_ptr<caller_connection>& caller,
     const std::string& request) {
-  caller->Begin(200, ResponseFields(request), std::nullopt);
+  caller->Begin(200, ResponseFields(caller, request), std::nullopt);
   caller->Write("id: 1\nda");
   caller->Flush();
   CrashSoon([this] { ledger_.RecordPartCrash(); });
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -42,8 +42,9 @@
   int slots = 32;
   /// After a crash by a prompt part it starts again under another id.
   bool renews_id = false;
-  /// Its responses reach the VMs.
-  std::function<bool()> has_sound_link = [] { return true; };
+  /// Its responses reach the VM with this IP.
+  std::function<bool(const std::string&)> has_sound_link =
+      [](const std::string&) { return true; };
   /// Called when it starts or stops accepting connections.
   std::function<void(bool)> on_running = [](bool) {};
   /// Chooses the control process that receives the next heartbeat.
@@ -84,6 +85,9 @@
   void SetPausing(std::optional<std::string> retry_after) {
     retry_after_ = std::move(retry_after);
   }
+  /// From now on it says in all its responses that it leaves, until it starts
+  /// again; its heartbeats do not.
+  void SetLeavingInResponses() { says_that_it_leaves_ = true; }
   /// From now on it goes on with requests whose caller has left.
   void SetFinishingDropped(bool finishes) { finishes_dropped_ = finishes; }
   /// Its heartbeats name this software from its next start on.
@@ -145,7 +149,10 @@
   void SendEvents(const std::shared_ptr<caller_connection>& caller,
                   const std::string& request, int next,
                   const std::shared_ptr<held_request>& held);
-  http_field_list ResponseFields(const std::string& request) const;
+  /// Records in the ledger what the response tells the caller.
+  http_field_list ResponseFields(
+      const std::shared_ptr<caller_connection>& caller,
+      const std::string& request) const;
 
   asio::io_context& io_;
   fake_endpoint_settings settings_;
@@ -161,6 +168,7 @@
   bool is_unframed_ = false;
   bool is_silent_ = false;
   bool finishes_dropped_ = false;
+  bool says_that_it_leaves_ = false;
   std::optional<std::string> retry_after_;
   std::string next_heartbeat_pool_;
   std::string last_stream_;
--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -173,7 +173,6 @@
 void link_proxy::CutFrom(const std::vector<std::string>& sources,
                          cut_form form) {
   cut_sources_ = sources;
-  if (!sources.empty()) on_fault_();
   if (acceptor_.is_open()) FilterPackets(acceptor_.native_handle());
   if (form == cut_form::kKept) return;
   for (const auto& each : links_) {
@@ -188,6 +187,12 @@
   }
 }
 
+bool link_proxy::IsSoundFor(const std::string& source) const {
+  const bool is_cut = std::find(cut_sources_.begin(), cut_sources_.end(),
+                                source) != cut_sources_.end();
+  return *mode_ == link_mode::kPass && !is_cut;
+}
+
 void link_proxy::Listen(bool listens) {
   if (listens == acceptor_.is_open()) return;
   if (!listens) {
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -48,12 +48,11 @@
   link_proxy(const link_proxy&) = delete;
   link_proxy& operator=(const link_proxy&) = delete;
 
-  /// Called when bytes may be lost or connections are reset from now on.
+  /// Called when bytes of all VMs may be lost or connections are reset from now
+  /// on.
   void OnFault(std::function<void()> hook) { on_fault_ = std::move(hook); }
-  /// Bytes of new connections are delivered.
-  bool is_sound() const {
-    return *mode_ == link_mode::kPass && cut_sources_.empty();
-  }
+  /// Bytes of new connections of the VM with this IP are delivered.
+  bool IsSoundFor(const std::string& source) const;
   /// The connections that are open now carry nothing more, but stay open; new
   /// ones work.
   void Silence();
--- a/tests/soak/pause_ledger.cc
+++ b/tests/soak/pause_ledger.cc
@@ -7,6 +7,8 @@
 
 /// Requests that were on their way may still arrive for this time.
 constexpr std::chrono::milliseconds kGrace{500};
+/// `drainMs` of the users' deployments.
+constexpr std::chrono::milliseconds kDrainTime{2'000};
 /// Longer than any run.
 constexpr double kMaxSeconds = 3'600;
 
@@ -24,8 +26,17 @@
   ++pause_count_;
 }
 
+void pause_ledger::AnswerLeaving(const std::string& vm,
+                                 const std::string& endpoint, time_point now) {
+  leave_count_ += left_at_.try_emplace({vm, endpoint}, now).second;
+}
+
 void pause_ledger::Arrive(const std::string& vm, const std::string& endpoint,
                           time_point now) {
+  const auto left = left_at_.find({vm, endpoint});
+  if (left != left_at_.end() && now > left->second + kDrainTime) {
+    ++late_arrivals_;
+  }
   const auto found = pauses_.find({vm, endpoint});
   if (found == pauses_.end()) return;
   for (pause& each : found->second) {
@@ -35,14 +46,19 @@
 }
 
 void pause_ledger::ExcuseVm(const std::string& vm) {
-  std::erase_if(pauses_,
-                [&vm](const auto& entry) { return entry.first.first == vm; });
+  const auto is_of_vm = [&vm](const auto& entry) {
+    return entry.first.first == vm;
+  };
+  std::erase_if(pauses_, is_of_vm);
+  std::erase_if(left_at_, is_of_vm);
 }
 
 void pause_ledger::StartEndpoint(const std::string& endpoint) {
-  std::erase_if(pauses_, [&endpoint](const auto& entry) {
+  const auto is_of_endpoint = [&endpoint](const auto& entry) {
     return entry.first.second == endpoint;
-  });
+  };
+  std::erase_if(pauses_, is_of_endpoint);
+  std::erase_if(left_at_, is_of_endpoint);
 }
 
 }  // namespace marjoramsill::soak
--- a/tests/soak/pause_ledger.h
+++ b/tests/soak/pause_ledger.h
@@ -9,9 +9,10 @@
 
 namespace marjoramsill::soak {
 
-/// Records the pauses that endpoints ask VMs for, and the requests that reach
-/// them meanwhile: those from half a second after the refusal to the end of the
-/// pause count, by the rule of the users.
+/// Records when endpoints ask VMs to send nothing, and the requests that reach
+/// them meanwhile, by the rules of the users: those from half a second after a
+/// refusal to the end of the pause, and those later than two seconds after an
+/// answer that says that the endpoint leaves.
 class pause_ledger {
  public:
   using time_point = std::chrono::steady_clock::time_point;
@@ -22,6 +23,9 @@
   /// The endpoint turned a request of the VM away and asked for a pause.
   void TurnAway(const std::string& vm, const std::string& endpoint,
                 double seconds, time_point now);
+  /// The endpoint told the VM in an answer that it leaves.
+  void AnswerLeaving(const std::string& vm, const std::string& endpoint,
+                     time_point now);
   /// A request of the VM reaches the endpoint.
   void Arrive(const std::string& vm, const std::string& endpoint,
               time_point now);
@@ -33,6 +37,10 @@
   /// Most requests of a VM that reached an endpoint in one pause.
   int most_arrivals() const { return most_arrivals_; }
   int pause_count() const { return pause_count_; }
+  /// VMs that were told by an endpoint that it leaves.
+  int leave_count() const { return leave_count_; }
+  /// Requests that reached endpoints too late after such an answer.
+  int late_arrivals() const { return late_arrivals_; }
 
  private:
   struct pause {
@@ -41,7 +49,13 @@
     int arrivals = 0;
   };
 
-  std::map<std::pair<std::string, std::string>, std::vector<pause>> pauses_;
+  using link = std::pair<std::string, std::string>;
+
+  /// By VM and endpoint.
+  std::map<link, std::vector<pause>> pauses_;
+  std::map<link, time_point> left_at_;
+  int leave_count_ = 0;
+  int late_arrivals_ = 0;
   int most_arrivals_ = 0;
   int pause_count_ = 0;
 };
--- a/tests/soak/run_ledger.h
+++ b/tests/soak/run_ledger.h
@@ -129,6 +129,10 @@
 
   /// Checks that endpoints got the pauses that they asked for.
   void CheckPauses() {
+    if (pauses_.late_arrivals() > 0) {
+      RecordViolation(std::to_string(pauses_.late_arrivals()) +
+                      " requests reached an endpoint that said that it leaves");
+    }
     const int most = pauses_.most_arrivals();
     if (most <= pause_ledger::kAllowedArrivals) return;
     RecordViolation(std::to_string(most) +
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -152,7 +152,17 @@
 
 void soak_faults::InjectEndpointFault(fake_endpoint& endpoint) {
   if (!endpoint.is_running()) return;
-  const std::size_t kind = random_() % 7;
+  const std::size_t kind = random_() % 8;
+  if (kind == 7) {
+    endpoint.SetLeavingInResponses();
+    RunAfter(RandomDuration() + kEndpointRestart, [&endpoint] {
+      if (endpoint.is_running()) endpoint.Crash();
+    });
+    RunAfter(milliseconds(4'000), [&endpoint] {
+      if (!endpoint.is_running()) endpoint.Start();
+    });
+    return;
+  }
   if (kind == 5) {
     static constexpr const char* kPauses[] = {"1", "1.5", "3", "0", "soon"};
     endpoint.SetPausing(kPauses[random_() % 5]);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -106,9 +106,10 @@
   };
   endpoint_links_.back()->OnFault(
       [this, id = settings.id] { ledger_.pauses().StartEndpoint(id); });
-  settings.has_sound_link = [link = endpoint_links_.back().get()] {
-    return link->is_sound();
-  };
+  settings.has_sound_link =
+      [link = endpoint_links_.back().get()](const std::string& vm) {
+        return link->IsSoundFor(vm);
+      };
   settings.service_time = settings_.service_time;
   settings.reports_load = settings_.reports_load;
   settings.slots = settings_.slots;
@@ -173,7 +174,10 @@
 void soak_fleet::CutFromEndpoints(const std::vector<soak_node*>& cut,
                                   cut_form form) {
   std::vector<std::string> sources;
-  for (const soak_node* node : cut) sources.push_back(node->ip);
+  for (const soak_node* node : cut) {
+    sources.push_back(node->ip);
+    ledger_.pauses().ExcuseVm(node->ip);
+  }
   for (const auto& link : endpoint_links_) link->CutFrom(sources, form);
 }
 
