--- a/source/request/proxied_call_log.cc
+++ b/source/request/proxied_call_log.cc
@@ -21,6 +21,13 @@
 /// Characters of a response field in a log line.
 constexpr std::size_t kMaxLoggedValue = 40;
 
+/// The start of a field's value; empty without the field.
+std::string_view ShortValue(const http_field* field) {
+  if (field == nullptr) return {};
+  const std::string_view value = field->value;
+  return value.substr(0, kMaxLoggedValue);
+}
+
 }  // namespace
 
 void proxied_call::LogOverBound(const placement_choice& choice) const {
@@ -97,14 +104,12 @@
     const endpoint_response_head& head) const {
   const http_field* id =
       FindField(head.fields, environment_.dialect.request_id);
-  const std::string_view named =
-      id == nullptr ? std::string_view() : std::string_view(id->value);
   environment_.log->Write("response_skipped",
                           log_fields()
                               .Add("request", request_id_)
                               .Add("endpoint", endpoint_.value())
                               .Add("status", head.status)
-                              .Add("names", named.substr(0, kMaxLoggedValue))
+                              .Add("names", ShortValue(id))
                               .text(),
                           line_class::kFrequent);
 }
@@ -125,10 +130,7 @@
           .Add("not_run", is_rejected_)
           .Add("names_request", id != nullptr)
           .Add("kept_connection", connection_ && connection_->is_reused())
-          .Add("retry_after",
-               pause == nullptr
-                   ? ""
-                   : std::string_view(pause->value).substr(0, kMaxLoggedValue))
+          .Add("retry_after", ShortValue(pause))
           .Add("running", load ? load->running : 0)
           .Add("waiting", load ? load->waiting : 0)
           .Add("slots", endpoint == nullptr ? 0 : endpoint->slots())
