entry: record the origin of a stream by the process that its connection leads to

The trace: an entry process that had just started placed a new stream at an endpoint which had started again with other software, by the old record, and recorded that software as the origin. Change: on a new connection the origin is recorded 150 ms after the attempt began, from the record of that time; on a kept one at the first event, as before. An attempt that ends earlier records it then. Some words of tests and comments are plainer.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -204,11 +204,11 @@
     hooks.on_records = [this](const std::vector<endpoint_record>& records) {
       endpoints_->OnRecords(records, SteadyNow());
     };
-    // Documents are received through the replicated group.
     hooks.on_former_software =
         [this](const std::vector<software_presence>& presences) {
           directory_.MergeFormerSoftware(presences, SteadyNow());
         };
+    // Documents are received through the replicated group.
     hooks.on_newer_document = [](document_version /*version*/) {};
     hooks.on_loads = [this](const std::vector<shared_load>& loads) {
       hub_.MergeLoads(loads, SteadyNow());
--- a/source/process/directory/software_history.h
+++ b/source/process/directory/software_history.h
@@ -13,7 +13,7 @@
 struct endpoint_record;
 
 /// Software of endpoints whose records were replaced or removed, so that a
-/// stream can be told apart from those of software that came later. Bounded by
+/// stream is not assigned to software that came later. Bounded by
 /// the number of versions. Not thread-safe.
 class software_history {
  public:
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -306,6 +306,7 @@
     GiveUp();
     return;
   }
+  if (origin_due_ && now >= *origin_due_) RecordOrigin();
   CheckStall(now);
 }
 
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -133,26 +133,11 @@
   void Connect(const std::string& address);
   void ResetAttempt(endpoint_id target);
   void OnConnected(bool connected);
-  /// A stream that goes on waits on a new connection, since the record of an
-  /// endpoint that has just started again is on its way.
-  void CheckRecord(steady_time now);
-  /// False if the endpoint asked for a pause, or said that it leaves, while
-  /// this request was connecting to it.
-  bool IsTargetOpen() const;
-  bool HasTargetSoftware(steady_time now) const;
   /// Ends the attempt at its endpoint and keeps the connection for others.
   void LeaveConnection();
   void Send();
-  void SendIfOpen();
   std::string RequestBytes() const;
-  /// True if the response belongs to this request.
-  bool MatchesRequest(const endpoint_response_head& head) const;
   void OnHead(const endpoint_response_head& head);
-  /// Records what the response says about the requests that its endpoint takes.
-  void RecordTerms(endpoint_estimate* endpoint, steady_time now);
-  /// A response on this connection belongs to an earlier request. What it says
-  /// of its endpoint counts all the same.
-  void OnOtherResponse(const endpoint_response_head& head);
   void OnBody(std::string_view data);
   void OnReadEnd();
   void OnCompleteAnswer();
@@ -168,6 +153,30 @@
   /// Attempts that count towards the limit of the route.
   int CountedAttempts() const;
 
+  // proxied_call_terms.cc: what an endpoint says of itself and of its requests.
+  /// A stream that goes on waits on a new connection, since the record of an
+  /// endpoint that has just started again is on its way.
+  void CheckRecord(steady_time now);
+  /// False if the endpoint asked for a pause, or said that it leaves, while
+  /// this request was connecting to it.
+  bool IsTargetOpen() const;
+  bool HasTargetSoftware(steady_time now) const;
+  /// The first event of a stream has arrived, from the endpoint of this
+  /// attempt.
+  void BeginOrigin();
+  /// Records the software that began the stream, once the record of an endpoint
+  /// that has just started again must have arrived.
+  void RecordOrigin();
+  software_digest TargetSoftware() const;
+  void SendIfOpen();
+  /// True if the response belongs to this request.
+  bool MatchesRequest(const endpoint_response_head& head) const;
+  /// Records what the response says about the requests that its endpoint takes.
+  void RecordTerms(endpoint_estimate* endpoint, steady_time now);
+  /// A response on this connection belongs to an earlier request. What it says
+  /// of its endpoint counts all the same.
+  void OnOtherResponse(const endpoint_response_head& head);
+
   // proxied_call_place.cc: requests for which no endpoint has room.
   /// Ends a request for which no endpoint can be chosen.
   void OnNoChoice(steady_time now);
@@ -294,6 +303,8 @@
   steady_time attempt_started_;
   steady_time last_progress_;
   steady_time connected_at_;
+  /// When the software that began the stream is recorded, if it is not yet.
+  std::optional<steady_time> origin_due_;
   endpoint_response_head head_;
   /// Bytes of the body that this attempt has received.
   std::uint64_t received_bytes_ = 0;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -27,9 +27,6 @@
 /// Connecting takes a few milliseconds within a deployment; this leaves time
 /// for one retransmission.
 constexpr milliseconds kConnectTimeout{300};
-/// The record of an endpoint that has started again takes some 50 to 100 ms
-/// from its first heartbeat to the entry VMs.
-constexpr milliseconds kRecordWait{150};
 /// Minimum time without a response, or without a further event, after which a
 /// repeatable request is sent to another endpoint. A sound endpoint may be
 /// silent for a second or so in a stream; callers give up after two.
@@ -60,12 +57,6 @@
          status == kStatusRequestTimeout;
 }
 
-/// Uniform from 0 to 1.
-double RandomShare(const random_source& random) {
-  constexpr std::uint64_t kSteps = 1024;
-  return static_cast<double>(random() % kSteps) / kSteps;
-}
-
 /// The engine's queue serves lower numbers first. Every other number is left
 /// free for ranks in between.
 int EnginePriority(int rank) {
@@ -163,8 +154,8 @@
 }
 
 void proxied_call::Connect(const std::string& address) {
-  // A response to a request without an id can only be told from one to an
-  // earlier request by its connection.
+  // A response to a request without an id can only be distinguished from
+  // one to an earlier request by its connection.
   if (!request_id_.empty()) {
     connection_ = Connections().TakeIdle(endpoint_, !route_->IsRepeatable(),
                                          attempt_started_);
@@ -200,47 +191,6 @@
   SendIfOpen();
 }
 
-void proxied_call::CheckRecord(steady_time now) {
-  if (now - connected_at_ < kRecordWait) return;
-  if (HasTargetSoftware(now)) {
-    SendIfOpen();
-    return;
-  }
-  LeaveConnection();
-  AfterAttempt(attempt_end::kNotSent, "software_changed");
-}
-
-void proxied_call::SendIfOpen() {
-  if (IsTargetOpen()) {
-    Send();
-    return;
-  }
-  LeaveConnection();
-  AfterAttempt(attempt_end::kNotSent, "closed_to_requests");
-}
-
-bool proxied_call::HasTargetSoftware(steady_time now) const {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
-  return endpoint != nullptr && endpoint->HasSoftware(*limits_.software, now);
-}
-
-bool proxied_call::IsTargetOpen() const {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
-  return endpoint == nullptr || endpoint->terms().IsOpen(environment_.clock());
-}
-
-void proxied_call::LeaveConnection() {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
-  if (endpoint != nullptr && endpoint->terms().is_leaving()) {
-    Connections().Drop(endpoint_);
-    connection_->Close();
-  }
-  Connections().Release(endpoint_, std::move(connection_),
-                        environment_.clock());
-  connection_.reset();
-  ReleaseEndpoint();
-}
-
 std::string proxied_call::RequestBytes() const {
   const request_dialect& dialect = environment_.dialect;
   std::string bytes;
@@ -304,17 +254,6 @@
                    message_.method == "HEAD", std::move(hooks));
 }
 
-/// Endpoints echo the request id, but may omit it in a refusal or failure. On a
-/// connection that carried another request before, a response without it may
-/// be one to that request, written once more, and proves nothing.
-bool proxied_call::MatchesRequest(const endpoint_response_head& head) const {
-  const http_field* id =
-      FindField(head.fields, environment_.dialect.request_id);
-  if (id != nullptr) return id->value == request_id_;
-  const bool may_be_earlier = !is_handed_on_ && connection_->is_reused();
-  return !IsSuccessStatus(head.status) && !may_be_earlier;
-}
-
 void proxied_call::OnHead(const endpoint_response_head& head) {
   const steady_time now = environment_.clock();
   state_ = state::kReceiving;
@@ -343,28 +282,6 @@
   if (is_stream_ && !route_->is_resumable) StartResponse();
 }
 
-void proxied_call::RecordTerms(endpoint_estimate* endpoint, steady_time now) {
-  if (endpoint == nullptr || head_.status == kStatusMisdirected) return;
-  const stated_terms stated =
-      environment_.dialect.read_terms(head_.status, head_.fields);
-  LogLeaving(*endpoint, stated);
-  endpoint->terms().Record(stated, IsSuccessStatus(head_.status),
-                           RandomShare(environment_.random), now);
-  LogPause(stated);
-}
-
-void proxied_call::OnOtherResponse(const endpoint_response_head& head) {
-  LogSkippedResponse(head);
-  endpoint_estimate* endpoint = pool_->Find(endpoint_);
-  if (endpoint == nullptr) return;
-  const stated_terms stated =
-      environment_.dialect.read_terms(head.status, head.fields);
-  LogLeaving(*endpoint, stated);
-  endpoint->terms().RecordOwn(stated, RandomShare(environment_.random),
-                              environment_.clock());
-  LogPause(stated);
-}
-
 void proxied_call::OnBody(std::string_view data) {
   last_progress_ = environment_.clock();
   if (!is_handed_on_) pool_->reach().OnActivity(last_progress_);
@@ -383,6 +300,7 @@
 }
 
 void proxied_call::ReleaseEndpoint() {
+  if (origin_due_) RecordOrigin();
   EndRelay();
   if (!is_counted_) return;
   is_counted_ = false;
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -55,10 +55,7 @@
   const std::string_view complete = events_.Add(data);
   if (complete.empty()) return;
   if (!response_started_) StartResponse();
-  if (!limits_.software && !is_handed_on_) {
-    limits_.software = software_;
-    environment_.record_origin(request_id_, pool_id_, software_);
-  }
+  if (!limits_.software && !is_handed_on_) BeginOrigin();
   RecordResponseBytes();
   caller_->Write(complete);
 }
--- a/tests/operations/endpoint_pause_test.cc
+++ b/tests/operations/endpoint_pause_test.cc
@@ -196,10 +196,10 @@
       fleet_->endpoints()[i]->SetLeavingInResponses();
     }
     CheckServed(Play(milliseconds(7'000)));
-    const int told = ledger_.pauses().leave_count();
-    std::cout << " told " << told << ", late arrivals "
+    const int notified = ledger_.pauses().leave_count();
+    std::cout << " notified " << notified << ", late arrivals "
               << ledger_.pauses().late_arrivals() << std::endl;
-    CPPUNIT_ASSERT(told > 0);
+    CPPUNIT_ASSERT(notified > 0);
     CPPUNIT_ASSERT_EQUAL(0, ledger_.pauses().late_arrivals());
     for (std::size_t i = 0; i < kPausing; ++i) {
       auto& endpoint = *fleet_->endpoints()[i];
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -149,7 +149,7 @@
   void SendEvents(const std::shared_ptr<caller_connection>& caller,
                   const std::string& request, int next,
                   const std::shared_ptr<held_request>& held);
-  /// Records in the ledger what the response tells the caller.
+  /// Records in the ledger what the response says to the caller.
   http_field_list ResponseFields(
       const std::shared_ptr<caller_connection>& caller,
       const std::string& request) const;
--- a/tests/soak/pause_ledger.h
+++ b/tests/soak/pause_ledger.h
@@ -23,7 +23,7 @@
   /// The endpoint turned a request of the VM away and asked for a pause.
   void TurnAway(const std::string& vm, const std::string& endpoint,
                 double seconds, time_point now);
-  /// The endpoint told the VM in an answer that it leaves.
+  /// The endpoint said in an answer to the VM that it leaves.
   void AnswerLeaving(const std::string& vm, const std::string& endpoint,
                      time_point now);
   /// A request of the VM reaches the endpoint.
@@ -37,7 +37,7 @@
   /// Most requests of a VM that reached an endpoint in one pause.
   int most_arrivals() const { return most_arrivals_; }
   int pause_count() const { return pause_count_; }
-  /// VMs that were told by an endpoint that it leaves.
+  /// VMs to which an endpoint said that it leaves.
   int leave_count() const { return leave_count_; }
   /// Requests that reached endpoints too late after such an answer.
   int late_arrivals() const { return late_arrivals_; }
