placement: forget dropped calls also where refusals are not limited

Found in the read-through: the times of dropped calls were only removed when a pool with a limit of refusals was asked for its slots, so that in all other pools the list grew with each call that a caller left. They are now removed when the next one is added, and counting them changes nothing.

--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -72,10 +72,17 @@
   own_calls_.Add(-1, now);
 }
 
-std::uint32_t endpoint_estimate::SlotsTaken(steady_time now) {
+void endpoint_estimate::OnCallDropped(steady_time until, steady_time now) {
   std::erase_if(dropped_until_,
-                [now](steady_time until) { return until <= now; });
-  return in_flight_ + static_cast<std::uint32_t>(dropped_until_.size());
+                [now](steady_time each) { return each <= now; });
+  dropped_until_.push_back(until);
+}
+
+std::uint32_t endpoint_estimate::SlotsTaken(steady_time now) const {
+  const auto dropped =
+      std::count_if(dropped_until_.begin(), dropped_until_.end(),
+                    [now](steady_time until) { return until > now; });
+  return in_flight_ + static_cast<std::uint32_t>(dropped);
 }
 
 bool endpoint_estimate::HasQueue(steady_time now) const {
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -40,7 +40,7 @@
   /// A call whose request was sent is closed before the end of its response.
   /// The endpoint may go on with the request, until `until` at most as far as
   /// is known. OnCallEnd() follows.
-  void OnCallDropped(steady_time until) { dropped_until_.push_back(until); }
+  void OnCallDropped(steady_time until, steady_time now);
   /// The bytes of a request were handed to the network.
   void OnRequestSent(steady_time now);
   /// Part of a response arrived.
@@ -101,7 +101,7 @@
   std::uint32_t in_flight() const { return in_flight_; }
   /// Slots that requests of this VM may take: calls in progress, and dropped
   /// ones that the endpoint may go on with.
-  std::uint32_t SlotsTaken(steady_time now);
+  std::uint32_t SlotsTaken(steady_time now) const;
   /// The endpoint has reported a short time ago that requests wait there.
   bool HasQueue(steady_time now) const;
   /// When the first request after the last response data was sent.
--- a/source/process/placement/endpoint_pool_bound.cc
+++ b/source/process/placement/endpoint_pool_bound.cc
@@ -51,7 +51,7 @@
 }
 
 bool endpoint_pool::IsFull(const candidate& each, steady_time now) const {
-  endpoint_estimate& endpoint = *each.endpoint;
+  const endpoint_estimate& endpoint = *each.endpoint;
   return each.load > endpoint.slots() || endpoint.HasQueue(now) ||
          endpoint.SlotsTaken(now) >= OwnSlots(endpoint);
 }
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -317,9 +317,9 @@
       pool_->mean_duration_ms());
   const auto remaining =
       std::chrono::duration_cast<std::chrono::microseconds>(usual);
+  const steady_time now = environment_.clock();
   // An endpoint stops work at the deadline that it was sent.
-  endpoint->OnCallDropped(
-      std::min(deadline_, environment_.clock() + remaining));
+  endpoint->OnCallDropped(std::min(deadline_, now + remaining), now);
 }
 
 void proxied_call::DropConnection() {
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -466,7 +466,7 @@
       endpoint.OnCallStart(now_);
     }
     CPPUNIT_ASSERT(!pool.Choose({}, {}, now_).has_value());
-    endpoint.OnCallDropped(now_ + milliseconds(100));
+    endpoint.OnCallDropped(now_ + milliseconds(100), now_);
     endpoint.OnCallEnd(now_);
     CPPUNIT_ASSERT(!pool.Choose({}, {}, now_).has_value());
     CPPUNIT_ASSERT(pool.Choose({}, {}, now_ + milliseconds(100)).has_value());
