--- a/tests/operations/repeated_refusal_test.cc
+++ b/tests/operations/repeated_refusal_test.cc
@@ -78,7 +78,7 @@
     fleet_fixture::tearDown();
   }
 
-  // Guards against a caller that is told "not run" for a request which its
+  // Guards against a response "not run" to a caller whose request its
   // endpoint runs.
   void repeated_refusal_without_id_is_not_taken_for_the_next_answer() {
     for (const char* path : {"/raw-book/", "/raw-ask/"}) {
