entry: draw a random number only for a response that asks for a pause

The spread of the return after a pause was drawn for each response of an endpoint, so that the random numbers of all later decisions of the process shifted. It is drawn now only where a response names a pause.

--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -18,8 +18,10 @@
 /// from its first heartbeat to the entry VMs.
 constexpr milliseconds kRecordWait{150};
 
-/// Uniform from 0 to 1.
-double RandomShare(const random_source& random) {
+/// Random number from 0 to 1 by which this VM returns after the pause; 0 if
+/// the terms name none.
+double ReturnSpread(const stated_terms& stated, const random_source& random) {
+  if (!stated.pause) return 0;
   constexpr std::uint64_t kSteps = 1024;
   return static_cast<double>(random() % kSteps) / kSteps;
 }
@@ -103,7 +105,7 @@
       environment_.dialect.read_terms(head_.status, head_.fields);
   LogLeaving(*endpoint, stated);
   endpoint->terms().Record(stated, IsSuccessStatus(head_.status),
-                           RandomShare(environment_.random), now);
+                           ReturnSpread(stated, environment_.random), now);
   LogPause(stated);
 }
 
@@ -114,7 +116,7 @@
   const stated_terms stated =
       environment_.dialect.read_terms(head.status, head.fields);
   LogLeaving(*endpoint, stated);
-  endpoint->terms().RecordOwn(stated, RandomShare(environment_.random),
+  endpoint->terms().RecordOwn(stated, ReturnSpread(stated, environment_.random),
                               environment_.clock());
   LogPause(stated);
 }
