directory: send entry VMs that start the endpoints that serve, once

Callers saw: after a release and a restart of all entry VMs, 503 no_endpoint for 10 to 20 s on the grown deployments while endpoints stood idle. Cause, three parts of one class (what all VMs need at the same moment grows with what happened before, and goes the way of what keeps them informed): - Ends of endpoints were debited to the budget for records without bound: 200 ends before twelve watchers left a debt of 166 s (729 KB at 4.4 KB/s), in which nobody who started got an endpoint. - A watcher that knew nothing got the records of all ended endpoints first. - Every control process sent every entry VM a copy of everything. Change: the debt is at most 0.25 s; a VM that knows no endpoint gets those that have not ended, from one control process (transfer_planner), and compares digests of 16 parts with the others, which send the parts that differ; ends are sent together each 100 ms and without the fields that the watcher has; responses with records are compressed. Software of ended endpoints goes along as software_presence, so that resumed streams find their version. Builds before request all records as ever, see watch_request. Golden bytes of watch_codec_test grow by the two fields at the end, all earlier ones stay.

--- a/source/process/control/token_bucket.h
+++ b/source/process/control/token_bucket.h
@@ -33,6 +33,11 @@
     Available(now);
     bytes_ -= bytes;
   }
+  /// As above. The debt that results is at most `max_debt`.
+  void Debit(steady_time now, std::int64_t bytes, std::int64_t max_debt) {
+    Debit(now, bytes);
+    bytes_ = std::max(bytes_, -max_debt);
+  }
 
  private:
   std::int64_t rate_;
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -22,6 +22,7 @@
 #include "process/controller/node_start.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
+#include "process/controller/text_compression.h"
 #include "process/controller/watch_hub.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
@@ -104,7 +105,8 @@
               .document = [this] { return store_->Held().version; },
               .members = [this] { return Members(); },
               .is_newest = [this] { return store_->IsLeading(); },
-              .link_mbps = settings_.link_mbps},
+              .link_mbps = settings_.link_mbps,
+              .pack = PackText},
              SystemRandom()() | 1U),
         watcher_(io_, peers_, settings_.vm, false, WatcherHooks()),
         settings_watch_(
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -22,16 +22,25 @@
 /// each other's requests send too many to one endpoint.
 constexpr milliseconds kShortLoadHold{100};
 constexpr milliseconds kLoadHold{400};
+/// A watcher that gets its records from another member is answered sooner, so
+/// that it can compare them with those of this member soon after.
+constexpr milliseconds kDeferredHold{300};
 /// A watcher without a request for this long is down or partitioned.
 constexpr milliseconds kWatcherLifetime{1'600};
 /// Share of the link for records and load reports. Documents take up to half of
 /// it; the rest is left for the replicated group and for heartbeats.
 constexpr double kBulkShare = 0.35;
 constexpr double kBulkBurstSeconds = 0.25;
+/// Urgent responses may delay records by this time at most. A series of ends
+/// would otherwise leave entry VMs that start after it without endpoints.
+constexpr double kMaxDebtSeconds = 0.25;
 constexpr double kBytesPerMegabit = 1e6 / 8;
 /// Time between two responses with records to a watcher that lacks endpoints,
 /// so that a directory that fills up is sent in few responses.
 constexpr milliseconds kRecordInterval{100};
+/// Time between two early responses with ends of endpoints to a watcher, so
+/// that the ends of a release are sent in few responses.
+constexpr milliseconds kEndingInterval{100};
 /// Time between two early responses with part faults to a watcher. They change
 /// with each end of an endpoint, and must not use up the link.
 constexpr milliseconds kFaultInterval{100};
@@ -40,6 +49,22 @@
 constexpr std::size_t kRelayOffers = 8;
 /// After this time it is no longer counted as an entry VM.
 constexpr milliseconds kWatcherExpiry{15'000};
+/// Shorter responses gain nothing by compression.
+constexpr std::size_t kMinPackedBytes = 512;
+
+/// A watcher that knows the endpoint has the other fields. It merges them again
+/// with what identifies the end.
+void ShortenEnded(std::vector<endpoint_record>& records) {
+  for (endpoint_record& record : records) {
+    if (record.phase != endpoint_phase::kEnded) continue;
+    endpoint_record ended;
+    ended.id = record.id;
+    ended.incarnation = record.incarnation;
+    ended.sequence = record.sequence;
+    ended.phase = record.phase;
+    record = std::move(ended);
+  }
+}
 
 }  // namespace
 
@@ -48,6 +73,7 @@
   if (from_.link_mbps <= 0) return;
   const double rate = kBulkShare * kBytesPerMegabit * from_.link_mbps;
   bulk_burst_ = static_cast<std::int64_t>(rate * kBulkBurstSeconds);
+  max_debt_ = static_cast<std::int64_t>(rate * kMaxDebtSeconds);
   bulk_budget_.emplace(static_cast<std::int64_t>(rate), bulk_burst_);
 }
 
@@ -74,6 +100,10 @@
       is_first ? 0 : std::max(request.applied_change, request.applied_ending);
   known.known_endpoints = request.known_endpoints;
   known.document = request.document;
+  const bool has_restarted =
+      is_first && request.transfer == record_transfer::kChanges;
+  known.transfer = has_restarted ? record_transfer::kNone : request.transfer;
+  known.known_digests = request.known_digests;
   known.relay = request.relay;
   known.last_contact = now;
   known.held_since = now;
@@ -87,14 +117,22 @@
 bool watch_hub::HasUrgentUpdates(const watcher& each, steady_time now) const {
   const bool lacks_faults = each.applied_fault < faults_.last_urgent_change() &&
                             now - each.last_faults >= kFaultInterval;
-  return each.applied_ending < from_.directory->last_ending() ||
-         each.document < from_.document() || lacks_faults;
+  const bool needs_endings = each.transfer != record_transfer::kNone &&
+                             each.transfer != record_transfer::kPresent;
+  const bool lacks_endings =
+      needs_endings && each.applied_ending < from_.directory->last_ending() &&
+      now - each.last_endings >= kEndingInterval;
+  return lacks_endings || each.document < from_.document() || lacks_faults;
 }
 
 bool watch_hub::IsDueForRecords(const watcher& each, steady_time now) {
+  if (each.transfer == record_transfer::kNone) return false;
+  const bool lacks_endpoints =
+      each.transfer == record_transfer::kDifferences ||
+      each.known_endpoints < from_.directory->CountPresent();
   return each.applied_change < from_.directory->last_change() &&
-         each.known_endpoints < from_.directory->CountPresent() &&
-         now - each.last_records >= kRecordInterval && HasBulkBudget(now);
+         lacks_endpoints && now - each.last_records >= kRecordInterval &&
+         HasBulkBudget(now);
 }
 
 bool watch_hub::HasBulkBudget(steady_time now) {
@@ -111,6 +149,8 @@
   watch_response response;
   response.epoch = epoch_;
   AddRecords(each, response, now);
+  if (response.last_ending > each.applied_ending) each.last_endings = now;
+  if (each.transfer != record_transfer::kAll) ShortenEnded(response.records);
   response.document = from_.document();
   if (from_.is_newest && from_.is_newest()) {
     response.confirmed_after =
@@ -118,9 +158,6 @@
   }
   response.members = from_.members();
   response.position = PositionOf(vm, now);
-  if (!response.records.empty()) {
-    response.former_software = from_.directory->former_software().All(now);
-  }
   response.progress = ProgressFor(vm, each, now);
   response.last_fault = each.applied_fault;
   response.faults = faults_.TakeSharedAfter(response.last_fault);
@@ -131,14 +168,15 @@
     each.last_loads = now;
     response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
   }
-  std::string bytes = EncodeWatchResponse(response);
+  std::string bytes = Encode(each, response);
   ++sent_.responses;
   sent_.records += response.records.size();
   sent_.loads += response.loads.size();
   sent_.bytes += bytes.size();
   const bool is_bulk = !response.records.empty() || !response.loads.empty();
   if (bulk_budget_ && is_bulk) {
-    bulk_budget_->Debit(now, static_cast<std::int64_t>(bytes.size()));
+    bulk_budget_->Debit(now, static_cast<std::int64_t>(bytes.size()),
+                        max_debt_);
   }
   std::exchange(each.respond, nullptr)(std::move(bytes));
 }
@@ -159,20 +197,80 @@
   return sum;
 }
 
+std::string watch_hub::Encode(const watcher& each,
+                              const watch_response& response) const {
+  std::string bytes = EncodeWatchResponse(response);
+  // Watchers of earlier builds request all records.
+  const bool reads_packed = each.transfer != record_transfer::kAll;
+  const bool is_worth_packing =
+      !response.records.empty() && bytes.size() >= kMinPackedBytes;
+  if (!from_.pack || !reads_packed || !is_worth_packing) return bytes;
+  return from_.pack(std::move(bytes));
+}
+
+milliseconds watch_hub::History(steady_time now) const {
+  return std::chrono::duration_cast<milliseconds>(now -
+                                                  started_at_.value_or(now));
+}
+
+bool watch_hub::IsFirstTransfer(const watcher& each) {
+  return each.transfer == record_transfer::kNone ||
+         each.transfer == record_transfer::kPresent ||
+         each.transfer == record_transfer::kDifferences;
+}
+
+bool watch_hub::KnowsNoEndpoint(const watcher& each) {
+  return each.is_entry && each.known_endpoints == 0 &&
+         (each.transfer == record_transfer::kNone ||
+          each.transfer == record_transfer::kPresent);
+}
+
+void watch_hub::AddFirstRecords(const watcher& each, watch_response& response,
+                                steady_time now) {
+  const endpoint_directory& directory = *from_.directory;
+  response.last_ending = each.applied_ending;
+  if (each.transfer == record_transfer::kNone) return;
+  const bool is_complete = HasBulkBudget(now);
+  if (each.transfer == record_transfer::kDifferences) {
+    response.records = directory.DifferencesFrom(each.known_digests);
+    response.last_ending = directory.last_change();
+  } else if (is_complete) {
+    response.records = directory.Present();
+  }
+  if (!is_complete) {
+    std::erase_if(response.records, [](const endpoint_record& record) {
+      return !IsLeavingOrEnded(record.phase);
+    });
+    return;
+  }
+  response.last_change = directory.last_change();
+  response.last_ending = response.last_change;
+  response.history = History(now);
+  // The watcher does not get all records of endpoints that have ended.
+  response.former_software = directory.AllFormerSoftware(now);
+}
+
 void watch_hub::AddRecords(watcher& each, watch_response& response,
                            steady_time now) {
+  if (IsFirstTransfer(each)) {
+    AddFirstRecords(each, response, now);
+    if (!response.records.empty()) each.last_records = now;
+    return;
+  }
   const std::uint64_t last_change = from_.directory->last_change();
   response.last_ending = last_change;
   if (HasBulkBudget(now) || !each.is_entry) {
     response.records = from_.directory->ChangesAfter(each.applied_change);
     response.last_change = last_change;
-    response.history = std::chrono::duration_cast<milliseconds>(
-        now - started_at_.value_or(now));
+    response.history = History(now);
     if (!response.records.empty()) each.last_records = now;
   } else {
     response.records = from_.directory->EndingsAfter(each.applied_ending);
     response.last_change = each.applied_change;
   }
+  if (!response.records.empty()) {
+    response.former_software = from_.directory->former_software().All(now);
+  }
 }
 
 void watch_hub::MergeLoads(const std::vector<shared_load>& loads,
@@ -249,8 +347,10 @@
 void watch_hub::Tick(steady_time now) {
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     watcher& each = it->second;
-    const milliseconds hold =
-        each.requests_loads ? LoadHold(now) : milliseconds(kWatchHold);
+    milliseconds hold = each.requests_loads ? LoadHold(now) : kWatchHold;
+    if (each.transfer == record_transfer::kNone) {
+      hold = std::min(hold, kDeferredHold);
+    }
     const bool is_due =
         now - each.held_since >= hold || HasUrgentUpdates(each, now);
     if (each.respond && is_due) {
@@ -271,7 +371,8 @@
 bool watch_hub::IsAppliedByAll(std::uint64_t change, steady_time now) const {
   for (const auto& [vm, each] : watchers_) {
     const bool is_connected = now - each.last_contact <= kWatcherLifetime;
-    if (is_connected && each.applied_ending < change) return false;
+    if (!is_connected || KnowsNoEndpoint(each)) continue;
+    if (each.applied_ending < change) return false;
   }
   return true;
 }
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -50,6 +50,9 @@
     std::function<bool()> is_newest = nullptr;
     /// Speed of this VM's link in Mbit/s, 0 if unknown.
     double link_mbps = 0;
+    /// Compresses a response to a watcher that reads compressed ones; null if
+    /// none is.
+    std::function<std::string(std::string)> pack = nullptr;
   };
 
   /// `epoch`: random number for this start of the process, not 0.
@@ -113,10 +116,13 @@
     /// Last change of the part faults that the watcher has.
     std::uint64_t applied_fault = 0;
     document_version document;
+    record_transfer transfer = record_transfer::kAll;
+    std::vector<std::uint64_t> known_digests;
     relay_state relay;
     steady_time last_contact;
     steady_time held_since;
     steady_time last_records;
+    steady_time last_endings;
     steady_time last_loads;
     steady_time last_faults;
     /// Set while a request is held.
@@ -133,6 +139,10 @@
   /// The watcher lacks endpoints and may get their records now.
   bool IsDueForRecords(const watcher& each, steady_time now);
   bool HasBulkBudget(steady_time now);
+  static bool IsFirstTransfer(const watcher& each);
+  /// The watcher is an entry VM that knows no endpoint, so that it sends
+  /// nothing to one that leaves.
+  static bool KnowsNoEndpoint(const watcher& each);
   /// Time until a request for load reports gets a response.
   std::chrono::milliseconds LoadHold(steady_time now);
   void Respond(const vm_id& vm, watcher& each, steady_time now);
@@ -141,6 +151,12 @@
                              steady_time now) const;
   /// Adds the records that the watcher may get now, and their change numbers.
   void AddRecords(watcher& each, watch_response& response, steady_time now);
+  /// As AddRecords(), for a watcher that has applied no change yet.
+  void AddFirstRecords(const watcher& each, watch_response& response,
+                       steady_time now);
+  /// How long this process has known endpoints.
+  std::chrono::milliseconds History(steady_time now) const;
+  std::string Encode(const watcher& each, const watch_response& response) const;
   /// Responds to the held requests of watchers that lack endpoints, beginning
   /// with the one that has waited longest for records.
   void RespondWithRecords(steady_time now);
@@ -160,6 +176,7 @@
   /// Limits records and load reports. Empty if the link's speed is unknown.
   std::optional<token_bucket> bulk_budget_;
   std::int64_t bulk_burst_ = 0;
+  std::int64_t max_debt_ = 0;
   traffic sent_;
   /// Where the next list of relays begins.
   std::size_t next_relay_ = 0;
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -1,15 +1,15 @@
 #include "process/directory/control_watcher.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <asio/post.hpp>
+#include <cstddef>
 #include <string>
 #include <utility>
 
 #include "connection/peer_transport.h"
 #include "connection/socket_address.h"
 #include "connection/vm_message.h"
+#include "process/controller/text_compression.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/directory/document_holder.h"
@@ -43,12 +43,13 @@
            {{"vm", vm.value()}, {"bytes", std::to_string(bytes)}});
 }
 
-/// Rendezvous hash: each watcher ranks the members differently.
-std::uint64_t MemberScore(const vm_id& watcher, const vm_id& member) {
-  const std::string& name = member.value();
-  const std::uint64_t seed =
-      XXH3_64bits(watcher.value().data(), watcher.value().size());
-  return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+/// Limit for an unpacked response.
+constexpr std::size_t kMaxResponseBytes = std::size_t{4} * 1024 * 1024;
+
+std::optional<watch_response> ReadResponse(const std::string& bytes) {
+  // An encoded response that is not packed does not begin like a packed one.
+  const auto unpacked = UnpackText(bytes, kMaxResponseBytes);
+  return DecodeWatchResponse(unpacked ? *unpacked : bytes);
 }
 
 }  // namespace
@@ -59,7 +60,8 @@
       peers_(peers),
       self_(std::move(self)),
       is_entry_(is_entry),
-      hooks_(std::move(callbacks)) {}
+      hooks_(std::move(callbacks)),
+      planner_(self_) {}
 
 control_watcher::~control_watcher() = default;
 
@@ -100,10 +102,7 @@
   request.epoch = member.epoch;
   request.applied_change = member.applied_change;
   request.applied_ending = member.applied_ending;
-  if (hooks_.known_endpoints) {
-    request.known_endpoints =
-        static_cast<std::uint32_t>(hooks_.known_endpoints());
-  }
+  if (hooks_.known_endpoints) SetTransfer(vm, member, request);
   request.document = hooks_.document();
   if (hooks_.relay) request.relay = hooks_.relay();
   request.requests_loads = ExchangesLoadsWith(vm);
@@ -122,8 +121,8 @@
   member.request_sent = hooks_.clock();
   Request(vm, std::string(kWatchKind), EncodeWatchRequest(request),
           kWatchTimeout, [this, vm](const std::optional<std::string>& bytes) {
-            const auto response = bytes ? DecodeWatchResponse(*bytes)
-                                        : std::optional<watch_response>();
+            const auto response =
+                bytes ? ReadResponse(*bytes) : std::optional<watch_response>();
             if (response) {
               OnResponse(vm, *response);
             } else {
@@ -133,6 +132,17 @@
           });
 }
 
+void control_watcher::SetTransfer(const vm_id& vm, const member_state& member,
+                                  watch_request& request) {
+  const std::size_t known = hooks_.known_endpoints();
+  request.known_endpoints = static_cast<std::uint32_t>(known);
+  request.transfer = planner_.Next(vm, member.applied_change > 0, known,
+                                   members_, hooks_.clock());
+  if (request.transfer == record_transfer::kDifferences) {
+    request.known_digests = hooks_.known_digests();
+  }
+}
+
 /// Control members exchange load reports with all others. An entry VM exchanges
 /// them with a single member, so that each report is sent only once. Rendezvous
 /// hashing distributes the entry VMs over the reachable members.
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -16,6 +16,7 @@
 #include "process/directory/relay_offer.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin.h"
+#include "process/directory/transfer_planner.h"
 #include "process/directory/watch_response.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
@@ -24,6 +25,7 @@
 
 class peer_transport;
 struct reachable_member;
+struct watch_request;
 
 /// Keeps one watch request open at every control member, so that a change
 /// reaches this process as long as it can reach any member that has the change.
@@ -72,6 +74,9 @@
     /// Returns the number of endpoints that this process knows and that have
     /// not ended; null for a control member, which needs every record.
     std::function<std::size_t()> known_endpoints;
+    /// Digests of these endpoints, see endpoint_set_digest; null for a control
+    /// member.
+    std::function<std::vector<std::uint64_t>()> known_digests;
     /// Returns the newest document version that this process has.
     std::function<document_version()> document;
     std::function<steady_time()> clock;
@@ -131,6 +136,8 @@
   };
 
   void SendWatch(const vm_id& vm, member_state& member);
+  void SetTransfer(const vm_id& vm, const member_state& member,
+                   watch_request& request);
   bool ExchangesLoadsWith(const vm_id& vm) const;
   void OnResponse(const vm_id& vm, const watch_response& response);
   void OnFailure(const vm_id& vm);
@@ -142,6 +149,7 @@
   const vm_id self_;
   const bool is_entry_;
   const hooks hooks_;
+  transfer_planner planner_;
   std::vector<vm_id> seeds_;
   std::vector<vm_id> members_;
   std::map<vm_id, member_state> states_;
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -19,8 +19,16 @@
   return a.pool == b.pool && a.software == b.software;
 }
 
-bool IsLeavingOrEnded(endpoint_phase phase) {
-  return phase == endpoint_phase::kLeaving || phase == endpoint_phase::kEnded;
+/// A record of an end may name only what identifies it.
+void Complete(endpoint_record& record, const endpoint_record& known) {
+  const bool is_short =
+      record.phase == endpoint_phase::kEnded && record.pool.empty();
+  if (!is_short || record.incarnation != known.incarnation) return;
+  record.pool = known.pool;
+  record.address = known.address;
+  record.domain = known.domain;
+  record.software = known.software;
+  record.slots = known.slots;
 }
 
 }  // namespace
@@ -52,11 +60,12 @@
   return Store(ended, true, now);
 }
 
-bool endpoint_directory::Store(const endpoint_record& record,
-                               bool received_here, steady_time now) {
+bool endpoint_directory::Store(endpoint_record record, bool received_here,
+                               steady_time now) {
   const auto [found, added] = entries_.try_emplace(record.id);
   entry& known = found->second;
   if (!added) {
+    Complete(record, known.record);
     const bool newer = IsNewer(record, known.record);
     const bool same_heartbeat =
         record.incarnation == known.record.incarnation &&
@@ -80,10 +89,13 @@
   // The process that received the heartbeats so far must not mark the endpoint
   // as silent, so it has to receive this record.
   const bool takes_over = !added && received_here && !known.received_here;
-  if (!added && !HasSameSoftware(record, known.record)) {
+  if (!added && !HasSameSoftware(record, known.record) &&
+      !known.record.pool.empty()) {
     former_software_.Record(known.record, now);
   }
+  if (!added) digest_.Toggle(known.record);
   known.record = record;
+  digest_.Toggle(known.record);
   known.received_here = received_here;
   known.received_at = now;
   if (is_changed || takes_over) RecordChange(known);
@@ -98,6 +110,13 @@
   if (IsLeavingOrEnded(changed.record.phase)) last_ending_ = last_change_;
 }
 
+void endpoint_directory::SetPhase(entry& known, endpoint_phase phase) {
+  digest_.Toggle(known.record);
+  known.record.phase = phase;
+  digest_.Toggle(known.record);
+  RecordChange(known);
+}
+
 void endpoint_directory::EndOthersAt(const endpoint_record& record,
                                      steady_time now) {
   if (record.phase != endpoint_phase::kReady) return;
@@ -106,14 +125,11 @@
     if (other.record.phase == endpoint_phase::kEnded) continue;
     if (other.record.incarnation > record.incarnation) {
       // The record is a late one from an earlier owner of the address.
-      entry& late = entries_.find(record.id)->second;
-      late.record.phase = endpoint_phase::kEnded;
-      RecordChange(late);
+      SetPhase(entries_.find(record.id)->second, endpoint_phase::kEnded);
       return;
     }
-    other.record.phase = endpoint_phase::kEnded;
     other.received_at = now;
-    RecordChange(other);
+    SetPhase(other, endpoint_phase::kEnded);
   }
 }
 
@@ -138,12 +154,14 @@
     entry& known = it->second;
     if (known.received_here && known.record.phase == endpoint_phase::kReady &&
         now - known.received_at > settings_.silent_after) {
-      known.record.phase = endpoint_phase::kSilent;
-      RecordChange(known);
+      SetPhase(known, endpoint_phase::kSilent);
       changed = true;
     }
     if (IsExpired(known, now)) {
-      former_software_.Record(known.record, known.received_at);
+      if (!known.record.pool.empty()) {
+        former_software_.Record(known.record, known.received_at);
+      }
+      digest_.Toggle(known.record);
       changes_.erase(known.change);
       it = entries_.erase(it);
     } else {
@@ -171,6 +189,35 @@
   return found;
 }
 
+std::vector<endpoint_record> endpoint_directory::Present() const {
+  std::vector<endpoint_record> found = ChangesAfter(0);
+  std::erase_if(found, [](const endpoint_record& record) {
+    return record.phase == endpoint_phase::kEnded;
+  });
+  return found;
+}
+
+std::vector<endpoint_record> endpoint_directory::DifferencesFrom(
+    const std::vector<std::uint64_t>& digests) const {
+  std::vector<endpoint_record> found = ChangesAfter(0);
+  std::erase_if(found, [this, &digests](const endpoint_record& record) {
+    return !digest_.Differs(digests, endpoint_set_digest::PartOf(record.id));
+  });
+  return found;
+}
+
+std::vector<software_presence> endpoint_directory::AllFormerSoftware(
+    steady_time now) const {
+  software_history all = former_software_;
+  for (const auto& [id, known] : entries_) {
+    const bool has_ended = known.record.phase == endpoint_phase::kEnded;
+    if (has_ended && !known.record.pool.empty()) {
+      all.Record(known.record, known.received_at);
+    }
+  }
+  return all.All(now);
+}
+
 std::size_t endpoint_directory::CountPresent() const {
   const auto is_present = [](const auto& item) {
     return item.second.record.phase != endpoint_phase::kEnded;
--- a/source/process/directory/endpoint_directory.h
+++ b/source/process/directory/endpoint_directory.h
@@ -8,6 +8,7 @@
 
 #include "process/directory/directory_settings.h"
 #include "process/directory/endpoint_record.h"
+#include "process/directory/endpoint_set_digest.h"
 #include "process/directory/software_history.h"
 #include "types/steady_time.h"
 
@@ -47,6 +48,14 @@
   std::vector<endpoint_record> ChangesAfter(std::uint64_t change) const;
   /// Those of ChangesAfter() whose endpoint leaves or has ended.
   std::vector<endpoint_record> EndingsAfter(std::uint64_t change) const;
+  /// Records of the endpoints that have not ended.
+  std::vector<endpoint_record> Present() const;
+  /// Digests of these records.
+  const endpoint_set_digest& digest() const { return digest_; }
+  /// All records, ended ones included, of the parts in which these digests
+  /// differ from those of this directory.
+  std::vector<endpoint_record> DifferencesFrom(
+      const std::vector<std::uint64_t>& digests) const;
   /// Number of endpoints that have not ended.
   std::size_t CountPresent() const;
   /// The record of an endpoint, or null.
@@ -55,6 +64,9 @@
   /// Software of endpoints whose records were replaced or removed. A watcher
   /// that gets records needs it too.
   const software_history& former_software() const { return former_software_; }
+  /// The same, with the software of endpoints that have ended, for a watcher
+  /// that does not get their records.
+  std::vector<software_presence> AllFormerSoftware(steady_time now) const;
   void MergeFormerSoftware(const std::vector<software_presence>& presences,
                            steady_time now) {
     former_software_.Merge(presences, now);
@@ -70,9 +82,9 @@
     steady_time received_at;
   };
 
-  bool Store(const endpoint_record& record, bool received_here,
-             steady_time now);
+  bool Store(endpoint_record record, bool received_here, steady_time now);
   void RecordChange(entry& changed);
+  void SetPhase(entry& known, endpoint_phase phase);
   /// Ends all but the latest started endpoint at the address of `record`, since
   /// an address serves one endpoint at a time.
   void EndOthersAt(const endpoint_record& record, steady_time now);
@@ -81,6 +93,7 @@
   const directory_settings settings_;
   std::unordered_map<endpoint_id, entry> entries_;
   std::map<std::uint64_t, endpoint_id> changes_;
+  endpoint_set_digest digest_;
   software_history former_software_;
   std::uint64_t last_change_ = 0;
   std::uint64_t last_ending_ = 0;
--- a/source/process/directory/endpoint_phase.h
+++ b/source/process/directory/endpoint_phase.h
@@ -19,6 +19,10 @@
   kEnded = 3,
 };
 
+inline bool IsLeavingOrEnded(endpoint_phase phase) {
+  return phase == endpoint_phase::kLeaving || phase == endpoint_phase::kEnded;
+}
+
 inline const char* EndpointPhaseText(endpoint_phase phase) {
   switch (phase) {
     case endpoint_phase::kReady:
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -35,7 +35,8 @@
                bool, std::vector<load_fields>, std::uint64_t, std::uint32_t,
                std::vector<origin_fields>, std::uint64_t,
                std::vector<fault_fields>, std::uint16_t, std::uint32_t, bool,
-               bool, std::vector<progress_fields>>;
+               bool, std::vector<progress_fields>, std::uint8_t,
+               std::vector<std::uint64_t>>;
 using reply_fields =
     std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
                std::uint64_t, std::vector<std::string>, std::uint32_t,
@@ -240,6 +241,14 @@
   return loads;
 }
 
+/// A way of transfer that only a later build has counts as the one that needs
+/// no other field.
+record_transfer ToTransfer(std::uint8_t encoded) {
+  const auto last = static_cast<std::uint8_t>(record_transfer::kDifferences);
+  return encoded > last ? record_transfer::kAll
+                        : static_cast<record_transfer>(encoded);
+}
+
 }  // namespace
 
 std::string EncodeWatchRequest(const watch_request& request) {
@@ -250,7 +259,8 @@
       ToFields(request.origins), request.applied_fault,
       ToFields(request.faults), request.relay.port, request.relay.domain,
       request.relay.has_links, request.progress.has_value(),
-      ToFields(request.progress.value_or(std::vector<pool_progress>()))});
+      ToFields(request.progress.value_or(std::vector<pool_progress>())),
+      static_cast<std::uint8_t>(request.transfer), request.known_digests});
 }
 
 std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
@@ -277,6 +287,8 @@
   if (std::get<15>(*fields)) {
     request.progress = ToProgress(std::get<16>(*fields));
   }
+  request.transfer = ToTransfer(std::get<17>(*fields));
+  request.known_digests = std::move(std::get<18>(*fields));
   return request;
 }
 
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -7,6 +7,7 @@
 
 #include "process/directory/content_fault.h"
 #include "process/directory/pool_progress.h"
+#include "process/directory/record_transfer.h"
 #include "process/directory/relay_offer.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin.h"
@@ -48,6 +49,10 @@
   /// What the watcher has in progress, if it is an entry VM that reports to
   /// this member.
   std::optional<std::vector<pool_progress>> progress;
+  record_transfer transfer = record_transfer::kAll;
+  /// Digests of the endpoints that the watcher knows, for a transfer of the
+  /// differences.
+  std::vector<std::uint64_t> known_digests;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -311,6 +311,7 @@
       LogContact(log_, vm, reachable);
     };
     hooks.known_endpoints = [this] { return pools_.CountPresent(); };
+    hooks.known_digests = [this] { return pools_.Digests(); };
     hooks.on_history = [this](steady_time since) { pools_.SetHistory(since); };
     hooks.take_origins = [this](std::uint64_t& number) {
       return origins_.TakeAfter(number);
@@ -336,9 +337,7 @@
 
   void OnEndpointChange(const endpoint_record& changed) {
     LogEndpoint(log_, changed);
-    const bool is_ending = changed.phase == endpoint_phase::kLeaving ||
-                           changed.phase == endpoint_phase::kEnded;
-    if (is_ending) connections_.Drop(changed.id);
+    if (IsLeavingOrEnded(changed.phase)) connections_.Drop(changed.id);
   }
 
   void OnEndpointCrash(const endpoint_record& endpoint,
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -66,16 +66,18 @@
 }
 
 void pool_table::Apply(const endpoint_record& record) {
-  const auto [known, added] =
-      pool_by_endpoint_.try_emplace(record.id, record.pool);
-  if (added) endpoint_by_digest_[DigestOf(record.id)] = record.id;
-  if (!added && known->second != record.pool) {
+  const auto known = pool_by_endpoint_.find(record.id);
+  if (known != pool_by_endpoint_.end() && known->second != record.pool) {
     endpoint_record ended = record;
     ended.phase = endpoint_phase::kEnded;
     Pool(known->second)->Apply(ended);
-    known->second = record.pool;
   }
-  Pool(record.pool)->Apply(record);
+  // The end of an endpoint that is not known here names no pool.
+  if (!record.pool.empty()) {
+    pool_by_endpoint_[record.id] = record.pool;
+    endpoint_by_digest_[DigestOf(record.id)] = record.id;
+    Pool(record.pool)->Apply(record);
+  }
   on_change_(record);
 }
 
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -73,6 +74,10 @@
   void SetPosition(const fleet_position& position);
   /// Number of endpoints that have not ended.
   std::size_t CountPresent() const { return directory_.CountPresent(); }
+  /// Digests of the endpoints that have not ended, see endpoint_set_digest.
+  std::vector<std::uint64_t> Digests() const {
+    return directory_.digest().parts();
+  }
   /// Updates the phases of endpoints and removes expired ones.
   void Tick(steady_time now);
 
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(response_of_earlier_builds_is_read);
   CPPUNIT_TEST(messages_only_grow_at_the_end);
   CPPUNIT_TEST(request_with_a_later_field_is_read);
+  CPPUNIT_TEST(request_for_an_unknown_transfer_gets_all_records);
   CPPUNIT_TEST(record_of_an_unknown_phase_does_not_keep_back_the_others);
   CPPUNIT_TEST_SUITE_END();
 
@@ -86,7 +87,7 @@
   }
 
   /// Headers of arrays with the number of fields that this build writes.
-  const std::string kRequestHeader = Bytes("dc0011");
+  const std::string kRequestHeader = Bytes("dc0013");
   const std::string kResponseHeader = Bytes("dc0010");
 
   static void CheckEarlierRequest(const watch_request& request) {
@@ -116,8 +117,9 @@
     CheckEarlierRequest(*request);
     CPPUNIT_ASSERT(request->relay.has_links);
     CPPUNIT_ASSERT(!request->progress);
-    CPPUNIT_ASSERT_EQUAL(kRequestHeader + Bytes(kRequestFields) + Bytes("c290"),
-                         EncodeWatchRequest(*request));
+    CPPUNIT_ASSERT_EQUAL(
+        kRequestHeader + Bytes(kRequestFields) + Bytes("c2900090"),
+        EncodeWatchRequest(*request));
   }
 
   void response_of_earlier_builds_is_read() {
@@ -137,7 +139,7 @@
     CPPUNIT_ASSERT(request.has_value());
     request->progress = {{{pool_digest(3), 21}}};
     CPPUNIT_ASSERT_EQUAL(
-        kRequestHeader + Bytes(kRequestFields) + Bytes("c391920315"),
+        kRequestHeader + Bytes(kRequestFields) + Bytes("c3919203150090"),
         EncodeWatchRequest(*request));
     auto response = DecodeWatchResponse(Bytes(kResponse));
     CPPUNIT_ASSERT(response.has_value());
@@ -159,12 +161,25 @@
   }
 
   void request_with_a_later_field_is_read() {
-    // One field more than the 17 that this build knows.
-    const std::string later =
-        Bytes("dc0012") + Bytes(kRequestWithRelay).substr(1) + Bytes("c2902a");
+    // One field more than the 19 that this build knows.
+    const std::string later = Bytes("dc0014") +
+                              Bytes(kRequestWithRelay).substr(1) +
+                              Bytes("c29004910c2a");
     const auto request = DecodeWatchRequest(later);
     CPPUNIT_ASSERT(request.has_value());
     CheckEarlierRequest(*request);
+    CPPUNIT_ASSERT(request->transfer == record_transfer::kDifferences);
+    CPPUNIT_ASSERT(request->known_digests == std::vector<std::uint64_t>({12}));
+  }
+
+  // Guards against a watcher of a later build that gets no records.
+  void request_for_an_unknown_transfer_gets_all_records() {
+    const std::string later = Bytes("dc0013") +
+                              Bytes(kRequestWithRelay).substr(1) +
+                              Bytes("c2900990");
+    const auto request = DecodeWatchRequest(later);
+    CPPUNIT_ASSERT(request.has_value());
+    CPPUNIT_ASSERT(request->transfer == record_transfer::kAll);
   }
 
   void request_is_decoded_as_encoded() {
@@ -184,6 +199,8 @@
     request.faults = {{content_digest(6), 0, {endpoint_run_digest(9)}}};
     request.relay = {7'341, 4'000'000'000, true};
     request.progress = {{{pool_digest(4'000'000'000), 12}}};
+    request.transfer = record_transfer::kDifferences;
+    request.known_digests = {1, ~std::uint64_t{0}};
     const auto decoded = DecodeWatchRequest(EncodeWatchRequest(request));
     CPPUNIT_ASSERT(decoded.has_value());
     CPPUNIT_ASSERT(decoded->watcher == request.watcher);
@@ -197,6 +214,8 @@
     CPPUNIT_ASSERT(decoded->faults == request.faults);
     CPPUNIT_ASSERT(decoded->relay == request.relay);
     CPPUNIT_ASSERT(decoded->progress == request.progress);
+    CPPUNIT_ASSERT(decoded->transfer == request.transfer);
+    CPPUNIT_ASSERT(decoded->known_digests == request.known_digests);
     const auto sent_apart =
         DecodeContentFaults(EncodeContentFaults(request.faults));
     CPPUNIT_ASSERT(sent_apart == request.faults);
--- a/tests/operations/entry_restart_test.cc
+++ b/tests/operations/entry_restart_test.cc
@@ -30,6 +30,7 @@
   static constexpr std::size_t kEntries = 12;
   static constexpr std::size_t kEndpoints = 6;
   static constexpr int kEnded = 200;
+  static constexpr int kParallel = 20;
   static constexpr milliseconds kAnswerTimeout{3'000};
   static constexpr milliseconds kDownTime{300};
   static constexpr milliseconds kInterval{20};
@@ -41,15 +42,18 @@
 
   void Call(const std::string& method, const std::string& id,
             const std::string& body) {
-    auto status = std::make_shared<std::optional<int>>();
+    ++open_calls_;
     soak::Call(io_, fleet_->ControlNodes()[0]->control,
                soak::RequestText(method, "/instances/" + id, {}, body),
                kAnswerTimeout,
-               [status](const std::optional<soak::http_response>& response) {
-                 *status = response ? response->head.status : 0;
+               [this](const std::optional<soak::http_response>& response) {
+                 --open_calls_;
+                 acknowledged_ += response && response->head.status == 200;
                });
-    CPPUNIT_ASSERT(RunUntil([&] { return status->has_value(); }));
-    CPPUNIT_ASSERT_EQUAL(200, **status);
+  }
+
+  void AwaitCalls() {
+    CPPUNIT_ASSERT(RunUntil([this] { return open_calls_ == 0; }));
   }
 
   /// Endpoints that announced themselves and have ended since.
@@ -64,8 +68,13 @@
                R"(","zone":"d0","version":"v0","slots":32,"state":"draining",)"
                R"("coldRemainingMs":0,"sequence":1,"born":17000000)" +
                std::to_string(10'000 + i) + "}");
-      Call("DELETE", id, "");
+      if (i % kParallel == kParallel - 1) AwaitCalls();
+    }
+    for (int i = 0; i < kEnded; ++i) {
+      Call("DELETE", "i-replaced" + std::to_string(i), "");
+      if (i % kParallel == kParallel - 1) AwaitCalls();
     }
+    CPPUNIT_ASSERT_EQUAL(2 * kEnded, acknowledged_);
   }
 
   void Restart(const std::vector<soak::soak_node*>& nodes) {
@@ -116,6 +125,8 @@
   clock_type::time_point started_;
   std::vector<std::optional<clock_type::time_point>> first_served_;
   int number_ = 0;
+  int open_calls_ = 0;
+  int acknowledged_ = 0;
   int late_sent_ = 0;
   int late_served_ = 0;
 
