controller: confirm the document to all watchers as soon as it can be confirmed

Callers saw: 503 no_document for up to 0.8 s after a restart of the whole fleet though each entry VM had the document. Cause: a VM serves once the leader has confirmed that its document is the newest; the leader answers the watch requests that it holds when the document is committed, but can confirm only once it has heard from a majority, so that most VMs had to wait for the next response. Change: the first tick in which a member can confirm answers all held requests. Test: new_leader_confirms_the_document_to_all_watchers_at_once in test_directory.

--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -345,14 +345,18 @@
 }
 
 void watch_hub::Tick(steady_time now) {
+  const bool is_newest = from_.is_newest && from_.is_newest();
+  // Processes that have just started serve nothing before this confirmation.
+  const bool can_confirm = is_newest && !std::exchange(was_newest_, is_newest);
+  was_newest_ = is_newest;
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     watcher& each = it->second;
     milliseconds hold = each.requests_loads ? LoadHold(now) : kWatchHold;
     if (each.transfer == record_transfer::kNone) {
       hold = std::min(hold, kDeferredHold);
     }
-    const bool is_due =
-        now - each.held_since >= hold || HasUrgentUpdates(each, now);
+    const bool is_due = can_confirm || now - each.held_since >= hold ||
+                        HasUrgentUpdates(each, now);
     if (each.respond && is_due) {
       Respond(it->first, each, now);
     }
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -178,6 +178,8 @@
   std::int64_t bulk_burst_ = 0;
   std::int64_t max_debt_ = 0;
   traffic sent_;
+  /// Whether the last Tick() could confirm the document.
+  bool was_newest_ = false;
   /// Where the next list of relays begins.
   std::size_t next_relay_ = 0;
 };
--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(load_reports_come_sooner_while_the_link_has_room);
   CPPUNIT_TEST(response_says_for_how_long_its_records_are_complete);
   CPPUNIT_TEST(document_is_confirmed_only_while_the_member_leads);
+  CPPUNIT_TEST(new_leader_confirms_the_document_to_all_watchers_at_once);
   CPPUNIT_TEST(watcher_without_endpoints_gets_those_that_have_not_ended);
   CPPUNIT_TEST(watcher_with_the_same_endpoints_gets_no_records);
   CPPUNIT_TEST(watcher_with_a_stale_endpoint_gets_its_end);
@@ -270,6 +271,31 @@
     CPPUNIT_ASSERT(responses_[1]->confirmed_after == milliseconds(900));
   }
 
+  // Guards against VMs that restart with the fleet and wait for the next
+  // response to each of them until they serve.
+  void new_leader_confirms_the_document_to_all_watchers_at_once() {
+    bool leads = false;
+    watch_hub hub({.directory = &directory_,
+                   .document = [] { return document_version(1); },
+                   .members = [] { return std::vector<vm_id>(); },
+                   .is_newest = [&leads] { return leads; }},
+                  kEpoch);
+    hub.OnWatch(
+        FirstRequest("a", record_transfer::kChanges, directory_),
+        [this](const std::string& bytes) {
+          responses_.push_back(DecodeWatchResponse(bytes));
+        },
+        now_);
+    now_ += milliseconds(50);
+    hub.Tick(now_);
+    CPPUNIT_ASSERT(responses_.empty());
+    leads = true;
+    now_ += milliseconds(50);
+    hub.Tick(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
+    CPPUNIT_ASSERT(responses_[0]->confirmed_after == milliseconds(100));
+  }
+
   // Guards against endpoints that serve waiting behind ended ones.
   void watcher_without_endpoints_gets_those_that_have_not_ended() {
     AddEndpoint("e");
