connection: keep a busy connection between VMs when one response is late

Callers saw: after a restart of most entry VMs the one that went on, which got all requests, refused streams with unknown_origin, and lost its watches. Cause: each message that timed out closed the connection to the other VM, with all other messages on it; a busy link or process was taken for a cut one, and the repeats added to its load. Change: the connection is closed only if nothing has arrived on it since the message was sent; otherwise the message is cancelled. Test: timeout_on_a_working_connection_keeps_other_messages in test_daemon, failed before (the response to another message was lost), passes now.

--- a/source/connection/http2_session.cc
+++ b/source/connection/http2_session.cc
@@ -150,10 +150,11 @@
   Write();
 }
 
-void http2_session::Send(const vm_message& message, response_handler done) {
+std::int32_t http2_session::Send(const vm_message& message,
+                                 response_handler done) {
   if (closed_) {
     done(failure(peer_error::kUnreachable));
-    return;
+    return NGHTTP2_ERR_INVALID_STATE;
   }
   const std::string path = std::string(kPathPrefix) + message.kind;
   const std::array<nghttp2_nv, 5> fields = {
@@ -168,12 +169,20 @@
     done(failure(peer_error::kUnreachable));
     // Stream ids are used up; a new connection starts again.
     Close();
-    return;
+    return stream_id;
   }
   stream_state& stream = streams_[stream_id];
   stream.outgoing = message.body;
   stream.done = std::move(done);
   Write();
+  return stream_id;
+}
+
+void http2_session::Cancel(std::int32_t stream_id) {
+  if (closed_ || !streams_.contains(stream_id)) return;
+  nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, stream_id,
+                            NGHTTP2_CANCEL);
+  Write();
 }
 
 void http2_session::Respond(std::int32_t stream_id, std::string body) {
@@ -238,6 +247,7 @@
           return;
         }
 
+        self->last_received_ = std::chrono::steady_clock::now();
         self->in_nghttp2_ = true;
         const ssize_t used = nghttp2_session_mem_recv(
             self->session_, self->input_.data(), count);
--- a/source/connection/http2_session.h
+++ b/source/connection/http2_session.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -41,13 +42,20 @@
   http2_session& operator=(const http2_session&) = delete;
 
   void Start();
-  /// Client: sends a message. `done` is called exactly once.
-  void Send(const vm_message& message, response_handler done);
+  /// Client: sends a message. `done` is called exactly once. Returns the number
+  /// of the stream; negative if none could be opened.
+  std::int32_t Send(const vm_message& message, response_handler done);
+  /// Client: the response is no longer awaited.
+  void Cancel(std::int32_t stream_id);
   /// Server: sends the response of a stream; ignored if the stream has ended.
   void Respond(std::int32_t stream_id, std::string body);
   void Close();
 
   bool is_closed() const { return closed_; }
+  /// When the other VM last sent anything.
+  std::chrono::steady_clock::time_point last_received() const {
+    return last_received_;
+  }
 
  private:
   friend struct http2_callbacks;
@@ -77,6 +85,7 @@
   std::unordered_map<std::int32_t, stream_state> streams_;
   std::array<std::uint8_t, 16UL * 1024> input_{};
   std::string output_;
+  std::chrono::steady_clock::time_point last_received_{};
   bool writing_ = false;
   bool in_nghttp2_ = false;
   bool closed_ = false;
--- a/source/connection/peer_channel.cc
+++ b/source/connection/peer_channel.cc
@@ -37,6 +37,8 @@
   response_handler done;
   asio::steady_timer timer;
   bool dispatched = false;
+  std::chrono::steady_clock::time_point dispatched_at;
+  std::int32_t stream = 0;
 };
 
 peer_channel::peer_channel(asio::io_context& io,
@@ -82,10 +84,11 @@
 void peer_channel::Dispatch(const std::shared_ptr<pending_message>& pending) {
   if (!pending->done) return;
   pending->dispatched = true;
-  session_->Send(pending->message,
-                 [pending](result<std::string, peer_error> response) {
-                   pending->Finish(std::move(response));
-                 });
+  pending->dispatched_at = std::chrono::steady_clock::now();
+  pending->stream = session_->Send(
+      pending->message, [pending](result<std::string, peer_error> response) {
+        pending->Finish(std::move(response));
+      });
 }
 
 void peer_channel::OnTimeout(const std::shared_ptr<pending_message>& pending) {
@@ -93,9 +96,15 @@
   std::erase(waiting_, pending);
   pending->Finish(failure(pending->dispatched ? peer_error::kTimedOut
                                               : peer_error::kUnreachable));
+  if (!pending->dispatched || !session_) return;
+  if (session_->last_received() > pending->dispatched_at) {
+    // The link is busy, and carries the responses to other messages.
+    session_->Cancel(pending->stream);
+    return;
+  }
   // A timeout may be caused by a network partition, which a new connection
   // detects sooner than TCP does on the old one.
-  if (pending->dispatched && session_) session_->Close();
+  session_->Close();
 }
 
 void peer_channel::Connect() {
--- a/tests/daemon/peer_transport_test.cc
+++ b/tests/daemon/peer_transport_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(message_of_one_megabyte_arrives_complete);
   CPPUNIT_TEST(messages_with_responses_out_of_order_get_their_own);
   CPPUNIT_TEST(message_without_response_times_out);
+  CPPUNIT_TEST(timeout_on_a_working_connection_keeps_other_messages);
   CPPUNIT_TEST(message_to_closed_port_is_unreachable);
   CPPUNIT_TEST(message_after_restart_of_the_receiver_arrives);
   CPPUNIT_TEST(tls_vm_of_the_same_authority_gets_a_response);
@@ -161,6 +162,41 @@
   }
 
   // Guards against "delivery uncertain" for a message that was never sent.
+  // Guards against a busy link that is closed because one response is late.
+  void timeout_on_a_working_connection_keeps_other_messages() {
+    peer_transport receiver(
+        Settings("b", kSecond), [](const vm_message& message,
+                                   const peer_transport::respond_hook& done) {
+          if (message.body == "never") return;
+          const auto delay = message.body == "late" ? 600ms : 0ms;
+          std::thread([done, delay] {
+            std::this_thread::sleep_for(delay);
+            done("answer");
+          }).detach();
+        });
+    CPPUNIT_ASSERT(receiver.Listen());
+    peer_transport sender(Settings("a", kFirst), NoMessages);
+    CPPUNIT_ASSERT(sender.Listen());
+    CPPUNIT_ASSERT(SendAndWait(sender, kSecond, "at once"));
+    auto late = std::make_shared<std::promise<response_result>>();
+    auto late_response = late->get_future();
+    sender.Send(kSecond, {"status", "late", ""}, 5s,
+                [late](response_result response) {
+                  late->set_value(std::move(response));
+                });
+    auto never = std::make_shared<std::promise<response_result>>();
+    auto never_response = never->get_future();
+    sender.Send(kSecond, {"status", "never", ""}, 300ms,
+                [never](response_result response) {
+                  never->set_value(std::move(response));
+                });
+    CPPUNIT_ASSERT(SendAndWait(sender, kSecond, "at once"));
+    CPPUNIT_ASSERT(FailsWith(never_response.get(), peer_error::kTimedOut));
+    CPPUNIT_ASSERT(late_response.get());
+    sender.Stop();
+    receiver.Stop();
+  }
+
   void message_to_closed_port_is_unreachable() {
     peer_transport sender(Settings("vm1", kFirst), NoMessages);
     CPPUNIT_ASSERT(sender.Listen());
