entry: wait longer for the origin of a stream

Cause: the answer of the control processes, which knew the origin, waited for more than 300 ms to be read. Change: 1 s, within the 2 s for which callers wait for a first event; a useful answer and the last empty one end it at once.

--- a/source/process/entry/stream_origin_finder.cc
+++ b/source/process/entry/stream_origin_finder.cc
@@ -22,8 +22,9 @@
 /// goes to all members.
 constexpr std::size_t kReportCopies = 2;
 constexpr std::chrono::milliseconds kReportTimeout{500};
-/// A member answers from memory, within a few milliseconds.
-constexpr std::chrono::milliseconds kAskTimeout{300};
+/// A member answers from memory, within a few milliseconds. After a restart of
+/// other entry VMs this one may be too busy to read the answer for longer.
+constexpr std::chrono::milliseconds kAskTimeout{1'000};
 
 /// One question to several members: the first useful answer counts.
 struct pending_question {
