controller: leave the link to a document that an operator reads

Operators saw: on the grown deployments a document with 1,400 more routes could not be read back (CONFIG, 'no config in time'). Cause, shown by the new event document_read: the text of 330 KB is ready within 4 to 200 ms, needs 0.9 s of a link of 3 Mbit/s, and operators go to another member after a second; load reports take up to 0.35 of the link meanwhile, and a member that does not lead fetched the whole text from the leader first (100 ms). Change: load reports wait for as long as the link needs for the text (watch_hub::YieldLink), and the leader confirms the version that the member holds in place of sending the text. Test: load_reports_wait_while_a_document_is_sent_to_an_operator in test_directory.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -128,7 +129,9 @@
     });
     if (!opened) return failure(std::move(opened).assume_error());
     store_ = std::move(opened).assume_value();
-    documents_.emplace(dialect_, *store_, watcher_, settings_.link_mbps);
+    documents_.emplace(
+        dialect_, *store_, watcher_, settings_.link_mbps,
+        [this](std::size_t bytes) { hub_.YieldLink(bytes, SteadyNow()); });
     const std::string address = FormatSocketAddress(*settings_.control);
     endpoints_.emplace(dialect_, hub_, directory_, watcher_, address);
     http_server_settings http;
@@ -364,7 +367,7 @@
     } else if (message.kind == kDocumentKind) {
       documents_->OnDocumentMessage(vm_id(message.from), message.body, respond);
     } else if (message.kind == kReadDocumentKind) {
-      documents_->OnReadMessage(respond);
+      documents_->OnReadMessage(message.body, respond);
     } else if (message.kind == kSubmitDocumentKind) {
       documents_->OnSubmitMessage(message.body, respond);
     } else {
--- a/source/process/controller/document_service.cc
+++ b/source/process/controller/document_service.cc
@@ -21,6 +21,21 @@
 constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
 constexpr const char* kAcceptedText = "accepted";
 
+/// Logs the response to a read: the process that had the document, and the time
+/// until it was here.
+void LogRead(const char* source, const document_response& response,
+             steady_time start) {
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      SteadyNow() - start);
+  LogEvent(
+      log_level::kInfo, "document_read",
+      {{"source", source},
+       {"found",
+        response.status == document_response::kind::kDocument ? "yes" : "no"},
+       {"bytes", std::to_string(response.text.size())},
+       {"took_ms", std::to_string(took.count())}});
+}
+
 std::optional<routing_error> ErrorOf(
     const result<routing_document, routing_error>& parsed) {
   if (!parsed) return parsed.assume_error();
@@ -31,8 +46,13 @@
 
 document_service::document_service(const control_dialect& dialect,
                                    document_store& store,
-                                   control_watcher& members, double link_mbps)
-    : dialect_(dialect), store_(store), members_(members), relay_(link_mbps) {}
+                                   control_watcher& members, double link_mbps,
+                                   sending_hook on_sending)
+    : dialect_(dialect),
+      store_(store),
+      members_(members),
+      relay_(link_mbps),
+      on_sending_(std::move(on_sending)) {}
 
 void document_service::Submit(const std::string& text,
                               const document_response_hook& done) {
@@ -95,9 +115,12 @@
   });
 }
 
-document_response document_service::ToResponse(const std::string& encoded) {
-  const auto document = DecodeStoredDocument(encoded);
+document_response document_service::ToResponse(const std::string& encoded,
+                                               const stored_document& held) {
+  auto document = DecodeStoredDocument(encoded);
   if (!document) return {document_response::kind::kUnavailable, ""};
+  const bool is_held = document->version == held.version;
+  if (!document->packed && is_held) document->packed = held.packed;
   if (!document->packed) return {document_response::kind::kNone, ""};
   auto text = UnpackText(*document->packed, kMaxDocumentBytes);
   if (!text) return {document_response::kind::kUnavailable, ""};
@@ -105,23 +128,38 @@
 }
 
 void document_service::Read(const document_response_hook& done) {
+  const steady_time start = SteadyNow();
+  const auto finish = [this, done, start, held = store_.Held()](
+                          const char* source, const std::string& encoded) {
+    document_response response = ToResponse(encoded, held);
+    LogRead(source, response, start);
+    on_sending_(response.text.size());
+    done(std::move(response));
+  };
   const auto leader = store_.leader();
   if (store_.IsLeading() || !leader) {
     OnReadMessage(
-        [done](const std::string& encoded) { done(ToResponse(encoded)); });
+        "", [finish](const std::string& encoded) { finish("here", encoded); });
     return;
   }
-  members_.Request(*leader, std::string(kReadDocumentKind), "", kLeaderTimeout,
-                   [done](const auto& response) {
-                     done(ToResponse(response.value_or("")));
+  // The leader confirms the version that is held here, so that the text need
+  // not cross its link.
+  members_.Request(*leader, std::string(kReadDocumentKind),
+                   std::to_string(store_.Held().version.value()),
+                   kLeaderTimeout, [finish](const auto& response) {
+                     finish("leader", response.value_or(""));
                    });
 }
 
 void document_service::OnReadMessage(
+    const std::string& body,
     const std::function<void(std::string)>& respond) const {
   // The lease is checked after the state is read. If this process still leads,
   // the state is the newest that was acknowledged before the check.
-  std::string encoded = EncodeStoredDocument(store_.Held());
+  stored_document document = store_.Held();
+  const bool is_known = body == std::to_string(document.version.value());
+  if (is_known) document.packed = nullptr;
+  std::string encoded = EncodeStoredDocument(document);
   respond(store_.IsLeading() ? std::move(encoded) : std::string());
 }
 
--- a/source/process/controller/document_service.h
+++ b/source/process/controller/document_service.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_PROCESS_CONTROLLER_DOCUMENT_SERVICE_H_
 #define MARJORAMSILL_PROCESS_CONTROLLER_DOCUMENT_SERVICE_H_
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -18,8 +19,12 @@
 /// Must be used from the thread of the process.
 class document_service {
  public:
+  /// Called with the bytes of a document that is sent to an operator.
+  using sending_hook = std::function<void(std::size_t bytes)>;
+
   document_service(const control_dialect& dialect, document_store& store,
-                   control_watcher& members, double link_mbps);
+                   control_watcher& members, double link_mbps,
+                   sending_hook on_sending);
 
   /// Checks and replicates an operator's document.
   void Submit(const std::string& text, const document_response_hook& done);
@@ -29,7 +34,10 @@
   /// Requests of other control processes. An empty response means unavailable.
   void OnSubmitMessage(std::string command,
                        const std::function<void(std::string)>& respond);
-  void OnReadMessage(const std::function<void(std::string)>& respond) const;
+  /// `body`: version that the other process holds; empty from a process of an
+  /// earlier build. If it is the newest one, the response has no text.
+  void OnReadMessage(const std::string& body,
+                     const std::function<void(std::string)>& respond) const;
   /// A VM requests the committed document. Served by leaders and followers
   /// alike.
   void OnDocumentMessage(const vm_id& requester, const std::string& body,
@@ -39,12 +47,15 @@
 
  private:
   void Accept(std::string command, const std::function<void(bool)>& done);
-  static document_response ToResponse(const std::string& encoded);
+  /// `held`: document of this process, for a response without text.
+  static document_response ToResponse(const std::string& encoded,
+                                      const stored_document& held);
 
   const control_dialect& dialect_;
   document_store& store_;
   control_watcher& members_;
   document_relay relay_;
+  const sending_hook on_sending_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -135,11 +135,21 @@
          HasBulkBudget(now);
 }
 
+void watch_hub::YieldLink(std::size_t bytes, steady_time now) {
+  if (from_.link_mbps <= 0) return;
+  const double seconds =
+      static_cast<double>(bytes) / (kBytesPerMegabit * from_.link_mbps);
+  const auto sending = std::chrono::duration_cast<steady_time::duration>(
+      std::chrono::duration<double>(seconds));
+  loads_paused_until_ = std::max(loads_paused_until_, now + sending);
+}
+
 bool watch_hub::HasBulkBudget(steady_time now) {
   return !bulk_budget_ || bulk_budget_->Available(now) > 0;
 }
 
 milliseconds watch_hub::LoadHold(steady_time now) {
+  if (now < loads_paused_until_) return kWatchHold;
   const bool has_room =
       bulk_budget_ && 2 * bulk_budget_->Available(now) > bulk_burst_;
   return has_room ? kShortLoadHold : kLoadHold;
@@ -164,7 +174,8 @@
   if (!response.faults.empty()) each.last_faults = now;
   const bool is_due_for_loads =
       each.requests_loads && now - each.last_loads >= LoadHold(now);
-  if (is_due_for_loads && HasBulkBudget(now)) {
+  const bool is_paused = now < loads_paused_until_;
+  if (is_due_for_loads && !is_paused && HasBulkBudget(now)) {
     each.last_loads = now;
     response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
   }
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -99,6 +99,10 @@
     std::uint64_t bytes = 0;
   };
   const traffic& sent() const { return sent_; }
+  /// This VM sends a document of this size to an operator, who goes to another
+  /// one after a second. Load reports wait for as long as the link needs for
+  /// it.
+  void YieldLink(std::size_t bytes, steady_time now);
   /// Number of entry VMs with a recent request.
   std::uint32_t EntryCount(steady_time now) const;
 
@@ -177,6 +181,8 @@
   std::optional<token_bucket> bulk_budget_;
   std::int64_t bulk_burst_ = 0;
   std::int64_t max_debt_ = 0;
+  /// Load reports are sent again from then on.
+  steady_time loads_paused_until_;
   traffic sent_;
   /// Whether the last Tick() could confirm the document.
   bool was_newest_ = false;
--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(load_report_reaches_other_watchers_after_the_shorter_hold_time);
   CPPUNIT_TEST(entry_count_excludes_control_members);
   CPPUNIT_TEST(load_reports_come_sooner_while_the_link_has_room);
+  CPPUNIT_TEST(load_reports_wait_while_a_document_is_sent_to_an_operator);
   CPPUNIT_TEST(response_says_for_how_long_its_records_are_complete);
   CPPUNIT_TEST(document_is_confirmed_only_while_the_member_leads);
   CPPUNIT_TEST(new_leader_confirms_the_document_to_all_watchers_at_once);
@@ -233,6 +234,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
   }
 
+  // Guards against a large document that operators cannot read within a second,
+  // because load reports take a part of the link.
+  void load_reports_wait_while_a_document_is_sent_to_an_operator() {
+    watch_hub hub({.directory = &directory_,
+                   .document = [] { return document_version(1); },
+                   .members = [] { return std::vector<vm_id>(); },
+                   .link_mbps = 3},
+                  kEpoch);
+    watch_request request =
+        FirstRequest("a", record_transfer::kChanges, directory_);
+    request.requests_loads = true;
+    request.loads = {{endpoint_digest(5), {9, 2, 16}, milliseconds(30)}};
+    const auto send = [&](const std::string& vm) {
+      request.watcher = vm_id(vm);
+      hub.OnWatch(
+          request,
+          [this](const std::string& bytes) {
+            responses_.push_back(DecodeWatchResponse(bytes));
+          },
+          now_);
+      request.loads.clear();
+    };
+    send("a");
+    send("b");
+    hub.YieldLink(300'000, now_);
+    now_ += milliseconds(750);
+    hub.Tick(now_);
+    CPPUNIT_ASSERT(responses_.empty());
+    now_ += milliseconds(100);
+    hub.Tick(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, responses_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_[1]->loads.size());
+  }
+
   // Guards against an entry VM that takes the versions it knows for all of
   // them.
   void response_says_for_how_long_its_records_are_complete() {
