entry: record the origin of a stream by the age of its connection

Trace: endpoint i-0 started again with other software at 3.897 s, its record reached the entry VM at 4.055 s; a stream began at 4.022 s on a kept connection, which another request had opened after 3.897 s, and its origin was recorded at once from the earlier record. Cause: that a connection has carried a request before stood for its leading to the process of the record. Change: a connection keeps when it was opened; the origin is recorded, and a resumed stream sent, 450 ms after that at the earliest (150 ms before, only on new connections): the record comes up to 300 ms later to a VM that has just started.

--- a/source/connection/endpoint_connection.h
+++ b/source/connection/endpoint_connection.h
@@ -56,6 +56,10 @@
   /// but were not read yet. Returns whether it can be used.
   bool CheckIdle();
   const socket_address& remote() const { return remote_; }
+  /// When the connection was established: it leads to the process that had the
+  /// address then.
+  steady_time opened_at() const { return opened_at_; }
+  void set_opened_at(steady_time time) { opened_at_ = time; }
   steady_time idle_since() const { return idle_since_; }
   void set_idle_since(steady_time time) { idle_since_ = time; }
   /// How long the endpoint keeps an idle connection, as last declared by it.
@@ -98,6 +102,7 @@
   /// earlier request arrived and later responses may be out of order.
   bool close_after_call_ = false;
   bool reading_ = false;
+  steady_time opened_at_;
   steady_time idle_since_;
   std::chrono::milliseconds idle_limit_;
   std::array<char, 16384> buffer_;
--- a/source/connection/endpoint_connection_pool.cc
+++ b/source/connection/endpoint_connection_pool.cc
@@ -77,6 +77,8 @@
     connection->Close();
     return;
   }
+  // A connection of a probe, which has carried no request, was opened just now.
+  if (connection->opened_at() == steady_time()) connection->set_opened_at(now);
   connection->set_idle_since(now);
   idle_[endpoint].push_back(std::move(connection));
 }
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -154,8 +154,9 @@
   int CountedAttempts() const;
 
   // proxied_call_terms.cc: what an endpoint says of itself and of its requests.
-  /// A stream that goes on waits on a new connection, since the record of an
-  /// endpoint that has just started again is on its way.
+  /// A stream that goes on waits until the record of the process that its
+  /// connection leads to must have arrived.
+  void SendWhenRecorded();
   void CheckRecord(steady_time now);
   /// False if the endpoint asked for a pause, or said that it leaves, while
   /// this request was connecting to it.
@@ -302,7 +303,6 @@
   double estimate_age_ms_ = -1;
   steady_time attempt_started_;
   steady_time last_progress_;
-  steady_time connected_at_;
   /// When the software that began the stream is recorded, if it is not yet.
   std::optional<steady_time> origin_due_;
   endpoint_response_head head_;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -161,7 +161,7 @@
                                          attempt_started_);
   }
   if (connection_) {
-    Send();
+    SendWhenRecorded();
     return;
   }
   state_ = state::kConnecting;
@@ -183,12 +183,8 @@
     return;
   }
   if (!is_handed_on_) pool_->reach().OnConnected();
-  if (limits_.software && !is_handed_on_) {
-    state_ = state::kAwaitingRecord;
-    connected_at_ = environment_.clock();
-    return;
-  }
-  SendIfOpen();
+  connection_->set_opened_at(environment_.clock());
+  SendWhenRecorded();
 }
 
 std::string proxied_call::RequestBytes() const {
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -15,8 +15,9 @@
 using std::chrono::milliseconds;
 
 /// The record of an endpoint that has started again takes some 50 to 100 ms
-/// from its first heartbeat to the entry VMs.
-constexpr milliseconds kRecordWait{150};
+/// from its first heartbeat to the entry VMs, and 300 ms more to one that has
+/// just started itself.
+constexpr milliseconds kRecordWait{450};
 
 /// Random number from 0 to 1 by which this VM returns after the pause; 0 if
 /// the terms name none.
@@ -28,8 +29,18 @@
 
 }  // namespace
 
+void proxied_call::SendWhenRecorded() {
+  const steady_time now = environment_.clock();
+  const bool goes_on = limits_.software && !is_handed_on_;
+  if (goes_on && now - connection_->opened_at() < kRecordWait) {
+    state_ = state::kAwaitingRecord;
+    return;
+  }
+  SendIfOpen();
+}
+
 void proxied_call::CheckRecord(steady_time now) {
-  if (now - connected_at_ < kRecordWait) return;
+  if (now - connection_->opened_at() < kRecordWait) return;
   if (HasTargetSoftware(now)) {
     SendIfOpen();
     return;
@@ -54,9 +65,8 @@
 
 void proxied_call::BeginOrigin() {
   limits_.software = TargetSoftware();
-  // A kept connection leads to the process that the record is about.
-  origin_due_ = connection_->is_reused() ? attempt_started_
-                                         : attempt_started_ + kRecordWait;
+  // The record may be about an earlier process than the connection leads to.
+  origin_due_ = connection_->opened_at() + kRecordWait;
   if (environment_.clock() >= *origin_due_) RecordOrigin();
 }
 
