--- a/tests/directory/watch_hub_test.cc
+++ b/tests/directory/watch_hub_test.cc
@@ -30,14 +30,6 @@
   CPPUNIT_TEST(response_says_for_how_long_its_records_are_complete);
   CPPUNIT_TEST(document_is_confirmed_only_while_the_member_leads);
   CPPUNIT_TEST(new_leader_confirms_the_document_to_all_watchers_at_once);
-  CPPUNIT_TEST(watcher_without_endpoints_gets_those_that_have_not_ended);
-  CPPUNIT_TEST(watcher_with_the_same_endpoints_gets_no_records);
-  CPPUNIT_TEST(watcher_with_a_stale_endpoint_gets_its_end);
-  CPPUNIT_TEST(watcher_of_a_restarted_process_is_asked_for_its_digests);
-  CPPUNIT_TEST(end_does_not_wait_for_a_watcher_without_endpoints);
-  CPPUNIT_TEST(end_waits_for_a_watcher_that_has_not_compared_its_endpoints);
-  CPPUNIT_TEST(ends_of_a_release_leave_records_to_new_watchers);
-  CPPUNIT_TEST(software_of_ended_endpoints_is_known_without_their_records);
   CPPUNIT_TEST(part_suspected_by_three_vms_reaches_the_others_at_once);
   CPPUNIT_TEST(entry_vm_gets_what_all_others_have_in_progress);
   CPPUNIT_TEST(entry_vm_gets_no_sum_while_another_one_does_not_report);
@@ -103,37 +95,16 @@
     return last_response_[vm]->progress;
   }
 
-  /// `known`: the endpoints of the watcher, of which the digests are sent.
-  watch_request FirstRequest(const std::string& vm, record_transfer transfer,
-                             const endpoint_directory& known) const {
+  /// A request of an entry VM that has applied no change.
+  static watch_request Request(const std::string& vm) {
     watch_request request;
     request.watcher = vm_id(vm);
     request.is_entry = true;
     request.epoch = kEpoch;
     request.document = document_version(1);
-    request.transfer = transfer;
-    request.known_endpoints = static_cast<std::uint32_t>(known.CountPresent());
-    if (transfer == record_transfer::kDifferences) {
-      request.known_digests = known.digest().parts();
-    }
     return request;
   }
 
-  void WatchFirst(const std::string& vm, record_transfer transfer,
-                  const endpoint_directory& known = endpoint_directory()) {
-    hub_.OnWatch(
-        FirstRequest(vm, transfer, known),
-        [this](const std::string& bytes) {
-          responses_.push_back(DecodeWatchResponse(bytes));
-        },
-        now_);
-  }
-
-  void EndEndpoint(const std::string& id) {
-    directory_.End(endpoint_id(id), incarnation_number(1), now_);
-    hub_.Notify(now_);
-  }
-
   void AddEndpoint(const std::string& id) {
     endpoint_record record;
     record.id = endpoint_id(id);
@@ -242,8 +213,7 @@
                    .members = [] { return std::vector<vm_id>(); },
                    .link_mbps = 3},
                   kEpoch);
-    watch_request request =
-        FirstRequest("a", record_transfer::kChanges, directory_);
+    watch_request request = Request("a");
     request.requests_loads = true;
     request.loads = {{endpoint_digest(5), {9, 2, 16}, milliseconds(30)}};
     const auto send = [&](const std::string& vm) {
@@ -316,7 +286,7 @@
                    .is_newest = [&leads] { return leads; }},
                   kEpoch);
     hub.OnWatch(
-        FirstRequest("a", record_transfer::kChanges, directory_),
+        Request("a"),
         [this](const std::string& bytes) {
           responses_.push_back(DecodeWatchResponse(bytes));
         },
@@ -331,138 +301,6 @@
     CPPUNIT_ASSERT(responses_[0]->confirmed_after == milliseconds(100));
   }
 
-  // Guards against endpoints that serve waiting behind ended ones.
-  void watcher_without_endpoints_gets_those_that_have_not_ended() {
-    AddEndpoint("e");
-    AddEndpoint("f");
-    EndEndpoint("e");
-    WatchFirst("a", record_transfer::kPresent);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_[0]->records.size());
-    CPPUNIT_ASSERT(responses_[0]->records[0].id == endpoint_id("f"));
-    CPPUNIT_ASSERT_EQUAL(directory_.last_change(), responses_[0]->last_change);
-    CPPUNIT_ASSERT_EQUAL(directory_.last_change(), responses_[0]->last_ending);
-  }
-
-  void watcher_with_the_same_endpoints_gets_no_records() {
-    AddEndpoint("e");
-    AddEndpoint("f");
-    EndEndpoint("e");
-    endpoint_directory known;
-    known.Merge(*directory_.Find(endpoint_id("f")), now_);
-    WatchFirst("a", record_transfer::kDifferences, known);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
-    CPPUNIT_ASSERT(responses_[0]->records.empty());
-    CPPUNIT_ASSERT_EQUAL(directory_.last_change(), responses_[0]->last_change);
-  }
-
-  // Guards against an endpoint that has left and still gets requests from a VM
-  // that has its records from another member.
-  void watcher_with_a_stale_endpoint_gets_its_end() {
-    AddEndpoint("e");
-    endpoint_directory known;
-    known.Merge(*directory_.Find(endpoint_id("e")), now_);
-    EndEndpoint("e");
-    WatchFirst("a", record_transfer::kDifferences, known);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
-    for (const auto& record : responses_[0]->records) known.Merge(record, now_);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, known.CountPresent());
-    CPPUNIT_ASSERT(known.Find(endpoint_id("e"))->pool == model_id("chat"));
-  }
-
-  void watcher_of_a_restarted_process_is_asked_for_its_digests() {
-    AddEndpoint("e");
-    watch_request request =
-        FirstRequest("a", record_transfer::kChanges, directory_);
-    request.epoch = kEpoch - 1;
-    request.applied_change = 40;
-    hub_.OnWatch(
-        request,
-        [this](const std::string& bytes) {
-          responses_.push_back(DecodeWatchResponse(bytes));
-        },
-        now_);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
-    CPPUNIT_ASSERT(responses_[0]->records.empty());
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, responses_[0]->last_change);
-  }
-
-  // Guards against endpoints that get no acknowledgement of their end while
-  // entry VMs restart.
-  void end_does_not_wait_for_a_watcher_without_endpoints() {
-    AddEndpoint("e");
-    WatchFirst("a", record_transfer::kNone);
-    EndEndpoint("e");
-    std::optional<bool> seen;
-    hub_.AwaitApplied(
-        directory_.last_change(), now_ + milliseconds(700),
-        [&seen](bool all) { seen = all; }, now_);
-    CPPUNIT_ASSERT(seen == true);
-  }
-
-  void end_waits_for_a_watcher_that_has_not_compared_its_endpoints() {
-    AddEndpoint("e");
-    WatchFirst("a", record_transfer::kNone, directory_);
-    EndEndpoint("e");
-    std::optional<bool> seen;
-    hub_.AwaitApplied(
-        directory_.last_change(), now_ + milliseconds(700),
-        [&seen](bool all) { seen = all; }, now_);
-    CPPUNIT_ASSERT(!seen.has_value());
-  }
-
-  // Guards against a release whose ends use up the budget for the records that
-  // VMs need which start after it.
-  void ends_of_a_release_leave_records_to_new_watchers() {
-    watch_hub hub({.directory = &directory_,
-                   .document = [] { return document_version(1); },
-                   .members = [] { return std::vector<vm_id>(); },
-                   .link_mbps = 0.1},
-                  kEpoch);
-    const auto ignore = [](const std::string& /*bytes*/) {};
-    for (int i = 0; i < 200; ++i) {
-      const std::string id = "e" + std::to_string(i);
-      AddEndpoint(id);
-      directory_.End(endpoint_id(id), incarnation_number(1), now_);
-      hub.OnWatch(FirstRequest("a", record_transfer::kAll, directory_), ignore,
-                  now_);
-      now_ += milliseconds(50);
-      hub.Notify(now_);
-    }
-    AddEndpoint("f");
-    now_ += milliseconds(300);
-    hub.OnWatch(
-        FirstRequest("b", record_transfer::kPresent, endpoint_directory()),
-        [this](const std::string& bytes) {
-          responses_.push_back(DecodeWatchResponse(bytes));
-        },
-        now_);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_[0]->records.size());
-  }
-
-  // Guards against a stream that is taken for one of the only version that is
-  // left.
-  void software_of_ended_endpoints_is_known_without_their_records() {
-    AddEndpoint("e");
-    EndEndpoint("e");
-    now_ += milliseconds(2'000);
-    watch_request request =
-        FirstRequest("a", record_transfer::kPresent, endpoint_directory());
-    request.epoch = 0;
-    hub_.OnWatch(
-        request,
-        [this](const std::string& bytes) {
-          responses_.push_back(DecodeWatchResponse(bytes));
-        },
-        now_);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
-    CPPUNIT_ASSERT(responses_[0]->records.empty());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_[0]->former_software.size());
-    CPPUNIT_ASSERT(responses_[0]->former_software[0].age ==
-                   milliseconds(2'000));
-  }
-
   void new_watcher_gets_a_response_at_once() {
     Watch("a", 0, 0);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses_.size());
