connection: answer requests that arrive around a planned stop

Four causes. 2.8 s after SIGTERM the process closed connections that had carried no request yet, closed its listening socket with connections in the queue (the kernel resets them), and ended as soon as no call was open, although the head of a request was arriving or bytes of a response were still to be sent. A request that had been read behind another one was dropped after the response to the first.

The queue is now accepted before the socket is closed, a new connection is kept for a second, connections with unread bytes are not idle, a response announces the close only if no further request has arrived, and the process ends when no connection is busy, or near the end of the grace period.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -1,5 +1,7 @@
 #include "connection/caller_connection.h"
 
+#include <sys/socket.h>
+
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/socket_base.hpp>
@@ -22,6 +24,8 @@
 /// Time added to the idle limit, for requests that callers sent before the
 /// limit.
 constexpr std::chrono::milliseconds kIdleMargin{2'000};
+/// A caller that has connected sends its request within this time.
+constexpr std::chrono::milliseconds kFirstRequestTime{1'000};
 
 int StatusFor(parse_state state) {
   switch (state) {
@@ -54,6 +58,7 @@
     : socket_(std::move(socket)),
       hooks_(hooks),
       parser_(limits.max_header_bytes, limits.max_body_bytes),
+      accepted_at_(now),
       now_(now),
       idle_since_(now) {}
 
@@ -81,6 +86,7 @@
     HandleDisconnect();
     return;
   }
+  has_received_ = true;
   if (!is_lingering_) {
     input_.append(buffer_.data(), bytes);
     if (!has_request_) Parse();
@@ -148,7 +154,21 @@
     output_ += field.value;
     output_ += "\r\n";
   }
-  if (!keep_alive_ || close_after_response_) output_ += "Connection: close\r\n";
+  // A request that has arrived already gets its response too.
+  announced_close_ =
+      !keep_alive_ || (close_after_response_ && !HasInput());
+  if (announced_close_) output_ += "Connection: close\r\n";
+}
+
+bool caller_connection::HasInput() {
+  if (!input_.empty()) return true;
+  char byte = 0;
+  return ::recv(socket_.native_handle(), &byte, sizeof(byte),
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool caller_connection::IsNew(steady_time now) const {
+  return !has_received_ && now - accepted_at_ < kFirstRequestTime;
 }
 
 void caller_connection::Respond(int status, const http_field_list& fields,
@@ -211,7 +231,7 @@
   has_request_ = false;
   is_chunked_ = false;
   idle_since_ = now_;
-  if (!keep_alive_ || close_after_response_) is_lingering_ = true;
+  if (announced_close_) is_lingering_ = true;
   Send();
   if (!is_open_ || is_lingering_ || input_.empty()) return;
   // The next pipelined request is handled from the event loop instead of
@@ -292,10 +312,14 @@
   }
 }
 
-void caller_connection::CloseIfIdle() {
-  const bool is_idle = is_open_ && !has_request_ && !is_lingering_ &&
-                       parser_.state() == parse_state::kIdle && input_.empty();
-  if (is_idle) Close();
+void caller_connection::CloseIfIdle(steady_time now) {
+  if (is_open_ && !IsBusy(now)) Close();
+}
+
+bool caller_connection::IsBusy(steady_time now) {
+  if (!is_open_) return false;
+  return has_request_ || is_lingering_ || unsent_bytes() > 0 || IsNew(now) ||
+         parser_.state() != parse_state::kIdle || HasInput();
 }
 
 std::string caller_connection::RemoteIp() const {
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -60,13 +60,18 @@
   void OnCallerDisconnected(std::function<void()> hook) {
     on_disconnect_ = std::move(hook);
   }
-  /// Closes the connection after the response in progress or the next one.
+  /// Closes the connection after the next response that can announce it, unless
+  /// the caller has sent a further request by then.
   void CloseAfterResponse() { close_after_response_ = true; }
   /// Closes the connection if it has been idle, or has been receiving the head
   /// of a request, for longer than the limits allow. Must be called several
   /// times a second.
   void CheckTimeouts(const caller_limits& limits, steady_time now);
-  void CloseIfIdle();
+  /// Closes the connection if no request is on its way, as far as is known.
+  void CloseIfIdle(steady_time now);
+  /// A request is being received or handled, or its response being sent, or the
+  /// caller has just connected to send one.
+  bool IsBusy(steady_time now);
   bool has_request() const { return has_request_; }
   /// IP of the caller; empty if the connection has ended.
   std::string RemoteIp() const;
@@ -84,6 +89,9 @@
   void StartLinger();
   void Close();
   void AppendHead(int status, const http_field_list& fields);
+  /// The caller has connected within the last second, and sent nothing yet.
+  bool IsNew(steady_time now) const;
+  bool HasInput();
   /// Makes any close of the connection, also by the end of the process, a
   /// reset.
   void SetResetOnClose(bool resets);
@@ -107,8 +115,13 @@
   bool keep_alive_ = true;
   bool accepts_chunks_ = true;
   bool close_after_response_ = false;
+  /// The head of the response in progress announced that the connection is
+  /// closed after it.
+  bool announced_close_ = false;
+  bool has_received_ = false;
   /// The last response has been sent; further input is discarded.
   bool is_lingering_ = false;
+  const steady_time accepted_at_;
   steady_time now_;
   /// Time at which the connection became idle or the current head began.
   steady_time idle_since_;
--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -1,5 +1,6 @@
 #include "connection/caller_listener.h"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 #include <chrono>
 #include <system_error>
@@ -39,9 +40,7 @@
 
 caller_listener::~caller_listener() {
   // Pending handlers keep the connections alive after the listener.
-  std::vector<std::shared_ptr<caller_connection>> all;
-  for (const auto& [key, connection] : connections_) all.push_back(connection);
-  for (const auto& connection : all) connection->Abort();
+  for (const auto& connection : All()) connection->Abort();
 }
 
 result<void, listen_error> caller_listener::Listen() {
@@ -78,24 +77,31 @@
     });
     return;
   }
+  Add(std::move(socket));
+  Accept();
+}
+
+void caller_listener::Add(asio::ip::tcp::socket socket) {
   // A connection beyond the limit is closed, so that its caller tries another
   // entry VM instead of waiting.
-  if (connections_.size() < settings_.max_connections) {
-    auto connection = std::make_shared<caller_connection>(
-        std::move(socket), hooks_, limits_, clock_());
-    if (close_after_responses_) connection->CloseAfterResponse();
-    connections_.emplace(connection.get(), connection);
-    connection->Start();
-  }
-  Accept();
+  if (connections_.size() >= settings_.max_connections) return;
+  auto connection = std::make_shared<caller_connection>(
+      std::move(socket), hooks_, limits_, clock_());
+  if (close_after_responses_) connection->CloseAfterResponse();
+  connections_.emplace(connection.get(), connection);
+  connection->Start();
 }
 
-void caller_listener::Tick(steady_time now) {
-  // Iterates over a copy, because a connection that closes removes itself.
+std::vector<std::shared_ptr<caller_connection>> caller_listener::All() const {
   std::vector<std::shared_ptr<caller_connection>> all;
   all.reserve(connections_.size());
   for (const auto& [key, connection] : connections_) all.push_back(connection);
-  for (const auto& connection : all) connection->CheckTimeouts(limits_, now);
+  return all;
+}
+
+void caller_listener::Tick(steady_time now) {
+  // Iterates over a copy, because a connection that closes removes itself.
+  for (const auto& connection : All()) connection->CheckTimeouts(limits_, now);
 }
 
 void caller_listener::CloseAfterResponses() {
@@ -105,15 +111,27 @@
   }
 }
 
+/// The kernel resets the connections in the queue of an acceptor that is closed.
 void caller_listener::StopAccepting() {
-  std::error_code ignored;
-  acceptor_.close(ignored);
+  if (!acceptor_.is_open()) return;
+  std::error_code error;
+  acceptor_.non_blocking(true, error);
+  for (int i = 0; i < kBacklog && !error; ++i) {
+    asio::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) Add(std::move(socket));
+  }
+  acceptor_.close(error);
 }
 
-void caller_listener::CloseIdle() {
-  std::vector<std::shared_ptr<caller_connection>> all;
-  for (const auto& [key, connection] : connections_) all.push_back(connection);
-  for (const auto& connection : all) connection->CloseIfIdle();
+void caller_listener::CloseIdle(steady_time now) {
+  for (const auto& connection : All()) connection->CloseIfIdle(now);
+}
+
+bool caller_listener::IsBusy(steady_time now) const {
+  return std::any_of(
+      connections_.begin(), connections_.end(),
+      [now](const auto& entry) { return entry.second->IsBusy(now); });
 }
 
 }  // namespace marjoramsill
--- a/source/connection/caller_listener.h
+++ b/source/connection/caller_listener.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "connection/caller_connection_hooks.h"
 #include "connection/listen_error.h"
@@ -45,13 +46,18 @@
   void Tick(steady_time now);
   /// Closes each connection after its next response.
   void CloseAfterResponses();
+  /// Accepts the connections that callers have made already, and no more.
   void StopAccepting();
-  void CloseIdle();
+  void CloseIdle(steady_time now);
+  /// True if a caller waits for a response, or may be about to send a request.
+  bool IsBusy(steady_time now) const;
   std::size_t size() const { return connections_.size(); }
 
  private:
   void Accept();
   void OnAccept(std::error_code error, asio::ip::tcp::socket socket);
+  void Add(asio::ip::tcp::socket socket);
+  std::vector<std::shared_ptr<caller_connection>> All() const;
 
   const settings settings_;
   const std::function<steady_time()> clock_;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -562,11 +562,13 @@
     const auto since = now - *stopping_since_;
     if (since < kDrainDelay) return false;
     listener_.StopAccepting();
-    listener_.CloseIdle();
+    listener_.CloseIdle(now);
     relay_listener_.StopAccepting();
-    relay_listener_.CloseIdle();
+    relay_listener_.CloseIdle(now);
     const bool is_late = since >= settings_.grace - kStopMargin;
-    if (!calls_.empty() && !is_late) return false;
+    const bool is_busy = !calls_.empty() || listener_.IsBusy(now) ||
+                         relay_listener_.IsBusy(now);
+    if (is_busy && !is_late) return false;
     for (const auto& call : calls_) call->Stop();
     io_.stop();
     return true;
--- a/tests/operations/raw_endpoint.cc
+++ b/tests/operations/raw_endpoint.cc
@@ -67,6 +67,7 @@
     id_ = FieldValue(platform::kRequestId);
     input_.erase(0, size);
     answer_ = owner_.TakeAnswer();
+    next_piece_ = 0;
     InsertId(answer_.begin);
     InsertId(answer_.later);
     Write(answer_.begin);
@@ -90,8 +91,11 @@
         socket_, asio::buffer(bytes),
         [self = shared_from_this()](std::error_code error, std::size_t) {
           if (error) return;
-          if (!self->answer_.repeated.empty()) {
-            self->Write(self->answer_.repeated);
+          if (self->next_piece_ < self->answer_.pieces.size()) {
+            self->WriteAfter(self->answer_.interval,
+                             self->answer_.pieces[self->next_piece_++]);
+          } else if (!self->answer_.repeated.empty()) {
+            self->WriteAfter(self->answer_.interval, self->answer_.repeated);
           } else if (!self->answer_.later.empty()) {
             self->WriteLater();
           } else {
@@ -101,12 +105,20 @@
   }
 
   void WriteLater() {
-    timer_.expires_after(kLaterDelay);
-    timer_.async_wait([self = shared_from_this()](std::error_code error) {
-      if (error) return;
-      self->later_ = std::exchange(self->answer_.later, "");
-      self->Write(self->later_);
-    });
+    later_ = std::exchange(answer_.later, "");
+    WriteAfter(kLaterDelay, later_);
+  }
+
+  void WriteAfter(milliseconds delay, const std::string& bytes) {
+    if (delay.count() == 0) {
+      Write(bytes);
+      return;
+    }
+    timer_.expires_after(delay);
+    timer_.async_wait(
+        [self = shared_from_this(), &bytes](std::error_code error) {
+          if (!error) self->Write(bytes);
+        });
   }
 
   void End() {
@@ -126,14 +138,20 @@
   raw_endpoint& owner_;
   asio::steady_timer timer_;
   raw_answer answer_;
+  std::size_t next_piece_ = 0;
   std::string later_;
   std::string input_;
   std::string id_;
 };
 
 raw_endpoint::raw_endpoint(asio::io_context& io, const socket_address& listen,
-                           std::function<socket_address()> control)
-    : io_(io), listen_(listen), control_(std::move(control)), heartbeat_(io) {
+                           std::function<socket_address()> control,
+                           std::string id)
+    : io_(io),
+      listen_(listen),
+      control_(std::move(control)),
+      id_(std::move(id)),
+      heartbeat_(io) {
   Listen();
   SendHeartbeat();
 }
@@ -189,7 +207,7 @@
                             {"sequence", ++sequence_},
                             {"born", 1'700'000'000'000}};
   soak::Call(io_, control_(),
-             soak::RequestText("PUT", "/instances/raw-1", {}, body.dump()),
+             soak::RequestText("PUT", "/instances/" + id_, {}, body.dump()),
              kHeartbeatTimeout, [](const auto& /*response*/) {});
   heartbeat_.expires_after(kHeartbeatInterval);
   heartbeat_.async_wait([this](std::error_code error) {
--- a/tests/operations/raw_endpoint.h
+++ b/tests/operations/raw_endpoint.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -37,6 +38,9 @@
   raw_end end = raw_end::kClose;
   /// Sent kLaterDelay after `begin`; "{id}" as there.
   std::string later = {};
+  /// Sent one after the other, each after `interval`, and then `repeated`.
+  std::vector<std::string> pieces = {};
+  std::chrono::milliseconds interval{0};
 };
 
 /// Announces itself as an endpoint of the pool `raw` and answers every request
@@ -45,7 +49,8 @@
  public:
   /// `control`: a control process that receives its heartbeats.
   raw_endpoint(asio::io_context& io, const socket_address& listen,
-               std::function<socket_address()> control);
+               std::function<socket_address()> control,
+               std::string id = "raw-1");
 
   void SetAnswer(raw_answer answer) { SetAnswers({std::move(answer)}); }
   /// The next requests get these answers in their order, all others the last.
@@ -67,6 +72,7 @@
   asio::io_context& io_;
   const socket_address listen_;
   const std::function<socket_address()> control_;
+  const std::string id_;
   std::optional<asio::ip::tcp::acceptor> acceptor_;
   std::vector<std::weak_ptr<session>> sessions_;
   asio::steady_timer heartbeat_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -84,7 +84,8 @@
   for (int i = 0; i < settings_.control_processes; ++i) {
     file << "  - \"" << PeerIp(i) << ":" << settings_.port + kControl << "\"\n";
   }
-  file << "heartbeat_interval_ms: 300\ngrace_ms: 4000\nlink_mbps: 0.1\n";
+  file << "heartbeat_interval_ms: 300\ngrace_ms: " << settings_.grace.count()
+       << "\nlink_mbps: 0.1\n";
 }
 
 void soak_fleet::AddEndpoint(int index) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -36,6 +36,8 @@
   bool reports_load = false;
   /// Requests that an endpoint runs at the same time, in its heartbeats.
   int slots = 32;
+  /// Time from SIGTERM to the end that an operator would enforce.
+  std::chrono::milliseconds grace{4'000};
   /// Every other endpoint that a prompt part has crashed starts under a new id.
   bool renews_ids = false;
 };
