request: count whole events as the progress of a stream

A stalled endpoint that sent a comment, a blank line or a byte of an event now and then kept its stream until the deadline, and a plain answer that trickled likewise, since any byte counted as progress. Only events with data, and a kilobyte of another body, count now.

In return a late attempt is given up only for one that can be made: with a place in the pool and a retry within the budget. Before, a sound but slow stream was dropped first and cut off when nothing could take it up. Without a first event the attempt still ends after twice its timeout, so that the caller can try again. A stream whose events have no ids is not begun anew in the middle of a response.

The checks of late attempts move to a file of their own.

--- a/source/request/event_scanner.cc
+++ b/source/request/event_scanner.cc
@@ -32,7 +32,7 @@
 
 void event_scanner::EndLine() {
   if (is_line_empty_) {
-    has_event_ = has_event_ || has_data_;
+    event_count_ += has_data_ ? 1 : 0;
     has_field_ = false;
     has_data_ = false;
   } else if (!is_comment_) {
@@ -50,9 +50,9 @@
 }
 
 void event_scanner::DropRest() {
-  const bool had_event = has_event_;
+  const std::uint64_t event_count = event_count_;
   *this = event_scanner();
-  has_event_ = had_event;
+  event_count_ = event_count;
 }
 
 }  // namespace marjoramsill
--- a/source/request/event_scanner.h
+++ b/source/request/event_scanner.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_REQUEST_EVENT_SCANNER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -19,8 +20,9 @@
   /// The bytes read so far end between two events: after a blank line, or after
   /// a comment that follows one.
   bool is_between_events() const;
-  /// An event with data has been completed.
-  bool has_event() const { return has_event_; }
+  /// Events with data that have been completed.
+  std::uint64_t event_count() const { return event_count_; }
+  bool has_event() const { return event_count_ > 0; }
   /// Forgets an incomplete event after an interruption; the bytes that follow
   /// come from another stream.
   void DropRest();
@@ -40,7 +42,7 @@
   /// Fields since the last blank line.
   bool has_field_ = false;
   bool has_data_ = false;
-  bool has_event_ = false;
+  std::uint64_t event_count_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_REQUEST_PROXIED_CALL_H_
 #define MARJORAMSILL_REQUEST_PROXIED_CALL_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -70,6 +71,9 @@
   bool is_relayed() const { return terms_.has_value(); }
 
  private:
+  /// Connecting takes a few milliseconds within a deployment; this leaves time
+  /// for one retransmission.
+  static constexpr std::chrono::milliseconds kConnectTimeout{300};
   /// Smallest factor by which a Retry-After is varied.
   static constexpr double kMinRetryJitter = 0.75;
 
@@ -148,7 +152,18 @@
   /// The endpoint may go on with the request of a connection that is closed
   /// before the end of its response.
   void RecordDroppedCall();
+
+  // proxied_call_progress.cc: attempts that are late.
+  void RecordProgress();
   void CheckStall(steady_time now);
+  /// Time without progress after which an attempt is late.
+  std::chrono::milliseconds ProgressTimeout(steady_time now) const;
+  /// True if another attempt has a place and is within the retry budget, from
+  /// which it is taken.
+  bool SecuresReplacement(steady_time now);
+  bool TakeRetry(steady_time now);
+  /// The caller has events without ids, after which no stream can go on.
+  bool HasUnnumberedEvents() const;
   bool CanTryAnotherEndpoint() const;
   /// Attempts that count towards the limit of the route.
   int CountedAttempts() const;
@@ -306,7 +321,8 @@
   /// When the software that began the stream is recorded, if it is not yet.
   std::optional<steady_time> origin_due_;
   endpoint_response_head head_;
-  /// Bytes of the body that this attempt has received.
+  /// Bytes of the body that this attempt has received, and how many had been at
+  /// `last_progress_`.
   std::uint64_t received_bytes_ = 0;
   /// The endpoint reported that it has not run the request.
   bool is_rejected_ = false;
@@ -320,6 +336,11 @@
   steady_time place_deadline_;
   int sent_ = 0;
   /// The request counts towards the retry budget of this VM.
+  std::uint64_t counted_bytes_ = 0;
+  /// This attempt has brought an event.
+  bool has_event_ = false;
+  /// A late attempt is not replaced before then.
+  steady_time replacement_retry_at_;
   bool is_request_counted_ = false;
   /// Attempts of `sent_` that ended because this VM lost its links.
   int lost_with_links_ = 0;
@@ -338,6 +359,8 @@
   steady_time last_response_bytes_at_;
   std::chrono::microseconds longest_gap_{0};
 
+  /// The next attempt has been taken from the retry budget.
+  bool has_retry_ = false;
   /// Log lines of this request, written if it fails or is sampled.
   std::vector<std::string> steps_;
 };
@@ -345,3 +368,5 @@
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_REQUEST_PROXIED_CALL_H_
+  /// Events of the response at `last_progress_`.
+  std::uint64_t counted_events_ = 0;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -24,22 +24,6 @@
 
 using std::chrono::milliseconds;
 
-/// Connecting takes a few milliseconds within a deployment; this leaves time
-/// for one retransmission.
-constexpr milliseconds kConnectTimeout{300};
-/// Minimum time without a response, or without a further event, after which a
-/// repeatable request is sent to another endpoint. A sound endpoint may be
-/// silent for a second or so in a stream; callers give up after two.
-constexpr milliseconds kMinResponseTimeout{600};
-constexpr milliseconds kMinEventTimeout{1'300};
-/// The timeouts are at least these multiples of the route's latency targets.
-constexpr int kResponseTimeoutFactor = 3;
-constexpr int kEventTimeoutFactor = 3;
-/// Another entry VM makes attempts of its own within this multiple.
-constexpr int kHandedOnTimeoutFactor = 2;
-/// The timeout while the links to all endpoints are lost. A response that is
-/// still on its way arrives within this time.
-constexpr milliseconds kLostLinkTimeout{200};
 /// A request is refused if its estimated queueing time at the endpoint exceeds
 /// this fraction of the time to the deadline.
 constexpr double kMaxWaitShare = 0.6;
@@ -253,7 +237,7 @@
 void proxied_call::OnHead(const endpoint_response_head& head) {
   const steady_time now = environment_.clock();
   state_ = state::kReceiving;
-  last_progress_ = now;
+  if (route_->kind != route_kind::kStreaming) last_progress_ = now;
   if (!is_handed_on_) pool_->reach().OnActivity(now);
   head_ = head;
   endpoint_estimate* endpoint = pool_->Find(endpoint_);
@@ -279,8 +263,7 @@
 }
 
 void proxied_call::OnBody(std::string_view data) {
-  last_progress_ = environment_.clock();
-  if (!is_handed_on_) pool_->reach().OnActivity(last_progress_);
+  if (!is_handed_on_) pool_->reach().OnActivity(environment_.clock());
   received_bytes_ += data.size();
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->OnActivity();
@@ -292,6 +275,7 @@
   }
   const std::size_t held =
       body_.size() + events_.rest().size() + caller_->unsent_bytes();
+  RecordProgress();
   if (held > kMaxHeldBytes) OnFailure(call_failure::kMalformed);
 }
 
@@ -400,8 +384,9 @@
   attempt_facts facts;
   facts.end = end;
   // Which software goes on with a stream is known to the other VM only.
-  facts.is_repeatable =
-      route_->IsRepeatable() && !(is_handed_on_ && response_started_);
+  facts.is_repeatable = route_->IsRepeatable() &&
+                        !(is_handed_on_ && response_started_) &&
+                        !HasUnnumberedEvents();
   facts.response_started = response_started_;
   facts.sent = CountedAttempts();
   facts.max_attempts = route_->max_attempts;
@@ -409,10 +394,7 @@
   facts.may_crash_endpoints = !MayRepeat(now);
   facts.has_time = now < deadline_;
   const attempt_step step = NextStep(facts, [this, now] {
-    const bool allowed = environment_.retries(pool_id_)->TakeRetry(
-        environment_.entry_count(), now);
-    environment_.metrics->CountRetry(allowed);
-    return allowed;
+    return std::exchange(has_retry_, false) || TakeRetry(now);
   });
   LogStep("attempt_ended", log_fields()
                                .Add("endpoint", endpoint_.value())
--- /dev/null
+++ b/source/request/proxied_call_progress.cc
@@ -0,0 +1,125 @@
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "connection/call_failure.h"
+#include "process/entry/call_environment.h"
+#include "process/entry/entry_metrics.h"
+#include "process/entry/relay_table.h"
+#include "process/placement/endpoint_pool.h"
+#include "process/placement/retry_window.h"
+#include "request/proxied_call.h"
+#include "version/routing/routing_table.h"
+
+namespace marjoramsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Minimum time without a response, or without a further event, after which a
+/// repeatable request is sent to another endpoint. A sound endpoint may be
+/// silent for a second or so in a stream; callers give up after two.
+constexpr milliseconds kMinResponseTimeout{600};
+constexpr milliseconds kMinEventTimeout{1'300};
+/// The timeouts are at least these multiples of the route's latency targets.
+constexpr int kResponseTimeoutFactor = 3;
+constexpr int kEventTimeoutFactor = 3;
+/// Bytes of a body that is not a stream which count as progress.
+constexpr std::uint64_t kMinProgressBytes = 1'024;
+/// Time between two tries to replace a late attempt.
+constexpr milliseconds kReplacementRetryDelay{200};
+/// A late attempt without a first event ends after this multiple of its timeout
+/// even if nothing can replace it, so that the caller can try again.
+constexpr int kUnreplacedFactor = 2;
+/// Another entry VM makes attempts of its own within this multiple.
+constexpr int kHandedOnTimeoutFactor = 2;
+/// The timeout while the links to all endpoints are lost. A response that is
+/// still on its way arrives within this time.
+constexpr milliseconds kLostLinkTimeout{200};
+
+}  // namespace
+
+/// Comments, and parts of an event or of a body that trickle in, are no
+/// progress: an endpoint that sends nothing else has stalled.
+void proxied_call::RecordProgress() {
+  const std::uint64_t events = ForwardedEvents().event_count();
+  if (is_stream_ && events == counted_events_) return;
+  if (!is_stream_ && received_bytes_ < counted_bytes_ + kMinProgressBytes) {
+    return;
+  }
+  has_event_ = is_stream_;
+  counted_events_ = events;
+  counted_bytes_ = received_bytes_;
+  last_progress_ = environment_.clock();
+}
+
+bool proxied_call::HasUnnumberedEvents() const {
+  return events_.scanner().has_event() && events_.last_id().empty();
+}
+
+bool proxied_call::CanTryAnotherEndpoint() const {
+  const steady_time now = environment_.clock();
+  if (!route_->IsRepeatable() || !MayRepeat(now)) return false;
+  if (HasUnnumberedEvents()) return false;
+  if (is_handed_on_) return !response_started_ && HasAttemptLeft();
+  if (IsRelayDue(now) && IsLinkLost(now)) {
+    return environment_.relays->Pick(tried_relays_, pool_id_, now).has_value();
+  }
+  return HasAttemptLeft() && pool_->CanServe(limits_, now);
+}
+
+int proxied_call::CountedAttempts() const { return sent_ - lost_with_links_; }
+
+void proxied_call::CheckStall(steady_time now) {
+  if (state_ == state::kConnecting) {
+    const bool is_hopeless = !is_handed_on_ && IsLinkLost(now);
+    if (is_hopeless || now - attempt_started_ > kConnectTimeout) {
+      OnFailure(call_failure::kNotConnected);
+    }
+    return;
+  }
+  if (state_ == state::kAwaitingRecord) {
+    CheckRecord(now);
+    return;
+  }
+  const bool is_waiting =
+      state_ == state::kFindingOrigin || state_ == state::kAwaitingPlace ||
+      state_ == state::kConfirmingEnd || state_ == state::kCheckingEndpoint;
+  if (is_waiting || !CanTryAnotherEndpoint()) return;
+  const milliseconds timeout = ProgressTimeout(now);
+  const auto waited = now - last_progress_;
+  if (waited <= timeout) return;
+  const bool may_end =
+      !response_started_ && waited > kUnreplacedFactor * timeout;
+  if (may_end || SecuresReplacement(now)) OnFailure(call_failure::kStalled);
+}
+
+milliseconds proxied_call::ProgressTimeout(steady_time now) const {
+  if (!is_handed_on_ && IsLinkLost(now)) return kLostLinkTimeout;
+  const milliseconds response_timeout = std::max(
+      kMinResponseTimeout, kResponseTimeoutFactor * route_->latency_target);
+  const milliseconds event_timeout =
+      std::max(kMinEventTimeout, kEventTimeoutFactor * route_->gap_target);
+  milliseconds timeout = has_event_ ? event_timeout : response_timeout;
+  if (state_ == state::kReceiving) timeout = std::max(timeout, event_timeout);
+  return is_handed_on_ ? kHandedOnTimeoutFactor * timeout : timeout;
+}
+
+/// A late attempt may still succeed, so it is only given up for one that can be
+/// made.
+bool proxied_call::SecuresReplacement(steady_time now) {
+  if (now < replacement_retry_at_) return false;
+  replacement_retry_at_ = now + kReplacementRetryDelay;
+  if (!IsLinkLost(now) && !pool_->HasPlace(limits_, now)) return false;
+  has_retry_ = TakeRetry(now);
+  return has_retry_;
+}
+
+bool proxied_call::TakeRetry(steady_time now) {
+  const bool allowed = environment_.retries(pool_id_)->TakeRetry(
+      environment_.entry_count(), now);
+  environment_.metrics->CountRetry(allowed);
+  return allowed;
+}
+
+}  // namespace marjoramsill
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -61,12 +61,13 @@
 }
 
 bool proxied_call::IsBrokenOff() const {
-  if (is_stream_) {
-    return !IsWhole(route_->is_resumable ? events_.scanner()
-                                         : forwarded_events_);
-  }
+  if (is_stream_) return !IsWhole(ForwardedEvents());
   if (!IsEventStream(head_)) return false;
   event_scanner events;
+const event_scanner& proxied_call::ForwardedEvents() const {
+  return route_->is_resumable ? events_.scanner() : forwarded_events_;
+}
+
   events.Read(body_);
   return !IsWhole(events);
 }
--- a/tests/proxy/event_scanner_test.cc
+++ b/tests/proxy/event_scanner_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(blank_line_with_any_line_end_ends_event);
   CPPUNIT_TEST(comment_between_events_is_between_events);
   CPPUNIT_TEST(event_without_data_is_no_event);
+  CPPUNIT_TEST(only_events_with_data_are_counted);
   CPPUNIT_TEST(dropped_rest_keeps_completed_events);
   CPPUNIT_TEST(stream_split_at_any_byte_has_the_same_places);
   CPPUNIT_TEST_SUITE_END();
@@ -49,6 +50,15 @@
     CPPUNIT_ASSERT(scanner.has_event());
   }
 
+  // Guards against a stalled stream whose comments count as progress.
+  void only_events_with_data_are_counted() {
+    event_scanner scanner;
+    scanner.Read("data: a\n\n: waiting\n\n\nid: 2\n\ndata: b");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, scanner.event_count());
+    scanner.Read("\n\n");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, scanner.event_count());
+  }
+
   void dropped_rest_keeps_completed_events() {
     event_scanner scanner;
     scanner.Read("data: a\n\ndata: b\r");
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -58,7 +58,9 @@
        {Route("/raw-ask/", "idempotent", 1, false),
         Route("/raw-book/", "non_idempotent", 1, false),
         Route("/raw-stream/", "streaming", 1, false),
-        Route("/raw-resumable/", "streaming", 1, true)}) {
+        Route("/raw-resumable/", "streaming", 1, true),
+        Route("/raw-look/", "idempotent", 2, false),
+        Route("/raw-chat/", "streaming", 3, true)}) {
     route["service"] = "raw";
     document["routes"].push_back(route);
   }
