--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -155,8 +155,7 @@
     output_ += "\r\n";
   }
   // A request that has arrived already gets its response too.
-  announced_close_ =
-      !keep_alive_ || (close_after_response_ && !HasInput());
+  announced_close_ = !keep_alive_ || (close_after_response_ && !HasInput());
   if (announced_close_) output_ += "Connection: close\r\n";
 }
 
--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -111,7 +111,8 @@
   }
 }
 
-/// The kernel resets the connections in the queue of an acceptor that is closed.
+/// The kernel resets the connections in the queue of an acceptor that is
+/// closed.
 void caller_listener::StopAccepting() {
   if (!acceptor_.is_open()) return;
   std::error_code error;
--- a/source/process/directory/record_barrier.cc
+++ b/source/process/directory/record_barrier.cc
@@ -124,8 +124,8 @@
   Finish([now](const waiter& each) { return each.deadline <= now; }, false);
 }
 
-void record_barrier::Finish(
-    const std::function<bool(const waiter&)>& has_ended, bool is_current) {
+void record_barrier::Finish(const std::function<bool(const waiter&)>& has_ended,
+                            bool is_current) {
   const auto first_ended = std::stable_partition(
       waiting_.begin(), waiting_.end(),
       [&has_ended](const waiter& each) { return !has_ended(each); });
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -589,8 +589,8 @@
     relay_listener_.StopAccepting();
     relay_listener_.CloseIdle(now);
     const bool is_late = since >= settings_.grace - kStopMargin;
-    const bool is_busy = !calls_.empty() || listener_.IsBusy(now) ||
-                         relay_listener_.IsBusy(now);
+    const bool is_busy =
+        !calls_.empty() || listener_.IsBusy(now) || relay_listener_.IsBusy(now);
     if (is_busy && !is_late) return false;
     for (const auto& call : calls_) call->Stop();
     io_.stop();
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -21,8 +21,8 @@
 /// from its first heartbeat to the entry VMs, and 300 ms more to one that has
 /// just started itself.
 constexpr milliseconds kRecordWait{450};
-/// Retry-After while the records of endpoints cannot be confirmed. Another entry
-/// VM may be able to.
+/// Retry-After while the records of endpoints cannot be confirmed. Another
+/// entry VM may be able to.
 constexpr double kUnconfirmedRetryMs = 300;
 
 /// Random number from 0 to 1 by which this VM returns after the pause; 0 if
@@ -105,8 +105,8 @@
 }
 
 /// A VM that is cut off or was suspended may have an old record of the
-/// endpoint. An origin that is not recorded is unknown to the others, which then
-/// refuse to go on with the stream.
+/// endpoint. An origin that is not recorded is unknown to the others, which
+/// then refuse to go on with the stream.
 void proxied_call::RecordOrigin() {
   const auto as_of = environment_.records_as_of();
   if (!as_of || *as_of < *origin_opened_at_) return;
--- a/tests/directory/record_barrier_test.cc
+++ b/tests/directory/record_barrier_test.cc
@@ -27,7 +27,9 @@
 
   static constexpr std::uint64_t kEpoch = 7;
   static steady_time At(int ms) { return steady_time(milliseconds(ms)); }
-  static vm_id Member(int number) { return vm_id("m" + std::to_string(number)); }
+  static vm_id Member(int number) {
+    return vm_id("m" + std::to_string(number));
+  }
 
   int questions_ = 0;
   record_barrier barrier_{[this] { ++questions_; }};
--- a/tests/operations/planned_stop_test.cc
+++ b/tests/operations/planned_stop_test.cc
@@ -188,11 +188,12 @@
     raw_ = std::make_unique<raw_endpoint>(
         io_, socket_address{"127.0.2.9", kPort + 9},
         [this] { return fleet_->ControlNodes()[0]->control; });
-    raw_->SetAnswer({"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
-                     "Server-Signature: raw\r\nContent-Length: " +
-                         std::to_string(kLongBody) + "\r\n\r\n" +
-                         std::string(kLongBody, 'a'),
-                     ""});
+    raw_->SetAnswer(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
+         "Server-Signature: raw\r\nContent-Length: " +
+             std::to_string(kLongBody) + "\r\n\r\n" +
+             std::string(kLongBody, 'a'),
+         ""});
     CPPUNIT_ASSERT(RunUntil([this] {
       return Status(0, "/raw-ask/", "long" + std::to_string(++number_)) == 200;
     }));
@@ -225,9 +226,9 @@
       }
       // Kept connections carry the next request once the answer is there.
       for (auto& [made, requests] : sent) {
-        const bool is_open = !made->has_ended() &&
-                             made->received().find("Connection: close") ==
-                                 std::string::npos;
+        const bool is_open =
+            !made->has_ended() &&
+            made->received().find("Connection: close") == std::string::npos;
         if (is_open && requests < 4 && made->CountAnswers() == requests &&
             made->received().ends_with("\n")) {
           made->Write(Request("/look/"));
--- a/tests/operations/stale_entry_test.cc
+++ b/tests/operations/stale_entry_test.cc
@@ -68,13 +68,14 @@
     for (int i = 0; i < kStreams; ++i) {
       open_caller* caller = callers_[static_cast<std::size_t>(i)].get();
       const std::string stream = "s" + std::to_string(i);
-      asio::write(caller->socket,
-                  asio::buffer("POST /chat/" + stream + " HTTP/1.0\r\n" +
-                               "Host: soak.example\r\nContent-Length: 0\r\n" +
-                               platform::kRequestId + ": again-" + stream +
-                               "\r\n" + platform::kRemainingMs + ": 2500\r\n" +
-                               platform::kResumedRequest + ": " + stream +
-                               "\r\n" + platform::kLastEventId + ": 2\r\n\r\n"));
+      asio::write(
+          caller->socket,
+          asio::buffer("POST /chat/" + stream + " HTTP/1.0\r\n" +
+                       "Host: soak.example\r\nContent-Length: 0\r\n" +
+                       platform::kRequestId + ": again-" + stream + "\r\n" +
+                       platform::kRemainingMs + ": 2500\r\n" +
+                       platform::kResumedRequest + ": " + stream + "\r\n" +
+                       platform::kLastEventId + ": 2\r\n\r\n"));
       asio::async_read(caller->socket, asio::dynamic_buffer(caller->response),
                        [caller](std::error_code /*error*/, std::size_t) {
                          caller->has_ended = true;
--- a/tests/operations/stalled_stream_test.cc
+++ b/tests/operations/stalled_stream_test.cc
@@ -63,7 +63,8 @@
     return status;
   }
 
-  static raw_answer Trickle(const std::string& begin, const std::string& bytes) {
+  static raw_answer Trickle(const std::string& begin,
+                            const std::string& bytes) {
     raw_answer answer{kHead + begin, bytes};
     answer.interval = kTrickle;
     return answer;
@@ -92,8 +93,7 @@
     StartFleet(settings, MARJORAMSILL_BINARY, MARJORAMSILL_FOLDER);
     for (int i = 0; i < 2; ++i) {
       endpoints_.push_back(std::make_unique<raw_endpoint>(
-          io_,
-          socket_address{"127.0.2." + std::to_string(8 + i), kPort + 9},
+          io_, socket_address{"127.0.2." + std::to_string(8 + i), kPort + 9},
           [this] { return fleet_->ControlNodes()[0]->control; },
           "raw-" + std::to_string(i)));
     }
@@ -123,8 +123,8 @@
   }
 
   void stream_that_trickles_before_its_first_event_begins_elsewhere() {
-    CPPUNIT_ASSERT_EQUAL(200, Ask("/raw-chat/", Trickle("", ": waiting\n"),
-                                  Whole(kFirst)));
+    CPPUNIT_ASSERT_EQUAL(
+        200, Ask("/raw-chat/", Trickle("", ": waiting\n"), Whole(kFirst)));
   }
 
   void plain_answer_that_trickles_is_asked_for_elsewhere() {
@@ -136,8 +136,7 @@
   // tenth of the pace of their route.
   void slow_stream_is_not_cut_off() {
     constexpr milliseconds kPace{1'000};
-    CPPUNIT_ASSERT_EQUAL(200,
-                         Ask("/raw-chat/", Slow(kPace, 2), {kError, ""}));
+    CPPUNIT_ASSERT_EQUAL(200, Ask("/raw-chat/", Slow(kPace, 2), {kError, ""}));
   }
 
   // Guards against streams that are given up for an attempt which is not made.
--- a/tests/operations/stream_error_test.cc
+++ b/tests/operations/stream_error_test.cc
@@ -140,8 +140,7 @@
     StartFleet(settings, MARJORAMSILL_BINARY, MARJORAMSILL_FOLDER);
     for (int i = 0; i < kEndpoints; ++i) {
       endpoints_.push_back(std::make_unique<raw_endpoint>(
-          io_,
-          socket_address{"127.0.2." + std::to_string(8 + i), kPort + 9},
+          io_, socket_address{"127.0.2." + std::to_string(8 + i), kPort + 9},
           [this] { return fleet_->ControlNodes()[0]->control; },
           "raw-" + std::to_string(i)));
     }
@@ -200,10 +199,10 @@
   void error_after_any_number_of_events_is_not_joined_to_the_stream() {
     for (int events = 1; events <= 5; ++events) {
       CheckCutOff(events, Error("500 Bad"));
-      CheckCutOff(events, {ErrorHead("503 Full") +
-                               "Not-Executed: 1\r\nContent-Length: 10\r\n\r\n" +
-                               kMark,
-                           "", raw_end::kKeep});
+      CheckCutOff(events,
+                  {ErrorHead("503 Full") +
+                       "Not-Executed: 1\r\nContent-Length: 10\r\n\r\n" + kMark,
+                   "", raw_end::kKeep});
     }
   }
 
