entry: ask for the origin of a stream once a control process responds

test_stale_entry failed once in a run with other tests, 0 of 8 streams went on. After a suspension of more than 1.6 s the entry VM counted no control process as reachable and refused each stream at once, although the first response arrives a few milliseconds later.

--- a/source/process/entry/stream_origin_finder.cc
+++ b/source/process/entry/stream_origin_finder.cc
@@ -139,8 +139,23 @@
       now);
 }
 
+/// After a suspension no member counts as reachable, until the first one has
+/// responded again a few milliseconds later.
 void stream_origin_finder::AskMembers(stream_digest stream,
                                       const finding_hook& done) {
+  const steady_time now = clock_();
+  if (!members_.Reachable(now).empty()) {
+    AskReachable(stream, done);
+    return;
+  }
+  members_.records().Await(
+      now,
+      [this, stream, done](bool /*is_current*/) { AskReachable(stream, done); },
+      now);
+}
+
+void stream_origin_finder::AskReachable(stream_digest stream,
+                                        const finding_hook& done) {
   const auto members = members_.Reachable(clock_());
   if (members.empty()) {
     done({});
--- a/source/process/entry/stream_origin_finder.h
+++ b/source/process/entry/stream_origin_finder.h
@@ -62,6 +62,7 @@
   void FindInPool(stream_digest stream, const model_id& pool,
                   std::chrono::milliseconds period, const finding_hook& done);
   void AskMembers(stream_digest stream, const finding_hook& done);
+  void AskReachable(stream_digest stream, const finding_hook& done);
   void Report(steady_time now);
   void RecordConfirmed(steady_time now);
 
