--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -91,6 +91,7 @@
   void AppendHead(int status, const http_field_list& fields);
   /// The caller has connected within the last second, and sent nothing yet.
   bool IsNew(steady_time now) const;
+  /// Further bytes of the caller have arrived.
   bool HasInput();
   /// Makes any close of the connection, also by the end of the process, a
   /// reset.
@@ -118,6 +119,7 @@
   /// The head of the response in progress announced that the connection is
   /// closed after it.
   bool announced_close_ = false;
+  /// The caller has sent something.
   bool has_received_ = false;
   /// The last response has been sent; further input is discarded.
   bool is_lingering_ = false;
--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -100,7 +100,6 @@
 }
 
 void caller_listener::Tick(steady_time now) {
-  // Iterates over a copy, because a connection that closes removes itself.
   for (const auto& connection : All()) connection->CheckTimeouts(limits_, now);
 }
 
--- a/source/connection/caller_listener.h
+++ b/source/connection/caller_listener.h
@@ -57,6 +57,7 @@
   void Accept();
   void OnAccept(std::error_code error, asio::ip::tcp::socket socket);
   void Add(asio::ip::tcp::socket socket);
+  /// A copy: a connection that closes removes itself.
   std::vector<std::shared_ptr<caller_connection>> All() const;
 
   const settings settings_;
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -110,7 +110,7 @@
   /// has just started does not know all of them yet.
   const fleet_position& position() const { return position_; }
   const std::vector<vm_id>& members() const { return members_; }
-  /// Up to which moment this process has the members' records.
+  /// Confirms that the records of this process are those of the members.
   record_barrier& records() { return records_; }
 
  private:
--- a/source/process/directory/record_barrier.h
+++ b/source/process/directory/record_barrier.h
@@ -13,10 +13,10 @@
 namespace marjoramsill {
 
 /// Read barrier for the endpoint records of this process. Records arrive by
-/// watch requests, and without news a process that is cut off, or was
-/// suspended, cannot be told from one that has all of them. A decision that
-/// must not rest on old records waits until this process has those that most
-/// control members had at a given moment. Not thread-safe.
+/// watch requests. Without news, a process that is cut off or was suspended is
+/// like one that has all of them. A decision that must not rest on old records
+/// waits until this process has those that most control members had at a given
+/// moment. Not thread-safe.
 class record_barrier {
  public:
   /// Receives false if the records could not be confirmed in time.
--- a/tests/operations/stale_entry_test.cc
+++ b/tests/operations/stale_entry_test.cc
@@ -158,8 +158,8 @@
     CPPUNIT_ASSERT_EQUAL(kStreams, CountResumed());
   }
 
-  // Guards against an entry process that goes by what it last heard of the
-  // control processes, for as long as its document counts as current.
+  // Guards against an entry process that uses its last records without control
+  // processes, for as long as its document counts as current.
   void stream_is_not_joined_by_an_entry_without_control_processes() {
     Connect();
     soak::soak_node& entry = *fleet_->EntryNodes()[1];
