review: show a machine that sends work to a server that leaves

Server-Leaving in an answer that another machine fetched is not recorded by the machine that passes it on.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -353,7 +353,12 @@
         self.sequence = 0
         self.state = "ready"
         self.runs = []
+        self.senders = {}
         self.retry_after = None
+        # Machines that it turns away; none: all.
+        self.turned_away = None
+        self.leaving = False
+        # False: its heartbeats don't arrive.
         self.beats = True
         fleet.servers.append(self)
 
@@ -411,17 +416,23 @@
         if "target-instance" in fields and fields["target-instance"] != self.id:
             self.reply(writer, 421, {"Instance-Id": self.id}, b"")
             return
-        if self.retry_after is not None:
+        sender = writer.get_extra_info("peername")[0]
+        told = {"Attempt-Id": request}
+        if self.leaving:
+            told["Server-Leaving"] = "1"
+        is_unwanted = self.turned_away is None or sender in self.turned_away
+        if self.retry_after is not None and is_unwanted:
             self.fleet.record(self.id, "turns away", request, "Retry-After",
                               self.retry_after)
-            self.reply(writer, 503, {"Attempt-Id": request, "Not-Executed": "1",
-                                     "Retry-After": self.retry_after}, b"")
+            told.update({"Not-Executed": "1", "Retry-After": self.retry_after})
+            self.reply(writer, 503, told, b"")
             return
         self.runs.append((time.monotonic(), request))
-        self.fleet.record(self.id, "runs", request)
+        self.senders[request] = sender
+        self.fleet.record(self.id, "runs", request, "from", sender)
         await asyncio.sleep(0.02)
-        self.reply(writer, 200, {"Attempt-Id": request,
-                                 "Server-Signature": self.id}, b"done")
+        told["Server-Signature"] = self.id
+        self.reply(writer, 200, told, b"done")
 
     @staticmethod
     def reply(writer, status, fields, body):
