--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,155 +1,111 @@
-"""A control machine loses power while several of its writes are not synced,
-and its process never starts again. The next loss costs the configuration."""
+"""A server crashes in the middle of streams and plain answers that end with
+their connection. What it had sent so far reaches callers as a whole answer."""
 import asyncio
 import os
-import shutil
-import struct
+import signal
+import subprocess
 import sys
-import time
 
 CASE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(CASE, "..", "standins"))
 import fleet as standins  # noqa: E402
 
-CATCH_UP_S = 4
-RECOVER_S = 12
-CONTACT_S = 3
-# LOSS=all: the second loss of power takes all writes that are not synced, as
-# it may, too. The rule then holds.
-ALL_LOST = os.environ.get("LOSS", "") == "all"
-SEGMENT_HEAD = 16
-RECORD_HEAD = 13
-ENTRY = 2
-
-
-def segment(core):
-    folder = os.path.join(core.data, "group-document")
-    names = sorted(name for name in os.listdir(folder)
-                   if name.startswith("segment-"))
-    return os.path.join(folder, names[-1])
-
-
-def records(path):
-    """Offset, size and type of each record: length, type, checksum, payload,
-    as source/process/replication/storage_codec.cc writes them."""
-    with open(path, "rb") as file:
-        data = file.read()
-    found = []
-    offset = SEGMENT_HEAD
-    while offset + RECORD_HEAD <= len(data):
-        length, kind = struct.unpack_from("<IB", data, offset)
-        if offset + RECORD_HEAD + length > len(data):
-            break
-        found.append((offset, RECORD_HEAD + length, kind))
-        offset += RECORD_HEAD + length
-    return found
-
+EVENTS, INTERVAL_MS = 10, 100
+DEADLINE_MS = 12000
 
-def config(version):
-    return standins.document(
-        version, [standins.route("r%d" % version, "/r%d/" % version, "alpha")],
-        ["alpha"])
 
+class ServerProcess:
+    def __init__(self, fleet, number, name, zone):
+        self.name = name
+        self.log = os.path.join(fleet.folder, name + ".out")
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, os.path.join(CASE, "../standins/server.py"),
+                 "%s.%d" % (fleet.net, number), str(standins.SERVER), name,
+                 "sill", zone, str(EVENTS), str(INTERVAL_MS)] +
+                ["%s:%d" % (core.ip, standins.CONTROL)
+                 for core in fleet.cores], stdout=log, stderr=log)
+        fleet.servers.append(self)
 
-async def change(fleet, record, version, cores=None, patience=12.0):
-    if not await standins.put_config(fleet, config(version),
-                                     "version %d" % version, cores, patience):
-        raise standins.CannotRun("version %d is not acknowledged" % version)
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
 
+    def said(self):
+        with open(self.log) as file:
+            return [line.strip() for line in file]
 
-async def lose_power_while_writing(core, record):
-    """The platform: the machine comes back, and loses power as its process
-    writes what it has missed. Returns the records that it wrote since."""
-    path = segment(core)
-    before = records(path)
-    core.restart()
-    end = time.monotonic() + 10
-    while time.monotonic() < end:
-        last = records(path)[len(before):]
-        if len([each for each in last if each[2] == ENTRY]) >= 2:
-            break
-        if core.has_ended():
-            raise standins.CannotRun("the process has ended by itself")
-        time.sleep(0.0002)
-        await asyncio.sleep(0)
-    core.kill()
-    new = [each for each in records(path)[len(before):] if each[2] == ENTRY]
-    record(core.name, "loses power again, after", len(new),
-           "writes of one batch:", new)
-    if len(new) < 2:
-        raise standins.CannotRun("no batch of several writes was seen")
-    return path, new
-
-
-def lose_writes(path, new, record):
-    """DEPLOY.md: "Each write made after that point is either present, missing
-    or torn." The entries of one append request are written one by one and
-    synced together (log_store::WriteRecords, log_store::SyncRecords), so none
-    of them is covered by a sync yet."""
-    with open(path, "r+b") as file:
-        if ALL_LOST:
-            file.truncate(new[0][0])
-            record("all", len(new), "writes are missing")
-            return
-        file.seek(new[0][0])
-        file.write(b"\0" * new[0][1])
-        record("the first of", len(new), "writes is missing, the others are",
-               "present")
-
-
-async def keep_running(core, record, seconds):
-    """The platform: a process that exits is restarted after a short delay."""
-    ends = 0
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        if core.has_ended():
-            ends += 1
-            record("the process of", core.name, "has ended by itself, status",
-                   core.process.returncode)
-            await asyncio.sleep(0.5)
-            core.restart()
-        await asyncio.sleep(0.1)
-    return ends
+    def runs(self, request):
+        return any(line.startswith("runs %s " % request)
+                   for line in self.said())
 
 
 async def run(fleet, record):
     await fleet.start(edges=1)
-    first, second, third = fleet.cores
-    await change(fleet, record, 3)
-    await asyncio.sleep(2)
-    if standins.TROUBLE:
-        record("disruption:", third.name, "loses power for 2 s")
-        third.kill()
-    others = [first, second] if standins.TROUBLE else None
-    for version in (5, 7, 9, 11):
-        await change(fleet, record, version, others)
-    await asyncio.sleep(2)
-    if standins.TROUBLE:
-        lose_writes(*await lose_power_while_writing(third, record), record)
-        await asyncio.sleep(1)
-        record(third.name, "has power again, with its disk")
-        third.restart()
-    # It counts as lost until CATCH_UP_S after it is back.
-    ends = await keep_running(third, record, CATCH_UP_S + 6)
-    if await standins.get_config(fleet) != 11:
-        record("version 11 is not read while one machine is lost")
+    edge = fleet.edges[0]
+    servers = [ServerProcess(fleet, 11, "i-one", "perth"),
+               ServerProcess(fleet, 12, "i-two", "bunbury")]
+    routes = [
+        standins.route("wear", "/wear/", "sill", "streaming", 2,
+                       resumable=True, timeoutMs=12000, targetLatencyMs=250),
+        standins.route("audit", "/audit/", "sill", "streaming", 1,
+                       timeoutMs=12000, targetLatencyMs=1200),
+        standins.route("book", "/book/", "sill", "non_idempotent", 1,
+                       timeoutMs=12000)]
+    if not await standins.put_config(
+            fleet, standins.document(3, routes, ["sill"]), "version 3"):
+        raise standins.CannotRun("no acknowledgement")
+    client = standins.Client(fleet)
+
+    async def send(path, delay=0.0):
+        await asyncio.sleep(delay)
+        return await client.send(edge, path, deadline_ms=DEADLINE_MS)
+
+    for _ in range(100):
+        if (await send("/wear/short")).status == 200:
+            break
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(6)
+
+    # Usual work: short answers, some of them at the same time.
+    await asyncio.gather(*[send("/wear/short", 0.03 * i) for i in range(6)])
+    # Longer ones; one of the two servers crashes in the middle of them.
+    paths = ["/wear/long", "/audit/long", "/book/long"]
+    calls = [asyncio.ensure_future(send(path, 0.02 * i))
+             for i, path in enumerate(paths)]
+    await asyncio.sleep((EVENTS / 2 + 0.5) * INTERVAL_MS / 1000)
     if standins.TROUBLE:
-        record("disruption:", second.name, "loses its disk")
-        second.kill()
-        shutil.rmtree(second.data)
-        await asyncio.sleep(1)
-        second.restart()
-    ends += await keep_running(third, record, RECOVER_S)
-    version = await standins.get_config(fleet, patience=2 * CONTACT_S)
-    again = await standins.put_config(fleet, config(13), "version 13",
-                                      patience=4)
-    for core in fleet.cores:
-        for line in core.log_lines("damaged")[-1:]:
-            record(core.name, "says:", line)
-    record("read back:", version, "- newest acknowledged: 11; further change",
-           "acknowledged:", "yes" if again else "no",
-           "- ends of the process of", third.name + ":", ends)
-    return standins.HELD if version == 11 else standins.BROKEN
+        counts = [len([line for line in server.said()
+                       if line.startswith("event 3 of %d " % EVENTS)])
+                  for server in servers]
+        crashed = servers[counts.index(max(counts))]
+        record("disruption: server", crashed.name, "crashes")
+        crashed.process.send_signal(signal.SIGKILL)
+        crashed.process.wait()
+    answers = await asyncio.gather(*calls)
+    for server in servers:
+        for line in server.said():
+            record(server.name + ":", line)
+    return judge(paths, answers, record)
+
+
+def judge(paths, answers, record):
+    result = standins.HELD
+    for path, answer in zip(paths, answers):
+        events = answer.body.count(b"data: ")
+        has_last = b" last\n\n" in answer.body
+        looks_whole = answer.status == 200 and answer.complete
+        record(path, answer.request, answer.status,
+               "ends as complete" if answer.complete else "broken off",
+               "with", events, "of", EVENTS, "parts")
+        if not looks_whole or has_last:
+            continue
+        rule = "MIXED" if path.startswith("/book") else "ORDER"
+        record(rule, "broken:", answer.request, "ends as complete with",
+               events, "of", EVENTS, "parts")
+        result = standins.BROKEN
+    return result
 
 
 standins.main(CASE, run)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -135,7 +135,9 @@
         self.fleet = fleet
         self.node = node
         self.cut_nodes = set()
-        self.tasks = set()
+        # Bytes a second that the link of the node carries; none: no limit.
+        self.rate = None
+        self.free_at = 0.0
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, self.node.ip,
@@ -192,6 +194,11 @@
                     state["broken"] = True
                 if state["broken"]:
                     continue
+                if self.rate:
+                    now = time.monotonic()
+                    self.free_at = max(self.free_at, now)
+                    self.free_at += len(data) / self.rate
+                    await asyncio.sleep(self.free_at - now)
                 writer.write(data)
                 await writer.drain()
         except OSError:
