--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -135,16 +135,12 @@
         self.fleet = fleet
         self.node = node
         self.cut_nodes = set()
-        # Bytes a second that the link of the node carries; none: no limit.
-        self.rate = None
-        self.free_at = 0.0
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, self.node.ip,
                                                  PEERS)
 
     async def accept(self, reader, writer):
-        owner = None
         try:
             there, here = await asyncio.open_connection(self.node.ip,
                                                         PEERS_BIND)
@@ -174,7 +170,11 @@
             if node.process is None or node.process.poll() is not None:
                 continue
             folder = "/proc/%d/fd" % node.process.pid
-            for name in os.listdir(folder):
+            try:
+                names = os.listdir(folder)
+            except OSError:
+                continue
+            for name in names:
                 try:
                     if os.readlink(os.path.join(folder, name)) == inode:
                         return node
@@ -194,11 +194,6 @@
                     state["broken"] = True
                 if state["broken"]:
                     continue
-                if self.rate:
-                    now = time.monotonic()
-                    self.free_at = max(self.free_at, now)
-                    self.free_at += len(data) / self.rate
-                    await asyncio.sleep(self.free_at - now)
                 writer.write(data)
                 await writer.drain()
         except OSError:
