--- a/source/process/controller/document_group_settings.cc
+++ b/source/process/controller/document_group_settings.cc
@@ -21,6 +21,8 @@
   group.election_timeout_max = milliseconds(800);
   group.commit_notice_delay = milliseconds(5);
   group.max_command_bytes = kMaxCommandBytes;
+  // A request takes less than a heartbeat interval on a link of 6 Mbit/s.
+  group.max_append_bytes = std::size_t{64} * 1024;
   group.compaction_entries = 512;
   group.compaction_bytes = std::size_t{4} * 1024 * 1024;
   group.retained_entries = 64;
--- a/source/process/controller/document_store.cc
+++ b/source/process/controller/document_store.cc
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
-#include <map>
 #include <optional>
 #include <utility>
 
@@ -11,7 +10,7 @@
 #include "process/controller/document_group_settings.h"
 #include "process/controller/node_settings.h"
 #include "process/daemon/event_log.h"
-#include "process/daemon/peer_kinds.h"
+#include "process/daemon/raft_sender.h"
 #include "process/daemon/steady_clock.h"
 #include "process/replication/posix_folder.h"
 
@@ -121,17 +120,9 @@
 }
 
 void document_store::Send(const group_runner::messages& messages) {
-  // A bundle has one sender and one receiver.
-  std::map<member_id, group_runner::messages> by_receiver;
-  for (const group_message& each : messages) {
-    by_receiver[each.message.to].push_back(each);
-  }
-  for (const auto& [to, bundle] : by_receiver) {
-    const auto address = ParseSocketAddress(to.vm.value());
-    if (!address) continue;
-    peers_.Send(*address, {std::string(kRaftKind), EncodeBundle(bundle), {}},
-                kRaftTimeout, [](const auto& /*response*/) {});
-  }
+  SendRaftMessages(peers_, messages, kRaftTimeout, [](const vm_id& vm) {
+    return ParseSocketAddress(vm.value());
+  });
 }
 
 void document_store::Propose(std::string command, committed_hook done) {
--- a/source/process/daemon/control_plane.cc
+++ b/source/process/daemon/control_plane.cc
@@ -2,7 +2,7 @@
 
 #include <chrono>
 #include <cstdlib>
-#include <map>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -10,6 +10,7 @@
 #include "process/control/policy_command.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
+#include "process/daemon/raft_sender.h"
 #include "process/daemon/settings.h"
 #include "process/daemon/steady_clock.h"
 #include "version/submission.h"
@@ -188,17 +189,12 @@
 }
 
 void control_plane::Send(const group_runner::messages& messages) {
-  // A bundle has one sender and one receiver.
-  std::map<member_id, group_runner::messages> by_receiver;
-  for (const group_message& each : messages) {
-    by_receiver[each.message.to].push_back(each);
-  }
-  for (const auto& [to, bundle] : by_receiver) {
-    const fleet_vm* vm = settings_.FindVm(to.vm);
-    if (vm == nullptr) continue;
-    peers_.Send(vm->peers, {std::string(kRaftKind), EncodeBundle(bundle), {}},
-                kRaftTimeout, [](const auto& /*response*/) {});
-  }
+  SendRaftMessages(peers_, messages, kRaftTimeout,
+                   [this](const vm_id& id) -> std::optional<socket_address> {
+                     const fleet_vm* vm = settings_.FindVm(id);
+                     if (vm == nullptr) return std::nullopt;
+                     return vm->peers;
+                   });
 }
 
 void control_plane::OnLeaderRequest(std::string_view kind,
--- a/source/process/replication/peer_progress.h
+++ b/source/process/replication/peer_progress.h
@@ -1,9 +1,9 @@
 #ifndef MARJORAMSILL_PROCESS_REPLICATION_PEER_PROGRESS_H_
 #define MARJORAMSILL_PROCESS_REPLICATION_PEER_PROGRESS_H_
 
-#include <cstddef>
 #include <cstdint>
 
+#include "process/replication/append_window.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
 
@@ -14,14 +14,13 @@
   /// Last index known to be durable on the member.
   log_index match;
   log_index next;
-  /// While probing, only one append request is in flight at a time, until the
-  /// logs match.
+  /// While probing, only one append request is in flight at a time, with at
+  /// most one entry, until the logs match.
   bool probing = true;
-  std::size_t in_flight = 0;
-  /// When the last append or snapshot request was sent. It is sent again after
-  /// a heartbeat interval without a response.
-  steady_time sent_at;
-  /// A snapshot is being sent; the next part starts at `snapshot_offset`.
+  /// Append requests and snapshot parts in flight.
+  append_window window;
+  /// A snapshot is being sent; the next part starts at `snapshot_offset`. It
+  /// waits for a new snapshot while `window` is idle.
   bool sending_snapshot = false;
   log_index snapshot_index;
   std::uint64_t snapshot_offset = 0;
--- a/source/process/replication/raft_log.cc
+++ b/source/process/replication/raft_log.cc
@@ -52,6 +52,15 @@
   return &entries_[index.value() - base_index_.value() - 1];
 }
 
+std::size_t raft_log::PayloadBytesAfter(log_index index) const {
+  std::size_t bytes = 0;
+  for (auto it = entries_.rbegin(); it != entries_.rend(); ++it) {
+    if (it->index <= index) break;
+    bytes += it->payload.size();
+  }
+  return bytes;
+}
+
 std::vector<log_entry> raft_log::Copy(log_index from, std::size_t max_entries,
                                       std::size_t max_bytes) const {
   std::vector<log_entry> copied;
--- a/source/process/replication/raft_log.h
+++ b/source/process/replication/raft_log.h
@@ -26,6 +26,7 @@
   log_index last_index() const;
   log_term last_term() const;
   std::size_t bytes() const { return bytes_; }
+  std::size_t PayloadBytesAfter(log_index index) const;
   /// Empty if the index is before the base position or after the last entry.
   std::optional<log_term> TermAt(log_index index) const;
   /// Null if the entry is not in memory.
--- a/source/process/replication/raft_node.h
+++ b/source/process/replication/raft_node.h
@@ -182,6 +182,8 @@
   // raft_snapshot.cc: snapshots and compaction.
   void StartSnapshot(const member_id& to, peer_progress& progress,
                      steady_time now);
+  void SendRequestedSnapshots(steady_time now);
+  bool IsSnapshotShorter(log_index match) const;
   void SendSnapshotPart(const member_id& to, peer_progress& progress,
                         steady_time now);
   void OnSnapshotPart(const raft_message& message, const snapshot_part& part,
@@ -190,6 +192,7 @@
                           const snapshot_response& response, steady_time now);
   void InstallSnapshot(snapshot received, steady_time now);
   void RequestCompaction();
+  void RequestSnapshot();
 
   // raft_membership.cc: configuration, repair, joining, leaving.
   void AdoptConfiguration(group_configuration configuration, log_index index,
--- a/source/process/replication/raft_replication.cc
+++ b/source/process/replication/raft_replication.cc
@@ -12,6 +12,12 @@
 /// extend the lease.
 constexpr std::size_t kMaxTrackedRounds = 32;
 
+std::size_t PayloadBytes(const std::vector<log_entry>& entries) {
+  std::size_t bytes = 0;
+  for (const log_entry& entry : entries) bytes += entry.payload.size();
+  return bytes;
+}
+
 }  // namespace
 
 result<log_position, propose_error> raft_node::Propose(std::string command,
@@ -82,41 +88,39 @@
   if (now - progress.last_contact >= ContactTimeout(to)) {
     // An unresponsive member receives only heartbeats. Its response resumes
     // replication.
-    if (progress.in_flight > 0 || progress.sending_snapshot) return;
+    if (!progress.window.IsIdle() || progress.sending_snapshot) return;
   }
   if (progress.sending_snapshot) return;
-  const std::size_t limit =
-      progress.probing ? 1 : settings_.max_appends_in_flight;
-  while (progress.in_flight < limit && progress.match < log_.last_index()) {
+  while (progress.window.HasRoom(settings_) &&
+         progress.match < log_.last_index()) {
+    if (progress.probing && !progress.window.IsIdle()) return;
     if (progress.next > log_.last_index() && !progress.probing) return;
     const log_index previous(progress.next.value() - 1);
     const std::optional<log_term> previous_term = log_.TermAt(previous);
     if (!previous_term) return StartSnapshot(to, progress, now);
     append_request request{round_, previous, *previous_term, commit_, {}};
-    request.entries = log_.Copy(progress.next, settings_.max_append_entries,
-                                settings_.max_append_bytes);
-    if (!progress.probing) {
-      progress.next = log_index(progress.next.value() + request.entries.size());
-    }
-    ++progress.in_flight;
-    progress.sent_at = now;
+    const std::size_t max_entries =
+        progress.probing ? 1 : settings_.max_append_entries;
+    request.entries = log_.Copy(progress.next, max_entries,
+                                progress.window.NextRequestBytes(settings_));
+    const log_index last(previous.value() + request.entries.size());
+    if (!progress.probing) progress.next = last.Next();
+    progress.window.RecordSent(last, PayloadBytes(request.entries), now);
     progress.commit_sent = commit_;
     Send(to, std::move(request));
   }
 }
 
-/// Sends the last request again if there was no response within a heartbeat
-/// interval.
+/// Sends requests again that have had no response for too long.
 void raft_node::ResendLost(const member_id& to, peer_progress& progress,
                            steady_time now) {
-  if (now - progress.sent_at < settings_.heartbeat_interval) return;
+  const bool overdue = progress.window.IsOverdue(settings_, now);
+  if (!overdue && !progress.window.IsIdle()) return;
+  if (overdue) progress.window.RecordLoss(settings_);
   if (progress.sending_snapshot) {
     return SendSnapshotPart(to, progress, now);
   }
-  // Responses to repeated requests lower the count as well, so a gap between
-  // match and next also indicates a lost request.
-  if (progress.in_flight > 0 || progress.next > progress.match.Next()) {
-    progress.in_flight = 0;
+  if (overdue || progress.next > progress.match.Next()) {
     progress.probing = true;
     progress.next = progress.match.Next();
   }
@@ -279,8 +283,9 @@
   peer_progress* progress = ProgressOf(message.from);
   if (progress == nullptr || response.index > log_.last_index()) return;
   RecordRound(*progress, response.round, now);
-  if (progress->in_flight > 0) --progress->in_flight;
+  const bool probing = progress->probing;
   if (response.success) {
+    progress->window.RecordResponse(response.index, settings_, now);
     OnMatch(*progress, response.index, now);
   } else if (response.nonce != 0) {
     progress->nonce = response.nonce;
@@ -290,13 +295,20 @@
     return;
   } else if (response.index >= progress->match) {
     progress->probing = true;
-    progress->in_flight = 0;
+    progress->window.Clear();
     progress->next = std::max(progress->match.Next(),
                               std::min(progress->next, response.index.Next()));
   }
   // The commit may have removed this leader or the member from the group.
   progress = ProgressOf(message.from);
-  if (progress != nullptr) ReplicateTo(message.from, *progress, now);
+  if (progress == nullptr) return;
+  // Decided only when the position of the member becomes known, because the
+  // bytes that it lacks are counted entry by entry.
+  if (probing && !progress->probing && !progress->sending_snapshot &&
+      IsSnapshotShorter(progress->match)) {
+    return StartSnapshot(message.from, *progress, now);
+  }
+  ReplicateTo(message.from, *progress, now);
 }
 
 void raft_node::OnMatch(peer_progress& progress, log_index index,
@@ -306,7 +318,7 @@
   progress.probing = false;
   if (progress.sending_snapshot && index >= progress.snapshot_index) {
     progress.sending_snapshot = false;
-    progress.in_flight = 0;
+    progress.window.Clear();
   }
   AdvanceCommit(now);
 }
--- a/source/process/replication/raft_snapshot.cc
+++ b/source/process/replication/raft_snapshot.cc
@@ -18,10 +18,31 @@
   progress.sending_snapshot = true;
   progress.snapshot_index = snapshot_.index;
   progress.snapshot_offset = 0;
-  progress.in_flight = 0;
+  progress.window.Clear();
+  // The entries since an old snapshot may hold far more than a new one.
+  if (applied_ > snapshot_.index && applied_bytes_ > DataOf(snapshot_).size()) {
+    RequestSnapshot();
+    return;
+  }
   SendSnapshotPart(to, progress, now);
 }
 
+void raft_node::SendRequestedSnapshots(steady_time now) {
+  for (auto& [id, progress] : progress_) {
+    if (progress.sending_snapshot && progress.window.IsIdle()) {
+      SendSnapshotPart(id, progress, now);
+    }
+  }
+}
+
+/// True if the entries after `match` hold more than one append request and more
+/// than the last snapshot.
+bool raft_node::IsSnapshotShorter(log_index match) const {
+  if (match >= applied_) return false;
+  const std::size_t bytes = log_.PayloadBytesAfter(match);
+  return bytes > settings_.max_append_bytes && bytes > DataOf(snapshot_).size();
+}
+
 void raft_node::SendSnapshotPart(const member_id& to, peer_progress& progress,
                                  steady_time now) {
   if (progress.snapshot_index != snapshot_.index) {
@@ -31,12 +52,12 @@
   const std::string_view data = DataOf(snapshot_);
   const std::uint64_t offset =
       std::min<std::uint64_t>(progress.snapshot_offset, data.size());
-  progress.sent_at = now;
-  Send(to,
-       snapshot_part{
-           round_, snapshot_.index, snapshot_.term, snapshot_.configuration,
-           progress.nonce, offset, data.size(),
-           std::string(data.substr(offset, settings_.snapshot_part_bytes))});
+  const std::string_view part =
+      data.substr(offset, settings_.snapshot_part_bytes);
+  progress.window.RecordSent(snapshot_.index, part.size(), now);
+  Send(to, snapshot_part{round_, snapshot_.index, snapshot_.term,
+                         snapshot_.configuration, progress.nonce, offset,
+                         data.size(), std::string(part)});
 }
 
 void raft_node::OnSnapshotPart(const raft_message& message,
@@ -91,6 +112,8 @@
     return;
   }
   progress->snapshot_offset = response.received;
+  progress->window.RecordResponse(response.index, settings_, now);
+  progress->window.Clear();
   SendSnapshotPart(message.from, *progress, now);
 }
 
@@ -128,13 +151,17 @@
       applied_bytes_ < settings_.compaction_bytes) {
     return;
   }
+  RequestSnapshot();
+}
+
+void raft_node::RequestSnapshot() {
   snapshot_requested_ = true;
   output_.take_snapshot = true;
 }
 
 void raft_node::SnapshotTaken(log_index index, std::string data,
                               steady_time now) {
-  last_now_ = std::max(now, last_now_);
+  now = last_now_ = std::max(now, last_now_);
   snapshot_requested_ = false;
   const std::optional<log_term> at = log_.TermAt(index);
   if (index <= snapshot_.index || index > applied_ || !at) return;
@@ -146,6 +173,7 @@
   applied_bytes_ = 0;
   storage_writes& writes = PendingWrites();
   writes.stored_snapshot = snapshot_;
+  SendRequestedSnapshots(now);
   if (index.value() <= settings_.retained_entries) return;
   const log_index keep(index.value() - settings_.retained_entries);
   if (keep <= log_.base_index()) return;
--- a/tests/replication/cluster.cc
+++ b/tests/replication/cluster.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <sstream>
 
+#include "process/replication/slow_transfer.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -233,6 +235,7 @@
   state.queued.clear();
   state.sync_scheduled = false;
   state.reads.clear();
+  state.link.Clear();
   state.frozen_until = 0;
   ++state.run;
 }
@@ -382,9 +385,11 @@
   if (to == vms_.size()) return;
   ++messages_;
   raft_message received = message;
+  std::size_t size = 0;
   if (options_.encode) {
     const std::string bytes = EncodeBundle({{0, message}});
-    bytes_ += bytes.size();
+    size = bytes.size();
+    bytes_ += size;
     auto decoded = DecodeBundle(bytes);
     if (!decoded || decoded.value().front().message != message) {
       return RecordViolation("codec changed a message");
@@ -398,12 +403,33 @@
     const auto spread = options_.latency_max - options_.latency_min;
     time_us delay = options_.latency_min.count() + Random(spread.count() + 1);
     if (delay_ms_ > 0) delay += Random(delay_ms_ * 1000);
-    ScheduleAt(now_ + delay, [this, from, to, received] {
-      if (!cut_links_.contains({from, to})) Deliver(to, received);
+    ScheduleAt(now_ + delay, [this, from, to, size, received] {
+      if (!cut_links_.contains({from, to})) Carry(from, to, size, received);
     });
   }
 }
 
+void cluster::Carry(std::size_t from, std::size_t to, std::size_t bytes,
+                    const raft_message& message) {
+  if (options_.link_bytes_per_second <= 0) return Deliver(to, message);
+  AdvanceLink(from);
+  const auto timeout = options_.message_timeout + SlowTransferTime(bytes);
+  vms_[from].link.Send(now_, bytes, now_ + timeout.count(),
+                       options_.link_bytes_per_second,
+                       [this, to, message] { Deliver(to, message); });
+  AdvanceLink(from);
+}
+
+void cluster::AdvanceLink(std::size_t from) {
+  for (const auto& deliver : vms_[from].link.Advance(now_)) deliver();
+  const time_us next = vms_[from].link.NextEvent();
+  const bool scheduled =
+      vms_[from].link_wakes_at > now_ && vms_[from].link_wakes_at <= next;
+  if (next == shared_link::kNever || scheduled) return;
+  vms_[from].link_wakes_at = next;
+  ScheduleAt(next, [this, from] { AdvanceLink(from); });
+}
+
 void cluster::Deliver(std::size_t vm, const raft_message& message) {
   vm_state& state = vms_[vm];
   if (!state.group) return;
--- a/tests/replication/cluster.h
+++ b/tests/replication/cluster.h
@@ -17,6 +17,7 @@
 #include "process/replication/log_store.h"
 #include "process/replication/message_codec.h"
 #include "process/replication/replicated_group.h"
+#include "shared_link.h"
 
 namespace marjoramsill {
 
@@ -36,6 +37,11 @@
   std::chrono::microseconds latency_min{300};
   std::chrono::microseconds latency_max{3000};
   std::chrono::microseconds sync_time{500};
+  /// Rate of each VM's outgoing link; 0 means without a limit.
+  double link_bytes_per_second = 0;
+  /// On a link with a limit a message is given up after this time and that of
+  /// a slow transfer of its bytes.
+  std::chrono::microseconds message_timeout{700'000};
   raft_settings settings;
 };
 
@@ -126,6 +132,8 @@
     };
     std::optional<copy> disk_copy;
     std::map<std::uint64_t, std::uint64_t> reads;
+    shared_link link;
+    time_us link_wakes_at = 0;
   };
   struct event {
     time_us at = 0;
@@ -143,6 +151,9 @@
   void Deliver(std::size_t vm, const raft_message& message);
   void ProcessOutput(std::size_t vm);
   void Transmit(std::size_t from, const raft_message& message);
+  void Carry(std::size_t from, std::size_t to, std::size_t bytes,
+             const raft_message& message);
+  void AdvanceLink(std::size_t from);
   void CompleteSync(std::size_t vm, std::uint64_t run);
   void Stop(std::size_t vm);
   void CreateDisk(std::size_t vm);
