replication: promote a member only with all committed entries

The document group promoted members that held next to nothing, so that the loss of a disk counted as made good while it was not.

Change: a member is promoted only if it has acknowledged everything that is committed when its promotion is proposed. The setting promotion_lag goes.

Failing before: new_member_becomes_voter_only_with_all_committed_entries (tests/replication/disk_replacement_test.cc): the member was a voter without the entries committed before it started. new_member_under_constant_load_becomes_voter guards against a promotion that waits for an end of the changes; it passed before, too.

--- a/source/process/replication/raft_membership.cc
+++ b/source/process/replication/raft_membership.cc
@@ -70,11 +70,11 @@
         now - progress.last_contact;
     // A standby is promoted only after a recent message, although it receives
     // fewer heartbeats: promoting a lost one would raise the quorum without
-    // adding a vote.
+    // adding a vote. It must hold all that is committed: the voters that it
+    // makes up for may be lost next.
     const bool caught_up = without_contact < settings_.election_timeout_min &&
                            progress.match.value() > 0 &&
-                           progress.match.value() + settings_.promotion_lag >=
-                               log_.last_index().value();
+                           progress.match >= commit_;
     health.push_back({id, without_contact, without_contact < ContactTimeout(id),
                       caught_up, progress.leaving});
   }
--- a/source/process/replication/raft_settings.h
+++ b/source/process/replication/raft_settings.h
@@ -55,8 +55,6 @@
   /// that a group can still start with a bare majority. Must be less than
   /// remove_after.
   std::chrono::milliseconds start_check_timeout{10'000};
-  /// A standby that lags by at most this many entries may be promoted.
-  std::uint64_t promotion_lag = 128;
 };
 
 }  // namespace marjoramsill
--- a/source/process/replication/repair_plan.h
+++ b/source/process/replication/repair_plan.h
@@ -18,8 +18,8 @@
   /// A message was received recently: within the shortest election timeout for
   /// a voter, and longer for a standby, which receives fewer heartbeats.
   bool active = false;
-  /// The member's log is close enough to the end of the leader's log for a
-  /// promotion to voter.
+  /// The member holds, durably, all committed entries, so that it may be
+  /// promoted to voter.
   bool caught_up = false;
   /// The member has requested its removal.
   bool leaving = false;
--- a/tests/replication/disk_replacement_test.cc
+++ b/tests/replication/disk_replacement_test.cc
@@ -70,12 +70,19 @@
       c.group(vm)->node().self());
 }
 
+std::size_t VoterCount(const cluster& c) {
+  const auto leader = c.Leader();
+  return leader ? c.group(*leader)->node().configuration().voter_count() : 0;
+}
+
 }  // namespace
 
 class disk_replacement_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(disk_replacement_test);
   CPPUNIT_TEST(two_disks_lost_in_turn_after_many_changes_group_recovers);
   CPPUNIT_TEST(new_member_on_slow_link_is_sent_little_more_than_it_lacks);
+  CPPUNIT_TEST(new_member_becomes_voter_only_with_all_committed_entries);
+  CPPUNIT_TEST(new_member_under_constant_load_becomes_voter);
   CPPUNIT_TEST(document_larger_than_the_link_carries_in_a_second_is_committed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -120,6 +127,41 @@
     CPPUNIT_ASSERT_LESS(2 * kDocumentBytes + kOtherTraffic, c.bytes() - before);
   }
 
+  // Guards against a member that counts as a voter while its disk lacks what
+  // was acknowledged, however short the log is.
+  void new_member_becomes_voter_only_with_all_committed_entries() {
+    for (const int changes : {5, 20, 80, 200}) {
+      cluster c(SlowLinkOptions());
+      c.Run(seconds(5));
+      ProposeDocuments(c, changes);
+      const std::size_t replaced = (*c.Leader() + 1) % 3;
+      c.ReplaceDisk(replaced);
+      c.Run(milliseconds(500));
+      const log_index committed = c.group(*c.Leader())->node().commit_index();
+      c.Start(replaced);
+      CPPUNIT_ASSERT(
+          c.RunUntil([&] { return IsVoter(c, replaced); }, kRecoveryLimit));
+      CPPUNIT_ASSERT(c.group(replaced)->node().last_index() >= committed);
+      CPPUNIT_ASSERT(c.group(replaced)->node().is_start_checked());
+    }
+  }
+
+  // Guards against a promotion that waits for an end of the changes.
+  void new_member_under_constant_load_becomes_voter() {
+    cluster c(Options(3, 1));
+    c.Run(seconds(5));
+    const std::size_t replaced = (*c.Leader() + 1) % 3;
+    c.ReplaceDisk(replaced);
+    c.Run(seconds(1));
+    c.Start(replaced);
+    constexpr int kProposals = 4'000;
+    for (int i = 0; i < kProposals && !IsVoter(c, replaced); ++i) {
+      if (const auto leader = c.Leader()) c.Propose(*leader, "command");
+      c.Run(milliseconds(1));
+    }
+    CPPUNIT_ASSERT_MESSAGE(c.Describe(), IsVoter(c, replaced));
+  }
+
   // Guards against a document that is never committed, because its request is
   // given up or repeated before it can have arrived.
   void document_larger_than_the_link_carries_in_a_second_is_committed() {
