replication: bound the first request to a member by its size

Cause: while the position of a member was unknown it was sent one entry a request, which costs a returning member a response time an entry until the first match.

--- a/source/process/replication/append_window.cc
+++ b/source/process/replication/append_window.cc
@@ -11,6 +11,8 @@
 /// Longest time without a response before a repetition, in heartbeat intervals.
 /// Bytes above the limit, which follows from responses, get their own time.
 constexpr int kMaxRetryIntervals = 8;
+/// Part of the largest request that is sent while nothing is known of the link.
+constexpr std::size_t kFirstRequestShare = 4;
 
 }  // namespace
 
@@ -27,6 +29,9 @@
 
 std::size_t append_window::NextRequestBytes(
     const raft_settings& settings) const {
+  if (sent_.empty() && limit_ == 0) {
+    return settings.max_append_bytes / kFirstRequestShare;
+  }
   if (sent_.empty()) return settings.max_append_bytes;
   const std::size_t room =
       Limit(settings) - std::min(Limit(settings), bytes_in_flight_);
--- a/source/process/replication/peer_progress.h
+++ b/source/process/replication/peer_progress.h
@@ -14,8 +14,8 @@
   /// Last index known to be durable on the member.
   log_index match;
   log_index next;
-  /// While probing, only one append request is in flight at a time, with at
-  /// most one entry, until the logs match.
+  /// While probing, only one append request is in flight at a time, until the
+  /// logs match.
   bool probing = true;
   /// Append requests and snapshot parts in flight.
   append_window window;
--- a/source/process/replication/raft_replication.cc
+++ b/source/process/replication/raft_replication.cc
@@ -99,9 +99,7 @@
     const std::optional<log_term> previous_term = log_.TermAt(previous);
     if (!previous_term) return StartSnapshot(to, progress, now);
     append_request request{round_, previous, *previous_term, commit_, {}};
-    const std::size_t max_entries =
-        progress.probing ? 1 : settings_.max_append_entries;
-    request.entries = log_.Copy(progress.next, max_entries,
+    request.entries = log_.Copy(progress.next, settings_.max_append_entries,
                                 progress.window.NextRequestBytes(settings_));
     const log_index last(previous.value() + request.entries.size());
     if (!progress.probing) progress.next = last.Next();
