replication: find the present voters for the start check

Cause, third of three: a started member votes only after the voters named in its own log have recorded its start. The log of a member that joined lately may hold the founding configuration only, whose voters may all be gone, so that the check is never complete.

Change: a response to a start query carries the configuration in effect at the sender, and the check counts the voters of the newest one known. The query also goes to whichever member runs on a known VM.

--- a/source/process/replication/message_codec.cc
+++ b/source/process/replication/message_codec.cc
@@ -95,9 +95,11 @@
     out_.pack_uint64(b.starts).pack_uint64(b.run);
   }
   void operator()(const start_response& b) {
-    PackBodyHeader(3);
+    PackBodyHeader(5);
     out_.pack_uint64(b.run).pack(b.stale);
     out_.pack_uint64(b.known_index.value());
+    out_.pack_uint64(b.configuration_index.value());
+    PackConfiguration(out_, b.configuration);
   }
 
  private:
@@ -190,6 +192,9 @@
   b.run = in.Number("run");
   b.stale = in.Flag("stale");
   b.known_index = in.NumberAs<log_index>("known_index");
+  if (!in.HasMore()) return;
+  b.configuration_index = in.NumberAs<log_index>("configuration_index");
+  b.configuration = in.Configuration("configuration");
 }
 void ReadBody(raft_field_reader& in, join_response& b) {
   member_id leader;
--- a/source/process/replication/message_fields.cc
+++ b/source/process/replication/message_fields.cc
@@ -62,6 +62,10 @@
   return &array_->via.array.ptr[position_++];
 }
 
+bool raft_field_reader::HasMore() const {
+  return !error_ && position_ < array_->via.array.size;
+}
+
 std::uint64_t raft_field_reader::Number(const char* name) {
   const msgpack::object* object = Next(name);
   if (object == nullptr) return 0;
--- a/source/process/replication/message_fields.h
+++ b/source/process/replication/message_fields.h
@@ -46,6 +46,8 @@
     return Strong(Text(name));
   }
 
+  /// False if the sender's version ends the array here.
+  bool HasMore() const;
   bool failed() const { return error_.has_value(); }
   void Fail(codec_error_kind kind, const char* name);
   const codec_limits& limits() const { return limits_; }
--- a/source/process/replication/raft_message.h
+++ b/source/process/replication/raft_message.h
@@ -147,11 +147,15 @@
 /// `stale` is set if the peer knows of another run of the member with the same
 /// or a greater start number. `known_index` is the last index that the member
 /// has acknowledged to the sender as the leader of the message's term, else
-/// zero.
+/// zero. `configuration` is the one in effect at the sender and
+/// `configuration_index` the index of its entry, zero if it has none or runs a
+/// build that does not send it.
 struct start_response {
   std::uint64_t run = 0;
   bool stale = false;
   log_index known_index;
+  log_index configuration_index;
+  group_configuration configuration;
   friend bool operator==(const start_response&,
                          const start_response&) = default;
 };
@@ -164,7 +168,8 @@
                  start_query, start_response>;
 
 /// A message between two members. A zero `to.disk` addresses whichever member
-/// runs on that VM; it is valid only for join_request and bootstrap_query.
+/// runs on that VM; it is valid only for join_request, bootstrap_query and
+/// start_query.
 struct raft_message {
   member_id from;
   member_id to;
--- a/source/process/replication/raft_node.cc
+++ b/source/process/replication/raft_node.cc
@@ -105,7 +105,8 @@
   // votes and acknowledgements stored on that disk are unknown here.
   return message.to.disk == disk_id() &&
          (std::holds_alternative<join_request>(message.body) ||
-          std::holds_alternative<bootstrap_query>(message.body));
+          std::holds_alternative<bootstrap_query>(message.body) ||
+          std::holds_alternative<start_query>(message.body));
 }
 
 void raft_node::Receive(const raft_message& message, steady_time now) {
--- a/source/process/replication/raft_node.h
+++ b/source/process/replication/raft_node.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -219,6 +220,8 @@
   void OnBootstrapResponse(const raft_message& message,
                            const bootstrap_response& response, steady_time now);
   void SendStartQueries(steady_time now);
+  std::set<vm_id> StartQueryVms() const;
+  const group_configuration& StartConfiguration() const;
   void OnStartQuery(const raft_message& message, const start_query& query);
   void OnStartResponse(const raft_message& message,
                        const start_response& response);
@@ -292,7 +295,10 @@
   log_term bootstrap_term_;
   bool start_checked_ = true;
   std::uint64_t run_ = 0;
-  std::map<member_id, bool> start_responses_;
+  std::set<member_id> start_responses_;
+  /// Newest configuration in a response to a start query.
+  group_configuration reported_configuration_;
+  log_index reported_configuration_index_;
   steady_time next_start_query_;
   bool stale_disk_ = false;
   bool leaving_ = false;
--- a/source/process/replication/raft_start.cc
+++ b/source/process/replication/raft_start.cc
@@ -75,15 +75,42 @@
   EvaluateStartCheck();
   if (start_checked_ || now < next_start_query_) return;
   next_start_query_ = now + settings_.heartbeat_interval;
-  for (const group_member& member : configuration_.members) {
+  const start_query query{state_.starts, run_};
+  for (const group_member& member : StartConfiguration().members) {
     if (!member.voter || member.id == self()) continue;
-    SendWhenDurable(member.id, start_query{state_.starts, run_});
+    SendWhenDurable(member.id, query);
+  }
+  // The voters in the log of this member may all have been replaced. The
+  // members on the known VMs name the present ones.
+  for (const vm_id& vm : StartQueryVms()) {
+    SendWhenDurable({vm, disk_id()}, query);
   }
 }
 
+/// VMs that may run a member and have not responded to a start query.
+std::set<vm_id> raft_node::StartQueryVms() const {
+  std::set<vm_id> vms(start_.peers.begin(), start_.peers.end());
+  for (const group_member& member : configuration_.members) {
+    vms.insert(member.id.vm);
+  }
+  vms.erase(self().vm);
+  for (const member_id& member : start_responses_) vms.erase(member.vm);
+  return vms;
+}
+
+/// The newest configuration known to this member or to one that has responded.
+const group_configuration& raft_node::StartConfiguration() const {
+  return reported_configuration_index_ > configuration_index_
+             ? reported_configuration_
+             : configuration_;
+}
+
 void raft_node::OnStartQuery(const raft_message& message,
                              const start_query& query) {
-  start_response response{query.run, false, log_index()};
+  start_response response;
+  response.run = query.run;
+  response.configuration_index = configuration_index_;
+  response.configuration = configuration_;
   auto known = std::find_if(
       state_.known_starts.begin(), state_.known_starts.end(),
       [&](const known_start& item) { return item.member == message.from; });
@@ -127,28 +154,34 @@
     stale_disk_ = true;
     return;
   }
-  start_responses_[message.from] = true;
+  start_responses_.insert(message.from);
+  if (response.configuration_index > reported_configuration_index_) {
+    reported_configuration_index_ = response.configuration_index;
+    reported_configuration_ = response.configuration;
+  }
   EvaluateStartCheck();
 }
 
 /// The start check is complete when a majority of the other voters has recorded
-/// this start. This member does not count itself, because an older disk lacks
-/// the later starts. So any two complete checks have a voter in common, which
-/// detects an older disk. If too few voters respond for a long time, the group
-/// needs this member for a majority; then a majority that includes it suffices.
+/// this start, by the newest configuration known. This member does not count
+/// itself, because an older disk lacks the later starts. So any two complete
+/// checks have a voter in common, which detects an older disk. If too few
+/// voters respond for a long time, the group needs this member for a majority;
+/// then a majority that includes it suffices.
 void raft_node::EvaluateStartCheck() {
   if (start_checked_) return;
+  const group_configuration& configuration = StartConfiguration();
   std::size_t confirmed = 0;
-  for (const auto& [member, response] : start_responses_) {
-    if (configuration_.IsVoter(member)) ++confirmed;
+  for (const member_id& member : start_responses_) {
+    if (configuration.IsVoter(member)) ++confirmed;
   }
-  const std::size_t self_votes = configuration_.IsVoter(self()) ? 1 : 0;
-  const std::size_t others = configuration_.voter_count() - self_votes;
+  const std::size_t self_votes = configuration.IsVoter(self()) ? 1 : 0;
+  const std::size_t others = configuration.voter_count() - self_votes;
   const bool majority = others == 0 || confirmed >= others / 2 + 1;
   const bool timed_out =
       last_now_ - started_at_ >= settings_.start_check_timeout;
   start_checked_ = majority || (timed_out && confirmed + self_votes >=
-                                                 configuration_.quorum());
+                                                 configuration.quorum());
 }
 
 }  // namespace marjoramsill
--- a/tests/replication/codec_test.cc
+++ b/tests/replication/codec_test.cc
@@ -36,7 +36,8 @@
           bootstrap_query{},
           bootstrap_response{true, failure_domain_id("perth"), 13},
           start_query{4, 14},
-          start_response{14, true, log_index(9)}};
+          start_response{14, true, log_index(9), log_index(8),
+                         SampleConfiguration()}};
 }
 
 std::vector<group_message> SampleBundle() {
--- a/tests/replication/disk_replacement_test.cc
+++ b/tests/replication/disk_replacement_test.cc
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(new_member_becomes_voter_only_with_all_committed_entries);
   CPPUNIT_TEST(new_member_under_constant_load_becomes_voter);
   CPPUNIT_TEST(document_larger_than_the_link_carries_in_a_second_is_committed);
+  CPPUNIT_TEST(member_with_replaced_voters_in_its_log_votes_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -177,6 +178,31 @@
     CPPUNIT_ASSERT_LESS(3 * std::uint64_t{kLargeDocumentBytes},
                         c.bytes() - bytes);
   }
+
+  // Guards against a member that can never vote, because its log names voters
+  // that were all replaced while it was down.
+  void member_with_replaced_voters_in_its_log_votes_again() {
+    constexpr std::size_t kDown = 4;
+    cluster c(Options(5, 2));
+    c.Run(seconds(8));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, VoterCount(c));
+    c.Kill(kDown);
+    for (std::size_t vm = 0; vm < kDown; ++vm) {
+      c.ReplaceDisk(vm);
+      c.Start(vm);
+      c.Run(seconds(5));
+      CPPUNIT_ASSERT_MESSAGE(c.Describe(), c.Leader().has_value());
+    }
+    c.Start(kDown);
+    c.Run(seconds(4));
+    CPPUNIT_ASSERT_MESSAGE(c.Describe(), IsVoter(c, kDown));
+    c.ReplaceDisk(0);
+    c.ReplaceDisk(1);
+    LosePowerOfAll(c);
+    StartAll(c);
+    CPPUNIT_ASSERT_MESSAGE(c.Describe(), Commits(c));
+    CPPUNIT_ASSERT_EQUAL(std::string(), c.violation());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(disk_replacement_test);
