entry: take only what is read for a sign of life of an endpoint

Cause: the end of such an answer is confirmed by a connection attempt. When it was refused, any open connection to the endpoint counted as a sign of life, and the connections that earlier checks had left were idle and not read, so that their ends were not noticed.

An endpoint that refuses connections is alive only if something is read from it after that, on a connection that is still open 50 ms later. It has ended if no connection is left. Otherwise nothing is known after 300 ms and the answer counts as broken off.

--- a/source/connection/endpoint_connection.cc
+++ b/source/connection/endpoint_connection.cc
@@ -76,6 +76,9 @@
                           if (!failed) {
                             self->is_open_ = true;
                             self->SetOptions();
+                            // Without a read the end of a connection that
+                            // carries no call would not be noticed.
+                            self->ReadNext();
                           }
                           done(!failed);
                         });
@@ -162,6 +165,7 @@
     OnEnd(error);
     return;
   }
+  bytes_read_ += bytes;
   if (!in_call_) {
     // Bytes that belong to no call make the connection unusable.
     Shutdown();
--- a/source/connection/endpoint_connection.h
+++ b/source/connection/endpoint_connection.h
@@ -20,8 +20,9 @@
 namespace marjoramsill {
 
 /// One HTTP/1.1 connection to an endpoint, with one call at a time. Used on the
-/// thread of its I/O context only. It is also read while it is idle, to detect
-/// its end or unexpected bytes before it is reused.
+/// thread of its I/O context only. It is read from the moment it is
+/// established, also while it is idle, to detect its end or unexpected bytes
+/// before a call.
 class endpoint_connection
     : public std::enable_shared_from_this<endpoint_connection> {
  public:
@@ -55,6 +56,8 @@
   /// Checks an idle connection for an end or unexpected bytes that have arrived
   /// but were not read yet. Returns whether it can be used.
   bool CheckIdle();
+  /// Bytes read since the connection was established.
+  std::uint64_t bytes_read() const { return bytes_read_; }
   const socket_address& remote() const { return remote_; }
   /// When the connection was established: it leads to the process that had the
   /// address then.
@@ -102,6 +105,7 @@
   /// earlier request arrived and later responses may be out of order.
   bool close_after_call_ = false;
   bool reading_ = false;
+  std::uint64_t bytes_read_ = 0;
   steady_time opened_at_;
   steady_time idle_since_;
   std::chrono::milliseconds idle_limit_;
--- a/source/connection/endpoint_connection_pool.cc
+++ b/source/connection/endpoint_connection_pool.cc
@@ -60,14 +60,18 @@
   return connection;
 }
 
-bool endpoint_connection_pool::HasOpen(const endpoint_id& endpoint) const {
+std::vector<std::shared_ptr<endpoint_connection>>
+endpoint_connection_pool::OpenConnections(const endpoint_id& endpoint) const {
+  std::vector<std::shared_ptr<endpoint_connection>> open;
   const auto found = all_.find(endpoint);
-  if (found == all_.end()) return false;
-  return std::any_of(found->second.begin(), found->second.end(),
-                     [](const auto& each) {
-                       const auto connection = each.lock();
-                       return connection && connection->is_open();
-                     });
+  if (found == all_.end()) return open;
+  for (const auto& each : found->second) {
+    auto connection = each.lock();
+    if (connection && connection->is_open()) {
+      open.push_back(std::move(connection));
+    }
+  }
+  return open;
 }
 
 void endpoint_connection_pool::Release(
--- a/source/connection/endpoint_connection_pool.h
+++ b/source/connection/endpoint_connection_pool.h
@@ -41,8 +41,9 @@
     const auto found = idle_.find(endpoint);
     return found != idle_.end() && !found->second.empty();
   }
-  /// True if any connection to the endpoint is established, idle or in use.
-  bool HasOpen(const endpoint_id& endpoint) const;
+  /// The established connections to the endpoint, idle or in use.
+  std::vector<std::shared_ptr<endpoint_connection>> OpenConnections(
+      const endpoint_id& endpoint) const;
   /// Returns a connection to the pool after a call; closes it if it cannot be
   /// reused.
   void Release(const endpoint_id& endpoint,
--- a/source/process/entry/endpoint_end_check.cc
+++ b/source/process/entry/endpoint_end_check.cc
@@ -1,8 +1,7 @@
 #include "process/entry/endpoint_end_check.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
-#include <chrono>
-#include <memory>
 #include <utility>
 
 #include "connection/endpoint_connection.h"
@@ -19,6 +18,10 @@
 constexpr milliseconds kCheckDelay{10};
 /// Without an answer to the connection attempt nothing is known.
 constexpr milliseconds kConnectTimeout{300};
+/// Time between connection attempts while other connections are open. What had
+/// arrived before the end is read, and the end noticed, in a fraction of it.
+constexpr milliseconds kRetryInterval{50};
+constexpr int kMaxRefusals = 6;
 
 }  // namespace
 
@@ -38,7 +41,12 @@
   if (done) check.done.push_back(std::move(done));
   if (!is_new) return;
   check.endpoint = endpoint;
-  auto timer = std::make_shared<asio::steady_timer>(io_, kCheckDelay);
+  ConnectAfter(kCheckDelay, run);
+}
+
+void endpoint_end_check::ConnectAfter(milliseconds delay,
+                                      endpoint_run_digest run) {
+  auto timer = std::make_shared<asio::steady_timer>(io_, delay);
   timer->async_wait([this, timer, run](std::error_code error) {
     if (!error) Connect(run);
   });
@@ -57,12 +65,42 @@
     timeout->cancel();
     const auto found = open_.find(run);
     if (found == open_.end()) return;
-    const endpoint_id& id = found->second.endpoint.id;
-    // An endpoint with too many connections resets new ones.
-    const bool is_alive = connected || connections_.HasOpen(id);
-    if (connected) connections_.Release(id, connection, SteadyNow());
-    Finish(run, is_alive ? endpoint_end_finding::kAlive
-                         : endpoint_end_finding::kEnded);
+    if (!connected) {
+      OnRefused(run);
+      return;
+    }
+    connections_.Release(found->second.endpoint.id, connection, SteadyNow());
+    Finish(run, endpoint_end_finding::kAlive);
+  });
+}
+
+void endpoint_end_check::OnRefused(endpoint_run_digest run) {
+  open_check& check = open_[run];
+  const auto open = connections_.OpenConnections(check.endpoint.id);
+  if (open.empty()) {
+    Finish(run, endpoint_end_finding::kEnded);
+    return;
+  }
+  if (HasReadMore(check.marks)) {
+    Finish(run, endpoint_end_finding::kAlive);
+    return;
+  }
+  if (++check.refusals == kMaxRefusals) {
+    Finish(run, endpoint_end_finding::kUnknown);
+    return;
+  }
+  check.marks.clear();
+  for (const auto& connection : open) {
+    check.marks.push_back({connection, connection->bytes_read()});
+  }
+  ConnectAfter(kRetryInterval, run);
+}
+
+bool endpoint_end_check::HasReadMore(const std::vector<read_mark>& marks) {
+  return std::any_of(marks.begin(), marks.end(), [](const read_mark& mark) {
+    const auto connection = mark.connection.lock();
+    return connection && connection->is_open() &&
+           connection->bytes_read() > mark.bytes_read;
   });
 }
 
--- a/source/process/entry/endpoint_end_check.h
+++ b/source/process/entry/endpoint_end_check.h
@@ -2,9 +2,11 @@
 #define MARJORAMSILL_PROCESS_ENTRY_ENDPOINT_END_CHECK_H_
 
 #include <asio/io_context.hpp>
-#include <cstddef>
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <vector>
 
 #include "process/directory/content_fault.h"
@@ -13,12 +15,14 @@
 
 namespace marjoramsill {
 
+class endpoint_connection;
 class endpoint_connection_pool;
 
-/// Finds out whether an endpoint has ended that closed a connection: nothing
-/// accepts connections at its address, and all others have ended as well. A
-/// connection that breaks on the network, or that an endpoint closes in the
-/// middle of an answer, is no end. Used on the thread of the entry process.
+/// Finds out whether an endpoint has ended that closed a connection. It is
+/// alive if it accepts a connection, or if anything is read from it after it
+/// refused one: an endpoint with too many connections resets new ones. It has
+/// ended if it refuses connections and all others have ended as well. An open
+/// connection alone shows nothing. Used on the thread of the entry process.
 class endpoint_end_check {
  public:
   /// Receives an endpoint that has ended and the parts that may be the cause.
@@ -37,13 +41,25 @@
              const std::vector<content_digest>& suspects, finding_hook done);
 
  private:
+  /// What was read from a connection when the endpoint refused another one.
+  struct read_mark {
+    std::weak_ptr<endpoint_connection> connection;
+    std::uint64_t bytes_read = 0;
+  };
+
   struct open_check {
     endpoint_record endpoint;
     std::vector<content_digest> suspects;
     std::vector<finding_hook> done;
+    std::vector<read_mark> marks;
+    /// Refused connection attempts.
+    int refusals = 0;
   };
 
+  void ConnectAfter(std::chrono::milliseconds delay, endpoint_run_digest run);
   void Connect(endpoint_run_digest run);
+  void OnRefused(endpoint_run_digest run);
+  static bool HasReadMore(const std::vector<read_mark>& marks);
   void Finish(endpoint_run_digest run, endpoint_end_finding finding);
 
   asio::io_context& io_;
--- a/tests/operations/broken_answer_test.cc
+++ b/tests/operations/broken_answer_test.cc
@@ -26,6 +26,9 @@
   CPPUNIT_TEST(answer_reset_at_every_byte_is_never_complete);
   CPPUNIT_TEST(head_closed_at_every_byte_is_never_complete);
   CPPUNIT_TEST(answer_of_endpoint_that_ended_is_never_complete);
+  CPPUNIT_TEST(
+      answer_of_ended_endpoint_beside_idle_connections_is_not_complete);
+  CPPUNIT_TEST(answer_of_endpoint_that_refuses_connections_is_complete);
   CPPUNIT_TEST(broken_answer_without_chunks_is_reset_for_its_caller);
   CPPUNIT_TEST_SUITE_END();
 
@@ -92,6 +95,26 @@
     }
   }
 
+  /// Overlapping answers that end with their connection. The check of each end
+  /// leaves an idle connection to the endpoint.
+  void LeaveIdleConnections() {
+    constexpr int kAnswers = 4;
+    constexpr milliseconds kBetweenAnswers{40};
+    endpoint_->SetAnswer({std::string(kHead) + "\r\ndata: a\n\n",
+                          "",
+                          raw_end::kClose,
+                          "",
+                          {"data: b\n\n"},
+                          kAnswers * kBetweenAnswers});
+    int complete = 0;
+    for (int i = 0; i < kAnswers; ++i) {
+      Send(0, "/raw-ask/", "idle" + std::to_string(++number_), {},
+           [&complete](int status) { complete += status == 200 ? 1 : 0; });
+      RunFor(kBetweenAnswers);
+    }
+    CPPUNIT_ASSERT(RunUntil([&complete] { return complete == kAnswers; }));
+  }
+
   struct old_response {
     std::string bytes;
     bool is_reset = false;
@@ -186,6 +209,33 @@
     }
   }
 
+  // Guards against an idle connection that counts as a sign of life, although
+  // nobody has read its end.
+  void answer_of_ended_endpoint_beside_idle_connections_is_not_complete() {
+    for (const char* path : {"/raw-stream/", "/raw-book/"}) {
+      LeaveIdleConnections();
+      CheckAnswer(
+          path,
+          {std::string(kHead) + "\r\ndata: a\n\n", "", raw_end::kProcessEnd},
+          false);
+      endpoint_->Restart();
+    }
+  }
+
+  // Guards against a whole answer that counts as broken off, because its
+  // endpoint has too many connections to accept another one.
+  void answer_of_endpoint_that_refuses_connections_is_complete() {
+    LeaveIdleConnections();
+    const std::string begin = std::string(kHead) + "\r\ndata: a\n\n";
+    endpoint_->SetAnswer(
+        {begin, "data: b\n\n", raw_end::kClose, "", {}, milliseconds(20)});
+    Send(0, "/raw-stream/", "other" + std::to_string(++number_), {},
+         [](int /*status*/) {});
+    RunFor(milliseconds(100));
+    endpoint_->StopListening();
+    CheckAnswer("/raw-stream/", {begin, "", raw_end::kClose}, true);
+  }
+
   // Guards against a broken stream that ends like a whole one for a caller
   // whose response ends with its connection.
   void broken_answer_without_chunks_is_reset_for_its_caller() {
--- a/tests/operations/raw_endpoint.h
+++ b/tests/operations/raw_endpoint.h
@@ -57,7 +57,9 @@
   void SetAnswers(std::vector<raw_answer> answers);
   /// Requests that have arrived.
   int request_count() const { return request_count_; }
-  /// Listens again after the end of its process.
+  /// Refuses new connections; those that are open go on.
+  void StopListening() { acceptor_.reset(); }
+  /// Listens again after the end of its process or StopListening().
   void Restart();
 
  private:
