replication: name in each record what was durable before it

Cause: a damaged record counted as a torn write only if no valid record followed. But the entries of one append request, all writes that are queued, and header, state and entry of a new segment share a sync, and each of them may be lost, kept or torn on its own.

Change: state and entry records name how many bytes of their segment were durable when they were written. Damage behind that point is cut, with all that follows; damage before it is refused. The number stands after the known fields, so builds without it read the records; records without it count as before. A header with version 0 is a torn one, not an unknown format.

Failing before: memory_disk::LosePower kept a prefix; it now keeps, loses or tears each write in every file.

Checks: store_torn_tail_is_truncated and the flipped bytes of earlier segments stay as they are; flipped bytes of durable records in the last segment and a segment of an earlier build are new.

--- a/source/process/replication/log_store.cc
+++ b/source/process/replication/log_store.cc
@@ -31,16 +31,28 @@
   return {storage_error_kind::kCorrupt, file, offset, std::move(detail)};
 }
 
-/// Distinguishes damage from a torn write, after which no valid record follows.
-bool HasRecordAfter(std::string_view bytes, std::uint64_t segment,
-                    std::size_t offset) {
+/// True if a record behind `offset` shows that the bytes at `offset` were
+/// durable when it was written. Otherwise they belong to a write that was lost
+/// with the power, while a later one was kept.
+bool WasSynced(std::string_view bytes, std::uint64_t segment,
+               std::size_t offset) {
   for (std::size_t i = offset + 1; i + kRecordHeaderBytes <= bytes.size();
        ++i) {
-    if (ReadRecord(bytes, segment, i)) return true;
+    const auto record = ReadRecord(bytes, segment, i);
+    if (!record) continue;
+    const bool names_synced_bytes = record->type == record_type::kState ||
+                                    record->type == record_type::kEntry;
+    if (!names_synced_bytes) continue;
+    // A record of an earlier build, whose writes since the last sync cannot be
+    // told from those before, counts as evidence.
+    const auto synced = DecodeSyncedBytes(*record);
+    if (!synced || *synced > offset) return true;
   }
   return false;
 }
 
+std::string EncodeNothing(std::uint64_t /*synced*/) { return {}; }
+
 /// Replays one record into `state`. Returns the reason if the record is invalid
 /// at this position.
 std::optional<std::string> Replay(const record_view& record,
@@ -139,16 +151,15 @@
                                  "segment format"});
   }
   if (header == header_state::kDamaged) {
-    // A segment whose creation was interrupted contains no records.
-    const bool torn = last && !HasRecordAfter(data, number, 0);
+    const bool torn = last && !WasSynced(data, number, 0);
     if (!torn) return failure(CorruptionError(name, 0, "damaged header"));
     return folder_.Remove(name);
   }
-  segment read{number, data.size(), log_index()};
+  segment read{number, data.size(), log_index(), 0};
   auto end = ReadRecords(data, read, state);
   if (!end) return failure(end.error());
   if (end.value() < data.size()) {
-    if (!last || HasRecordAfter(data, number, end.value())) {
+    if (!last || WasSynced(data, number, end.value())) {
       return failure(CorruptionError(name, end.value(), "damaged record"));
     }
     auto cut = folder_.Truncate(name, end.value());
@@ -158,6 +169,7 @@
     auto synced = folder_.Sync(name);
     if (!synced) return failure(synced.error());
   }
+  read.synced = read.bytes;
   segments_.push_back(read);
   return success();
 }
@@ -198,38 +210,54 @@
   }
   if (!replaced) return success();
   entries.clear();
-  auto reset = AppendRecord(record_type::kReset, {});
+  auto reset = AppendRecord(record_type::kReset, EncodeNothing);
   if (!reset) return reset;
   return SyncRecords();
 }
 
 result<void, storage_error> log_store::StartSegment() {
   if (!segments_.empty()) {
-    // Only the last segment may have a torn tail.
+    // Only the last segment may hold writes that are not durable.
     auto synced = folder_.Sync(SegmentName(segments_.back().number));
     if (!synced) return synced;
+    segments_.back().synced = segments_.back().bytes;
   }
   const std::uint64_t number =
       segments_.empty() ? 1 : segments_.back().number + 1;
   auto written =
       folder_.Append(SegmentName(number), EncodeSegmentHeader(number));
   if (!written) return written;
-  segments_.push_back({number, kSegmentHeaderBytes, log_index()});
+  segments_.push_back({number, kSegmentHeaderBytes, log_index(), 0});
   dirty_ = true;
   // Each segment starts with the hard state, so that older segments can be
   // removed.
-  return AppendRecord(record_type::kState, EncodeState(state_));
+  return AppendState();
+}
+
+result<void, storage_error> log_store::AppendState() {
+  return AppendRecord(record_type::kState, [this](std::uint64_t synced) {
+    return EncodeState(state_, synced);
+  });
+}
+
+result<void, storage_error> log_store::AppendEntry(const log_entry& entry) {
+  auto written = AppendRecord(
+      record_type::kEntry,
+      [&entry](std::uint64_t synced) { return EncodeLogEntry(entry, synced); });
+  if (!written) return written;
+  segments_.back().last = std::max(segments_.back().last, entry.index);
+  return success();
 }
 
 result<void, storage_error> log_store::AppendRecord(
-    record_type type, const std::string& payload) {
+    record_type type, const payload_encoder& encode) {
   if (segments_.empty() || segments_.back().bytes >= segment_bytes_) {
     auto started = StartSegment();
     if (!started) return started;
   }
   segment& active = segments_.back();
   const std::string record =
-      EncodeRecord(type, payload, active.number, active.bytes);
+      EncodeRecord(type, encode(active.synced), active.number, active.bytes);
   auto written = folder_.Append(SegmentName(active.number), record);
   if (!written) return written;
   active.bytes += record.size();
@@ -263,23 +291,24 @@
     if (!replaced) return replaced;
   }
   if (writes.reset_log) {
-    auto reset = AppendRecord(record_type::kReset, {});
+    auto reset = AppendRecord(record_type::kReset, EncodeNothing);
     if (!reset) return reset;
   }
   if (writes.truncate_from) {
-    auto cut = AppendRecord(record_type::kTruncate,
-                            EncodeIndex(*writes.truncate_from));
+    const log_index from = *writes.truncate_from;
+    auto cut = AppendRecord(record_type::kTruncate, [from](std::uint64_t) {
+      return EncodeIndex(from);
+    });
     if (!cut) return cut;
   }
   if (writes.state) {
     state_ = *writes.state;
-    auto written = AppendRecord(record_type::kState, EncodeState(state_));
+    auto written = AppendState();
     if (!written) return written;
   }
   for (const log_entry& entry : writes.entries) {
-    auto written = AppendRecord(record_type::kEntry, EncodeLogEntry(entry));
+    auto written = AppendEntry(entry);
     if (!written) return written;
-    segments_.back().last = std::max(segments_.back().last, entry.index);
   }
   if (writes.compact_before) remove_before_ = writes.compact_before;
   return success();
@@ -289,6 +318,7 @@
   if (dirty_) {
     auto synced = folder_.Sync(SegmentName(segments_.back().number));
     if (!synced) return synced;
+    segments_.back().synced = segments_.back().bytes;
     dirty_ = false;
   }
   return RemoveSegments();
--- a/source/process/replication/log_store.h
+++ b/source/process/replication/log_store.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -14,7 +15,11 @@
 namespace marjoramsill {
 
 /// Durable state of one group in one folder: segment files of checksummed
-/// records and one snapshot file. Any error is fatal to the member.
+/// records and one snapshot file. Any error is fatal to the member. After a
+/// loss of power each write since the last sync may be present, missing or
+/// torn, so a state or entry record names how far its segment was durable when
+/// it was written: damage behind that point is cut, damage before it is an
+/// error.
 class log_store {
  public:
   /// The folder must outlive the store. A new segment is started when the last
@@ -22,8 +27,8 @@
   explicit log_store(file_folder& folder,
                      std::size_t segment_bytes = std::size_t{4} * 1024 * 1024);
 
-  /// Reads the stored state, truncates a torn tail and syncs the rest, because
-  /// a killed process may have left unsynced records.
+  /// Reads the stored state, cuts what was not durable at a loss of power and
+  /// syncs the rest, because a killed process may have left unsynced records.
   result<stored_state, storage_error> Open();
   /// Performs the writes. They are durable after the next Sync.
   result<void, storage_error> Write(const storage_writes& writes);
@@ -35,7 +40,12 @@
     std::size_t bytes = 0;
     /// Greatest entry index in the segment.
     log_index last;
+    /// Bytes that are durable.
+    std::size_t synced = 0;
   };
+  /// Returns the payload of a record in a segment with so many durable bytes.
+  using payload_encoder = std::function<std::string(std::uint64_t synced)>;
+
   result<void, storage_error> ReadSnapshot(stored_state& state);
   result<void, storage_error> ReadSegment(std::uint64_t number, bool last,
                                           stored_state& state);
@@ -46,8 +56,10 @@
                                                  stored_state& state);
   result<void, storage_error> Reconcile(stored_state& state);
   result<void, storage_error> StartSegment();
+  result<void, storage_error> AppendState();
+  result<void, storage_error> AppendEntry(const log_entry& entry);
   result<void, storage_error> AppendRecord(record_type type,
-                                           const std::string& payload);
+                                           const payload_encoder& encode);
   result<void, storage_error> WriteRecords(const storage_writes& writes);
   result<void, storage_error> SyncRecords();
   result<void, storage_error> RemoveSegments();
--- a/source/process/replication/storage_codec.cc
+++ b/source/process/replication/storage_codec.cc
@@ -12,6 +12,9 @@
 constexpr std::string_view kSegmentMagic = "MJSL";
 constexpr std::string_view kSnapshotMagic = "MJSS";
 constexpr std::size_t kSnapshotHeaderBytes = 16;
+/// Fields of the records before the number of synced bytes.
+constexpr std::uint32_t kStateFields = 4;
+constexpr std::uint32_t kEntryFields = 1;
 
 void PutNumber(std::string& out, std::uint64_t value, int bytes) {
   for (int i = 0; i < bytes; ++i) {
@@ -73,6 +76,8 @@
 header_state CheckMagic(std::string_view bytes, std::string_view magic) {
   if (bytes.substr(0, magic.size()) != magic) return header_state::kDamaged;
   const auto version = static_cast<unsigned char>(bytes[magic.size()]);
+  // No build writes version 0: it is what a torn write leaves.
+  if (version == 0) return header_state::kDamaged;
   return version == kStorageVersion ? header_state::kValid
                                     : header_state::kUnknownVersion;
 }
@@ -125,10 +130,11 @@
                      kRecordHeaderBytes + length};
 }
 
-std::string EncodeState(const hard_state& state) {
+std::string EncodeState(const hard_state& state,
+                        std::optional<std::uint64_t> synced_bytes) {
   msgpack::sbuffer buffer;
   packer out(buffer);
-  out.pack_array(4);
+  out.pack_array(kStateFields + (synced_bytes ? 1 : 0));
   out.pack_uint64(state.term.value());
   out.pack_uint64(state.starts);
   out.pack_array(state.voted_for ? 2 : 0);
@@ -140,6 +146,7 @@
     out.pack_uint64(known.number);
     out.pack_uint64(known.run);
   }
+  if (synced_bytes) out.pack_uint64(*synced_bytes);
   return BufferContent(buffer);
 }
 
@@ -169,11 +176,13 @@
   return state;
 }
 
-std::string EncodeLogEntry(const log_entry& entry) {
+std::string EncodeLogEntry(const log_entry& entry,
+                           std::optional<std::uint64_t> synced_bytes) {
   msgpack::sbuffer buffer;
   packer out(buffer);
-  out.pack_array(1);
+  out.pack_array(kEntryFields + (synced_bytes ? 1 : 0));
   PackEntry(out, entry);
+  if (synced_bytes) out.pack_uint64(*synced_bytes);
   return BufferContent(buffer);
 }
 
@@ -185,6 +194,29 @@
   return entry;
 }
 
+std::optional<std::uint64_t> DecodeSyncedBytes(const record_view& record) {
+  std::uint32_t position = 0;
+  if (record.type == record_type::kState) {
+    position = kStateFields;
+  } else if (record.type == record_type::kEntry) {
+    position = kEntryFields;
+  } else {
+    return std::nullopt;
+  }
+  try {
+    const msgpack::object_handle handle =
+        msgpack::unpack(record.payload.data(), record.payload.size());
+    const msgpack::object& array = handle.get();
+    if (array.type != msgpack::type::ARRAY) return std::nullopt;
+    if (array.via.array.size <= position) return std::nullopt;
+    const msgpack::object& number = array.via.array.ptr[position];
+    if (number.type != msgpack::type::POSITIVE_INTEGER) return std::nullopt;
+    return number.via.u64;
+  } catch (const msgpack::unpack_error&) {
+    return std::nullopt;
+  }
+}
+
 std::string EncodeIndex(log_index index) {
   std::string out;
   PutNumber(out, index.value(), 8);
--- a/source/process/replication/storage_codec.h
+++ b/source/process/replication/storage_codec.h
@@ -51,10 +51,17 @@
                                       std::uint64_t segment,
                                       std::size_t offset);
 
-std::string EncodeState(const hard_state& state);
+/// Payloads of state and entry records. `synced_bytes` is how many bytes of the
+/// segment were durable when the record was written; records of builds before
+/// it was introduced lack it, and those builds ignore it.
+std::string EncodeState(const hard_state& state,
+                        std::optional<std::uint64_t> synced_bytes = {});
 std::optional<hard_state> DecodeState(std::string_view bytes);
-std::string EncodeLogEntry(const log_entry& entry);
+std::string EncodeLogEntry(const log_entry& entry,
+                           std::optional<std::uint64_t> synced_bytes = {});
 std::optional<log_entry> DecodeLogEntry(std::string_view bytes);
+/// Empty if the record does not say it.
+std::optional<std::uint64_t> DecodeSyncedBytes(const record_view& record);
 std::string EncodeIndex(log_index index);
 std::optional<log_index> DecodeIndex(std::string_view bytes);
 
--- a/tests/replication/log_store_test.cc
+++ b/tests/replication/log_store_test.cc
@@ -1,7 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <random>
+
 #include "memory_disk.h"
 #include "process/replication/log_store.h"
+#include "process/replication/storage_codec.h"
 
 namespace marjoramsill {
 namespace {
@@ -60,6 +63,9 @@
   CPPUNIT_TEST_SUITE(log_store_test);
   CPPUNIT_TEST(store_reopened_returns_all_that_was_synced);
   CPPUNIT_TEST(store_torn_tail_is_truncated_and_writes_continue);
+  CPPUNIT_TEST(store_with_any_unsynced_write_lost_keeps_what_was_synced);
+  CPPUNIT_TEST(store_flipped_byte_in_synced_records_of_last_segment_is_refused);
+  CPPUNIT_TEST(store_segment_of_an_earlier_build_is_read_as_before);
   CPPUNIT_TEST(store_any_flipped_byte_before_the_tail_is_corruption);
   CPPUNIT_TEST(store_missing_segment_is_corruption);
   CPPUNIT_TEST(store_newer_format_is_refused);
@@ -109,6 +115,81 @@
     }
   }
 
+  // Guards against a member that never starts again because a write was lost
+  // with the power while a later one of the same sync was kept.
+  void store_with_any_unsynced_write_lost_keeps_what_was_synced() {
+    constexpr std::uint64_t kPowerLosses = 500;
+    // Small segments are created among the unsynced writes, large ones not.
+    for (const std::size_t segment_bytes : {300, 100'000}) {
+      for (std::uint64_t seed = 1; seed <= kPowerLosses; ++seed) {
+        std::mt19937_64 random(seed);
+        memory_disk disk = SampleDisk();
+        log_store store(disk, segment_bytes);
+        CPPUNIT_ASSERT(store.Open().has_value());
+        CPPUNIT_ASSERT(store.Write(Entries(41, 43)).has_value());
+        CPPUNIT_ASSERT(store.Sync().has_value());
+        storage_writes unsynced = Entries(44, 50);
+        unsynced.state = hard_state{log_term(8), std::nullopt, 5, {}};
+        CPPUNIT_ASSERT(store.Write(unsynced).has_value());
+        disk.LosePower([&random] { return random(); });
+        log_store reopened(disk, segment_bytes);
+        auto state = reopened.Open();
+        CPPUNIT_ASSERT_MESSAGE(
+            "seed " + std::to_string(seed) +
+                (state ? "" : ": " + state.error().file + state.error().detail),
+            state.has_value());
+        const std::uint64_t last = state.value().entries.back().index.value();
+        CPPUNIT_ASSERT(last >= 43 && last <= 50);
+        CPPUNIT_ASSERT(reopened.Write(Entries(last + 1, 51)).has_value());
+        CPPUNIT_ASSERT(reopened.Sync().has_value());
+        state = log_store(disk, segment_bytes).Open();
+        CPPUNIT_ASSERT(state.value().entries.back() == Entry(51, 1));
+      }
+    }
+  }
+
+  // Guards against damage to durable records that is taken for a loss of power.
+  void store_flipped_byte_in_synced_records_of_last_segment_is_refused() {
+    memory_disk sample = SampleDisk();
+    log_store store(sample, 100'000);
+    CPPUNIT_ASSERT(store.Open().has_value());
+    CPPUNIT_ASSERT(store.Write(Entries(41, 43)).has_value());
+    CPPUNIT_ASSERT(store.Sync().has_value());
+    const std::string last = LastSegment(sample);
+    const std::size_t synced = sample.files()[last].size();
+    CPPUNIT_ASSERT(store.Write(Entries(44, 44)).has_value());
+    for (std::size_t i = 0; i < synced; ++i) {
+      memory_disk disk = sample;
+      disk.files()[last][i] ^= 0x40;
+      const auto state = log_store(disk, 300).Open();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(i), !state.has_value());
+    }
+  }
+
+  // Guards against a build that takes damage in a segment of an earlier one,
+  // whose records do not name what was durable, for a loss of power.
+  void store_segment_of_an_earlier_build_is_read_as_before() {
+    const std::string name = "segment-00000000000000000001";
+    std::string segment = EncodeSegmentHeader(1);
+    const auto append = [&segment](record_type type,
+                                   const std::string& payload) {
+      segment += EncodeRecord(type, payload, 1, segment.size());
+    };
+    append(record_type::kState, EncodeState({}));
+    const std::size_t first = segment.size();
+    append(record_type::kEntry, EncodeLogEntry(Entry(2, 1)));
+    append(record_type::kEntry, EncodeLogEntry(Entry(3, 1)));
+    memory_disk disk;
+    disk.files()["snapshot"] = EncodeSnapshotFile(Snapshot(1, 1));
+    disk.files()[name] = segment;
+    auto state = log_store(disk).Open();
+    CPPUNIT_ASSERT(state.has_value());
+    CPPUNIT_ASSERT(state.value().entries.back() == Entry(3, 1));
+    disk.files()[name][first] ^= 0x40;
+    state = log_store(disk).Open();
+    CPPUNIT_ASSERT(state.error().kind == storage_error_kind::kCorrupt);
+  }
+
   // Guards against entries that are lost without an error.
   void store_any_flipped_byte_before_the_tail_is_corruption() {
     const memory_disk sample = SampleDisk();
--- a/tests/replication/memory_disk.cc
+++ b/tests/replication/memory_disk.cc
@@ -1,6 +1,34 @@
 #include "memory_disk.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace marjoramsill {
+namespace {
+
+/// Loses or tears some of the writes that begin at `starts`. What was lost
+/// reads as zeros, or the file is shorter if no later write was kept.
+void LoseWrites(std::string& bytes, const std::vector<std::size_t>& starts,
+                const random_source& random) {
+  enum class outcome { kKept, kLost, kTorn, kCount };
+  std::size_t kept_end = starts.front();
+  for (std::size_t i = 0; i < starts.size(); ++i) {
+    const std::size_t begin = starts[i];
+    const std::size_t end =
+        i + 1 < starts.size() ? starts[i + 1] : bytes.size();
+    const auto drawn = static_cast<outcome>(
+        random() % static_cast<std::uint64_t>(outcome::kCount));
+    std::size_t kept = begin;
+    if (drawn == outcome::kKept) kept = end;
+    if (drawn == outcome::kTorn) kept += random() % (end - begin + 1);
+    if (kept > begin) kept_end = kept;
+    std::fill(bytes.begin() + static_cast<std::ptrdiff_t>(kept),
+              bytes.begin() + static_cast<std::ptrdiff_t>(end), '\0');
+  }
+  if (random() % 2 == 0) bytes.resize(kept_end);
+}
+
+}  // namespace
 
 result<std::vector<std::string>, storage_error> memory_disk::List() {
   std::vector<std::string> names;
@@ -19,6 +47,7 @@
 
 result<void, storage_error> memory_disk::Append(const std::string& name,
                                                 std::string_view bytes) {
+  unsynced_[name].push_back(files_[name].size());
   files_[name] += bytes;
   return success();
 }
@@ -30,7 +59,8 @@
         storage_error{storage_error_kind::kSyncFailed, name, 0, "injected"});
   }
   ++syncs_;
-  synced_[name] = files_[name].size();
+  unsynced_.erase(name);
+  synced_names_.insert(name);
   return success();
 }
 
@@ -43,35 +73,35 @@
 result<void, storage_error> memory_disk::Replace(const std::string& name,
                                                  std::string_view bytes) {
   files_[name] = bytes;
-  synced_[name] = bytes.size();
+  unsynced_.erase(name);
+  synced_names_.insert(name);
   ++syncs_;
   return success();
 }
 
 result<void, storage_error> memory_disk::Remove(const std::string& name) {
   files_.erase(name);
-  synced_.erase(name);
+  unsynced_.erase(name);
+  synced_names_.erase(name);
   return success();
 }
 
 void memory_disk::LosePower(const random_source& random) {
   fail_sync_ = false;
-  for (auto it = files_.begin(); it != files_.end();) {
-    std::string& bytes = it->second;
-    const bool known = synced_.contains(it->first);
-    const std::size_t synced = known ? synced_[it->first] : 0;
-    const std::size_t lost = bytes.size() - synced;
-    if (!known && random() % 2 == 0) {
-      it = files_.erase(it);
+  const bool lose_all = random() % 4 == 0;
+  for (const auto& [name, starts] : std::exchange(unsynced_, {})) {
+    if (!synced_names_.contains(name) && random() % 2 == 0) {
+      files_.erase(name);
       continue;
     }
-    if (lost > 0) {
-      bytes.resize(synced + random() % (lost + 1));
-      if (bytes.size() > synced && random() % 2 == 0) bytes.back() ^= 0x55;
+    std::string& bytes = files_[name];
+    if (lose_all) {
+      bytes.resize(starts.front());
+    } else {
+      LoseWrites(bytes, starts, random);
     }
-    synced_[it->first] = bytes.size();
-    ++it;
   }
+  for (const auto& [name, bytes] : files_) synced_names_.insert(name);
 }
 
 }  // namespace marjoramsill
--- a/tests/replication/memory_disk.h
+++ b/tests/replication/memory_disk.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_TESTS_REPLICATION_MEMORY_DISK_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,8 +25,9 @@
                                       std::string_view bytes) override;
   result<void, storage_error> Remove(const std::string& name) override;
 
-  /// Keeps a random part of the unsynced bytes. Its last byte may be damaged,
-  /// as after a torn write.
+  /// Keeps each write since the last sync of its file, loses it or tears it,
+  /// independently of the others; at times all are lost. A file whose name was
+  /// never synced may be gone.
   void LosePower(const random_source& random);
   void FailNextSync() { fail_sync_ = true; }
 
@@ -34,7 +36,9 @@
 
  private:
   std::map<std::string, std::string> files_;
-  std::map<std::string, std::size_t> synced_;
+  /// Starts of the writes since the last sync of a file.
+  std::map<std::string, std::vector<std::size_t>> unsynced_;
+  std::set<std::string> synced_names_;
   bool fail_sync_ = false;
   int syncs_ = 0;
 };
--- a/tests/replication/storage_format_test.cc
+++ b/tests/replication/storage_format_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(snapshot_of_build_de27380_is_read_and_written_alike);
   CPPUNIT_TEST(stored_document_of_build_de27380_is_read_and_written_alike);
   CPPUNIT_TEST(segments_of_build_de27380_are_read_and_written_alike);
+  CPPUNIT_TEST(records_with_synced_bytes_are_read_by_build_de27380);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kCommand = "9194ce000111700300c40200ff";
@@ -76,6 +77,25 @@
     CPPUNIT_ASSERT_EQUAL(Bytes(kState), EncodeState(state));
   }
 
+  // Build de27380 reads the fields that it knows and ignores later ones, so the
+  // number of synced bytes must come after them.
+  void records_with_synced_bytes_are_read_by_build_de27380() {
+    const log_entry entry{log_index(6), log_term(2), entry_kind::kNoOperation,
+                          ""};
+    const std::string written = EncodeLogEntry(entry, 300);
+    CPPUNIT_ASSERT_EQUAL(Bytes("9294060201c400cd012c"), written);
+    CPPUNIT_ASSERT(DecodeLogEntry(written) == entry);
+    hard_state state;
+    state.term = log_term(9);
+    const std::string marked = EncodeState(state, 300);
+    const std::string plain = EncodeState(state);
+    CPPUNIT_ASSERT_EQUAL(plain.substr(1) + Bytes("cd012c"), marked.substr(1));
+    CPPUNIT_ASSERT(DecodeState(marked) == state);
+    CPPUNIT_ASSERT(DecodeSyncedBytes({record_type::kState, marked, 0}) ==
+                   std::uint64_t{300});
+    CPPUNIT_ASSERT(!DecodeSyncedBytes({record_type::kState, plain, 0}));
+  }
+
   void index_of_build_de27380_is_read_and_written_alike() {
     CPPUNIT_ASSERT(DecodeIndex(Bytes(kIndex)) == log_index(70'000));
     CPPUNIT_ASSERT_EQUAL(Bytes(kIndex), EncodeIndex(log_index(70'000)));
