controller: store acknowledged ends of endpoints on the disk

Cause: ends were kept in memory only, so that nobody who decides about records knew of one after a kill of all control processes. Also, an end that a control process records takes the next number among the heartbeats, which a late one may have as well; the first of the two that arrived won.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -19,10 +19,12 @@
 #include "process/controller/controller_status.h"
 #include "process/controller/document_service.h"
 #include "process/controller/document_store.h"
+#include "process/controller/ending_store.h"
 #include "process/controller/endpoint_service.h"
 #include "process/controller/node_start.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
+#include "process/controller/storage_failure.h"
 #include "process/controller/text_compression.h"
 #include "process/controller/watch_hub.h"
 #include "process/daemon/event_log.h"
@@ -34,6 +36,7 @@
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/watch_codec.h"
 #include "process/entry/decision_log.h"
+#include "process/replication/data_folder.h"
 #include "request/http_status.h"
 
 namespace marjoramsill {
@@ -125,16 +128,13 @@
   }
 
   result<void, start_error> Start() {
-    auto opened = document_store::Open(settings_, peers_, [this] {
-      asio::post(io_, [this] { OnDocumentChange(); });
-    });
-    if (!opened) return failure(std::move(opened).assume_error());
-    store_ = std::move(opened).assume_value();
+    if (auto opened = OpenStores(); !opened) return opened;
     documents_.emplace(
         dialect_, *store_, watcher_, settings_.link_mbps,
         [this](std::size_t bytes) { hub_.YieldLink(bytes, SteadyNow()); });
     const std::string address = FormatSocketAddress(*settings_.control);
-    endpoints_.emplace(dialect_, hub_, directory_, watcher_, address);
+    endpoints_.emplace(dialect_, hub_, directory_, watcher_, *endings_,
+                       address);
     http_server_settings http;
     http.listen = *settings_.control;
     http.on_invalid_request = [](std::string_view reason) {
@@ -177,6 +177,27 @@
   }
 
  private:
+  result<void, start_error> OpenStores() {
+    auto folder = data_folder::Open(settings_.data_folder, SystemRandom());
+    if (!folder) return failure(StartError(folder.assume_error()));
+    folder_ = std::move(folder).assume_value();
+    auto documents = document_store::Open(settings_, *folder_, peers_, [this] {
+      asio::post(io_, [this] { OnDocumentChange(); });
+    });
+    if (!documents) return failure(std::move(documents).assume_error());
+    store_ = std::move(documents).assume_value();
+    auto endings = ending_store::Open(
+        *folder_, {.post = [this](auto task) { asio::post(io_, task); },
+                   .current = [this] { return directory_.EndingsAfter(0); }});
+    if (!endings) return failure(std::move(endings).assume_error());
+    endings_ = std::move(endings).assume_value();
+    const steady_time now = SteadyNow();
+    for (const endpoint_record& record : endings_->stored()) {
+      directory_.Merge(record, now);
+    }
+    return success();
+  }
+
   void StartMetrics() {
     http_server_settings http;
     http.listen = *settings_.metrics;
@@ -447,7 +468,9 @@
   watch_hub hub_;
   control_watcher watcher_;
   settings_watch settings_watch_;
+  std::unique_ptr<data_folder> folder_;
   std::unique_ptr<document_store> store_;
+  std::unique_ptr<ending_store> endings_;
   std::optional<document_service> documents_;
   std::optional<endpoint_service> endpoints_;
   std::optional<http_server> server_;
--- a/source/process/controller/document_store.cc
+++ b/source/process/controller/document_store.cc
@@ -1,7 +1,6 @@
 #include "process/controller/document_store.h"
 
 #include <chrono>
-#include <cstdio>
 #include <cstdlib>
 #include <optional>
 #include <utility>
@@ -9,6 +8,7 @@
 #include "connection/peer_transport.h"
 #include "process/controller/document_group_settings.h"
 #include "process/controller/node_settings.h"
+#include "process/controller/storage_failure.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/raft_sender.h"
 #include "process/daemon/steady_clock.h"
@@ -23,29 +23,14 @@
 constexpr const char* kGroupName = "document";
 constexpr milliseconds kRaftTimeout{700};
 
-start_error ErrorOf(const storage_error& error) {
-  return {error.file, error.detail};
-}
-
-[[noreturn]] void ExitOnStorageError(const storage_error& error) {
-  // Written directly, because the process exits before the thread of the log
-  // would write it.
-  std::fprintf(stderr, "event=storage_failed file=%s detail=\"%s\"\n",
-               error.file.c_str(), error.detail.c_str());
-  std::_Exit(EXIT_FAILURE);
-}
-
 }  // namespace
 
 result<std::unique_ptr<document_store>, start_error> document_store::Open(
-    const node_settings& settings, peer_transport& peers,
+    const node_settings& settings, data_folder& folder, peer_transport& peers,
     std::function<void()> on_change) {
   std::unique_ptr<document_store> store(
       new document_store(peers, std::move(on_change)));
-  auto folder = data_folder::Open(settings.data_folder, SystemRandom());
-  if (!folder) return failure(ErrorOf(folder.assume_error()));
-  store->folder_ = std::move(folder).assume_value();
-  auto opened = store->OpenGroup(settings);
+  auto opened = store->OpenGroup(settings, folder);
   if (!opened) return failure(std::move(opened).assume_error());
   return store;
 }
@@ -65,15 +50,15 @@
 document_store::~document_store() { disk_.Stop(); }
 
 result<void, start_error> document_store::OpenGroup(
-    const node_settings& settings) {
-  auto folder = folder_->OpenGroup(kGroupName);
-  if (!folder) return failure(ErrorOf(folder.assume_error()));
-  group_folder_ = std::move(folder).assume_value();
+    const node_settings& settings, data_folder& folder) {
+  auto group_folder = folder.OpenGroup(kGroupName);
+  if (!group_folder) return failure(StartError(group_folder.assume_error()));
+  group_folder_ = std::move(group_folder).assume_value();
   auto store = std::make_unique<log_store>(*group_folder_);
   auto stored = store->Open();
-  if (!stored) return failure(ErrorOf(stored.assume_error()));
+  if (!stored) return failure(StartError(stored.assume_error()));
   raft_start start;
-  start.self = member_id{settings.vm, folder_->disk()};
+  start.self = member_id{settings.vm, folder.disk()};
   start.domain = settings.failure_domain;
   start.stored = std::move(stored).assume_value();
   start.peers = SeedVms(settings);
--- a/source/process/controller/document_store.h
+++ b/source/process/controller/document_store.h
@@ -18,6 +18,7 @@
 
 namespace marjoramsill {
 
+class data_folder;
 class peer_transport;
 struct node_settings;
 
@@ -30,7 +31,7 @@
 
   /// `on_change` is called on any thread after a document is committed here.
   static result<std::unique_ptr<document_store>, start_error> Open(
-      const node_settings& settings, peer_transport& peers,
+      const node_settings& settings, data_folder& folder, peer_transport& peers,
       std::function<void()> on_change);
   ~document_store();
   document_store(const document_store&) = delete;
@@ -54,14 +55,14 @@
 
  private:
   document_store(peer_transport& peers, std::function<void()> on_change);
-  result<void, start_error> OpenGroup(const node_settings& settings);
+  result<void, start_error> OpenGroup(const node_settings& settings,
+                                      data_folder& folder);
   group_machine Machine();
   void Send(const group_runner::messages& messages);
 
   peer_transport& peers_;
   const std::function<void()> on_change_;
   document_register register_;
-  std::unique_ptr<data_folder> folder_;
   std::unique_ptr<posix_folder> group_folder_;
   disk_writer disk_;
   std::unique_ptr<group_runner> group_;
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <utility>
 
+#include "process/controller/ending_store.h"
 #include "process/daemon/event_log.h"
 #include "process/directory/control_watcher.h"
 #include "process/directory/document_holder.h"
@@ -43,11 +44,13 @@
                                    watch_hub& hub,
                                    endpoint_directory& directory,
                                    const control_watcher& members,
+                                   ending_store& endings,
                                    std::string own_address)
     : dialect_(dialect),
       hub_(hub),
       directory_(directory),
       members_(members),
+      endings_(endings),
       own_address_(std::move(own_address)) {}
 
 void endpoint_service::Log(const endpoint_record& record) const {
@@ -84,6 +87,7 @@
   }
   if (directory_.ReceiveHeartbeat(record, now)) {
     Log(record);
+    if (IsLeavingOrEnded(record.phase)) endings_.Record(record);
     hub_.Notify(now);
   }
   if (record.phase == endpoint_phase::kReady) {
@@ -101,6 +105,7 @@
   }
   if (directory_.End(id, WallTime(), now)) {
     Log(*directory_.Find(id));
+    endings_.Record(*directory_.Find(id));
     hub_.Notify(now);
   }
   AcknowledgeEnd(id, done, now);
@@ -116,21 +121,26 @@
     done(kStatusUnavailable, "");
     return;
   }
-  const std::string body = dialect_.heartbeat_response(own_address_);
   hub_.AwaitApplied(
       directory_.last_change(), now + kAcknowledgeTimeout,
-      [id, done, body](bool applied) {
-        // Entry VMs that have not applied it by now are down or partitioned.
-        // They receive the change when they reconnect.
-        if (!applied) {
-          LogEvent(log_level::kWarning, "end_acknowledged_unseen",
-                   {{"endpoint", id.value()}});
-        }
-        done(kStatusOk, body);
+      [this, id, done](bool applied) {
+        endings_.WhenDurable(
+            [this, id, done, applied] { Respond(id, applied, done); });
       },
       now);
 }
 
+void endpoint_service::Respond(const endpoint_id& id, bool applied,
+                               const response_hook& done) const {
+  // Entry VMs that have not applied it by now are down or partitioned. They
+  // receive the change when they reconnect.
+  if (!applied) {
+    LogEvent(log_level::kWarning, "end_acknowledged_unseen",
+             {{"endpoint", id.value()}});
+  }
+  done(kStatusOk, dialect_.heartbeat_response(own_address_));
+}
+
 bool endpoint_service::IsInMajority(steady_time now) const {
   const std::size_t members = members_.members().size();
   return 2 * (members_.Reachable(now).size() + 1) > members;
@@ -140,7 +150,10 @@
                                  steady_time now) {
   // The process that received the heartbeat notifies the entry VMs. This
   // process only includes the change in its next watch response.
-  for (const endpoint_record& record : records) directory_.Merge(record, now);
+  for (const endpoint_record& record : records) {
+    const bool is_changed = directory_.Merge(record, now);
+    if (is_changed && IsLeavingOrEnded(record.phase)) endings_.Record(record);
+  }
 }
 
 void endpoint_service::Tick(steady_time now) {
--- a/source/process/controller/endpoint_service.h
+++ b/source/process/controller/endpoint_service.h
@@ -15,10 +15,12 @@
 namespace marjoramsill {
 
 class control_watcher;
+class ending_store;
 
 /// Handles the heartbeats and the announced ends of endpoints. An end is
 /// acknowledged only once every reachable entry VM has stopped sending requests
-/// to the endpoint. Must be used from the thread of the process.
+/// to the endpoint, and once it is on the disk of this process. Must be used
+/// from the thread of the process.
 class endpoint_service {
  public:
   /// Receives the HTTP status and the body of the response.
@@ -26,7 +28,8 @@
 
   endpoint_service(const control_dialect& dialect, watch_hub& hub,
                    endpoint_directory& directory,
-                   const control_watcher& members, std::string own_address);
+                   const control_watcher& members, ending_store& endings,
+                   std::string own_address);
 
   void OnHeartbeat(const endpoint_id& id, const std::string& body,
                    const response_hook& done, steady_time now);
@@ -38,6 +41,8 @@
  private:
   void AcknowledgeEnd(const endpoint_id& id, const response_hook& done,
                       steady_time now);
+  void Respond(const endpoint_id& id, bool applied,
+               const response_hook& done) const;
   /// More than half of the control group, including this process, was reachable
   /// recently.
   bool IsInMajority(steady_time now) const;
@@ -50,6 +55,7 @@
   watch_hub& hub_;
   endpoint_directory& directory_;
   const control_watcher& members_;
+  ending_store& endings_;
   const std::string own_address_;
 };
 
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -19,6 +19,14 @@
   return a.pool == b.pool && a.software == b.software;
 }
 
+/// An announced end counts whatever its number among the heartbeats: an end
+/// that was requested of a control process has no heartbeat of its own, and a
+/// late heartbeat may have the same number or a greater one.
+bool AnnouncesEnd(const endpoint_record& record, const endpoint_record& known) {
+  return record.incarnation == known.incarnation &&
+         IsLeavingOrEnded(record.phase) && record.phase > known.phase;
+}
+
 /// A record of an end may name only what identifies it.
 void Complete(endpoint_record& record, const endpoint_record& known) {
   const bool is_short =
@@ -66,7 +74,8 @@
   entry& known = found->second;
   if (!added) {
     Complete(record, known.record);
-    const bool newer = IsNewer(record, known.record);
+    const bool newer =
+        IsNewer(record, known.record) || AnnouncesEnd(record, known.record);
     const bool same_heartbeat =
         record.incarnation == known.record.incarnation &&
         record.sequence == known.record.sequence;
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -350,6 +350,26 @@
   return response;
 }
 
+std::string EncodeEndpointRecords(const std::vector<endpoint_record>& records) {
+  std::vector<record_fields> fields;
+  for (const endpoint_record& record : records) {
+    fields.push_back(ToFields(record));
+  }
+  return Pack(fields);
+}
+
+std::optional<std::vector<endpoint_record>> DecodeEndpointRecords(
+    std::string_view bytes) {
+  auto fields = Unpack<std::vector<record_fields>>(bytes);
+  if (!fields) return std::nullopt;
+  std::vector<endpoint_record> records;
+  for (record_fields& each : *fields) {
+    auto record = ToRecord(std::move(each));
+    if (record) records.push_back(std::move(*record));
+  }
+  return records;
+}
+
 std::string EncodeContentFaults(const std::vector<content_fault>& faults) {
   return Pack(ToFields(faults));
 }
--- a/source/process/directory/watch_codec.h
+++ b/source/process/directory/watch_codec.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "process/directory/content_fault.h"
+#include "process/directory/endpoint_record.h"
 #include "process/directory/watch_request.h"
 #include "process/directory/watch_response.h"
 
@@ -21,6 +22,11 @@
 std::string EncodeWatchResponse(const watch_response& response);
 std::optional<watch_response> DecodeWatchResponse(std::string_view bytes);
 
+/// Records alone, as a control process stores them.
+std::string EncodeEndpointRecords(const std::vector<endpoint_record>& records);
+std::optional<std::vector<endpoint_record>> DecodeEndpointRecords(
+    std::string_view bytes);
+
 /// Part faults that are sent at once, without a watch request.
 std::string EncodeContentFaults(const std::vector<content_fault>& faults);
 std::optional<std::vector<content_fault>> DecodeContentFaults(
--- a/tests/directory/endpoint_directory_test.cc
+++ b/tests/directory/endpoint_directory_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(first_heartbeat_is_a_change_and_the_next_is_not);
   CPPUNIT_TEST(late_heartbeat_of_an_earlier_incarnation_is_ignored);
   CPPUNIT_TEST(late_heartbeat_after_the_announced_end_is_ignored);
+  CPPUNIT_TEST(end_counts_after_a_late_heartbeat_with_a_greater_number);
   CPPUNIT_TEST(late_heartbeat_after_the_end_of_an_unknown_endpoint_is_ignored);
   CPPUNIT_TEST(end_of_an_unknown_endpoint_is_merged_into_other_directories);
   CPPUNIT_TEST(endpoint_restarted_with_the_same_id_becomes_ready);
@@ -57,6 +58,23 @@
   steady_time now_{milliseconds(1'000)};
 
  public:
+  // Guards against an endpoint that stays in use at a process which received a
+  // late heartbeat before the record of the end.
+  void end_counts_after_a_late_heartbeat_with_a_greater_number() {
+    for (const std::uint64_t sequence : {4, 5, 9}) {
+      endpoint_directory directory;
+      directory.ReceiveHeartbeat(MakeRecord("a", 100, sequence), now_);
+      endpoint_record ended = MakeRecord("a", 100, 5);
+      ended.phase = endpoint_phase::kEnded;
+      CPPUNIT_ASSERT(directory.Merge(ended, now_));
+      directory.Merge(Leaving(MakeRecord("a", 100, 20)), now_);
+      const endpoint_id id("a");
+      CPPUNIT_ASSERT(directory.Find(id)->phase == endpoint_phase::kEnded);
+      directory.ReceiveHeartbeat(MakeRecord("a", 101, 1), now_);
+      CPPUNIT_ASSERT(directory.Find(id)->phase == endpoint_phase::kReady);
+    }
+  }
+
   void first_heartbeat_is_a_change_and_the_next_is_not() {
     CPPUNIT_ASSERT(directory_.ReceiveHeartbeat(MakeRecord("e", 100, 1), now_));
     CPPUNIT_ASSERT(!directory_.ReceiveHeartbeat(MakeRecord("e", 100, 2), now_));
--- a/tests/operations/raw_endpoint.cc
+++ b/tests/operations/raw_endpoint.cc
@@ -196,7 +196,7 @@
   }
 }
 
-void raw_endpoint::SendHeartbeat() {
+std::string raw_endpoint::HeartbeatBody(int sequence) const {
   const nlohmann::json body{{"service", "raw"},
                             {"address", FormatSocketAddress(listen_)},
                             {"zone", "d0"},
@@ -204,10 +204,15 @@
                             {"slots", kSlots},
                             {"state", "ready"},
                             {"coldRemainingMs", 0},
-                            {"sequence", ++sequence_},
+                            {"sequence", sequence},
                             {"born", 1'700'000'000'000}};
+  return body.dump();
+}
+
+void raw_endpoint::SendHeartbeat() {
   soak::Call(io_, control_(),
-             soak::RequestText("PUT", "/instances/" + id_, {}, body.dump()),
+             soak::RequestText("PUT", "/instances/" + id_, {},
+                               HeartbeatBody(++sequence_)),
              kHeartbeatTimeout, [](const auto& /*response*/) {});
   heartbeat_.expires_after(kHeartbeatInterval);
   heartbeat_.async_wait([this](std::error_code error) {
--- a/tests/operations/raw_endpoint.h
+++ b/tests/operations/raw_endpoint.h
@@ -59,6 +59,11 @@
   int request_count() const { return request_count_; }
   /// Refuses new connections; those that are open go on.
   void StopListening() { acceptor_.reset(); }
+  /// Sends no heartbeat any more, as an endpoint that has signed off.
+  void StopHeartbeats() { heartbeat_.cancel(); }
+  /// A heartbeat with this number, as one that was on its way for long.
+  std::string HeartbeatBody(int sequence) const;
+  const std::string& id() const { return id_; }
   /// Listens again after the end of its process or StopListening().
   void Restart();
 
