connection: close after the last response only once it is sent

What callers saw: by reading and in a unit test, a response that is cut. Around SIGTERM every connection closes after its response, and one that was lingering was closed after a second although part of the response still waited for the caller to read.

Cause: "handed to the connection" stood for "sent". Change: the second counts from the moment at which everything was handed to the network; while the caller takes nothing, the connection is closed at its idle limit.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -254,9 +254,11 @@
   }
   while (written_ < output_.size()) {
     std::error_code error;
-    written_ += socket_.send(
+    const std::size_t sent = socket_.send(
         asio::buffer(output_.data() + written_, output_.size() - written_), 0,
         error);
+    written_ += sent;
+    if (sent > 0 && is_lingering_) idle_since_ = now_;
     if (error == asio::error::would_block) {
       WaitWritable();
       return;
@@ -294,7 +296,10 @@
   if (!is_open_) return;
   const auto idle = now - idle_since_;
   if (is_lingering_) {
-    if (idle > kLingerTime) Close();
+    // A caller that reads slowly still gets its whole response.
+    const std::chrono::milliseconds limit =
+        unsent_bytes() == 0 ? kLingerTime : limits.idle_timeout + kIdleMargin;
+    if (idle > limit) Close();
     return;
   }
   if (has_request_) return;
