entry: refuse late requests that cannot end before the process

Cause: a process that stops took every request while any of its connections was open, whether or not the request could end before the process.

Change: once it accepts no more connections (2.8 s after the signal) it takes a request only if the deadline or the time limit of the route comes before the end of the process, and refuses others at once as not run. A request that another entry process hands on is refused to that process, which can go elsewhere.

That the users' cases had this cause is suspected, not shown.

--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -83,6 +83,9 @@
   relay_table* relays = nullptr;
   /// Returns the number of entry VMs in the fleet, as last reported.
   std::function<std::uint32_t()> entry_count;
+  /// Returns when this process ends every request, if it stops so soon that new
+  /// ones may not end before.
+  std::function<std::optional<steady_time>()> process_end;
   std::function<steady_time()> clock;
   random_source random;
 };
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -197,6 +197,7 @@
     environment_.table = [this] {
       return is_serving_ ? table_ : std::shared_ptr<const routing_table>();
     };
+    environment_.process_end = [this] { return ProcessEnd(); };
     environment_.is_document_current = [this] {
       return proof_.IsCurrent(CurrentVersion(), SteadyNow());
     };
@@ -580,6 +581,13 @@
     metrics_.SetDroppedLines(log_.dropped());
   }
 
+  /// When all requests are ended, once no new ones are expected any more.
+  std::optional<steady_time> ProcessEnd() const {
+    if (!stopping_since_) return std::nullopt;
+    if (SteadyNow() - *stopping_since_ < kDrainDelay) return std::nullopt;
+    return *stopping_since_ + settings_.grace - kStopMargin;
+  }
+
   /// Continues the shutdown. Returns true when all work has ended.
   bool ContinueStop(steady_time now) {
     const auto since = now - *stopping_since_;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -98,6 +98,7 @@
   }
   if (!FindRoute() || !FindWorkspace()) return;
   SetDeadline();
+  if (RefuseLate()) return;
   if (route_->uses_prefix_cache) {
     demand_ = environment_.dialect.read_demand(message_.fields);
   }
@@ -111,6 +112,19 @@
   }
 }
 
+/// A process that stops takes a late request only if it can end before the
+/// process does. Another one can still run it.
+bool proxied_call::RefuseLate() {
+  const std::optional<steady_time> end = environment_.process_end();
+  if (!end || deadline_ <= *end) return false;
+  if (terms_) {
+    RefuseRelay("stopping");
+  } else {
+    Refuse("stopping", kMinRetryAfterMs);
+  }
+  return true;
+}
+
 bool proxied_call::ResumesStream() const {
   const http_field* last =
       FindField(message_.fields, environment_.dialect.last_event_id);
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -101,6 +101,7 @@
   bool FindRoute();
   bool FindWorkspace();
   void SetDeadline();
+  bool RefuseLate();
   /// Identifies what is asked, and by whom; equal for a repeated request.
   content_digest Digest() const;
   request_content Content() const;
--- a/tests/operations/planned_stop_test.cc
+++ b/tests/operations/planned_stop_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(request_that_arrives_in_two_parts_gets_its_answer);
   CPPUNIT_TEST(request_in_the_packet_of_the_one_before_gets_its_answer);
   CPPUNIT_TEST(caller_that_reads_slowly_gets_its_whole_answer);
+  CPPUNIT_TEST(request_that_cannot_end_before_the_process_is_refused);
+  CPPUNIT_TEST(late_request_that_ends_before_the_process_is_served);
   CPPUNIT_TEST(steady_load_gets_all_answers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -107,6 +109,37 @@
            ": 2500\r\nContent-Length: 0\r\n\r\n";
   }
 
+  /// Sends the head of a request before the process stops listening, and the
+  /// end of the body this long after the signal.
+  std::shared_ptr<caller> SendLate(const std::string& path, milliseconds end) {
+    constexpr milliseconds kBegin{2'300};
+    const std::string body = "late body";
+    std::string head = Request(path);
+    const std::string no_body = "Content-Length: 0";
+    head.replace(head.find(no_body), no_body.size(),
+                 "Content-Length: " + std::to_string(body.size()));
+    const auto made = Connect();
+    made->Read();
+    Stop();
+    RunFor(kBegin);
+    made->Write(head + body.substr(0, 4));
+    RunFor(end - kBegin);
+    made->Write(body.substr(4));
+    CPPUNIT_ASSERT(RunUntil([&made] { return made->has_ended(); }));
+    return made;
+  }
+
+  void StartRawEndpoint(const raw_answer& answer) {
+    raw_ = std::make_unique<raw_endpoint>(
+        io_, socket_address{"127.0.2.9", kPort + 9},
+        [this] { return fleet_->ControlNodes()[0]->control; });
+    raw_->SetAnswer({"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", ""});
+    CPPUNIT_ASSERT(RunUntil([this] {
+      return Status(0, "/raw-ask/", "raw" + std::to_string(++number_)) == 500;
+    }));
+    raw_->SetAnswer(answer);
+  }
+
   std::shared_ptr<caller> Connect() {
     auto made = std::make_shared<caller>(io_);
     if (!made->Connect(Entry())) return nullptr;
@@ -211,6 +244,34 @@
     CPPUNIT_ASSERT(made->received().size() > kLongBody);
   }
 
+  // Guards against a request that is passed on so late that its answer is cut
+  // off at the end of the process.
+  void request_that_cannot_end_before_the_process_is_refused() {
+    constexpr milliseconds kTooLate{5'800};
+    StartRawEndpoint(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: raw\r\n"
+         "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+         "",
+         raw_end::kClose,
+         "",
+         {"id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n",
+          "id: 5\ndata: e\n\n"},
+         milliseconds(450)});
+    const int before = raw_->request_count();
+    const auto made = SendLate("/raw-stream/", kTooLate);
+    CPPUNIT_ASSERT_MESSAGE(made->received(),
+                           made->received().starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT_EQUAL(before, raw_->request_count());
+  }
+
+  // Guards against a refusal of requests that still get their answer.
+  void late_request_that_ends_before_the_process_is_served() {
+    constexpr milliseconds kLate{4'000};
+    const auto made = SendLate("/look/", kLate);
+    CPPUNIT_ASSERT_MESSAGE(made->received(),
+                           made->received().starts_with("HTTP/1.1 200 "));
+  }
+
   // Guards against requests that end without an answer around a planned stop,
   // whatever phase they are in.
   void steady_load_gets_all_answers() {
