--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -352,6 +352,7 @@
 
 std::string EncodeEndpointRecords(const std::vector<endpoint_record>& records) {
   std::vector<record_fields> fields;
+  fields.reserve(records.size());
   for (const endpoint_record& record : records) {
     fields.push_back(ToFields(record));
   }
--- a/tests/operations/broken_answer_test.cc
+++ b/tests/operations/broken_answer_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(event_stream_on_plain_route_is_complete_only_after_an_event);
   CPPUNIT_TEST(answer_reset_at_every_byte_is_never_complete);
   CPPUNIT_TEST(head_closed_at_every_byte_is_never_complete);
+  CPPUNIT_TEST(framed_answer_closed_at_every_byte_is_never_complete);
   CPPUNIT_TEST(answer_of_endpoint_that_ended_is_never_complete);
   CPPUNIT_TEST(
       answer_of_ended_endpoint_beside_idle_connections_is_not_complete);
@@ -193,6 +194,24 @@
     }
   }
 
+  // Guards against an empty or short body that looks complete, because the
+  // endpoint closed in the middle of a head, of a length or of a chunk.
+  void framed_answer_closed_at_every_byte_is_never_complete() {
+    const std::string head = kHead;
+    const std::string event = "data: a\n\n";
+    for (const std::string& whole :
+         {head + "Content-Length: 9\r\n\r\n" + event,
+          head + "Transfer-Encoding: chunked\r\n\r\n9\r\n" + event +
+              "\r\n0\r\n\r\n"}) {
+      for (const char* path : {"/raw-ask/", "/raw-book/", "/raw-stream/"}) {
+        for (std::size_t i = 1; i < whole.size(); ++i) {
+          CheckAnswer(path, {whole.substr(0, i), "", raw_end::kClose}, false);
+        }
+        CheckAnswer(path, {whole, "", raw_end::kClose}, true);
+      }
+    }
+  }
+
   // Guards against an answer that looks complete although its endpoint ended
   // between two events, or in the middle of a plain body.
   void answer_of_endpoint_that_ended_is_never_complete() {
