controller: keep running when an end cannot be written

Cause: ending_store took over the rule of the replicated log, for which a failed write is fatal. The ends need no such rule: every control process stores them.

Change: after an error of its disk the store writes nothing more until the next start, logs ending_store_failed, and ends are acknowledged as before the store.

--- a/source/process/controller/ending_store.cc
+++ b/source/process/controller/ending_store.cc
@@ -1,5 +1,6 @@
 #include "process/controller/ending_store.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 
@@ -53,16 +54,19 @@
 ending_store::ending_store(hooks callbacks)
     : hooks_(std::move(callbacks)),
       disk_(
-          [this, alive = std::weak_ptr<bool>(is_alive_)](std::uint32_t /*log*/,
-                                                         std::uint64_t ticket) {
-            hooks_.post([this, alive, ticket] {
-              if (!alive.expired()) OnSynced(ticket);
-            });
+          [this](std::uint32_t /*log*/, std::uint64_t ticket) {
+            Post([this, ticket] { OnSynced(ticket); });
           },
-          [](std::uint32_t /*log*/, const storage_error& error) {
-            ExitOnStorageError(error);
+          [this](std::uint32_t /*log*/, const storage_error& error) {
+            Post([this, error] { OnFailed(error); });
           }) {}
 
+void ending_store::Post(std::function<void()> task) {
+  hooks_.post([alive = std::weak_ptr<bool>(is_alive_), task = std::move(task)] {
+    if (!alive.expired()) task();
+  });
+}
+
 ending_store::~ending_store() { disk_.Stop(); }
 
 result<void, start_error> ending_store::OpenLog(data_folder& folder) {
@@ -95,6 +99,7 @@
 }
 
 void ending_store::Record(const endpoint_record& record) {
+  if (has_failed_) return;
   last_ = last_.Next();
   storage_writes writes;
   writes.ticket = last_.value();
@@ -109,12 +114,12 @@
 }
 
 void ending_store::WhenDurable(std::function<void()> done) {
-  if (synced_ticket_ >= last_.value()) return done();
+  if (has_failed_ || synced_ticket_ >= last_.value()) return done();
   waiting_.emplace_back(last_.value(), std::move(done));
 }
 
 void ending_store::OnSynced(std::uint64_t ticket) {
-  synced_ticket_ = ticket;
+  synced_ticket_ = std::max(synced_ticket_, ticket);
   while (!waiting_.empty() && waiting_.front().first <= synced_ticket_) {
     const auto done = std::move(waiting_.front().second);
     waiting_.pop_front();
@@ -122,4 +127,11 @@
   }
 }
 
+void ending_store::OnFailed(const storage_error& error) {
+  LogEvent(log_level::kError, "ending_store_failed",
+           {{"file", error.file}, {"detail", error.detail}});
+  has_failed_ = true;
+  OnSynced(last_.value());
+}
+
 }  // namespace marjoramsill
--- a/source/process/controller/ending_store.h
+++ b/source/process/controller/ending_store.h
@@ -12,6 +12,7 @@
 #include "process/daemon/start_error.h"
 #include "process/directory/endpoint_record.h"
 #include "process/replication/posix_folder.h"
+#include "process/replication/storage_error.h"
 #include "types/ids.h"
 #include "types/result.h"
 
@@ -44,13 +45,16 @@
   const std::vector<endpoint_record>& stored() const { return stored_; }
   /// Starts to write the record of an endpoint that leaves or has ended.
   void Record(const endpoint_record& record);
-  /// Calls `done` once all records so far are durable.
+  /// Calls `done` once all records so far are durable, or the disk has failed.
   void WhenDurable(std::function<void()> done);
 
  private:
   explicit ending_store(hooks callbacks);
   result<void, start_error> OpenLog(data_folder& folder);
   void OnSynced(std::uint64_t ticket);
+  void OnFailed(const storage_error& error);
+  /// Runs a task on the thread of the process while this object exists.
+  void Post(std::function<void()> task);
 
   const hooks hooks_;
   std::vector<endpoint_record> stored_;
@@ -58,6 +62,7 @@
   log_index last_;
   log_index snapshot_;
   std::uint64_t synced_ticket_ = 0;
+  bool has_failed_ = false;
   std::deque<std::pair<std::uint64_t, std::function<void()>>> waiting_;
   /// Lets a task that was posted before the end of this object do nothing.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
--- a/tests/daemon/ending_store_test.cc
+++ b/tests/daemon/ending_store_test.cc
@@ -22,6 +22,7 @@
 class ending_store_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ending_store_test);
   CPPUNIT_TEST(store_reopened_returns_what_was_durable);
+  CPPUNIT_TEST(store_on_full_disk_answers_and_keeps_the_process);
   CPPUNIT_TEST(store_after_many_endings_keeps_only_current_ones);
   CPPUNIT_TEST_SUITE_END();
 
@@ -98,6 +99,18 @@
     CPPUNIT_ASSERT(store_->stored().back() == Ended(3));
   }
 
+  // Guards against a control process that ends with each endpoint that leaves
+  // while its disk is full.
+  void store_on_full_disk_answers_and_keeps_the_process() {
+    Open();
+    std::filesystem::create_symlink(
+        "/dev/full", path_ + "/group-endings/segment-00000000000000000001");
+    store_->Record(Ended(1));
+    AwaitDurable();
+    store_->Record(Ended(2));
+    AwaitDurable();
+  }
+
   // Guards against a disk, and a start, that grow with all endings ever seen.
   void store_after_many_endings_keeps_only_current_ones() {
     constexpr int kEndings = 1'000;
