--- a/source/process/replication/log_store.cc
+++ b/source/process/replication/log_store.cc
@@ -43,8 +43,8 @@
     const bool names_synced_bytes = record->type == record_type::kState ||
                                     record->type == record_type::kEntry;
     if (!names_synced_bytes) continue;
-    // A record of an earlier build, whose writes since the last sync cannot be
-    // told from those before, counts as evidence.
+    // A record of an earlier build does not name its synced bytes, so it counts
+    // as evidence.
     const auto synced = DecodeSyncedBytes(*record);
     if (!synced || *synced > offset) return true;
   }
