entry: log how requests and connections end in a planned stop

Lines of served requests, and of those whose caller left, are sampled, so the log cannot tell a response that was lost behind the process from a caller that closed, and it says nothing of bytes that the process still holds when it closes a connection.

Change: requests that end while a process stops are always logged, with the time since the signal. response_unreceived names the last request of a connection that this process closes before the caller's host has acknowledged the whole response, with the bytes that were not sent and those not acknowledged, and is counted in a metric. `stopping` has the number of connections, `stopped` the duration of the stop and the requests that it ended. No decision changes.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -1,5 +1,7 @@
 #include "connection/caller_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <asio/buffer.hpp>
@@ -299,13 +301,13 @@
     // A caller that reads slowly still gets its whole response.
     const std::chrono::milliseconds limit =
         unsent_bytes() == 0 ? kLingerTime : limits.idle_timeout + kIdleMargin;
-    if (idle > limit) Close();
+    if (idle > limit) CloseOpen();
     return;
   }
   if (has_request_) return;
   parser_.SetLimits(limits.max_header_bytes, limits.max_body_bytes);
   if (parser_.state() == parse_state::kIdle) {
-    if (idle > limits.idle_timeout + kIdleMargin) Close();
+    if (idle > limits.idle_timeout + kIdleMargin) CloseOpen();
     return;
   }
   if (parser_.state() == parse_state::kInHead && idle > limits.header_timeout) {
@@ -317,7 +319,14 @@
 }
 
 void caller_connection::CloseIfIdle(steady_time now) {
-  if (is_open_ && !IsBusy(now)) Close();
+  if (is_open_ && !IsBusy(now)) CloseOpen();
+}
+
+std::size_t caller_connection::unacknowledged_bytes() {
+  int bytes = 0;
+  // Where the system does not tell, nothing counts as unacknowledged.
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0) return 0;
+  return static_cast<std::size_t>(bytes);
 }
 
 bool caller_connection::IsBusy(steady_time now) {
@@ -332,6 +341,15 @@
   return error ? std::string() : remote.address().to_string();
 }
 
+void caller_connection::CloseOpen() {
+  if (!is_open_) return;
+  const std::size_t unacknowledged = unacknowledged_bytes();
+  if (unsent_bytes() > 0 || unacknowledged > 0) {
+    hooks_.on_unreceived(request_id_, unsent_bytes(), unacknowledged);
+  }
+  Close();
+}
+
 void caller_connection::Close() {
   if (!is_open_) return;
   is_open_ = false;
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "connection/caller_connection_hooks.h"
 #include "connection/request_parser.h"
@@ -52,6 +53,9 @@
   void Abort();
   /// Bytes of responses that the caller has not taken yet.
   std::size_t unsent_bytes() const { return output_.size() - written_; }
+  /// Bytes that were sent and not acknowledged by the caller's host, an
+  /// announced end of the connection included.
+  std::size_t unacknowledged_bytes();
   /// Sends the data that Write() has buffered.
   void Flush();
 
@@ -73,6 +77,10 @@
   /// caller has just connected to send one.
   bool IsBusy(steady_time now);
   bool has_request() const { return has_request_; }
+  /// Id of the request in progress, for on_unreceived.
+  void SetRequestId(std::string id) { request_id_ = std::move(id); }
+  /// Closes the connection because the process ends.
+  void CloseAtEnd() { CloseOpen(); }
   /// IP of the caller; empty if the connection has ended.
   std::string RemoteIp() const;
 
@@ -88,6 +96,8 @@
   void WaitWritable();
   void StartLinger();
   void Close();
+  /// As Close(), and reports a response that the caller has not received.
+  void CloseOpen();
   void AppendHead(int status, const http_field_list& fields);
   /// The caller has connected within the last second, and sent nothing yet.
   bool IsNew(steady_time now) const;
@@ -106,6 +116,7 @@
   std::string output_;
   std::size_t written_ = 0;
   std::function<void()> on_disconnect_;
+  std::string request_id_;
   bool is_open_ = true;
   bool reading_ = false;
   bool waiting_writable_ = false;
--- a/source/connection/caller_connection_hooks.h
+++ b/source/connection/caller_connection_hooks.h
@@ -1,8 +1,10 @@
 #ifndef MARJORAMSILL_CONNECTION_CALLER_CONNECTION_HOOKS_H_
 #define MARJORAMSILL_CONNECTION_CALLER_CONNECTION_HOOKS_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "connection/caller_message.h"
 #include "connection/parse_state.h"
@@ -21,6 +23,13 @@
   /// Called when a request could not be parsed or was not complete in time. The
   /// connection sends the response itself.
   std::function<void(parse_state, int status)> on_invalid_request;
+  /// Called when this process closes a connection although the caller has not
+  /// received the whole last response: the id of its request, bytes that were
+  /// not sent, and bytes that the caller's host has not acknowledged. The
+  /// kernel goes on to deliver the latter.
+  std::function<void(std::string_view request, std::size_t unsent,
+                     std::size_t unacknowledged)>
+      on_unreceived = [](std::string_view, std::size_t, std::size_t) {};
 };
 
 }  // namespace marjoramsill
--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -128,6 +128,10 @@
   for (const auto& connection : All()) connection->CloseIfIdle(now);
 }
 
+void caller_listener::CloseAll() {
+  for (const auto& connection : All()) connection->CloseAtEnd();
+}
+
 bool caller_listener::IsBusy(steady_time now) const {
   return std::any_of(
       connections_.begin(), connections_.end(),
--- a/source/connection/caller_listener.h
+++ b/source/connection/caller_listener.h
@@ -7,7 +7,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "connection/caller_connection_hooks.h"
@@ -42,6 +44,11 @@
 
   result<void, listen_error> Listen();
   void SetLimits(const caller_limits& limits) { limits_ = limits; }
+  /// See caller_connection_hooks::on_unreceived.
+  void OnUnreceived(
+      std::function<void(std::string_view, std::size_t, std::size_t)> hook) {
+    hooks_.on_unreceived = std::move(hook);
+  }
   /// Checks the timeouts of all connections.
   void Tick(steady_time now);
   /// Closes each connection after its next response.
@@ -49,6 +56,8 @@
   /// Accepts the connections that callers have made already, and no more.
   void StopAccepting();
   void CloseIdle(steady_time now);
+  /// Closes all connections because the process ends.
+  void CloseAll();
   /// True if a caller waits for a response, or may be about to send a request.
   bool IsBusy(steady_time now) const;
   std::size_t size() const { return connections_.size(); }
--- a/source/process/entry/entry_events.cc
+++ b/source/process/entry/entry_events.cc
@@ -57,4 +57,13 @@
                                   .text());
 }
 
+void LogUnreceived(decision_log& log, std::string_view request,
+                   std::size_t unsent, std::size_t unacknowledged) {
+  log.Write("response_unreceived", log_fields()
+                                       .Add("request", request)
+                                       .Add("unsent", unsent)
+                                       .Add("unacknowledged", unacknowledged)
+                                       .text());
+}
+
 }  // namespace marjoramsill
--- a/source/process/entry/entry_events.h
+++ b/source/process/entry/entry_events.h
@@ -33,6 +33,11 @@
 void LogFetch(decision_log& log, const vm_id& vm, document_version required,
               std::string_view outcome);
 
+/// This process closes the connection of a caller that has not received the
+/// whole response to `request`. `unsent`, `unacknowledged`: bytes of it.
+void LogUnreceived(decision_log& log, std::string_view request,
+                   std::size_t unsent, std::size_t unacknowledged);
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_PROCESS_ENTRY_ENTRY_EVENTS_H_
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -61,6 +61,9 @@
   unreadable_ =
       registry_.AddCounter("marjoramsill_entry_unreadable_total",
                            "Requests of callers that could not be read");
+  unreceived_ = registry_.AddCounter(
+      "marjoramsill_entry_responses_unreceived_total",
+      "Connections closed before the caller had received the response");
   first_byte_ = registry_.AddHistogram(
       "marjoramsill_entry_first_byte_seconds",
       "Time from a request to the start of its answer", kSeconds);
@@ -117,6 +120,8 @@
 
 void entry_metrics::CountUnreadable() { unreadable_->Increment(); }
 
+void entry_metrics::CountUnreceived() { unreceived_->Increment(); }
+
 void entry_metrics::ObserveFirstByte(double seconds) {
   first_byte_->Observe(seconds);
 }
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -48,6 +48,8 @@
   void CountUnderestimate();
   /// A caller's request could not be parsed.
   void CountUnreadable();
+  /// A connection was closed before its caller had received the whole response.
+  void CountUnreceived();
   /// Time from the request to the first byte of the response.
   void ObserveFirstByte(double seconds);
   /// Longest delay between two parts of a response.
@@ -80,6 +82,7 @@
   prometheus::Counter* endpoint_refusals_ = nullptr;
   prometheus::Counter* underestimates_ = nullptr;
   prometheus::Counter* unreadable_ = nullptr;
+  prometheus::Counter* unreceived_ = nullptr;
   prometheus::Histogram* first_byte_ = nullptr;
   prometheus::Histogram* gap_ = nullptr;
   prometheus::Gauge* document_version_ = nullptr;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -185,6 +185,14 @@
     SetLogWriter([this](std::string_view event, std::string_view fields) {
       log_.Write(event, fields);
     });
+    const auto on_unreceived = [this](std::string_view request,
+                                      std::size_t unsent,
+                                      std::size_t unacknowledged) {
+      metrics_.CountUnreceived();
+      LogUnreceived(log_, request, unsent, unacknowledged);
+    };
+    listener_.OnUnreceived(on_unreceived);
+    relay_listener_.OnUnreceived(on_unreceived);
     connections_.OnIdleEnd([this](const endpoint_id& endpoint) {
       pools_.OnIdleConnectionLost(endpoint, SteadyNow());
     });
@@ -197,6 +205,7 @@
     environment_.table = [this] {
       return is_serving_ ? table_ : std::shared_ptr<const routing_table>();
     };
+    environment_.stopping_for = [this] { return StoppingFor(SteadyNow()); };
     environment_.process_end = [this] { return ProcessEnd(); };
     environment_.is_document_current = [this] {
       return proof_.IsCurrent(CurrentVersion(), SteadyNow());
@@ -278,7 +287,14 @@
     signals_.Start();
     Tick();
     io_.run();
-    log_.Write("stopped", "role=entry");
+    log_.Write(
+        "stopped",
+        log_fields()
+            .Add("role", "entry")
+            .Add("took_ms",
+                 StoppingFor(SteadyNow()).value_or(milliseconds(0)).count())
+            .Add("ended_calls", ended_calls_)
+            .text());
   }
 
  private:
@@ -524,9 +540,12 @@
 
   void BeginStop() {
     stopping_since_ = SteadyNow();
-    log_.Write(
-        "stopping",
-        log_fields().Add("role", "entry").Add("calls", calls_.size()).text());
+    log_.Write("stopping", log_fields()
+                               .Add("role", "entry")
+                               .Add("calls", calls_.size())
+                               .Add("connections",
+                                    listener_.size() + relay_listener_.size())
+                               .text());
     listener_.CloseAfterResponses();
     relay_listener_.CloseAfterResponses();
   }
@@ -581,6 +600,11 @@
     metrics_.SetDroppedLines(log_.dropped());
   }
 
+  std::optional<milliseconds> StoppingFor(steady_time now) const {
+    if (!stopping_since_) return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(now - *stopping_since_);
+  }
+
   /// When all requests are ended, once no new ones are expected any more.
   std::optional<steady_time> ProcessEnd() const {
     if (!stopping_since_) return std::nullopt;
@@ -600,7 +624,10 @@
     const bool is_busy =
         !calls_.empty() || listener_.IsBusy(now) || relay_listener_.IsBusy(now);
     if (is_busy && !is_late) return false;
+    ended_calls_ = calls_.size();
     for (const auto& call : calls_) call->Stop();
+    listener_.CloseAll();
+    relay_listener_.CloseAll();
     io_.stop();
     return true;
   }
@@ -645,6 +672,8 @@
   /// Late ticks in a row up to the last one.
   int late_ticks_ = 0;
   std::optional<steady_time> stopping_since_;
+  /// Requests that were in progress at the end of the grace period.
+  std::size_t ended_calls_ = 0;
 };
 
 entry_process::entry_process(node_settings settings, std::string settings_file,
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -84,6 +84,7 @@
   const http_field* id =
       FindField(message_.fields, environment_.dialect.request_id);
   if (id != nullptr) request_id_ = id->value;
+  caller_->SetRequestId(request_id_);
   const http_field* resumed =
       FindField(message_.fields, environment_.dialect.resumed_request);
   if (resumed != nullptr) resumed_request_ = resumed->value;
@@ -351,8 +352,11 @@
   }
   const bool is_ordinary =
       outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
-  // A stream that was taken up again can only be explained by its lines.
-  const bool is_sampled = is_ordinary && resumed_request_.empty();
+  const auto stopping_for = environment_.stopping_for();
+  // A stream that was taken up again can only be explained by its lines, and so
+  // can a response that is lost with the end of the process.
+  const bool is_sampled =
+      is_ordinary && resumed_request_.empty() && !stopping_for;
   if (is_sampled && environment_.random() % kLogSample != 0) return;
   // The log limits the rate of frequent lines, so that a flood of immediate
   // refusals cannot displace the lines of requests that failed at an endpoint.
@@ -365,23 +369,21 @@
                             kind);
   }
   const auto taken = environment_.clock() - arrived_;
-  environment_.log->Write(
-      "ended",
-      log_fields()
-          .Add("request", request_id_)
-          .Add("outcome", CallOutcomeText(outcome))
-          .Add("reason", reason)
-          .Add("route", route_ == nullptr ? "" : route_->name)
-          .Add("rank", Rank())
-          .Add("sent", sent_)
-          .Add("relay", terms_                  ? "taken"
-                        : tried_relays_.empty() ? "none"
-                                                : "handed_on")
-          .Add("took_ms", MillisOf(taken))
-          .Add("gap_ms", MillisOf(longest_gap_))
-          .Add("document", table_ ? table_->version().value() : 0)
-          .text(),
-      kind);
+  log_fields fields;
+  fields.Add("request", request_id_)
+      .Add("outcome", CallOutcomeText(outcome))
+      .Add("reason", reason)
+      .Add("route", route_ == nullptr ? "" : route_->name)
+      .Add("rank", Rank())
+      .Add("sent", sent_)
+      .Add("relay", terms_                  ? "taken"
+                    : tried_relays_.empty() ? "none"
+                                            : "handed_on")
+      .Add("took_ms", MillisOf(taken))
+      .Add("gap_ms", MillisOf(longest_gap_))
+      .Add("document", table_ ? table_->version().value() : 0);
+  if (stopping_for) fields.Add("stopping_for_ms", stopping_for->count());
+  environment_.log->Write("ended", fields.text(), kind);
 }
 
 }  // namespace marjoramsill
