--- a/tests/operations/planned_stop_test.cc
+++ b/tests/operations/planned_stop_test.cc
@@ -15,6 +15,7 @@
 #include "fleet_fixture.h"
 #include "platform/field_names.h"
 #include "raw_endpoint.h"
+#include "request/relay_terms.h"
 
 namespace marjoramsill {
 
@@ -27,6 +28,9 @@
   CPPUNIT_TEST(request_that_arrives_in_two_parts_gets_its_answer);
   CPPUNIT_TEST(request_in_the_packet_of_the_one_before_gets_its_answer);
   CPPUNIT_TEST(caller_that_reads_slowly_gets_its_whole_answer);
+  CPPUNIT_TEST(process_runs_until_its_callers_have_received_their_answers);
+  CPPUNIT_TEST(answer_that_is_read_at_the_end_of_the_grace_is_whole);
+  CPPUNIT_TEST(request_of_another_vm_that_may_be_cut_off_is_refused);
   CPPUNIT_TEST(request_that_cannot_end_before_the_process_is_refused);
   CPPUNIT_TEST(late_request_that_ends_before_the_process_is_served);
   CPPUNIT_TEST(steady_load_gets_all_answers);
@@ -36,7 +40,12 @@
   static constexpr milliseconds kGrace{8'000};
   /// The process stops listening this long after the signal, or a little later.
   static constexpr milliseconds kListenTime{2'800};
+  /// It ends the requests that are left this long after the signal.
+  static constexpr milliseconds kRequestsEnd{7'300};
   static constexpr std::size_t kLongBody = std::size_t{3} * 1024 * 1024;
+  /// Exceeds the send buffer of a connection on loopback.
+  static constexpr std::size_t kLongestBody = std::size_t{6} * 1024 * 1024;
+  static constexpr std::size_t kBufferedBody = std::size_t{1} * 1024 * 1024;
 
   /// A connection of a caller that reads all the time, unless it is slow.
   class caller : public std::enable_shared_from_this<caller> {
@@ -102,13 +111,43 @@
     entry.process.Signal(SIGTERM);
   }
 
-  std::string Request(const std::string& path) {
-    return "POST " + path + " HTTP/1.1\r\nHost: soak.example\r\n" +
+  std::string Request(const std::string& path, const std::string& field = "") {
+    return "POST " + path + " HTTP/1.1\r\nHost: soak.example\r\n" + field +
            platform::kRequestId + ": stop" + std::to_string(++number_) +
            "\r\n" + platform::kRemainingMs +
            ": 2500\r\nContent-Length: 0\r\n\r\n";
   }
 
+  /// A caller that reads nothing of its answer yet, which the endpoint has
+  /// finished.
+  std::shared_ptr<caller> AskForLongAnswer(std::size_t body) {
+    raw_ = std::make_unique<raw_endpoint>(
+        io_, socket_address{"127.0.2.9", kPort + 9},
+        [this] { return fleet_->ControlNodes()[0]->control; });
+    raw_->SetAnswer(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
+         "Server-Signature: raw\r\nContent-Length: " +
+             std::to_string(body) + "\r\n\r\n" + std::string(body, 'a'),
+         ""});
+    CPPUNIT_ASSERT(RunUntil([this] {
+      return Status(0, "/raw-ask/", "long" + std::to_string(++number_)) == 200;
+    }));
+    const auto made = Connect();
+    made->ReadSlowly();
+    made->Write(Request("/raw-ask/"));
+    made->Read();
+    RunFor(milliseconds(300));
+    return made;
+  }
+
+  void CheckWhole(caller& made, std::size_t body) {
+    made.ReadAll();
+    CPPUNIT_ASSERT(RunUntil([&made, body] {
+      return made.has_ended() || made.received().size() > body;
+    }));
+    CPPUNIT_ASSERT(made.received().size() > body);
+  }
+
   /// Sends the head of a request before the process stops listening, and the
   /// end of the body this long after the signal.
   std::shared_ptr<caller> SendLate(const std::string& path, milliseconds end) {
@@ -218,30 +257,64 @@
   // Guards against an end of the process while it still holds bytes of a
   // response that was handed to the connection.
   void caller_that_reads_slowly_gets_its_whole_answer() {
-    raw_ = std::make_unique<raw_endpoint>(
-        io_, socket_address{"127.0.2.9", kPort + 9},
-        [this] { return fleet_->ControlNodes()[0]->control; });
-    raw_->SetAnswer(
-        {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
-         "Server-Signature: raw\r\nContent-Length: " +
-             std::to_string(kLongBody) + "\r\n\r\n" +
-             std::string(kLongBody, 'a'),
-         ""});
-    CPPUNIT_ASSERT(RunUntil([this] {
-      return Status(0, "/raw-ask/", "long" + std::to_string(++number_)) == 200;
-    }));
-    const auto made = Connect();
-    made->ReadSlowly();
-    made->Write(Request("/raw-ask/"));
-    made->Read();
-    RunFor(milliseconds(300));
+    const auto made = AskForLongAnswer(kLongBody);
     Stop();
     RunFor(kListenTime + milliseconds(700));
-    made->ReadAll();
-    CPPUNIT_ASSERT(RunUntil([&made] {
-      return made->has_ended() || made->received().size() > kLongBody;
+    CheckWhole(*made, kLongBody);
+  }
+
+  // Guards against an end of the process, after which its VM may end too, while
+  // the kernel still holds a part of an answer.
+  void process_runs_until_its_callers_have_received_their_answers() {
+    const auto made = AskForLongAnswer(kBufferedBody);
+    Stop();
+    RunFor(kListenTime + milliseconds(1'500));
+    int status = 0;
+    CPPUNIT_ASSERT(!fleet_->EntryNodes()[0]->process.HasEnded(status));
+    CheckWhole(*made, kBufferedBody);
+    CPPUNIT_ASSERT(RunUntil([this, &status] {
+      return fleet_->EntryNodes()[0]->process.HasEnded(status);
     }));
-    CPPUNIT_ASSERT(made->received().size() > kLongBody);
+  }
+
+  // Guards against an answer that the process holds when it ends its requests,
+  // and that ends with it.
+  void answer_that_is_read_at_the_end_of_the_grace_is_whole() {
+    const auto made = AskForLongAnswer(kLongestBody);
+    Stop();
+    RunFor(kRequestsEnd + milliseconds(150));
+    CheckWhole(*made, kLongestBody);
+  }
+
+  // Guards against a request that another entry VM, which stops a little later,
+  // hands on to one that ends before it.
+  void request_of_another_vm_that_may_be_cut_off_is_refused() {
+    StartRawEndpoint(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: raw\r\n"
+         "Content-Length: 0\r\n\r\n",
+         ""});
+    const int before = raw_->request_count();
+    const socket_address relay{
+        Entry().ip, static_cast<std::uint16_t>(kPort + soak::kRelayPort)};
+    const auto other = std::make_shared<caller>(io_);
+    CPPUNIT_ASSERT(other->Connect(relay));
+    callers_.push_back(other);
+    other->Read();
+    Stop();
+    RunFor(milliseconds(300));
+    const relay_terms terms{document_version(1), 0, std::nullopt};
+    std::string request =
+        Request("/raw-long/", std::string(kRelayField) + ": " +
+                                  EncodeRelayTerms(terms) + "\r\n");
+    const std::string short_time = ": 2500\r\n";
+    request.replace(request.find(short_time), short_time.size(), ": 15000\r\n");
+    other->Write(request);
+    CheckAnswered(*other, 1);
+    CPPUNIT_ASSERT_MESSAGE(other->received(),
+                           other->received().starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(other->received().find(kRelayUnavailable) !=
+                   std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(before, raw_->request_count());
   }
 
   // Guards against a request that is passed on so late that its answer is cut
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -19,7 +19,7 @@
 constexpr int kMetrics = 5;
 constexpr int kEndpoint = 6;
 constexpr int kEndpointBind = 7;
-constexpr int kRelay = 8;
+constexpr int kRelay = kRelayPort;
 
 std::string DomainOf(int index) {
   return "d" + std::to_string(index % kDomains);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -15,6 +15,10 @@
 
 namespace marjoramsill::soak {
 
+/// Added to soak_settings::port: the port on which entry processes take the
+/// requests of others.
+inline constexpr int kRelayPort = 8;
+
 /// Fleet size and paths of a soak test.
 struct soak_settings {
   std::string binary;
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -54,12 +54,15 @@
   nlohmann::json long_chat = Route("/long-chat/", "streaming", 3, true);
   long_chat["timeoutMs"] = 6'000;
   document["routes"].push_back(long_chat);
-  for (nlohmann::json route : {Route("/raw-ask/", "idempotent", 1, false),
-                               Route("/raw-book/", "non_idempotent", 1, false),
-                               Route("/raw-stream/", "streaming", 1, false),
-                               Route("/raw-resumable/", "streaming", 1, true),
-                               Route("/raw-look/", "idempotent", 2, false),
-                               Route("/raw-chat/", "streaming", 3, true)}) {
+  nlohmann::json raw_long = Route("/raw-long/", "streaming", 1, false);
+  raw_long["timeoutMs"] = 15'000;
+  for (nlohmann::json route :
+       {raw_long, Route("/raw-ask/", "idempotent", 1, false),
+        Route("/raw-book/", "non_idempotent", 1, false),
+        Route("/raw-stream/", "streaming", 1, false),
+        Route("/raw-resumable/", "streaming", 1, true),
+        Route("/raw-look/", "idempotent", 2, false),
+        Route("/raw-chat/", "streaming", 3, true)}) {
     route["service"] = "raw";
     document["routes"].push_back(route);
   }
