connection: wait until a response has been received

What callers saw: by our own tests, an answer that is lost when a planned stop ends the process, and its VM with it, while the kernel still holds the answer. On loopback the kernel holds some megabytes. A slow reader of a connection that is kept lost its answer at the idle limit, also without a stop.

Cause: "handed to the kernel" stood for "received".

Change: a connection is busy while bytes are not acknowledged (SIOCOUTQ). After the last response it is closed a second after the caller's host has acknowledged everything, and at the idle limit if nothing is acknowledged any more. The time in which a response is being sent is no idle time. In a stop the process waits for these callers until the end of its grace period at most.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -260,7 +260,7 @@
         asio::buffer(output_.data() + written_, output_.size() - written_), 0,
         error);
     written_ += sent;
-    if (sent > 0 && is_lingering_) idle_since_ = now_;
+    if (sent > 0) idle_since_ = now_;
     if (error == asio::error::would_block) {
       WaitWritable();
       return;
@@ -298,10 +298,13 @@
   if (!is_open_) return;
   const auto idle = now - idle_since_;
   if (is_lingering_) {
+    if (idle <= kLingerTime) return;
     // A caller that reads slowly still gets its whole response.
-    const std::chrono::milliseconds limit =
-        unsent_bytes() == 0 ? kLingerTime : limits.idle_timeout + kIdleMargin;
-    if (idle > limit) CloseOpen();
+    if (HasDelivered()) {
+      idle_since_ = now;
+    } else if (unreceived_ == 0 || idle > limits.idle_timeout + kIdleMargin) {
+      CloseOpen();
+    }
     return;
   }
   if (has_request_) return;
@@ -329,10 +332,17 @@
   return static_cast<std::size_t>(bytes);
 }
 
+bool caller_connection::HasDelivered() {
+  const std::size_t before = unreceived_;
+  unreceived_ = unsent_bytes() + unacknowledged_bytes();
+  return unreceived_ < before;
+}
+
 bool caller_connection::IsBusy(steady_time now) {
   if (!is_open_) return false;
   return has_request_ || is_lingering_ || unsent_bytes() > 0 || IsNew(now) ||
-         parser_.state() != parse_state::kIdle || HasInput();
+         parser_.state() != parse_state::kIdle || HasInput() ||
+         unacknowledged_bytes() > 0;
 }
 
 std::string caller_connection::RemoteIp() const {
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -73,8 +73,8 @@
   void CheckTimeouts(const caller_limits& limits, steady_time now);
   /// Closes the connection if no request is on its way, as far as is known.
   void CloseIfIdle(steady_time now);
-  /// A request is being received or handled, or its response being sent, or the
-  /// caller has just connected to send one.
+  /// A request is being received or handled, or its response is not received
+  /// yet, or the caller has just connected to send one.
   bool IsBusy(steady_time now);
   bool has_request() const { return has_request_; }
   /// Id of the request in progress, for on_unreceived.
@@ -91,6 +91,9 @@
   void RefuseInvalidRequest();
   void HandleRequest();
   void HandleDisconnect();
+  /// True if the caller's host has acknowledged a part of the response since
+  /// the last call.
+  bool HasDelivered();
   void FinishResponse();
   void Send();
   void WaitWritable();
@@ -115,6 +118,8 @@
   std::string input_;
   std::string output_;
   std::size_t written_ = 0;
+  /// Bytes that the caller had not received at the last HasDelivered().
+  std::size_t unreceived_ = 0;
   std::function<void()> on_disconnect_;
   std::string request_id_;
   bool is_open_ = true;
@@ -132,7 +137,8 @@
   bool announced_close_ = false;
   /// The caller has sent something.
   bool has_received_ = false;
-  /// The last response has been sent; further input is discarded.
+  /// The last response was handed to the kernel, as far as it takes it; further
+  /// input is discarded.
   bool is_lingering_ = false;
   const steady_time accepted_at_;
   steady_time now_;
