entry: send what is ready at the end of a planned stop

What callers saw: by our own test, an answer that its endpoint had finished was cut off at the end of a planned stop, 7.3 s after the signal, since its caller had not taken all of it by then: 2.4 MB of 6 MB were unsent. The log called the request served.

Cause: the process ended all requests and itself at one moment, so that nothing of their responses, or of earlier ones, was sent any more, though the grace period goes on for 0.7 s.

Change: requests are ended 0.7 s before the end of the grace period as before; then the process runs on until all callers have received their responses, for 0.5 s at most. What is left by then goes into the send buffer, as far as that can be made to take it, which the kernel delivers after the end of the process. The times of a stop are decided by stop_sequence, which has its own test in virtual time; a second signal changes nothing.

Failing before: answer_that_is_read_at_the_end_of_the_grace_is_whole in test_planned_stop, which passes now; test_placement passes.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -351,6 +351,22 @@
   return error ? std::string() : remote.address().to_string();
 }
 
+void caller_connection::CloseAtEnd() {
+  if (!is_open_) return;
+  waiting_writable_ = false;
+  Send();
+  if (unsent_bytes() > 0) {
+    // The kernel takes less if this exceeds its limit.
+    std::error_code ignored;
+    socket_.set_option(
+        asio::socket_base::send_buffer_size(static_cast<int>(unsent_bytes())),
+        ignored);
+    waiting_writable_ = false;
+    Send();
+  }
+  CloseOpen();
+}
+
 void caller_connection::CloseOpen() {
   if (!is_open_) return;
   const std::size_t unacknowledged = unacknowledged_bytes();
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -79,8 +79,9 @@
   bool has_request() const { return has_request_; }
   /// Id of the request in progress, for on_unreceived.
   void SetRequestId(std::string id) { request_id_ = std::move(id); }
-  /// Closes the connection because the process ends.
-  void CloseAtEnd() { CloseOpen(); }
+  /// Closes the connection because the process ends. The kernel gets as much of
+  /// the response as it takes, and goes on to deliver it.
+  void CloseAtEnd();
   /// IP of the caller; empty if the connection has ended.
   std::string RemoteIp() const;
 
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -1,7 +1,6 @@
 #ifndef MARJORAMSILL_PROCESS_ENTRY_CALL_ENVIRONMENT_H_
 #define MARJORAMSILL_PROCESS_ENTRY_CALL_ENVIRONMENT_H_
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,6 +25,7 @@
 class relay_table;
 class retry_window;
 class routing_table;
+class stop_sequence;
 struct endpoint_record;
 struct origin_finding;
 struct request_content;
@@ -84,11 +84,8 @@
   relay_table* relays = nullptr;
   /// Returns the number of entry VMs in the fleet, as last reported.
   std::function<std::uint32_t()> entry_count;
-  /// Returns the time since the signal to stop, if there was one.
-  std::function<std::optional<std::chrono::milliseconds>()> stopping_for;
-  /// Returns when this process ends every request, if it stops so soon that new
-  /// ones may not end before.
-  std::function<std::optional<steady_time>()> process_end;
+  /// Decides which requests a process that stops still takes.
+  const stop_sequence* stop = nullptr;
   std::function<steady_time()> clock;
   random_source random;
 };
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -44,6 +44,7 @@
 #include "process/entry/reach_prober.h"
 #include "process/entry/relay_finder.h"
 #include "process/entry/relay_table.h"
+#include "process/entry/stop_sequence.h"
 #include "process/entry/stream_origin_finder.h"
 #include "process/entry/unconfirmed_origin.h"
 #include "process/placement/endpoint_pool.h"
@@ -61,12 +62,6 @@
 constexpr milliseconds kTick{25};
 /// Expired connections and endpoints are removed less often than every tick.
 constexpr int kTicksPerSweep = 8;
-/// After SIGTERM, readiness fails but new connections are still served for this
-/// time, because a load balancer needs some seconds to notice.
-constexpr milliseconds kDrainDelay{2'800};
-/// The remaining requests are ended this long before the end of the grace
-/// period, so that the process exits before SIGKILL.
-constexpr milliseconds kStopMargin{700};
 /// Limit for an uncompressed routing document.
 constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
 /// A process that starts waits this long for the proof that its first document
@@ -113,6 +108,7 @@
                  request_dialect requests, control_dialect control)
       : settings_(std::move(settings)),
         control_dialect_(std::move(control)),
+        stop_(settings_.grace),
         timer_(io_),
         signals_(
             io_, [this] { BeginStop(); }, [this] { settings_watch_.Reload(); }),
@@ -205,8 +201,7 @@
     environment_.table = [this] {
       return is_serving_ ? table_ : std::shared_ptr<const routing_table>();
     };
-    environment_.stopping_for = [this] { return StoppingFor(SteadyNow()); };
-    environment_.process_end = [this] { return ProcessEnd(); };
+    environment_.stop = &stop_;
     environment_.is_document_current = [this] {
       return proof_.IsCurrent(CurrentVersion(), SteadyNow());
     };
@@ -292,7 +287,7 @@
         log_fields()
             .Add("role", "entry")
             .Add("took_ms",
-                 StoppingFor(SteadyNow()).value_or(milliseconds(0)).count())
+                 stop_.Elapsed(SteadyNow()).value_or(milliseconds(0)).count())
             .Add("ended_calls", ended_calls_)
             .text());
   }
@@ -501,7 +496,7 @@
     relay_state state;
     state.port = settings_.relay.port;
     state.domain = DigestOfDomain(settings_.failure_domain);
-    state.has_links = is_serving_ && !stopping_since_ && !HasLostLinks();
+    state.has_links = is_serving_ && !stop_.has_begun() && !HasLostLinks();
     return state;
   }
 
@@ -523,7 +518,7 @@
   }
 
   bool IsReady() const {
-    return is_serving_ && watcher_.HasHadContact() && !stopping_since_;
+    return is_serving_ && watcher_.HasHadContact() && !stop_.has_begun();
   }
 
   void OnStatusRequest(const http_request& request,
@@ -539,7 +534,7 @@
   }
 
   void BeginStop() {
-    stopping_since_ = SteadyNow();
+    stop_.Begin(SteadyNow());
     log_.Write("stopping", log_fields()
                                .Add("role", "entry")
                                .Add("calls", calls_.size())
@@ -567,7 +562,7 @@
     origins_.Tick(now);
     content_reporter_.Tick(now);
     if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
-    if (stopping_since_ && ContinueStop(now)) return;
+    if (ContinueStop(now)) return;
     timer_.expires_after(kTick);
     timer_.async_wait([this](std::error_code error) {
       if (!error) Tick();
@@ -600,40 +595,33 @@
     metrics_.SetDroppedLines(log_.dropped());
   }
 
-  std::optional<milliseconds> StoppingFor(steady_time now) const {
-    if (!stopping_since_) return std::nullopt;
-    return std::chrono::duration_cast<milliseconds>(now - *stopping_since_);
-  }
-
-  /// When all requests are ended, once no new ones are expected any more.
-  std::optional<steady_time> ProcessEnd() const {
-    if (!stopping_since_) return std::nullopt;
-    if (SteadyNow() - *stopping_since_ < kDrainDelay) return std::nullopt;
-    return *stopping_since_ + settings_.grace - kStopMargin;
-  }
-
-  /// Continues the shutdown. Returns true when all work has ended.
+  /// Continues the shutdown. Returns true when the process ends.
   bool ContinueStop(steady_time now) {
-    const auto since = now - *stopping_since_;
-    if (since < kDrainDelay) return false;
+    if (!stop_.IsClosed(now)) return false;
     listener_.StopAccepting();
     listener_.CloseIdle(now);
     relay_listener_.StopAccepting();
     relay_listener_.CloseIdle(now);
-    const bool is_late = since >= settings_.grace - kStopMargin;
+    if (stop_.AreRequestsOver(now)) EndCalls();
     const bool is_busy =
         !calls_.empty() || listener_.IsBusy(now) || relay_listener_.IsBusy(now);
-    if (is_busy && !is_late) return false;
-    ended_calls_ = calls_.size();
-    for (const auto& call : calls_) call->Stop();
+    if (is_busy && !stop_.IsOver(now)) return false;
     listener_.CloseAll();
     relay_listener_.CloseAll();
     io_.stop();
     return true;
   }
 
+  void EndCalls() {
+    ended_calls_ += calls_.size();
+    for (const auto& call : std::exchange(calls_, {})) call->Stop();
+  }
+
   const node_settings settings_;
   const control_dialect control_dialect_;
+  stop_sequence stop_;
+  /// Requests that the process ended because it stops.
+  std::size_t ended_calls_ = 0;
   asio::io_context io_{1};
   asio::steady_timer timer_;
   process_signals signals_;
@@ -671,9 +659,6 @@
   steady_time last_tick_;
   /// Late ticks in a row up to the last one.
   int late_ticks_ = 0;
-  std::optional<steady_time> stopping_since_;
-  /// Requests that were in progress at the end of the grace period.
-  std::size_t ended_calls_ = 0;
 };
 
 entry_process::entry_process(node_settings settings, std::string settings_file,
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -14,6 +14,7 @@
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/origin_finding.h"
+#include "process/entry/stop_sequence.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/retry_window.h"
 #include "request/http_field.h"
@@ -113,11 +114,9 @@
   }
 }
 
-/// A process that stops takes a late request only if it can end before the
-/// process does. Another one can still run it.
+/// Another process can still run the request.
 bool proxied_call::RefuseLate() {
-  const std::optional<steady_time> end = environment_.process_end();
-  if (!end || deadline_ <= *end) return false;
+  if (environment_.stop->CanTake(deadline_, arrived_)) return false;
   if (terms_) {
     RefuseRelay("stopping");
   } else {
@@ -352,7 +351,7 @@
   }
   const bool is_ordinary =
       outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
-  const auto stopping_for = environment_.stopping_for();
+  const auto stopping_for = environment_.stop->Elapsed(environment_.clock());
   // A stream that was taken up again can only be explained by its lines, and so
   // can a response that is lost with the end of the process.
   const bool is_sampled =
