entry: refuse requests of other VMs that a stop may cut off

What callers saw: by our own test, an entry process that had got SIGTERM took requests that another entry VM handed on, for 2.8 s, whatever their time limit. If the other one stops too, up to some seconds later, the request is cut off in the middle of the grace period of the process that its caller is connected to.

Cause: new requests are taken for that time because load balancers need some seconds to notice a stop. A VM that hands a request on needs no such time: it asks the next one.

Change: from the signal on, a process takes a request of another VM only if its time limit comes before the end of the process.

--- a/source/process/entry/stop_sequence.cc
+++ b/source/process/entry/stop_sequence.cc
@@ -26,8 +26,10 @@
   return std::chrono::duration_cast<milliseconds>(now - *since_);
 }
 
-bool stop_sequence::CanTake(steady_time deadline, steady_time now) const {
-  if (!IsClosed(now)) return true;
+bool stop_sequence::CanTake(steady_time deadline, bool is_handed_on,
+                            steady_time now) const {
+  if (!since_) return true;
+  if (!is_handed_on && !IsClosed(now)) return true;
   return deadline <= *since_ + grace_ - kRequestMargin;
 }
 
--- a/source/process/entry/stop_sequence.h
+++ b/source/process/entry/stop_sequence.h
@@ -23,9 +23,10 @@
   bool has_begun() const { return since_.has_value(); }
   /// Time since the signal, if there was one.
   std::optional<std::chrono::milliseconds> Elapsed(steady_time now) const;
-  /// False if no new requests are expected any more, and the request may not
-  /// end before the process does.
-  bool CanTake(steady_time deadline, steady_time now) const;
+  /// False if the request may not end before the process does, and its sender
+  /// can go elsewhere. `is_handed_on`: the sender is another entry VM, which
+  /// knows others at once.
+  bool CanTake(steady_time deadline, bool is_handed_on, steady_time now) const;
   /// No new connection is accepted any more.
   bool IsClosed(steady_time now) const;
   /// Requests in progress are ended.
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -116,7 +116,9 @@
 
 /// Another process can still run the request.
 bool proxied_call::RefuseLate() {
-  if (environment_.stop->CanTake(deadline_, arrived_)) return false;
+  if (environment_.stop->CanTake(deadline_, terms_.has_value(), arrived_)) {
+    return false;
+  }
   if (terms_) {
     RefuseRelay("stopping");
   } else {
--- a/tests/placement/stop_sequence_test.cc
+++ b/tests/placement/stop_sequence_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(stop_sequence_test);
   CPPUNIT_TEST(running_process_takes_every_request);
   CPPUNIT_TEST(request_of_a_caller_is_taken_until_the_listener_closes);
+  CPPUNIT_TEST(request_of_another_vm_is_taken_only_if_it_can_end);
   CPPUNIT_TEST(late_request_that_can_end_is_taken);
   CPPUNIT_TEST(responses_are_sent_after_the_end_of_the_requests);
   CPPUNIT_TEST(second_signal_changes_nothing);
@@ -24,7 +25,7 @@
 
  public:
   void running_process_takes_every_request() {
-    CPPUNIT_ASSERT(stop_.CanTake(At(seconds(100)), At(seconds(1))));
+    CPPUNIT_ASSERT(stop_.CanTake(At(seconds(100)), true, At(seconds(1))));
     CPPUNIT_ASSERT(!stop_.Elapsed(At(seconds(1))));
     CPPUNIT_ASSERT(!stop_.IsOver(At(seconds(100))));
   }
@@ -33,18 +34,26 @@
   void request_of_a_caller_is_taken_until_the_listener_closes() {
     stop_.Begin(At(seconds(1)));
     const steady_time late = At(seconds(20));
-    CPPUNIT_ASSERT(stop_.CanTake(late, At(milliseconds(3'700))));
+    CPPUNIT_ASSERT(stop_.CanTake(late, false, At(milliseconds(3'700))));
     CPPUNIT_ASSERT(!stop_.IsClosed(At(milliseconds(3'700))));
     CPPUNIT_ASSERT(stop_.IsClosed(At(milliseconds(3'800))));
-    CPPUNIT_ASSERT(!stop_.CanTake(late, At(milliseconds(3'800))));
+    CPPUNIT_ASSERT(!stop_.CanTake(late, false, At(milliseconds(3'800))));
+  }
+
+  // Guards against a request that is handed on to a VM which ends before it.
+  void request_of_another_vm_is_taken_only_if_it_can_end() {
+    stop_.Begin(At(seconds(1)));
+    const steady_time now = At(milliseconds(1'100));
+    CPPUNIT_ASSERT(!stop_.CanTake(At(seconds(16)), true, now));
+    CPPUNIT_ASSERT(stop_.CanTake(At(seconds(4)), true, now));
   }
 
   // Guards against refusals of requests that still get their answer.
   void late_request_that_can_end_is_taken() {
     stop_.Begin(At(seconds(1)));
     const steady_time now = At(seconds(5));
-    CPPUNIT_ASSERT(stop_.CanTake(At(milliseconds(8'300)), now));
-    CPPUNIT_ASSERT(!stop_.CanTake(At(milliseconds(8'400)), now));
+    CPPUNIT_ASSERT(stop_.CanTake(At(milliseconds(8'300)), false, now));
+    CPPUNIT_ASSERT(!stop_.CanTake(At(milliseconds(8'400)), false, now));
   }
 
   // Guards against responses that are ready and end with the process.
