controller: store ends of endpoints again once the disk has room

What it would do: a report of another operator is about disks that are full by turns, for some seconds each. Here, after one write that failed, a control process stored no ends of endpoints until its next start, although it acknowledged them. With every control process in that state and a loss of power of all, a late heartbeat brings an endpoint back that had signed off (DRAIN).

Cause: a failure that passes was kept for the life of the process.

The log of the replicated group is not changed: there, a failed write ends the process.

Failing before by construction: nothing was written after an error.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -304,6 +304,7 @@
     store_->Tick();
     watcher_.Tick(now);
     endpoints_->Tick(now);
+    endings_->Tick(now);
     hub_.Tick(now);
     documents_->Tick();
     settings_watch_.Tick(now);
--- a/source/process/controller/ending_store.cc
+++ b/source/process/controller/ending_store.cc
@@ -1,6 +1,7 @@
 #include "process/controller/ending_store.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <string>
 
@@ -18,6 +19,8 @@
 constexpr std::size_t kSegmentBytes = std::size_t{64} * 1024;
 /// Entries after which a snapshot replaces them.
 constexpr std::uint64_t kCompactionEntries = 128;
+/// Time from an error of the disk to the next try.
+constexpr std::chrono::seconds kRetryInterval{1};
 /// The log has a single writer.
 constexpr log_term kTerm{1};
 
@@ -118,7 +121,31 @@
   waiting_.emplace_back(last_.value(), std::move(done));
 }
 
+void ending_store::Tick(steady_time now) {
+  if (!has_failed_) return;
+  if (!retry_at_) retry_at_ = now + kRetryInterval;
+  if (now < *retry_at_) return;
+  retry_at_.reset();
+  WriteAnew();
+}
+
+void ending_store::WriteAnew() {
+  has_failed_ = false;
+  last_ = last_.Next();
+  snapshot_ = last_;
+  anew_ticket_ = last_.value();
+  storage_writes writes;
+  writes.ticket = anew_ticket_;
+  writes.stored_snapshot = Snapshot(last_, hooks_.current());
+  writes.replaces_all = true;
+  disk_.Enqueue(kLogNumber, {std::move(writes)});
+}
+
 void ending_store::OnSynced(std::uint64_t ticket) {
+  if (anew_ticket_ != 0 && ticket >= anew_ticket_) {
+    anew_ticket_ = 0;
+    LogEvent(log_level::kInfo, "ending_store_recovered");
+  }
   synced_ticket_ = std::max(synced_ticket_, ticket);
   while (!waiting_.empty() && waiting_.front().first <= synced_ticket_) {
     const auto done = std::move(waiting_.front().second);
@@ -131,6 +158,7 @@
   LogEvent(log_level::kError, "ending_store_failed",
            {{"file", error.file}, {"detail", error.detail}});
   has_failed_ = true;
+  anew_ticket_ = 0;
   OnSynced(last_.value());
 }
 
--- a/source/process/controller/ending_store.h
+++ b/source/process/controller/ending_store.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "process/replication/storage_error.h"
 #include "types/ids.h"
 #include "types/result.h"
+#include "types/steady_time.h"
 
 namespace marjoramsill {
 
@@ -24,7 +26,8 @@
 /// The endpoints that leave or have ended, on the disk of a control process.
 /// Without it a restart of all control processes would forget them, and a late
 /// heartbeat would bring one back. Used on the thread of the process; writes
-/// are made on a thread of their own. An error of the disk ends the process.
+/// are made on a thread of their own. After an error, of a full disk for
+/// example, nothing is durable until all current records could be written anew.
 class ending_store {
  public:
   struct hooks {
@@ -47,12 +50,15 @@
   void Record(const endpoint_record& record);
   /// Calls `done` once all records so far are durable, or the disk has failed.
   void WhenDurable(std::function<void()> done);
+  /// Tries to write all current records again after an error. Call regularly.
+  void Tick(steady_time now);
 
  private:
   explicit ending_store(hooks callbacks);
   result<void, start_error> OpenLog(data_folder& folder);
   void OnSynced(std::uint64_t ticket);
   void OnFailed(const storage_error& error);
+  void WriteAnew();
   /// Runs a task on the thread of the process while this object exists.
   void Post(std::function<void()> task);
 
@@ -63,6 +69,9 @@
   log_index snapshot_;
   std::uint64_t synced_ticket_ = 0;
   bool has_failed_ = false;
+  std::optional<steady_time> retry_at_;
+  /// Ticket of the last write that replaces all, until it is durable.
+  std::uint64_t anew_ticket_ = 0;
   std::deque<std::pair<std::uint64_t, std::function<void()>>> waiting_;
   /// Lets a task that was posted before the end of this object do nothing.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
--- a/source/process/daemon/disk_writer.cc
+++ b/source/process/daemon/disk_writer.cc
@@ -51,29 +51,26 @@
       if (waiting_.empty()) return;
       batch.swap(waiting_);
     }
-    for (const auto& [group, writes] : batch) {
-      if (!Execute(group, writes)) return;
-    }
+    for (const auto& [group, writes] : batch) Execute(group, writes);
   }
 }
 
-bool disk_writer::Execute(std::uint32_t group,
+void disk_writer::Execute(std::uint32_t group,
                           const std::vector<storage_writes>& writes) {
   log_store& store = *stores_.at(group);
   for (const storage_writes& each : writes) {
     const auto written = store.Write(each);
     if (!written) {
       on_error_(group, written.assume_error());
-      return false;
+      return;
     }
   }
   const auto synced = store.Sync();
   if (!synced) {
     on_error_(group, synced.assume_error());
-    return false;
+    return;
   }
   on_synced_(group, writes.back().ticket);
-  return true;
 }
 
 }  // namespace marjoramsill
--- a/source/process/daemon/disk_writer.h
+++ b/source/process/daemon/disk_writer.h
@@ -20,8 +20,9 @@
 /// queued writes of one group share a sync.
 class disk_writer {
  public:
-  /// `on_synced` and `on_error` run on the disk thread. After an error nothing
-  /// more is written, because the state of the disk is unknown.
+  /// `on_synced` and `on_error` run on the disk thread. After an error the
+  /// store of the group takes only a write that replaces all, because the state
+  /// of its files is unknown.
   disk_writer(
       std::function<void(std::uint32_t group, std::uint64_t ticket)> on_synced,
       std::function<void(std::uint32_t group, const storage_error&)> on_error);
@@ -41,8 +42,7 @@
   using queue = std::map<std::uint32_t, std::vector<storage_writes>>;
 
   void Run();
-  /// Returns false after an error.
-  bool Execute(std::uint32_t group, const std::vector<storage_writes>& writes);
+  void Execute(std::uint32_t group, const std::vector<storage_writes>& writes);
 
   const std::function<void(std::uint32_t, std::uint64_t)> on_synced_;
   const std::function<void(std::uint32_t, const storage_error&)> on_error_;
--- a/source/process/replication/log_store.cc
+++ b/source/process/replication/log_store.cc
@@ -171,6 +171,7 @@
   }
   read.synced = read.bytes;
   segments_.push_back(read);
+  last_number_ = number;
   return success();
 }
 
@@ -222,8 +223,7 @@
     if (!synced) return synced;
     segments_.back().synced = segments_.back().bytes;
   }
-  const std::uint64_t number =
-      segments_.empty() ? 1 : segments_.back().number + 1;
+  const std::uint64_t number = ++last_number_;
   auto written =
       folder_.Append(SegmentName(number), EncodeSegmentHeader(number));
   if (!written) return written;
@@ -266,6 +266,12 @@
 }
 
 result<void, storage_error> log_store::Write(const storage_writes& writes) {
+  if (writes.replaces_all) {
+    auto replaced = RecordFailure(ReplaceAll(*writes.stored_snapshot));
+    if (!replaced) return replaced;
+    failed_.reset();
+    return success();
+  }
   if (!failed_) return RecordFailure(WriteRecords(writes));
   return failure(*failed_);
 }
@@ -314,6 +320,27 @@
   return success();
 }
 
+/// What an earlier failure may have lost is used no more.
+result<void, storage_error> log_store::ReplaceAll(const snapshot& all) {
+  auto replaced = folder_.Replace(kSnapshotName, EncodeSnapshotFile(all));
+  if (!replaced) return replaced;
+  auto names = folder_.List();
+  if (!names) return failure(names.error());
+  // In ascending order, so that those which are left have no gap.
+  std::sort(names.value().begin(), names.value().end());
+  for (const std::string& name : names.value()) {
+    const auto number = SegmentNumber(name);
+    if (!number) continue;
+    auto removed = folder_.Remove(name);
+    if (!removed) return removed;
+    last_number_ = std::max(last_number_, *number);
+  }
+  segments_.clear();
+  remove_before_.reset();
+  dirty_ = false;
+  return success();
+}
+
 result<void, storage_error> log_store::SyncRecords() {
   if (dirty_) {
     auto synced = folder_.Sync(SegmentName(segments_.back().number));
--- a/source/process/replication/log_store.h
+++ b/source/process/replication/log_store.h
@@ -61,6 +61,8 @@
   result<void, storage_error> AppendRecord(record_type type,
                                            const payload_encoder& encode);
   result<void, storage_error> WriteRecords(const storage_writes& writes);
+  /// Replaces snapshot and segments by the snapshot.
+  result<void, storage_error> ReplaceAll(const snapshot& all);
   result<void, storage_error> SyncRecords();
   result<void, storage_error> RemoveSegments();
   result<void, storage_error> RecordFailure(
@@ -69,10 +71,13 @@
   file_folder& folder_;
   const std::size_t segment_bytes_;
   std::deque<segment> segments_;
+  /// Number of the newest segment so far.
+  std::uint64_t last_number_ = 0;
   hard_state state_;
   bool dirty_ = false;
   std::optional<log_index> remove_before_;
-  /// First failure; every later call returns it.
+  /// First failure; every later call returns it, but for a write that replaces
+  /// all.
   std::optional<storage_error> failed_;
 };
 
--- a/source/process/replication/storage_writes.h
+++ b/source/process/replication/storage_writes.h
@@ -19,6 +19,9 @@
   /// Replaces the stored snapshot. It must be durable before the other changes
   /// are written.
   std::optional<snapshot> stored_snapshot;
+  /// Everything stored before is discarded, because the snapshot holds all that
+  /// is needed. Also after a failure, which then is over.
+  bool replaces_all = false;
   /// The entire stored log is discarded, because the snapshot replaces it.
   bool reset_log = false;
   /// Entries from this index on are discarded.
--- a/tests/daemon/ending_store_test.cc
+++ b/tests/daemon/ending_store_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST_SUITE(ending_store_test);
   CPPUNIT_TEST(store_reopened_returns_what_was_durable);
   CPPUNIT_TEST(store_on_full_disk_answers_and_keeps_the_process);
+  CPPUNIT_TEST(store_with_room_again_stores_all_current_endings);
   CPPUNIT_TEST(store_after_many_endings_keeps_only_current_ones);
   CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +58,13 @@
     store_ = std::move(opened).assume_value();
   }
 
+  std::string Segment() const {
+    return path_ + "/group-endings/segment-00000000000000000001";
+  }
+
+  /// Writes to the first segment fail as on a full disk.
+  void FillDisk() { std::filesystem::create_symlink("/dev/full", Segment()); }
+
   void AwaitDurable() {
     bool is_durable = false;
     store_->WhenDurable([&is_durable] { is_durable = true; });
@@ -103,14 +111,32 @@
   // while its disk is full.
   void store_on_full_disk_answers_and_keeps_the_process() {
     Open();
-    std::filesystem::create_symlink(
-        "/dev/full", path_ + "/group-endings/segment-00000000000000000001");
+    FillDisk();
     store_->Record(Ended(1));
     AwaitDurable();
     store_->Record(Ended(2));
     AwaitDurable();
   }
 
+  // Guards against endings that a restart forgets because the disk was full
+  // once, long before.
+  void store_with_room_again_stores_all_current_endings() {
+    Open();
+    FillDisk();
+    current_ = {Ended(1)};
+    store_->Record(Ended(1));
+    AwaitDurable();
+    std::filesystem::remove(Segment());
+    store_->Tick(steady_time(seconds(10)));
+    store_->Tick(steady_time(seconds(12)));
+    store_->Record(Ended(2));
+    AwaitDurable();
+    Open();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_->stored().size());
+    CPPUNIT_ASSERT(store_->stored()[0] == Ended(1));
+    CPPUNIT_ASSERT(store_->stored()[1] == Ended(2));
+  }
+
   // Guards against a disk, and a start, that grow with all endings ever seen.
   void store_after_many_endings_keeps_only_current_ones() {
     constexpr int kEndings = 1'000;
--- a/tests/replication/log_store_test.cc
+++ b/tests/replication/log_store_test.cc
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(store_missing_segment_is_corruption);
   CPPUNIT_TEST(store_newer_format_is_refused);
   CPPUNIT_TEST(store_after_failed_sync_refuses_everything);
+  CPPUNIT_TEST(store_with_room_again_takes_a_write_that_replaces_all);
   CPPUNIT_TEST(store_snapshot_over_other_log_discards_the_log);
   CPPUNIT_TEST(store_compaction_removes_old_segments);
   CPPUNIT_TEST_SUITE_END();
@@ -244,6 +245,29 @@
     CPPUNIT_ASSERT(!store.Write(Entries(42, 42)).has_value());
   }
 
+  // Guards against a store that refuses writes for good after its disk was full
+  // once.
+  void store_with_room_again_takes_a_write_that_replaces_all() {
+    memory_disk disk = SampleDisk();
+    log_store store(disk, 300);
+    CPPUNIT_ASSERT(store.Open().has_value());
+    disk.SetRoom(50);
+    CPPUNIT_ASSERT(!store.Write(Entries(41, 60)).has_value());
+    storage_writes all;
+    all.stored_snapshot = Snapshot(100, 1);
+    all.replaces_all = true;
+    CPPUNIT_ASSERT(!store.Write(all).has_value());
+    disk.SetRoom(std::nullopt);
+    CPPUNIT_ASSERT(!store.Write(Entries(41, 60)).has_value());
+    CPPUNIT_ASSERT(store.Write(all).has_value());
+    CPPUNIT_ASSERT(store.Write(Entries(101, 102)).has_value());
+    CPPUNIT_ASSERT(store.Sync().has_value());
+    const auto state = log_store(disk, 300).Open();
+    CPPUNIT_ASSERT(state.has_value());
+    CPPUNIT_ASSERT(state.value().stored_snapshot->index == log_index(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.value().entries.size());
+  }
+
   // Guards against an unusable log after the process stopped between writing a
   // snapshot and resetting the log.
   void store_snapshot_over_other_log_discards_the_log() {
--- a/tests/replication/memory_disk.cc
+++ b/tests/replication/memory_disk.cc
@@ -47,9 +47,21 @@
 
 result<void, storage_error> memory_disk::Append(const std::string& name,
                                                 std::string_view bytes) {
+  auto taken = TakeRoom(name, bytes);
   unsynced_[name].push_back(files_[name].size());
   files_[name] += bytes;
-  return success();
+  return taken;
+}
+
+result<void, storage_error> memory_disk::TakeRoom(const std::string& name,
+                                                  std::string_view& bytes) {
+  if (!room_) return success();
+  const std::size_t wanted = bytes.size();
+  bytes = bytes.substr(0, *room_);
+  *room_ -= bytes.size();
+  if (bytes.size() == wanted) return success();
+  return failure(
+      storage_error{storage_error_kind::kDiskFull, name, 0, "injected"});
 }
 
 result<void, storage_error> memory_disk::Sync(const std::string& name) {
@@ -72,6 +84,11 @@
 
 result<void, storage_error> memory_disk::Replace(const std::string& name,
                                                  std::string_view bytes) {
+  auto taken = TakeRoom(name + ".tmp", bytes);
+  if (!taken) {
+    files_[name + ".tmp"] = bytes;
+    return taken;
+  }
   files_[name] = bytes;
   unsynced_.erase(name);
   synced_names_.insert(name);
