tests: fill the disks of the control group by turns

For the report on disks that are full for some seconds each, one after another, after which changes stay unanswered. The code of the group was not changed for them.

--- a/tests/replication/cluster.cc
+++ b/tests/replication/cluster.cc
@@ -124,8 +124,12 @@
       std::make_unique<log_store>(*state.disk, options_.segment_bytes);
   auto opened = state.store->Open();
   if (!opened) {
-    // An injected sync failure prevents only this start.
-    if (opened.error().kind == storage_error_kind::kSyncFailed) return;
+    // An injected sync failure, or a full disk, prevents only this start.
+    const storage_error_kind kind = opened.error().kind;
+    if (kind == storage_error_kind::kSyncFailed ||
+        kind == storage_error_kind::kDiskFull) {
+      return;
+    }
     return RecordViolation("storage: " + opened.error().detail);
   }
   ++state.run;
@@ -215,15 +219,19 @@
   if (!state.group || state.run != run) return;
   state.sync_scheduled = false;
   std::uint64_t ticket = 0;
-  bool succeeded = true;
-  while (succeeded && !state.queued.empty()) {
+  result<void, storage_error> written = success();
+  while (written && !state.queued.empty()) {
     ticket = state.queued.front().ticket;
-    succeeded = state.store->Write(state.queued.front()).has_value();
+    written = state.store->Write(state.queued.front());
     state.queued.pop_front();
   }
-  succeeded = succeeded && state.store->Sync().has_value();
-  // A failed sync is fatal to the member. The schedule restarts it later.
-  if (!succeeded) return LosePower(vm);
+  if (written) written = state.store->Sync();
+  // A failed write or sync is fatal to the member. The schedule restarts it
+  // later.
+  if (!written && written.error().kind == storage_error_kind::kDiskFull) {
+    return Kill(vm);
+  }
+  if (!written) return LosePower(vm);
   state.group->SyncCompleted(ticket);
   ProcessOutput(vm);
 }
--- a/tests/replication/cluster.h
+++ b/tests/replication/cluster.h
@@ -72,6 +72,11 @@
   /// effect if the case is not one that the start check must detect.
   bool RestoreDisk(std::size_t vm);
   void CopyDisk(std::size_t vm);
+  /// See memory_disk::SetRoom().
+  void SetDiskRoom(std::size_t vm, std::optional<std::size_t> bytes) {
+    vms_[vm].disk->SetRoom(bytes);
+  }
+  bool IsRunning(std::size_t vm) const { return vms_[vm].group != nullptr; }
   void FailSync(std::size_t vm) { vms_[vm].disk->FailNextSync(); }
   void Freeze(std::size_t vm, std::chrono::microseconds duration);
   void CutLink(std::size_t from, std::size_t to) {
