connection: count acknowledgements as use of a kept connection

What callers would see: a slow reader of a connection that is kept loses its answer at the idle limit although its host acknowledges bytes all the time.

Change: after each response, also on a connection that is kept, the bytes that are not acknowledged are looked at with the other time limits until there are none, and each decrease restarts the idle time.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -232,6 +232,8 @@
   has_request_ = false;
   is_chunked_ = false;
   idle_since_ = now_;
+  is_received_ = false;
+  unreceived_.reset();
   if (announced_close_) is_lingering_ = true;
   Send();
   if (!is_open_ || is_lingering_ || input_.empty()) return;
@@ -296,21 +298,18 @@
                                       steady_time now) {
   now_ = now;
   if (!is_open_) return;
+  if (has_request_) return;
+  // A caller that reads slowly still gets its whole response.
+  if (!is_received_) CheckDelivery();
   const auto idle = now - idle_since_;
+  const auto idle_limit = limits.idle_timeout + kIdleMargin;
   if (is_lingering_) {
-    if (idle <= kLingerTime) return;
-    // A caller that reads slowly still gets its whole response.
-    if (HasDelivered()) {
-      idle_since_ = now;
-    } else if (unreceived_ == 0 || idle > limits.idle_timeout + kIdleMargin) {
-      CloseOpen();
-    }
+    if (idle > (is_received_ ? kLingerTime : idle_limit)) CloseOpen();
     return;
   }
-  if (has_request_) return;
   parser_.SetLimits(limits.max_header_bytes, limits.max_body_bytes);
   if (parser_.state() == parse_state::kIdle) {
-    if (idle > limits.idle_timeout + kIdleMargin) CloseOpen();
+    if (idle > idle_limit) CloseOpen();
     return;
   }
   if (parser_.state() == parse_state::kInHead && idle > limits.header_timeout) {
@@ -332,10 +331,11 @@
   return static_cast<std::size_t>(bytes);
 }
 
-bool caller_connection::HasDelivered() {
-  const std::size_t before = unreceived_;
-  unreceived_ = unsent_bytes() + unacknowledged_bytes();
-  return unreceived_ < before;
+void caller_connection::CheckDelivery() {
+  const std::size_t left = unsent_bytes() + unacknowledged_bytes();
+  if (unreceived_ && left < *unreceived_) idle_since_ = now_;
+  unreceived_ = left;
+  is_received_ = left == 0;
 }
 
 bool caller_connection::IsBusy(steady_time now) {
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -92,9 +92,9 @@
   void RefuseInvalidRequest();
   void HandleRequest();
   void HandleDisconnect();
-  /// True if the caller's host has acknowledged a part of the response since
-  /// the last call.
-  bool HasDelivered();
+  /// The time in which the caller's host acknowledges a response is no idle
+  /// time.
+  void CheckDelivery();
   void FinishResponse();
   void Send();
   void WaitWritable();
@@ -119,8 +119,11 @@
   std::string input_;
   std::string output_;
   std::size_t written_ = 0;
-  /// Bytes that the caller had not received at the last HasDelivered().
-  std::size_t unreceived_ = 0;
+  /// Bytes of the last response that the caller's host had not acknowledged at
+  /// the last CheckDelivery(), if there was one.
+  std::optional<std::size_t> unreceived_;
+  /// The caller's host has acknowledged all responses.
+  bool is_received_ = true;
   std::function<void()> on_disconnect_;
   std::string request_id_;
   bool is_open_ = true;
--- a/tests/daemon/caller_connection_test.cc
+++ b/tests/daemon/caller_connection_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(last_response_to_a_slow_reader_is_sent_whole);
   CPPUNIT_TEST(caller_that_reads_nothing_is_closed_at_its_idle_limit);
   CPPUNIT_TEST(kept_connection_of_a_slow_reader_is_not_idle);
+  CPPUNIT_TEST(kept_connection_with_a_large_send_buffer_is_not_idle);
   CPPUNIT_TEST(connection_with_an_unacknowledged_response_is_busy);
   CPPUNIT_TEST(last_response_in_the_send_buffer_is_awaited);
   CPPUNIT_TEST_SUITE_END();
@@ -151,6 +152,22 @@
     CPPUNIT_ASSERT(ReadSlowly(kBodyBytes, now) >= kBodyBytes);
   }
 
+  // Guards against the same where the buffer takes nothing more for long, since
+  // much of it must be free before the connection can write again.
+  void kept_connection_with_a_large_send_buffer_is_not_idle() {
+    Connect(kLargeBufferBytes);
+    SendRequest();
+    connection_->Respond(200, {}, std::string(kBodyBytes, 'x'));
+    CPPUNIT_ASSERT(connection_->unsent_bytes() > 0);
+    for (milliseconds now{0}; now < seconds(40); now += milliseconds(200)) {
+      connection_->CheckTimeouts(limits_, At(now));
+      Poll();
+      if (now % seconds(1) == milliseconds(0)) ReadSome();
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    CPPUNIT_ASSERT(!has_ended_);
+  }
+
   // Guards against an end of the process, and of its VM, while the send buffer
   // still holds a part of a response.
   void connection_with_an_unacknowledged_response_is_busy() {
