connection: report a caller that is dropped for unsent bytes

What an operator saw: nothing. A caller that takes so little of its response that 4 MB are unsent is disconnected by this process, and the request was logged as served, or as one whose caller left.

Failing before: caller_dropped_for_unsent_bytes_is_reported.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -253,7 +253,10 @@
 
 void caller_connection::Send() {
   if (waiting_writable_) {
-    if (output_.size() - written_ > kMaxUnsentBytes) HandleDisconnect();
+    if (unsent_bytes() > kMaxUnsentBytes) {
+      ReportUnreceived();
+      HandleDisconnect();
+    }
     return;
   }
   while (written_ < output_.size()) {
@@ -358,9 +361,9 @@
   if (unsent_bytes() > 0) {
     // The kernel takes less if this exceeds its limit.
     std::error_code ignored;
-    socket_.set_option(
-        asio::socket_base::send_buffer_size(static_cast<int>(unsent_bytes())),
-        ignored);
+    const asio::socket_base::send_buffer_size size(
+        static_cast<int>(unsent_bytes()));
+    socket_.set_option(size, ignored);
     waiting_writable_ = false;
     Send();
   }
@@ -369,13 +372,16 @@
 
 void caller_connection::CloseOpen() {
   if (!is_open_) return;
-  const std::size_t unacknowledged = unacknowledged_bytes();
-  if (unsent_bytes() > 0 || unacknowledged > 0) {
-    hooks_.on_unreceived(request_id_, unsent_bytes(), unacknowledged);
-  }
+  ReportUnreceived();
   Close();
 }
 
+void caller_connection::ReportUnreceived() {
+  const std::size_t unacknowledged = unacknowledged_bytes();
+  if (unsent_bytes() == 0 && unacknowledged == 0) return;
+  hooks_.on_unreceived(request_id_, unsent_bytes(), unacknowledged);
+}
+
 void caller_connection::Close() {
   if (!is_open_) return;
   is_open_ = false;
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -102,6 +102,7 @@
   void Close();
   /// As Close(), and reports a response that the caller has not received.
   void CloseOpen();
+  void ReportUnreceived();
   void AppendHead(int status, const http_field_list& fields);
   /// The caller has connected within the last second, and sent nothing yet.
   bool IsNew(steady_time now) const;
--- a/tests/daemon/caller_connection_test.cc
+++ b/tests/daemon/caller_connection_test.cc
@@ -11,7 +11,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "connection/caller_connection_hooks.h"
@@ -29,6 +31,7 @@
   CPPUNIT_TEST(caller_that_reads_nothing_is_closed_at_its_idle_limit);
   CPPUNIT_TEST(kept_connection_of_a_slow_reader_is_not_idle);
   CPPUNIT_TEST(kept_connection_with_a_large_send_buffer_is_not_idle);
+  CPPUNIT_TEST(caller_dropped_for_unsent_bytes_is_reported);
   CPPUNIT_TEST(connection_with_an_unacknowledged_response_is_busy);
   CPPUNIT_TEST(last_response_in_the_send_buffer_is_awaited);
   CPPUNIT_TEST_SUITE_END();
@@ -168,6 +171,24 @@
     CPPUNIT_ASSERT(!has_ended_);
   }
 
+  // Guards against a response that is cut without a trace because its caller
+  // took too little of it.
+  void caller_dropped_for_unsent_bytes_is_reported() {
+    constexpr std::size_t kTooMuch = std::size_t{5} * 1024 * 1024;
+    std::size_t reported = 0;
+    hooks_.on_unreceived = [&reported](std::string_view, std::size_t unsent,
+                                       std::size_t) { reported = unsent; };
+    Connect(kBufferBytes);
+    SendRequest();
+    connection_->Begin(200, {}, std::nullopt);
+    connection_->Write(std::string(kBodyBytes, 'x'));
+    connection_->Flush();
+    connection_->Write(std::string(kTooMuch, 'x'));
+    connection_->End();
+    CPPUNIT_ASSERT(has_ended_);
+    CPPUNIT_ASSERT(reported > kTooMuch);
+  }
+
   // Guards against an end of the process, and of its VM, while the send buffer
   // still holds a part of a response.
   void connection_with_an_unacknowledged_response_is_busy() {
