connection: size the send buffer for all that is left at the end

What callers would see: at the end of a planned stop the rest of a response is lost although the send buffer could have been made to take it.

Change: the size is that of the rest and of what is not acknowledged.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -362,7 +362,7 @@
     // The kernel takes less if this exceeds its limit.
     std::error_code ignored;
     const asio::socket_base::send_buffer_size size(
-        static_cast<int>(unsent_bytes()));
+        static_cast<int>(unsent_bytes() + unacknowledged_bytes()));
     socket_.set_option(size, ignored);
     waiting_writable_ = false;
     Send();
--- a/tests/daemon/caller_connection_test.cc
+++ b/tests/daemon/caller_connection_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(caller_that_reads_nothing_is_closed_at_its_idle_limit);
   CPPUNIT_TEST(kept_connection_of_a_slow_reader_is_not_idle);
   CPPUNIT_TEST(kept_connection_with_a_large_send_buffer_is_not_idle);
+  CPPUNIT_TEST(response_left_at_the_end_of_the_process_goes_to_the_kernel);
   CPPUNIT_TEST(caller_dropped_for_unsent_bytes_is_reported);
   CPPUNIT_TEST(connection_with_an_unacknowledged_response_is_busy);
   CPPUNIT_TEST(last_response_in_the_send_buffer_is_awaited);
@@ -41,6 +42,7 @@
   /// Fits the larger send buffer, and exceeds the caller's receive buffer.
   static constexpr std::size_t kBufferedBytes = 100'000;
   static constexpr int kLargeBufferBytes = 200'000;
+  static constexpr int kMediumBufferBytes = 60'000;
 
   asio::io_context io_;
   tcp::socket client_{io_};
@@ -171,6 +173,27 @@
     CPPUNIT_ASSERT(!has_ended_);
   }
 
+  // Guards against an end of the process with bytes that the send buffer could
+  // have taken.
+  void response_left_at_the_end_of_the_process_goes_to_the_kernel() {
+    Connect(kMediumBufferBytes);
+    SendRequest();
+    connection_->CloseAfterResponse();
+    connection_->Begin(200, {}, std::nullopt);
+    connection_->Flush();
+    std::size_t written = 0;
+    while (connection_->unsent_bytes() == 0) {
+      connection_->Write(std::string(kBufferBytes, 'x'));
+      connection_->Flush();
+      written += kBufferBytes;
+    }
+    connection_->End();
+    CPPUNIT_ASSERT(connection_->unsent_bytes() > 0);
+    connection_->CloseAtEnd();
+    milliseconds now{0};
+    CPPUNIT_ASSERT(ReadSlowly(written, now) >= written);
+  }
+
   // Guards against a response that is cut without a trace because its caller
   // took too little of it.
   void caller_dropped_for_unsent_bytes_is_reported() {
