entry: count a planned stop from before its signal was handled

What callers saw: by our own test, a request that is sent 3.05 s after SIGTERM, when new ones are refused unless they can end before the process, was taken whatever its time limit, since the process had been busy for 0.5 s as the signal came. Such a request is cut off at the end of the process if it runs for over 4.3 s. The end of the process was as late, and its margin before SIGKILL is shorter.

Cause: the moment at which the signal is handled stood for that at which it came.

Change: a stop counts from the tick before the last one that the process had handled, which is 25 to 50 ms before the signal in a process that is not late.

Failing before: request_after_a_signal_that_was_handled_late_is_refused in test_planned_stop (200), which passes now (503). In the users' record the requests were streams that run for seconds; whether their processes were late is not known.

--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -534,7 +534,10 @@
   }
 
   void BeginStop() {
-    stop_.Begin(SteadyNow());
+    // If the event loop was late, the signal came before this moment. The tick
+    // before the last one is older, in whatever order a tick and the signal are
+    // handled.
+    stop_.Begin(ticks_ > 1 ? previous_tick_ : SteadyNow());
     log_.Write("stopping", log_fields()
                                .Add("role", "entry")
                                .Add("calls", calls_.size())
@@ -549,7 +552,7 @@
     const steady_time now = SteadyNow();
     const bool is_late = ticks_ > 0 && now - last_tick_ > kTick + kMaxTickDelay;
     late_ticks_ = is_late ? late_ticks_ + 1 : 0;
-    last_tick_ = now;
+    previous_tick_ = std::exchange(last_tick_, now);
     for (const auto& call : calls_) call->Tick(now);
     RetryPlaces(now);
     std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
@@ -657,6 +660,7 @@
   std::vector<std::shared_ptr<proxied_call>> calls_;
   int ticks_ = 0;
   steady_time last_tick_;
+  steady_time previous_tick_;
   /// Late ticks in a row up to the last one.
   int late_ticks_ = 0;
 };
--- a/tests/operations/planned_stop_test.cc
+++ b/tests/operations/planned_stop_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(answer_that_is_read_at_the_end_of_the_grace_is_whole);
   CPPUNIT_TEST(request_of_another_vm_that_may_be_cut_off_is_refused);
   CPPUNIT_TEST(request_that_cannot_end_before_the_process_is_refused);
+  CPPUNIT_TEST(request_after_a_signal_that_was_handled_late_is_refused);
   CPPUNIT_TEST(late_request_that_ends_before_the_process_is_served);
   CPPUNIT_TEST(steady_load_gets_all_answers);
   CPPUNIT_TEST_SUITE_END();
@@ -118,6 +119,12 @@
            ": 2500\r\nContent-Length: 0\r\n\r\n";
   }
 
+  static void SetTimeLimit(std::string& request, int milliseconds_left) {
+    const std::string usual = ": 2500\r\n";
+    request.replace(request.find(usual), usual.size(),
+                    ": " + std::to_string(milliseconds_left) + "\r\n");
+  }
+
   /// A caller that reads nothing of its answer yet, which the endpoint has
   /// finished.
   std::shared_ptr<caller> AskForLongAnswer(std::size_t body) {
@@ -306,8 +313,7 @@
     std::string request =
         Request("/raw-long/", std::string(kRelayField) + ": " +
                                   EncodeRelayTerms(terms) + "\r\n");
-    const std::string short_time = ": 2500\r\n";
-    request.replace(request.find(short_time), short_time.size(), ": 15000\r\n");
+    SetTimeLimit(request, 15'000);
     other->Write(request);
     CheckAnswered(*other, 1);
     CPPUNIT_ASSERT_MESSAGE(other->received(),
@@ -337,6 +343,35 @@
     CPPUNIT_ASSERT_EQUAL(before, raw_->request_count());
   }
 
+  // Guards against a stop that counts from the moment at which a busy process
+  // handles the signal, and so takes requests that are cut off at its end.
+  void request_after_a_signal_that_was_handled_late_is_refused() {
+    constexpr milliseconds kPause{500};
+    constexpr milliseconds kLate{3'050};
+    StartRawEndpoint(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: raw\r\n"
+         "Content-Length: 0\r\n\r\n",
+         ""});
+    const int before = raw_->request_count();
+    std::string request = Request("/raw-long/");
+    SetTimeLimit(request, 15'000);
+    const auto made = Connect();
+    made->Read();
+    const soak::child_process& entry = fleet_->EntryNodes()[0]->process;
+    entry.Signal(SIGSTOP);
+    Stop();
+    RunFor(kPause);
+    entry.Signal(SIGCONT);
+    RunFor(kLate - kPause - milliseconds(400));
+    made->Write(request.substr(0, request.size() - 1));
+    RunFor(milliseconds(400));
+    made->Write(request.substr(request.size() - 1));
+    CheckAnswered(*made, 1);
+    CPPUNIT_ASSERT_MESSAGE(made->received(),
+                           made->received().starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT_EQUAL(before, raw_->request_count());
+  }
+
   // Guards against a refusal of requests that still get their answer.
   void late_request_that_ends_before_the_process_is_served() {
     constexpr milliseconds kLate{4'000};
