entry: run handed-on requests by the document of the VM in front

Cause: proxied_call::Start refused a handed-on request only if its own document was older than the one that allowed it. The VM in front was not told of a newer one, and went on by the older as long as no control process announced it.

Change: a VM with a newer document does not take the request. It answers 503 with "Marjoramsill-Relay: newer,VERSION,PORT". The VM in front fetches that document from the VM that refused, which needs no control process, and decides the request anew, from the route on; it waits 200 ms at most and then goes on as after "full". A version that a control process announced less than 400 ms ago is not fetched a second time.

Why this works: nothing runs by a document that the VM in front does not have, so there is no effect to go back from.

Builds side by side: the version of the VM in front is in the request already. A VM of an earlier build reads the refusal as "unavailable".

Two log lines move from entry_process.cc to entry_events.cc unchanged.

--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -82,6 +82,10 @@
   /// Connections to other entry VMs, and those that take requests.
   endpoint_connection_pool* relay_connections = nullptr;
   relay_table* relays = nullptr;
+  /// Port at which this VM serves its document to others.
+  std::uint16_t document_port = 0;
+  /// Starts to fetch a document from the entry VM that has it in force.
+  std::function<void(const vm_id&, document_version)> fetch_document;
   /// Returns the number of entry VMs in the fleet, as last reported.
   std::function<std::uint32_t()> entry_count;
   /// Decides which requests a process that stops still takes.
--- a/source/process/entry/document_fetcher.cc
+++ b/source/process/entry/document_fetcher.cc
@@ -21,6 +21,9 @@
 /// A member holds a request until it has the document and its link is idle, for
 /// a little less than this time.
 constexpr milliseconds kResponseTimeout{1'500};
+/// A version that a member has announced usually arrives within this time. It
+/// is not transferred twice until then.
+constexpr milliseconds kExpectedTime{400};
 /// After this many failures the fetch is given up. The next response to a watch
 /// request announces the version again and restarts it.
 constexpr int kMaxFailures = 5;
@@ -92,6 +95,36 @@
   RetryLater();
 }
 
+/// A request to a member may wait for a response that a VM which is cut off
+/// does not get, so this one does not wait for the end of that.
+void document_fetcher::FetchFrom(const vm_id& vm, document_version version) {
+  const bool is_expected =
+      version <= required_ && clock_() - required_since_ < kExpectedTime;
+  if (is_fetching_ || is_expected) return;
+  is_fetching_ = true;
+  members_.Request(vm, std::string(kDocumentKind),
+                   EncodeDocumentRequest({version, domain_}), kResponseTimeout,
+                   [this, vm, version](const auto& response) {
+                     is_fetching_ = false;
+                     OnFetched(vm, version, response);
+                   });
+}
+
+void document_fetcher::OnFetched(const vm_id& vm, document_version version,
+                                 const std::optional<std::string>& response) {
+  const auto offer = response ? DecodeDocumentOffer(*response)
+                              : std::optional<document_offer>();
+  if (offer && offer->document) {
+    log_(vm, version, "document");
+    on_arrival_(*offer->document);
+  } else if (offer && !offer->source.empty()) {
+    log_(vm, version, "source");
+    FetchFrom(offer->source, version);
+  } else {
+    log_(vm, version, response ? "nothing" : "no_answer");
+  }
+}
+
 void document_fetcher::RetryLater() {
   next_try_ = clock_() + kRetryDelay;
   if (++failures_ >= kMaxFailures) required_ = {};
--- a/source/process/entry/document_fetcher.h
+++ b/source/process/entry/document_fetcher.h
@@ -30,6 +30,9 @@
 
   /// Starts to fetch a version that some member has announced.
   void Start(document_version version);
+  /// Requests a version from the VM that has it in force. Needs no member, so
+  /// that a VM which reaches none gets the document as well.
+  void FetchFrom(const vm_id& vm, document_version version);
   /// Repeats a request that is due. Call several times a second.
   void Tick(steady_time now);
   /// Version that is being fetched; 0 if none is.
@@ -41,6 +44,8 @@
   void RequestFrom(const vm_id& vm);
   void OnResponse(const vm_id& vm, const std::optional<std::string>& response);
   void RetryLater();
+  void OnFetched(const vm_id& vm, document_version version,
+                 const std::optional<std::string>& response);
 
   control_watcher& members_;
   const vm_id self_;
@@ -51,6 +56,8 @@
   document_version required_;
   steady_time required_since_;
   bool has_open_request_ = false;
+  /// A request of FetchFrom() is open.
+  bool is_fetching_ = false;
   int failures_ = 0;
   steady_time next_try_;
 };
--- a/source/process/entry/entry_events.cc
+++ b/source/process/entry/entry_events.cc
@@ -66,4 +66,19 @@
                                        .text());
 }
 
+void LogDocument(decision_log& log, document_version version,
+                 std::size_t routes) {
+  log.Write("document_in_force", log_fields()
+                                     .Add("version", version.value())
+                                     .Add("routes", routes)
+                                     .text());
+}
+
+void LogUnreadableDocument(decision_log& log, document_version version,
+                           std::string_view where) {
+  log.Write(
+      "document_unreadable",
+      log_fields().Add("version", version.value()).Add("where", where).text());
+}
+
 }  // namespace marjoramsill
--- a/source/process/entry/entry_events.h
+++ b/source/process/entry/entry_events.h
@@ -38,6 +38,14 @@
 void LogUnreceived(decision_log& log, std::string_view request,
                    std::size_t unsent, std::size_t unacknowledged);
 
+/// Requests are decided by this routing document from now on.
+void LogDocument(decision_log& log, document_version version,
+                 std::size_t routes);
+/// A routing document arrived that this build cannot read. `where`: the part
+/// of it that is wrong.
+void LogUnreadableDocument(decision_log& log, document_version version,
+                           std::string_view where);
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_PROCESS_ENTRY_ENTRY_EVENTS_H_
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -196,6 +196,10 @@
     environment_.connections = &connections_;
     environment_.relay_connections = &relay_connections_;
     environment_.relays = &relays_;
+    environment_.document_port = settings_.peers.port;
+    environment_.fetch_document = [this](const auto& vm, auto version) {
+      fetcher_.FetchFrom(vm, version);
+    };
     environment_.metrics = &metrics_;
     environment_.log = &log_;
     environment_.table = [this] {
@@ -408,11 +412,8 @@
     if (!text) return;
     auto parsed = control_dialect_.read_document(*text);
     if (!parsed) {
-      log_.Write("document_unreadable",
-                 log_fields()
-                     .Add("version", document.version.value())
-                     .Add("where", parsed.assume_error().where)
-                     .text());
+      LogUnreadableDocument(log_, document.version,
+                            parsed.assume_error().where);
       return;
     }
     caller_limits limits = parsed.assume_value().limits;
@@ -425,11 +426,7 @@
     document_ = document;
     pools_.SetDocument(table_);
     metrics_.SetDocumentVersion(table_->version().value());
-    log_.Write("document_in_force",
-               log_fields()
-                   .Add("version", table_->version().value())
-                   .Add("routes", table_->document().routes.size())
-                   .text());
+    LogDocument(log_, table_->version(), table_->document().routes.size());
     UpdateServing(SteadyNow());
   }
 
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -90,10 +90,11 @@
       FindField(message_.fields, environment_.dialect.resumed_request);
   if (resumed != nullptr) resumed_request_ = resumed->value;
   table_ = environment_.table();
-  if (terms_ && (!table_ || table_->version() < terms_->document)) {
-    RefuseRelay("older_document");
-    return;
-  }
+  if (terms_ && RefuseOtherDocument()) return;
+  Admit();
+}
+
+void proxied_call::Admit() {
   if (!table_) {
     Refuse("no_document", kStartingRetryMs);
     return;
@@ -322,6 +323,10 @@
     GiveUp();
     return;
   }
+  if (state_ == state::kAwaitingDocument) {
+    CheckDocument(now);
+    return;
+  }
   if (origin_due_ && now >= *origin_due_) RecordOrigin();
   CheckStall(now);
 }
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -35,6 +35,7 @@
 struct call_environment;
 struct full_pool;
 struct load_report;
+struct newer_document;
 struct origin_finding;
 struct placement_choice;
 struct request_content;
@@ -83,6 +84,8 @@
     kFindingOrigin,
     /// Waits until an endpoint of a full pool has finished a request.
     kAwaitingPlace,
+    /// Waits for the document of the VM that refused to take the request.
+    kAwaitingDocument,
     kConnecting,
     /// Waits whether the endpoint that the new connection leads to has started
     /// again with other software.
@@ -98,6 +101,8 @@
   };
 
   // proxied_call.cc: admission and the end of the call.
+  /// Decides by `table_` whether and where the request runs.
+  void Admit();
   bool FindRoute();
   bool FindWorkspace();
   void SetDeadline();
@@ -269,7 +274,18 @@
   /// The other VM took no request. Returns false if the response is no such
   /// refusal.
   bool OnRelayRefusal();
-  void OnRelayNotTaken(bool is_full);
+  /// `cause`: how long the VM is avoided depends on it.
+  void OnRelayNotTaken(std::string_view cause);
+  /// Refuses a request that was allowed by another document than the one in
+  /// force here.
+  bool RefuseOtherDocument();
+  /// The other VM took no request, since its document is newer.
+  void OnNewerDocument(const newer_document& newer);
+  /// Goes on with a request that waits for a document, once that is in force or
+  /// did not come in time.
+  void CheckDocument(steady_time now);
+  /// Decides anew by the document in force. The request has not run.
+  void AdmitAgain();
   void EndRelay();
   /// The connections to which `connection_` belongs.
   endpoint_connection_pool& Connections() const;
@@ -367,6 +383,9 @@
   /// Attempts of `sent_` that ended because this VM lost its links.
   int lost_with_links_ = 0;
   std::vector<std::string> tried_relays_;
+  /// The request waits until this version is in force, or for that time.
+  document_version awaited_document_;
+  steady_time document_deadline_;
   /// Endpoints that refused a connection.
   int refused_connections_ = 0;
   /// An endpoint has ended, as far as is known, before its answer was complete.
--- a/source/request/proxied_call_relay.cc
+++ b/source/request/proxied_call_relay.cc
@@ -4,6 +4,7 @@
 
 #include "connection/caller_connection.h"
 #include "connection/endpoint_connection_pool.h"
+#include "connection/socket_address.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
@@ -11,6 +12,7 @@
 #include "process/placement/endpoint_pool.h"
 #include "request/forwarded_head.h"
 #include "request/http_status.h"
+#include "request/newer_document.h"
 #include "request/proxied_call.h"
 #include "version/routing/routing_table.h"
 
@@ -24,6 +26,13 @@
 constexpr std::size_t kMaxRelays = 3;
 /// Refused connections after which a request is handed on.
 constexpr int kMaxRefusedConnections = 3;
+/// Longest wait for the document of another VM. A document of 330 KB takes
+/// longer on a slow link; a caller is better off with another VM then.
+constexpr milliseconds kMaxDocumentWait{200};
+/// Why another VM took no request.
+constexpr std::string_view kFullCause = "relay_full";
+constexpr std::string_view kUnavailableCause = "relay_unavailable";
+constexpr std::string_view kNewerCause = "relay_newer";
 
 }  // namespace
 
@@ -106,7 +115,13 @@
       FindField(head_.fields, environment_.dialect.endpoint_proof) != nullptr;
   if (is_from_endpoint || !SignalsNotRun(head_.status)) return false;
   if (const auto* answer = FindField(head_.fields, kRelayField)) {
-    OnRelayNotTaken(answer->value == kRelayFull);
+    --sent_;
+    if (const auto newer = DecodeNewerDocument(answer->value)) {
+      OnNewerDocument(*newer);
+    } else {
+      OnRelayNotTaken(answer->value == kRelayFull ? kFullCause
+                                                  : kUnavailableCause);
+    }
     return true;
   }
   // The other VM knows that the request has not run.
@@ -120,16 +135,75 @@
 }
 
 /// Nothing was sent to an endpoint.
-void proxied_call::OnRelayNotTaken(bool is_full) {
+void proxied_call::OnRelayNotTaken(std::string_view cause) {
   const steady_time now = environment_.clock();
-  if (is_full) {
-    environment_.relays->OnFull(endpoint_.value(), pool_id_, now);
-  } else {
+  if (cause == kUnavailableCause) {
     environment_.relays->OnUnavailable(endpoint_.value(), now);
+  } else {
+    environment_.relays->OnFull(endpoint_.value(), pool_id_, now);
+  }
+  AfterAttempt(attempt_end::kNotSent, cause);
+}
+
+bool proxied_call::RefuseOtherDocument() {
+  if (!table_ || table_->version() < terms_->document) {
+    RefuseRelay("older_document");
+    return true;
+  }
+  if (table_->version() == terms_->document) return false;
+  // The VM in front would go on by its older document after callers have seen
+  // an effect of this one, perhaps before any response.
+  caller_->Respond(
+      kStatusUnavailable,
+      {{kRelayField,
+        EncodeNewerDocument({table_->version(), environment_.document_port})}},
+      "");
+  Finish(call_outcome::kRefused, "newer_document");
+  return true;
+}
+
+void proxied_call::OnNewerDocument(const newer_document& newer) {
+  const steady_time now = environment_.clock();
+  LogStep("newer_document", log_fields()
+                                .Add("vm", endpoint_.value())
+                                .Add("version", newer.version.value())
+                                .Add("held", table_->version().value()));
+  auto address = ParseSocketAddress(endpoint_.value());
+  if (address && environment_.table()->version() < newer.version) {
+    address->port = newer.port;
+    environment_.fetch_document(vm_id(FormatSocketAddress(*address)),
+                                newer.version);
+  }
+  if (may_have_run_ || response_started_) {
+    OnRelayNotTaken(kNewerCause);
+    return;
   }
-  --sent_;
-  AfterAttempt(attempt_end::kNotSent,
-               is_full ? "relay_full" : "relay_unavailable");
+  state_ = state::kAwaitingDocument;
+  awaited_document_ = newer.version;
+  document_deadline_ = now + kMaxDocumentWait;
+  CheckDocument(now);
+}
+
+void proxied_call::CheckDocument(steady_time now) {
+  if (environment_.table()->version() >= awaited_document_) {
+    AdmitAgain();
+  } else if (now >= document_deadline_) {
+    state_ = state::kNew;
+    OnRelayNotTaken(kNewerCause);
+  }
+}
+
+void proxied_call::AdmitAgain() {
+  state_ = state::kNew;
+  is_handed_on_ = false;
+  tried_relays_.clear();
+  limits_.software.reset();
+  digest_.reset();
+  workspace_ = nullptr;
+  pool_ = nullptr;
+  place_deadline_ = {};
+  table_ = environment_.table();
+  Admit();
 }
 
 }  // namespace marjoramsill
