--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -329,7 +329,7 @@
 
 std::size_t caller_connection::unacknowledged_bytes() {
   int bytes = 0;
-  // Where the system does not tell, nothing counts as unacknowledged.
+  // Without support of the system nothing counts as unacknowledged.
   if (::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0) return 0;
   return static_cast<std::size_t>(bytes);
 }
--- a/tests/operations/relay_document_test.cc
+++ b/tests/operations/relay_document_test.cc
@@ -159,7 +159,7 @@
     CheckLater();
   }
 
-  // Guards against an entry VM that learns of the newer document only from a
+  // Guards against an entry VM that fetches the newer document only after a
   // response, which may come long after the request has run, or never.
   void effect_of_newer_document_without_response_ends_use_of_older_one() {
     HoldOlder();
