connection: name the close that reports what was not received

CloseOpen() did not say how it differs from Close(). A rename and three doc comments, no change of behaviour. test_daemon and test_planned_stop are run on it.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -307,12 +307,12 @@
   const auto idle = now - idle_since_;
   const auto idle_limit = limits.idle_timeout + kIdleMargin;
   if (is_lingering_) {
-    if (idle > (is_received_ ? kLingerTime : idle_limit)) CloseOpen();
+    if (idle > (is_received_ ? kLingerTime : idle_limit)) CloseAndReport();
     return;
   }
   parser_.SetLimits(limits.max_header_bytes, limits.max_body_bytes);
   if (parser_.state() == parse_state::kIdle) {
-    if (idle > idle_limit) CloseOpen();
+    if (idle > idle_limit) CloseAndReport();
     return;
   }
   if (parser_.state() == parse_state::kInHead && idle > limits.header_timeout) {
@@ -324,7 +324,7 @@
 }
 
 void caller_connection::CloseIfIdle(steady_time now) {
-  if (is_open_ && !IsBusy(now)) CloseOpen();
+  if (is_open_ && !IsBusy(now)) CloseAndReport();
 }
 
 std::size_t caller_connection::unacknowledged_bytes() {
@@ -367,10 +367,10 @@
     waiting_writable_ = false;
     Send();
   }
-  CloseOpen();
+  CloseAndReport();
 }
 
-void caller_connection::CloseOpen() {
+void caller_connection::CloseAndReport() {
   if (!is_open_) return;
   ReportUnreceived();
   Close();
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -51,7 +51,7 @@
   void SendWithoutChunks() { accepts_chunks_ = false; }
   void End();
   void Abort();
-  /// Bytes of responses that the caller has not taken yet.
+  /// Bytes of responses that the kernel has not taken yet.
   std::size_t unsent_bytes() const { return output_.size() - written_; }
   /// Bytes that were sent and not acknowledged by the caller's host, an
   /// announced end of the connection included.
@@ -100,8 +100,10 @@
   void WaitWritable();
   void StartLinger();
   void Close();
-  /// As Close(), and reports a response that the caller has not received.
-  void CloseOpen();
+  /// As Close(), with ReportUnreceived().
+  void CloseAndReport();
+  /// Reports a response that the caller's host has not acknowledged, if there
+  /// is one.
   void ReportUnreceived();
   void AppendHead(int status, const http_field_list& fields);
   /// The caller has connected within the last second, and sent nothing yet.
