entry: bound how far a stop is counted back

What callers would see: after a long pause of the process, or of its VM, that ends with SIGTERM, all requests are ended at once, since counts a stop from the last time at which the process was active, however long ago. Found by reading.

--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -531,10 +531,8 @@
   }
 
   void BeginStop() {
-    // If the event loop was late, the signal came before this moment. The tick
-    // before the last one is older, in whatever order a tick and the signal are
-    // handled.
-    stop_.Begin(ticks_ > 1 ? previous_tick_ : SteadyNow());
+    // The last tick may have been handled together with the signal.
+    stop_.Begin(previous_tick_, SteadyNow());
     log_.Write("stopping", log_fields()
                                .Add("role", "entry")
                                .Add("calls", calls_.size())
--- a/source/process/entry/stop_sequence.cc
+++ b/source/process/entry/stop_sequence.cc
@@ -1,5 +1,7 @@
 #include "process/entry/stop_sequence.h"
 
+#include <algorithm>
+
 namespace marjoramsill {
 namespace {
 
@@ -15,10 +17,15 @@
 /// exits before SIGKILL.
 constexpr milliseconds kExitMargin{200};
 
+/// Longest time for which a busy process is assumed not to have handled the
+/// signal. After a longer pause of the process or its VM the stop is not cut
+/// short by all of it.
+constexpr milliseconds kMaxSignalDelay{1'000};
+
 }  // namespace
 
-void stop_sequence::Begin(steady_time now) {
-  if (!since_) since_ = now;
+void stop_sequence::Begin(steady_time active_at, steady_time now) {
+  if (!since_) since_ = std::max(active_at, now - kMaxSignalDelay);
 }
 
 std::optional<milliseconds> stop_sequence::Elapsed(steady_time now) const {
--- a/source/process/entry/stop_sequence.h
+++ b/source/process/entry/stop_sequence.h
@@ -18,8 +18,10 @@
   /// `grace`: time from the signal to the end that an operator would enforce.
   explicit stop_sequence(std::chrono::milliseconds grace) : grace_(grace) {}
 
-  /// Later signals change nothing.
-  void Begin(steady_time now);
+  /// `active_at`: last moment at which the process is known to have handled
+  /// events. The signal may have come at any time since. Later signals change
+  /// nothing.
+  void Begin(steady_time active_at, steady_time now);
   bool has_begun() const { return since_.has_value(); }
   /// Time since the signal, if there was one.
   std::optional<std::chrono::milliseconds> Elapsed(steady_time now) const;
