entry: log requests that another VM did not answer, and times of fetches

All requests to which another VM gave no answer are logged now, with relays_lost in their last line, and counted in marjoramsill_entry_relays_lost_total.

document_asked names how long the request took and how long ago the version was announced, which tells a silent source from a busy control process. document_fetcher gets its transport as hooks, so that tests can play it in virtual time; no decision changes.

--- a/source/process/entry/document_fetcher.cc
+++ b/source/process/entry/document_fetcher.cc
@@ -1,15 +1,10 @@
 #include "process/entry/document_fetcher.h"
 
 #include <chrono>
-#include <functional>
 #include <utility>
-#include <vector>
 
 #include "process/controller/document_offer.h"
-#include "process/controller/document_request.h"
-#include "process/daemon/peer_kinds.h"
-#include "process/directory/control_watcher.h"
-#include "process/directory/document_holder.h"
+#include "process/entry/document_fetch_outcome.h"
 
 namespace marjoramsill {
 namespace {
@@ -30,28 +25,23 @@
 
 }  // namespace
 
-document_fetcher::document_fetcher(control_watcher& members, vm_id self,
-                                   failure_domain_id domain,
-                                   arrival_hook on_arrival, log_hook log,
-                                   std::function<steady_time()> clock)
-    : members_(members),
-      self_(std::move(self)),
+document_fetcher::document_fetcher(vm_id self, failure_domain_id domain,
+                                   hooks callbacks)
+    : self_(std::move(self)),
       domain_(std::move(domain)),
-      on_arrival_(std::move(on_arrival)),
-      log_(std::move(log)),
-      clock_(std::move(clock)) {}
+      hooks_(std::move(callbacks)) {}
 
 void document_fetcher::Start(document_version version) {
   if (version <= required_) return;
   required_ = version;
-  required_since_ = clock_();
+  required_since_ = hooks_.clock();
   failures_ = 0;
   if (!has_open_request_) RequestFromMember();
 }
 
 void document_fetcher::RequestFromMember() {
-  const steady_time now = clock_();
-  const auto holder = ChooseHolder(self_, required_, members_.Reachable(now),
+  const steady_time now = hooks_.clock();
+  const auto holder = ChooseHolder(self_, required_, hooks_.members(now),
                                    now - required_since_, failures_);
   if (holder) RequestFrom(*holder);
 }
@@ -63,22 +53,21 @@
 
 void document_fetcher::RequestFrom(const vm_id& vm) {
   has_open_request_ = true;
-  members_.Request(vm, std::string(kDocumentKind),
-                   EncodeDocumentRequest({required_, domain_}),
-                   kResponseTimeout,
-                   [this, vm](const std::optional<std::string>& response) {
-                     has_open_request_ = false;
-                     OnResponse(vm, response);
-                   });
+  hooks_.request(vm, EncodeDocumentRequest({required_, domain_}),
+                 kResponseTimeout,
+                 [this, vm, asked_at = hooks_.clock()](const auto& response) {
+                   has_open_request_ = false;
+                   OnResponse(vm, asked_at, response);
+                 });
 }
 
-void document_fetcher::OnResponse(const vm_id& vm,
+void document_fetcher::OnResponse(const vm_id& vm, steady_time asked_at,
                                   const std::optional<std::string>& response) {
   const auto offer = response ? DecodeDocumentOffer(*response)
                               : std::optional<document_offer>();
   if (offer && offer->document) {
-    log_(vm, required_, "document");
-    on_arrival_(*offer->document);
+    Log(vm, required_, "document", asked_at);
+    hooks_.on_arrival(*offer->document);
     if (offer->document->version >= required_) {
       required_ = {};
     } else {
@@ -87,11 +76,11 @@
     return;
   }
   if (offer && !offer->source.empty()) {
-    log_(vm, required_, "source");
+    Log(vm, required_, "source", asked_at);
     RequestFrom(offer->source);
     return;
   }
-  log_(vm, required_, response ? "nothing" : "no_answer");
+  Log(vm, required_, response ? "nothing" : "no_answer", asked_at);
   RetryLater();
 }
 
@@ -99,35 +88,42 @@
 /// does not get, so this one does not wait for the end of that.
 void document_fetcher::FetchFrom(const vm_id& vm, document_version version) {
   const bool is_expected =
-      version <= required_ && clock_() - required_since_ < kExpectedTime;
+      version <= required_ && hooks_.clock() - required_since_ < kExpectedTime;
   if (is_fetching_ || is_expected) return;
   is_fetching_ = true;
-  members_.Request(vm, std::string(kDocumentKind),
-                   EncodeDocumentRequest({version, domain_}), kResponseTimeout,
-                   [this, vm, version](const auto& response) {
-                     is_fetching_ = false;
-                     OnFetched(vm, version, response);
-                   });
+  hooks_.request(
+      vm, EncodeDocumentRequest({version, domain_}), kResponseTimeout,
+      [this, vm, version, asked_at = hooks_.clock()](const auto& response) {
+        is_fetching_ = false;
+        OnFetched(vm, version, asked_at, response);
+      });
 }
 
 void document_fetcher::OnFetched(const vm_id& vm, document_version version,
+                                 steady_time asked_at,
                                  const std::optional<std::string>& response) {
   const auto offer = response ? DecodeDocumentOffer(*response)
                               : std::optional<document_offer>();
   if (offer && offer->document) {
-    log_(vm, version, "document");
-    on_arrival_(*offer->document);
+    Log(vm, version, "document", asked_at);
+    hooks_.on_arrival(*offer->document);
   } else if (offer && !offer->source.empty()) {
-    log_(vm, version, "source");
+    Log(vm, version, "source", asked_at);
     FetchFrom(offer->source, version);
   } else {
-    log_(vm, version, response ? "nothing" : "no_answer");
+    Log(vm, version, response ? "nothing" : "no_answer", asked_at);
   }
 }
 
 void document_fetcher::RetryLater() {
-  next_try_ = clock_() + kRetryDelay;
+  next_try_ = hooks_.clock() + kRetryDelay;
   if (++failures_ >= kMaxFailures) required_ = {};
 }
 
+void document_fetcher::Log(const vm_id& vm, document_version required,
+                           const char* outcome, steady_time asked_at) const {
+  const steady_time now = hooks_.clock();
+  hooks_.log({vm, required, outcome, now - asked_at, now - required_since_});
+}
+
 }  // namespace marjoramsill
--- a/source/process/entry/document_fetcher.h
+++ b/source/process/entry/document_fetcher.h
@@ -1,32 +1,44 @@
 #ifndef MARJORAMSILL_PROCESS_ENTRY_DOCUMENT_FETCHER_H_
 #define MARJORAMSILL_PROCESS_ENTRY_DOCUMENT_FETCHER_H_
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "process/controller/document_request.h"
 #include "process/controller/stored_document.h"
+#include "process/directory/document_holder.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
 
 namespace marjoramsill {
 
-class control_watcher;
+struct document_fetch_outcome;
 
 /// Fetches a new routing document from a control process, or from another VM
 /// that the control process names. Not thread-safe.
 class document_fetcher {
  public:
-  /// Called with each document that was received.
-  using arrival_hook = std::function<void(const stored_document&)>;
-  /// Logs the outcome of one request: "document", "source" (another VM was
-  /// named), "nothing" (an empty response) or "no_answer" (no response).
-  using log_hook = std::function<void(
-      const vm_id& vm, document_version required, const char* outcome)>;
+  /// Receives the response, or nothing after a failure or the timeout.
+  using response_hook =
+      std::function<void(const std::optional<std::string>& response)>;
 
-  document_fetcher(control_watcher& members, vm_id self,
-                   failure_domain_id domain, arrival_hook on_arrival,
-                   log_hook log, std::function<steady_time()> clock);
+  struct hooks {
+    /// Control processes that can be reached at this time.
+    std::function<std::vector<reachable_member>(steady_time now)> members;
+    /// Sends an encoded document_request to a VM.
+    std::function<void(const vm_id& vm, std::string body,
+                       std::chrono::milliseconds timeout, response_hook done)>
+        request;
+    /// Called with each document that was received.
+    std::function<void(const stored_document&)> on_arrival;
+    std::function<void(const document_fetch_outcome&)> log;
+    std::function<steady_time()> clock;
+  };
+
+  document_fetcher(vm_id self, failure_domain_id domain, hooks callbacks);
 
   /// Starts to fetch a version that some member has announced.
   void Start(document_version version);
@@ -42,17 +54,18 @@
   /// Requests the required version from a member, if one is known to have it.
   void RequestFromMember();
   void RequestFrom(const vm_id& vm);
-  void OnResponse(const vm_id& vm, const std::optional<std::string>& response);
+  void OnResponse(const vm_id& vm, steady_time asked_at,
+                  const std::optional<std::string>& response);
   void RetryLater();
   void OnFetched(const vm_id& vm, document_version version,
+                 steady_time asked_at,
                  const std::optional<std::string>& response);
+  void Log(const vm_id& vm, document_version required, const char* outcome,
+           steady_time asked_at) const;
 
-  control_watcher& members_;
   const vm_id self_;
   const failure_domain_id domain_;
-  const arrival_hook on_arrival_;
-  const log_hook log_;
-  const std::function<steady_time()> clock_;
+  const hooks hooks_;
   document_version required_;
   steady_time required_since_;
   bool has_open_request_ = false;
--- a/source/process/entry/entry_events.cc
+++ b/source/process/entry/entry_events.cc
@@ -1,6 +1,7 @@
 #include "process/entry/entry_events.h"
 
 #include "process/entry/decision_log.h"
+#include "process/entry/document_fetch_outcome.h"
 #include "process/entry/log_fields.h"
 
 namespace marjoramsill {
@@ -48,12 +49,13 @@
                                   .text());
 }
 
-void LogFetch(decision_log& log, const vm_id& vm, document_version required,
-              std::string_view outcome) {
+void LogFetch(decision_log& log, const document_fetch_outcome& outcome) {
   log.Write("document_asked", log_fields()
-                                  .Add("vm", vm.value())
-                                  .Add("version", required.value())
-                                  .Add("outcome", outcome)
+                                  .Add("vm", outcome.vm.value())
+                                  .Add("version", outcome.required.value())
+                                  .Add("outcome", outcome.text)
+                                  .Add("took_ms", MillisOf(outcome.took))
+                                  .Add("since_ms", MillisOf(outcome.since))
                                   .text());
 }
 
--- a/source/process/entry/entry_events.h
+++ b/source/process/entry/entry_events.h
@@ -13,6 +13,7 @@
 namespace marjoramsill {
 
 class decision_log;
+struct document_fetch_outcome;
 
 // Log lines of an entry process about what it learns of the fleet. Operators
 // find them by the names in docs/OPERATIONS.md.
@@ -29,9 +30,8 @@
 /// `reached`, `failed`: endpoints of the probes that decided.
 void LogLinks(decision_log& log, const model_id& pool, link_state state,
               std::size_t reached, std::size_t failed);
-/// Another VM was asked for a routing document.
-void LogFetch(decision_log& log, const vm_id& vm, document_version required,
-              std::string_view outcome);
+/// A VM was asked for a routing document.
+void LogFetch(decision_log& log, const document_fetch_outcome& outcome);
 
 /// This process closes the connection of a caller that has not received the
 /// whole response to `request`. `unsent`, `unacknowledged`: bytes of it.
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -39,6 +39,9 @@
                                       "Connections opened to endpoints");
   handed_on_ = registry_.AddCounter("marjoramsill_entry_handed_on_total",
                                     "Requests handed on to another entry VM");
+  relays_lost_ = registry_.AddCounter(
+      "marjoramsill_entry_relays_lost_total",
+      "Requests sent to another entry VM that gave no answer");
   relayed_ = registry_.AddCounter("marjoramsill_entry_relayed_total",
                                   "Requests taken from other entry VMs");
   relays_refused_ = registry_.AddCounter(
@@ -104,6 +107,8 @@
 
 void entry_metrics::CountHandedOn() { handed_on_->Increment(); }
 
+void entry_metrics::CountRelayLost() { relays_lost_->Increment(); }
+
 void entry_metrics::CountRelayed(bool taken) {
   (taken ? relayed_ : relays_refused_)->Increment();
 }
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -34,6 +34,8 @@
   void CountConnection();
   /// A request was handed on to another entry VM.
   void CountHandedOn();
+  /// The other VM gave no answer to a request that had been sent to it.
+  void CountRelayLost();
   /// A request of another entry VM was taken, or refused for want of room.
   void CountRelayed(bool taken);
   /// A request was sent to an endpoint above the load bound of its pool.
@@ -74,6 +76,7 @@
   prometheus::Counter* retries_denied_ = nullptr;
   prometheus::Counter* connections_ = nullptr;
   prometheus::Counter* handed_on_ = nullptr;
+  prometheus::Counter* relays_lost_ = nullptr;
   prometheus::Counter* relayed_ = nullptr;
   prometheus::Counter* relays_refused_ = nullptr;
   prometheus::Counter* over_bound_ = nullptr;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -117,14 +117,7 @@
                  OnPeerMessage(message, std::move(respond));
                }),
         watcher_(io_, peers_, settings_.vm, true, WatcherHooks()),
-        fetcher_(
-            watcher_, settings_.vm, settings_.failure_domain,
-            [this](const stored_document& document) { OnDocument(document); },
-            [this](const vm_id& vm, document_version required,
-                   const char* outcome) {
-              LogFetch(log_, vm, required, outcome);
-            },
-            SteadyNow),
+        fetcher_(settings_.vm, settings_.failure_domain, FetcherHooks()),
         proof_(settings_.document_apply),
         relay_(settings_.link_mbps),
         connections_(io_, settings_.endpoint_source),
@@ -362,6 +355,25 @@
     return hooks;
   }
 
+  document_fetcher::hooks FetcherHooks() {
+    document_fetcher::hooks hooks;
+    hooks.members = [this](steady_time now) { return watcher_.Reachable(now); };
+    hooks.request = [this](const vm_id& vm, std::string body,
+                           milliseconds timeout,
+                           document_fetcher::response_hook done) {
+      watcher_.Request(vm, std::string(kDocumentKind), std::move(body), timeout,
+                       std::move(done));
+    };
+    hooks.on_arrival = [this](const stored_document& document) {
+      OnDocument(document);
+    };
+    hooks.log = [this](const document_fetch_outcome& outcome) {
+      LogFetch(log_, outcome);
+    };
+    hooks.clock = SteadyNow;
+    return hooks;
+  }
+
   /// Version of the document in force; 0 before the first one.
   document_version CurrentVersion() const {
     return table_ ? table_->version() : document_version();
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -360,9 +360,10 @@
       outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
   const auto stopping_for = environment_.stop->Elapsed(environment_.clock());
   // A stream that was taken up again can only be explained by its lines, and so
-  // can a response that is lost with the end of the process.
-  const bool is_sampled =
-      is_ordinary && resumed_request_.empty() && !stopping_for;
+  // can a response that is lost with the end of the process, and a request that
+  // several VMs may have sent to endpoints.
+  const bool is_sampled = is_ordinary && resumed_request_.empty() &&
+                          !stopping_for && relays_lost_ == 0;
   if (is_sampled && environment_.random() % kLogSample != 0) return;
   // The log limits the rate of frequent lines, so that a flood of immediate
   // refusals cannot displace the lines of requests that failed at an endpoint.
@@ -385,6 +386,7 @@
       .Add("relay", terms_                  ? "taken"
                     : tried_relays_.empty() ? "none"
                                             : "handed_on")
+      .Add("relays_lost", relays_lost_)
       .Add("took_ms", MillisOf(taken))
       .Add("gap_ms", MillisOf(longest_gap_))
       .Add("document", table_ ? table_->version().value() : 0);
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -383,6 +383,8 @@
   /// Attempts of `sent_` that ended because this VM lost its links.
   int lost_with_links_ = 0;
   std::vector<std::string> tried_relays_;
+  /// VMs that the request was sent to and that gave no answer.
+  int relays_lost_ = 0;
   /// The request waits until this version is in force, or for that time.
   document_version awaited_document_;
   steady_time document_deadline_;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -364,6 +364,10 @@
     }
   }
   if (was_sent && !is_handed_on_ && IsLinkLost(now)) ++lost_with_links_;
+  if (was_sent && is_handed_on_) {
+    ++relays_lost_;
+    environment_.metrics->CountRelayLost();
+  }
   // Other idle connections to the endpoint may be dead as well. Opening a new
   // one reveals this before anything is sent, so that another endpoint can be
   // tried.
