request: count all attempts that another VM may have made

Cause: a hop to another VM that gave no answer counted as one attempt, whatever that VM had done; one that lost its links after it had sent the request answered that it had not taken it, so the count was lowered; and attempts that ended with the VM's own links were not counted. Class: what is not known is counted as not done.

A VM that hands a request on now grants all attempts that are left and counts them when it sends the request there. Only an answer lowers the count: 'unavailable', 'full' and 'newer' say that nothing was sent, and 'sent,N' returns a request after N attempts, with 502 if one may have run it. So the count is never lower than the number of endpoints, however the hop ends. A hop without an answer ends after twice the time that the other VM needs to replace its late attempts. A request returned in the middle of a stream was answered with a head there; it is cut off now.

--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -121,7 +121,7 @@
     return false;
   }
   if (terms_) {
-    RefuseRelay("stopping");
+    ReturnRelayed(kRelayUnavailable, "stopping");
   } else {
     Refuse("stopping", kMinRetryAfterMs);
   }
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -171,8 +171,8 @@
   /// The caller has events without ids, after which no stream can go on.
   bool HasUnnumberedEvents() const;
   bool CanTryAnotherEndpoint() const;
-  /// Attempts that count towards the limit of the route.
-  int CountedAttempts() const;
+  /// Ends an attempt at another VM that gives no answer.
+  void CheckRelayStall(steady_time now);
 
   // proxied_call_terms.cc: what an endpoint says of itself and of its requests.
   /// A stream that goes on waits until the record of the process that its
@@ -267,15 +267,18 @@
   /// Hands the request on to another VM, if one is left.
   bool HandOn(steady_time now);
   std::string HandedOnBytes() const;
-  /// Responds 503 to the VM that handed the request on: another may take it.
-  void RefuseRelay(std::string_view reason);
-  /// As RefuseRelay(), for a request to a pool in which this VM has no place.
-  void RefuseRelayToFullPool();
-  /// The other VM took no request. Returns false if the response is no such
-  /// refusal.
+  /// Returns the request to the VM that handed it on: another may serve it.
+  /// `answer`: kRelayUnavailable or kRelayFull, for one that was not sent.
+  void ReturnRelayed(const char* answer, std::string_view reason);
+  /// True if this VM has sent the request to an endpoint.
+  bool HasSent() const;
+  /// Whether the other VM returned the request, or says that it has not run.
   bool OnRelayRefusal();
-  /// `cause`: how long the VM is avoided depends on it.
+  /// The other VM has sent the request to no endpoint. `cause`: how long the
+  /// VM is avoided depends on it.
   void OnRelayNotTaken(std::string_view cause);
+  /// The other VM made this number of attempts, and another may serve it.
+  void OnRelayReturned(int attempts);
   /// Refuses a request that was allowed by another document than the one in
   /// force here.
   bool RefuseOtherDocument();
@@ -375,13 +378,15 @@
   std::optional<steady_time> origin_due_;
   /// A request that found its pool full waits for a place until then.
   steady_time place_deadline_;
+  /// Attempts in which the request was or may have been sent to an endpoint,
+  /// here or at other VMs. Never lower than their number.
   int sent_ = 0;
+  /// Attempts of `sent_` that the VM of the current attempt may make.
+  int granted_ = 0;
   /// The next attempt has been taken from the retry budget.
   bool has_retry_ = false;
   /// The request counts towards the retry budget of this VM.
   bool is_request_counted_ = false;
-  /// Attempts of `sent_` that ended because this VM lost its links.
-  int lost_with_links_ = 0;
   std::vector<std::string> tried_relays_;
   /// VMs that the request was sent to and that gave no answer.
   int relays_lost_ = 0;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -52,12 +52,12 @@
 void proxied_call::Attempt() {
   const steady_time now = environment_.clock();
   if (terms_ && IsLinkLost(now)) {
-    RefuseRelay("no_links");
+    ReturnRelayed(kRelayUnavailable, "no_links");
     return;
   }
   if (IsRefusedEverywhere(now) && HandOn(now)) return;
   if (terms_ && !may_have_run_ && pool_->waiting() > 0) {
-    RefuseRelayToFullPool();
+    ReturnRelayed(kRelayFull, "pool_full");
     return;
   }
   const bool is_relay_due = IsRelayDue(now);
@@ -78,7 +78,7 @@
   if (!choice && refused_connections_ > 0) {
     if (HandOn(now)) return;
     if (terms_ && !may_have_run_) {
-      RefuseRelay("no_links");
+      ReturnRelayed(kRelayUnavailable, "no_links");
       return;
     }
   }
@@ -112,6 +112,7 @@
   CountRequest();
   ResetAttempt(choice.endpoint->record().id);
   is_handed_on_ = false;
+  granted_ = 1;
   fetch_from_ = choice.fetch_from;
   limits_.tried.push_back(endpoint_);
   software_ = DigestOfSoftware(choice.endpoint->record());
@@ -208,7 +209,7 @@
 
 void proxied_call::Send() {
   state_ = state::kAwaitingHead;
-  ++sent_;
+  sent_ += granted_;
   last_progress_ = environment_.clock();
   environment_.metrics->CountAttempt();
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
@@ -351,6 +352,8 @@
   const auto self = shared_from_this();
   const bool was_sent =
       state_ != state::kConnecting && connection_ && connection_->has_sent();
+  // A kept connection turned out to be closed before any byte was written.
+  if (state_ == state::kAwaitingHead && !was_sent) sent_ -= granted_;
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->OnConnectionFailure(now);
   }
@@ -363,7 +366,6 @@
       ++refused_connections_;
     }
   }
-  if (was_sent && !is_handed_on_ && IsLinkLost(now)) ++lost_with_links_;
   if (was_sent && is_handed_on_) {
     ++relays_lost_;
     environment_.metrics->CountRelayLost();
@@ -394,7 +396,7 @@
                         !(is_handed_on_ && response_started_) &&
                         !HasUnnumberedEvents();
   facts.response_started = response_started_;
-  facts.sent = CountedAttempts();
+  facts.sent = sent_;
   facts.max_attempts = route_->max_attempts;
   facts.may_have_run = may_have_run_;
   facts.may_crash_endpoints = !MayRepeat(now);
--- a/source/request/proxied_call_end.cc
+++ b/source/request/proxied_call_end.cc
@@ -81,7 +81,7 @@
 }
 
 bool proxied_call::HasAttemptLeft() const {
-  return route_->IsRepeatable() && CountedAttempts() < route_->max_attempts;
+  return route_->IsRepeatable() && sent_ < route_->max_attempts;
 }
 
 bool proxied_call::MayRepeat(steady_time now) const {
--- a/source/request/proxied_call_place.cc
+++ b/source/request/proxied_call_place.cc
@@ -55,7 +55,7 @@
 /// its part while others have not.
 bool proxied_call::OfferElsewhere(steady_time now) {
   if (terms_ && !may_have_run_) {
-    RefuseRelayToFullPool();
+    ReturnRelayed(kRelayFull, "pool_full");
     return true;
   }
   return !response_started_ && HandOn(now);
--- a/source/request/proxied_call_progress.cc
+++ b/source/request/proxied_call_progress.cc
@@ -31,8 +31,6 @@
 /// A late attempt without a first event ends after this multiple of its timeout
 /// even if nothing can replace it, so that the caller can try again.
 constexpr int kUnreplacedFactor = 2;
-/// Another entry VM makes attempts of its own within this multiple.
-constexpr int kHandedOnTimeoutFactor = 2;
 /// The timeout while the links to all endpoints are lost. A response that is
 /// still on its way arrives within this time.
 constexpr milliseconds kLostLinkTimeout{200};
@@ -61,15 +59,13 @@
   const steady_time now = environment_.clock();
   if (!route_->IsRepeatable() || !MayRepeat(now)) return false;
   if (HasUnnumberedEvents()) return false;
-  if (is_handed_on_) return !response_started_ && HasAttemptLeft();
+  if (!HasAttemptLeft()) return false;
   if (IsRelayDue(now) && IsLinkLost(now)) {
     return environment_.relays->Pick(tried_relays_, pool_id_, now).has_value();
   }
-  return HasAttemptLeft() && pool_->CanServe(limits_, now);
+  return pool_->CanServe(limits_, now);
 }
 
-int proxied_call::CountedAttempts() const { return sent_ - lost_with_links_; }
-
 void proxied_call::CheckStall(steady_time now) {
   if (state_ == state::kConnecting) {
     const bool is_hopeless = !is_handed_on_ && IsLinkLost(now);
@@ -85,7 +81,12 @@
   const bool is_waiting =
       state_ == state::kFindingOrigin || state_ == state::kAwaitingPlace ||
       state_ == state::kConfirmingEnd || state_ == state::kCheckingEndpoint;
-  if (is_waiting || !CanTryAnotherEndpoint()) return;
+  if (is_waiting) return;
+  if (is_handed_on_) {
+    CheckRelayStall(now);
+    return;
+  }
+  if (!CanTryAnotherEndpoint()) return;
   const milliseconds timeout = ProgressTimeout(now);
   const auto waited = now - last_progress_;
   if (waited <= timeout) return;
@@ -94,6 +95,17 @@
   if (may_end || SecuresReplacement(now)) OnFailure(call_failure::kStalled);
 }
 
+/// The other VM has all attempts that are left, so nothing replaces this one.
+/// It ends so that the caller can try again, but not before the other VM has
+/// replaced its own late attempts.
+void proxied_call::CheckRelayStall(steady_time now) {
+  const bool makes_one = granted_ <= 1;
+  if (makes_one || response_started_ || !route_->IsRepeatable()) return;
+  const milliseconds limit =
+      kUnreplacedFactor * granted_ * ProgressTimeout(now);
+  if (now - last_progress_ > limit) OnFailure(call_failure::kStalled);
+}
+
 milliseconds proxied_call::ProgressTimeout(steady_time now) const {
   if (!is_handed_on_ && IsLinkLost(now)) return kLostLinkTimeout;
   const milliseconds response_timeout = std::max(
@@ -102,7 +114,7 @@
       std::max(kMinEventTimeout, kEventTimeoutFactor * route_->gap_target);
   milliseconds timeout = has_event_ ? event_timeout : response_timeout;
   if (state_ == state::kReceiving) timeout = std::max(timeout, event_timeout);
-  return is_handed_on_ ? kHandedOnTimeoutFactor * timeout : timeout;
+  return timeout;
 }
 
 /// A late attempt may still succeed, so it is only given up for one that can be
--- a/source/request/proxied_call_relay.cc
+++ b/source/request/proxied_call_relay.cc
@@ -33,6 +33,7 @@
 constexpr std::string_view kFullCause = "relay_full";
 constexpr std::string_view kUnavailableCause = "relay_unavailable";
 constexpr std::string_view kNewerCause = "relay_newer";
+constexpr std::string_view kReturnedCause = "relay_returned";
 
 }  // namespace
 
@@ -69,6 +70,8 @@
   environment_.metrics->CountHandedOn();
   ResetAttempt(endpoint_id(*address));
   is_handed_on_ = true;
+  // Without an answer it is unknown how many of them the other VM has made.
+  granted_ = std::max(route_->max_attempts - sent_, 1);
   is_counted_ = true;
   environment_.relays->OnStart(*address);
   Connect(*address);
@@ -83,8 +86,8 @@
 std::string proxied_call::HandedOnBytes() const {
   const request_dialect& dialect = environment_.dialect;
   const bool resumes = !events_.last_id().empty();
-  // This attempt is counted already; the other VM counts its own.
-  const relay_terms terms{table_->version(), CountedAttempts() - 1,
+  // The attempts of the other VM are counted already.
+  const relay_terms terms{table_->version(), sent_ - granted_,
                           limits_.software};
   std::string bytes = message_.method + " " + message_.target + " HTTP/1.1\r\n";
   AppendField(bytes, kRelayField, EncodeRelayTerms(terms));
@@ -100,22 +103,35 @@
   return bytes;
 }
 
-void proxied_call::RefuseRelay(std::string_view reason) {
-  caller_->Respond(kStatusUnavailable, {{kRelayField, kRelayUnavailable}}, "");
-  Finish(call_outcome::kRefused, reason);
-}
+bool proxied_call::HasSent() const { return terms_ && sent_ > terms_->sent; }
 
-void proxied_call::RefuseRelayToFullPool() {
-  caller_->Respond(kStatusUnavailable, {{kRelayField, kRelayFull}}, "");
-  Finish(call_outcome::kRefused, "pool_full");
+void proxied_call::ReturnRelayed(const char* answer, std::string_view reason) {
+  if (response_started_) {
+    Fail(reason);
+    return;
+  }
+  const std::string value =
+      HasSent() ? EncodeRelayAttempts(sent_ - terms_->sent) : answer;
+  const int status = may_have_run_ ? kStatusBadGateway : kStatusUnavailable;
+  caller_->Respond(status, {{kRelayField, value}}, "");
+  Finish(may_have_run_ ? call_outcome::kFailed : call_outcome::kRefused,
+         reason);
 }
 
 bool proxied_call::OnRelayRefusal() {
   const bool is_from_endpoint =
       FindField(head_.fields, environment_.dialect.endpoint_proof) != nullptr;
-  if (is_from_endpoint || !SignalsNotRun(head_.status)) return false;
-  if (const auto* answer = FindField(head_.fields, kRelayField)) {
-    --sent_;
+  if (is_from_endpoint) return false;
+  const http_field* answer = FindField(head_.fields, kRelayField);
+  const auto attempts =
+      answer ? DecodeRelayAttempts(answer->value) : std::nullopt;
+  if (attempts) {
+    OnRelayReturned(*attempts);
+    return true;
+  }
+  if (!SignalsNotRun(head_.status)) return false;
+  if (answer != nullptr) {
+    sent_ -= granted_;
     if (const auto newer = DecodeNewerDocument(answer->value)) {
       OnNewerDocument(*newer);
     } else {
@@ -134,7 +150,14 @@
   return true;
 }
 
-/// Nothing was sent to an endpoint.
+void proxied_call::OnRelayReturned(int attempts) {
+  sent_ -= granted_ - std::clamp(attempts, 1, granted_);
+  const bool may_run = !SignalsNotRun(head_.status);
+  if (may_run) may_have_run_ = true;
+  AfterAttempt(may_run ? attempt_end::kUnknown : attempt_end::kNotRun,
+               kReturnedCause);
+}
+
 void proxied_call::OnRelayNotTaken(std::string_view cause) {
   const steady_time now = environment_.clock();
   if (cause == kUnavailableCause) {
@@ -147,7 +170,7 @@
 
 bool proxied_call::RefuseOtherDocument() {
   if (!table_ || table_->version() < terms_->document) {
-    RefuseRelay("older_document");
+    ReturnRelayed(kRelayUnavailable, "older_document");
     return true;
   }
   if (table_->version() == terms_->document) return false;
--- a/source/request/relay_terms.cc
+++ b/source/request/relay_terms.cc
@@ -13,6 +13,7 @@
 /// Encoded software of a request that may be served by any.
 constexpr std::string_view kAnySoftware = "-";
 constexpr std::uint64_t kMaxSent = 1'000;
+constexpr std::string_view kAttemptsPrefix = "sent,";
 
 std::optional<std::uint64_t> ReadNumber(std::string_view text) {
   std::uint64_t number = 0;
@@ -62,4 +63,15 @@
   return terms;
 }
 
+std::string EncodeRelayAttempts(int attempts) {
+  return std::string(kAttemptsPrefix) + std::to_string(attempts);
+}
+
+std::optional<int> DecodeRelayAttempts(std::string_view value) {
+  if (!value.starts_with(kAttemptsPrefix)) return std::nullopt;
+  const auto attempts = ReadNumber(value.substr(kAttemptsPrefix.size()));
+  if (!attempts || *attempts > kMaxSent) return std::nullopt;
+  return static_cast<int>(*attempts);
+}
+
 }  // namespace marjoramsill
--- a/tests/proxy/relay_terms_test.cc
+++ b/tests/proxy/relay_terms_test.cc
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(encoded_terms_are_taken_unchanged);
   CPPUNIT_TEST(first_field_counts_and_that_of_the_caller_stays);
   CPPUNIT_TEST(malformed_terms_are_refused);
+  CPPUNIT_TEST(attempts_of_a_returned_request_are_decoded_as_encoded);
+  CPPUNIT_TEST(other_answers_name_no_attempts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,6 +46,20 @@
     http_field_list none;
     CPPUNIT_ASSERT(!TakeRelayTerms(none));
   }
+
+  void attempts_of_a_returned_request_are_decoded_as_encoded() {
+    for (const int attempts : {0, 1, 1'000}) {
+      CPPUNIT_ASSERT(DecodeRelayAttempts(EncodeRelayAttempts(attempts)) ==
+                     attempts);
+    }
+  }
+
+  void other_answers_name_no_attempts() {
+    for (const char* text : {kRelayUnavailable, kRelayFull, "", "sent", "sent,",
+                             "sent,-1", "sent,1001", "sent,1x"}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !DecodeRelayAttempts(text));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_terms_test);
