entry: ask a control process as well when a source is silent

Entry VMs handled requests by an older document for longer than the bound after a newer one was acknowledged (CONFIG).

Cause: a VM counted as a source once a transfer to it had been planned, for 3 s, and a requester waited for the whole timeout of a request. Class: a plan is taken for a fact.

A source has 250 ms now. Then the requester asks a control process as well, another one each time, and names the silent sources, which are named to nobody else. It goes before requesters that have lost no time, and after two silent sources gets the document from the control process itself.

--- a/source/process/controller/document_relay.cc
+++ b/source/process/controller/document_relay.cc
@@ -22,6 +22,9 @@
 constexpr microseconds kReceiverLifetime{3'000'000};
 /// Number of VMs to which one receiver forwards the document.
 constexpr int kMaxForwards = 3;
+/// A requester that has lost time with so many silent sources gets the document
+/// from here only.
+constexpr std::size_t kMaxSilentSources = 2;
 /// Shorter than the timeout of the requester, so that an empty response reaches
 /// the requester in time.
 constexpr microseconds kMaxWait{1'200'000};
@@ -34,11 +37,23 @@
                              const document_request& request,
                              response_hook respond, const stored_document& held,
                              steady_time now) {
-  // It has no document: a process that has restarted since cannot be a source.
-  std::erase_if(receivers_, [&requester](const receiver& each) {
-    return each.vm == requester;
+  // The requester has no document: a process that has restarted since cannot be
+  // a source. Nor can one that does not answer.
+  const std::vector<vm_id>& silent = request.silent_sources;
+  std::erase_if(receivers_, [&requester, &silent](const receiver& each) {
+    return each.vm == requester ||
+           std::find(silent.begin(), silent.end(), each.vm) != silent.end();
   });
-  waiting_.push_back({requester, request, std::move(respond), now});
+  // One that has lost time with a silent source comes before those that have
+  // not.
+  const auto place =
+      silent.empty()
+          ? waiting_.end()
+          : std::find_if(waiting_.begin(), waiting_.end(),
+                         [](const waiting_requester& each) {
+                           return each.request.silent_sources.empty();
+                         });
+  waiting_.insert(place, {requester, request, std::move(respond), now});
   Tick(held, now);
 }
 
@@ -75,6 +90,9 @@
     requester.respond(offer);
     return true;
   }
+  if (requester.request.silent_sources.size() >= kMaxSilentSources) {
+    return false;
+  }
   receiver* source = FindSource(requester, now);
   if (source == nullptr) return false;
   ++source->forwards;
--- a/source/process/entry/document_fetcher.cc
+++ b/source/process/entry/document_fetcher.cc
@@ -16,6 +16,10 @@
 /// A member holds a request until it has the document and its link is idle, for
 /// a little less than this time.
 constexpr milliseconds kResponseTimeout{1'500};
+/// A source usually sends the document within this time. A control process is
+/// asked for it as well after that: the source may have lost power or its
+/// links.
+constexpr milliseconds kSourceTime{250};
 /// A version that a member has announced usually arrives within this time. It
 /// is not transferred twice until then.
 constexpr milliseconds kExpectedTime{400};
@@ -36,29 +40,47 @@
   required_ = version;
   required_since_ = hooks_.clock();
   failures_ = 0;
-  if (!has_open_request_) RequestFromMember();
+  silent_sources_.clear();
+  if (!has_member_request_ && source_.empty()) RequestFromMember();
 }
 
 void document_fetcher::RequestFromMember() {
   const steady_time now = hooks_.clock();
+  // Another member may be less busy, or name other sources.
+  const int unsuccessful = failures_ + static_cast<int>(silent_sources_.size());
   const auto holder = ChooseHolder(self_, required_, hooks_.members(now),
-                                   now - required_since_, failures_);
-  if (holder) RequestFrom(*holder);
+                                   now - required_since_, unsuccessful);
+  if (!holder) return;
+  has_member_request_ = true;
+  Request(*holder, [this, vm = *holder, asked_at = now](const auto& response) {
+    has_member_request_ = false;
+    OnResponse(vm, asked_at, response);
+  });
 }
 
-void document_fetcher::Tick(steady_time now) {
-  if (required_.value() == 0 || has_open_request_ || now < next_try_) return;
-  RequestFromMember();
+void document_fetcher::RequestFromSource(const vm_id& vm) {
+  const steady_time now = hooks_.clock();
+  source_ = vm;
+  source_asked_at_ = now;
+  Request(vm, [this, vm, asked_at = now](const auto& response) {
+    if (source_ == vm) source_ = {};
+    OnResponse(vm, asked_at, response);
+  });
 }
 
-void document_fetcher::RequestFrom(const vm_id& vm) {
-  has_open_request_ = true;
-  hooks_.request(vm, EncodeDocumentRequest({required_, domain_}),
-                 kResponseTimeout,
-                 [this, vm, asked_at = hooks_.clock()](const auto& response) {
-                   has_open_request_ = false;
-                   OnResponse(vm, asked_at, response);
-                 });
+void document_fetcher::Request(const vm_id& vm, response_hook done) {
+  hooks_.request(vm,
+                 EncodeDocumentRequest({required_, domain_, silent_sources_}),
+                 kResponseTimeout, std::move(done));
+}
+
+void document_fetcher::Tick(steady_time now) {
+  if (required_.value() == 0 || has_member_request_ || now < next_try_) return;
+  const bool has_source = !source_.empty();
+  if (has_source && now - source_asked_at_ < kSourceTime) return;
+  // The response of the late source still counts if it comes.
+  if (has_source) silent_sources_.push_back(std::exchange(source_, {}));
+  RequestFromMember();
 }
 
 void document_fetcher::OnResponse(const vm_id& vm, steady_time asked_at,
@@ -67,21 +89,27 @@
                               : std::optional<document_offer>();
   if (offer && offer->document) {
     Log(vm, required_, "document", asked_at);
-    hooks_.on_arrival(*offer->document);
-    if (offer->document->version >= required_) {
-      required_ = {};
-    } else {
-      RequestFromMember();
-    }
+    OnDocument(*offer->document);
     return;
   }
   if (offer && !offer->source.empty()) {
     Log(vm, required_, "source", asked_at);
-    RequestFrom(offer->source);
+    const bool is_needed = required_.value() != 0 && source_.empty();
+    if (is_needed) RequestFromSource(offer->source);
     return;
   }
   Log(vm, required_, response ? "nothing" : "no_answer", asked_at);
-  RetryLater();
+  // Another request may be open by now.
+  if (!has_member_request_ && source_.empty()) RetryLater();
+}
+
+void document_fetcher::OnDocument(const stored_document& document) {
+  hooks_.on_arrival(document);
+  if (document.version >= required_) {
+    required_ = {};
+  } else if (!has_member_request_ && source_.empty()) {
+    RequestFromMember();
+  }
 }
 
 /// A request to a member may wait for a response that a VM which is cut off
--- a/source/process/entry/document_fetcher.h
+++ b/source/process/entry/document_fetcher.h
@@ -53,7 +53,10 @@
  private:
   /// Requests the required version from a member, if one is known to have it.
   void RequestFromMember();
-  void RequestFrom(const vm_id& vm);
+  /// Requests it from a VM that a member named.
+  void RequestFromSource(const vm_id& vm);
+  void Request(const vm_id& vm, response_hook done);
+  void OnDocument(const stored_document& document);
   void OnResponse(const vm_id& vm, steady_time asked_at,
                   const std::optional<std::string>& response);
   void RetryLater();
@@ -68,7 +71,12 @@
   const hooks hooks_;
   document_version required_;
   steady_time required_since_;
-  bool has_open_request_ = false;
+  bool has_member_request_ = false;
+  /// VM that a member named, while its response is awaited.
+  vm_id source_;
+  steady_time source_asked_at_;
+  /// Sources of the required version that did not answer in time.
+  std::vector<vm_id> silent_sources_;
   /// A request of FetchFrom() is open.
   bool is_fetching_ = false;
   int failures_ = 0;
--- a/tests/directory/document_relay_test.cc
+++ b/tests/directory/document_relay_test.cc
@@ -14,6 +14,9 @@
 class document_relay_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(document_relay_test);
   CPPUNIT_TEST(offer_is_decoded_as_encoded);
+  CPPUNIT_TEST(request_is_decoded_as_encoded);
+  CPPUNIT_TEST(silent_source_is_not_offered_again);
+  CPPUNIT_TEST(requester_with_silent_sources_gets_the_document_next);
   CPPUNIT_TEST(document_is_sent_while_the_link_is_idle);
   CPPUNIT_TEST(request_for_a_later_version_waits_for_it);
   CPPUNIT_TEST(request_that_waits_too_long_gets_an_empty_response);
@@ -42,6 +45,14 @@
         Document(held, bytes), now_);
   }
 
+  void RequestAfterSilence(document_relay& relay, const std::string& vm,
+                           const std::vector<vm_id>& silent) {
+    relay.Request(
+        vm_id(vm), {document_version(1), failure_domain_id("perth"), silent},
+        [this, vm](const document_offer& offer) { offers_[vm] = offer; },
+        Document(1, kLargeBytes), now_);
+  }
+
   std::map<std::string, document_offer> offers_;
   steady_time now_{milliseconds(1'000)};
 
@@ -60,6 +71,49 @@
     CPPUNIT_ASSERT(!DecodeDocumentOffer("d12").has_value());
   }
 
+  void request_is_decoded_as_encoded() {
+    for (const auto& silent : std::vector<std::vector<vm_id>>{
+             {}, {vm_id("10.0.0.1:1")}, {vm_id("a"), vm_id("b")}}) {
+      const document_request request{document_version(12),
+                                     failure_domain_id("perth"), silent};
+      const auto decoded =
+          DecodeDocumentRequest(EncodeDocumentRequest(request));
+      CPPUNIT_ASSERT(decoded.has_value());
+      CPPUNIT_ASSERT(decoded->version == request.version);
+      CPPUNIT_ASSERT(decoded->domain == request.domain);
+      CPPUNIT_ASSERT(decoded->silent_sources == silent);
+    }
+    CPPUNIT_ASSERT(!DecodeDocumentRequest("12"));
+  }
+
+  // Guards against other VMs that are referred to a source after one has found
+  // that it does not answer.
+  void silent_source_is_not_offered_again() {
+    document_relay relay(kControlMbps);
+    Request(relay, "a", "perth", kLargeBytes);
+    now_ += milliseconds(500);
+    Request(relay, "b", "perth", kLargeBytes);
+    Request(relay, "c", "perth", kLargeBytes);
+    CPPUNIT_ASSERT(offers_["c"].source == vm_id("a"));
+    offers_.clear();
+    RequestAfterSilence(relay, "c", {vm_id("a")});
+    Request(relay, "d", "perth", kLargeBytes);
+    CPPUNIT_ASSERT(!offers_.contains("c"));
+    CPPUNIT_ASSERT(!offers_.contains("d"));
+  }
+
+  void requester_with_silent_sources_gets_the_document_next() {
+    document_relay relay(kControlMbps);
+    Request(relay, "a", "perth", kLargeBytes);
+    Request(relay, "b", "perth", kLargeBytes);
+    RequestAfterSilence(relay, "c", {vm_id("x"), vm_id("y")});
+    CPPUNIT_ASSERT(!offers_.contains("b"));
+    now_ += milliseconds(190);
+    relay.Tick(Document(1, kLargeBytes), now_);
+    CPPUNIT_ASSERT(offers_["c"].document.has_value());
+    CPPUNIT_ASSERT(!offers_.contains("b"));
+  }
+
   void document_is_sent_while_the_link_is_idle() {
     document_relay relay(kControlMbps);
     for (int i = 0; i < 5; ++i)
