entry: fetch a document from another VM after a silent one

An entry VM that reaches no control process fetches a newer document from the VM that refused its request. While that one was silent, the VM asked no other for 1.5 s, and its requests were refused. Same cause as with sources that control processes name: a request was trusted for its whole timeout.

--- a/source/process/entry/document_fetcher.cc
+++ b/source/process/entry/document_fetcher.cc
@@ -115,16 +115,17 @@
 /// A request to a member may wait for a response that a VM which is cut off
 /// does not get, so this one does not wait for the end of that.
 void document_fetcher::FetchFrom(const vm_id& vm, document_version version) {
+  const steady_time now = hooks_.clock();
   const bool is_expected =
-      version <= required_ && hooks_.clock() - required_since_ < kExpectedTime;
-  if (is_fetching_ || is_expected) return;
-  is_fetching_ = true;
-  hooks_.request(
-      vm, EncodeDocumentRequest({version, domain_}), kResponseTimeout,
-      [this, vm, version, asked_at = hooks_.clock()](const auto& response) {
-        is_fetching_ = false;
-        OnFetched(vm, version, asked_at, response);
-      });
+      version <= required_ && now - required_since_ < kExpectedTime;
+  if (now < next_fetch_ || is_expected) return;
+  next_fetch_ = now + kSourceTime;
+  hooks_.request(vm, EncodeDocumentRequest({version, domain_}),
+                 kResponseTimeout,
+                 [this, vm, version, asked_at = now](const auto& response) {
+                   if (response) next_fetch_ = hooks_.clock();
+                   OnFetched(vm, version, asked_at, response);
+                 });
 }
 
 void document_fetcher::OnFetched(const vm_id& vm, document_version version,
--- a/source/process/entry/document_fetcher.h
+++ b/source/process/entry/document_fetcher.h
@@ -77,8 +77,9 @@
   steady_time source_asked_at_;
   /// Sources of the required version that did not answer in time.
   std::vector<vm_id> silent_sources_;
-  /// A request of FetchFrom() is open.
-  bool is_fetching_ = false;
+  /// No request of FetchFrom() is sent before then: an open one may still be
+  /// answered.
+  steady_time next_fetch_;
   int failures_ = 0;
   steady_time next_try_;
 };
--- a/tests/directory/document_fetch_test.cc
+++ b/tests/directory/document_fetch_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(document_reaches_all_vms_in_time);
   CPPUNIT_TEST(document_reaches_others_in_time_after_sources_went_dark);
   CPPUNIT_TEST(document_reaches_all_in_time_where_vms_reach_no_other_ones);
+  CPPUNIT_TEST(vm_without_members_asks_another_vm_after_a_silent_one);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr double kControlMbps = 3;
@@ -211,6 +212,19 @@
     CheckArrivals();
   }
 
+  // Guards against a VM without control processes that waits for a silent one
+  // of those to which it hands requests on.
+  void vm_without_members_asks_another_vm_after_a_silent_one() {
+    vms_.at(Entry(1)).is_dark = true;
+    vms_.at(Entry(2)).held = Document();
+    document_fetcher& fetcher = *vms_.at(Entry(0)).fetcher;
+    fetcher.FetchFrom(Entry(1), kVersion);
+    RunUntil(start_ + milliseconds(300));
+    fetcher.FetchFrom(Entry(2), kVersion);
+    RunUntil(start_ + milliseconds(400));
+    CPPUNIT_ASSERT(vms_.at(Entry(0)).arrived.has_value());
+  }
+
   // Guards against a VM that is referred to sources which it cannot reach.
   void document_reaches_all_in_time_where_vms_reach_no_other_ones() {
     is_split_ = true;
