entry, placement: split large files by job

The requests in progress move to call_set, the document in force to document_in_force, and the cost of a candidate becomes the aggregate placement_cost, so that a log line or a command can show its terms. Behaviour is unchanged: the terms are summed in the same order.

--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -7,7 +7,6 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
-#include <iterator>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -24,18 +23,17 @@
 #include "process/controller/node_start.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
-#include "process/controller/stored_document.h"
-#include "process/controller/text_compression.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/daemon/steady_clock.h"
 #include "process/directory/control_watcher.h"
-#include "process/directory/document_proof.h"
 #include "process/entry/call_environment.h"
+#include "process/entry/call_set.h"
 #include "process/entry/content_breaker.h"
 #include "process/entry/content_fault_reporter.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetcher.h"
+#include "process/entry/document_in_force.h"
 #include "process/entry/endpoint_end_check.h"
 #include "process/entry/entry_events.h"
 #include "process/entry/entry_metrics.h"
@@ -49,8 +47,6 @@
 #include "process/entry/unconfirmed_origin.h"
 #include "process/placement/endpoint_pool.h"
 #include "request/http_status.h"
-#include "request/proxied_call.h"
-#include "request/relay_terms.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
@@ -62,19 +58,11 @@
 constexpr milliseconds kTick{25};
 /// Expired connections and endpoints are removed less often than every tick.
 constexpr int kTicksPerSweep = 8;
-/// Limit for an uncompressed routing document.
-constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
-/// A process that starts waits this long for the proof that its first document
-/// is current. It then serves with what it has, since its failure domain may be
-/// cut off.
-constexpr milliseconds kProofWait{2'000};
 /// File descriptors reserved for endpoints, peers and files.
 constexpr std::size_t kOtherDescriptors = 1'500;
 constexpr std::size_t kMinCallerConnections = 500;
 /// Connections of other entry VMs that hand requests on.
 constexpr std::size_t kMaxRelayConnections = 500;
-/// Requests of other entry VMs that are in progress at the same time.
-constexpr std::ptrdiff_t kMaxRelayedCalls = 400;
 /// Bytes that a VM adds to the head of a request that it hands on.
 constexpr std::size_t kRelayHeaderBytes = 256;
 /// With later ticks the process takes no requests of other VMs.
@@ -107,18 +95,17 @@
   implementation(node_settings settings, std::string settings_file,
                  request_dialect requests, control_dialect control)
       : settings_(std::move(settings)),
-        control_dialect_(std::move(control)),
         stop_(settings_.grace),
         timer_(io_),
         signals_(
             io_, [this] { BeginStop(); }, [this] { settings_watch_.Reload(); }),
+        document_(std::move(control.read_document), settings_.document_apply),
         peers_(PeerSettings(settings_),
                [this](const vm_message& message, auto respond) {
                  OnPeerMessage(message, std::move(respond));
                }),
         watcher_(io_, peers_, settings_.vm, true, WatcherHooks()),
         fetcher_(settings_.vm, settings_.failure_domain, FetcherHooks()),
-        proof_(settings_.document_apply),
         relay_(settings_.link_mbps),
         connections_(io_, settings_.endpoint_source),
         relay_connections_(io_),
@@ -152,7 +139,7 @@
         listener_(
             io_, {*settings_.callers, MaxCallerConnections()},
             [this](const auto& caller, caller_message message) {
-              OnRequest(caller, std::move(message));
+              calls_.Start(caller, std::move(message));
             },
             [this](parse_state state, int status) {
               OnUnreadable(state, status);
@@ -161,7 +148,7 @@
         relay_listener_(
             io_, {settings_.relay, kMaxRelayConnections},
             [this](const auto& caller, caller_message message) {
-              OnRelayRequest(caller, std::move(message));
+              calls_.StartRelayed(caller, std::move(message), IsBehind());
             },
             [this](parse_state state, int status) {
               OnUnreadable(state, status);
@@ -170,7 +157,8 @@
         settings_watch_(std::move(settings_file),
                         [this](const node_settings& changed) {
                           watcher_.SetSeeds(SeedVms(changed));
-                        }) {
+                        }),
+        calls_(environment_) {
     SetLogWriter([this](std::string_view event, std::string_view fields) {
       log_.Write(event, fields);
     });
@@ -196,11 +184,11 @@
     environment_.metrics = &metrics_;
     environment_.log = &log_;
     environment_.table = [this] {
-      return is_serving_ ? table_ : std::shared_ptr<const routing_table>();
+      return document_.is_serving() ? document_.table() : nullptr;
     };
     environment_.stop = &stop_;
     environment_.is_document_current = [this] {
-      return proof_.IsCurrent(CurrentVersion(), SteadyNow());
+      return document_.IsCurrent(SteadyNow());
     };
     environment_.pool = [this](const model_id& id) { return pools_.Pool(id); };
     environment_.find_origin =
@@ -329,7 +317,7 @@
       fetcher_.Start(version);
     };
     hooks.on_confirmed = [this](document_version newest, steady_time as_of) {
-      proof_.Confirm(newest, as_of);
+      document_.Confirm(newest, as_of);
       UpdateServing(SteadyNow());
     };
     hooks.on_contact = [this](const vm_id& vm, bool reachable) {
@@ -349,7 +337,7 @@
     };
     hooks.relay = [this] { return RelayState(); };
     hooks.document = [this] {
-      return std::max(CurrentVersion(), fetcher_.required());
+      return std::max(document_.version(), fetcher_.required());
     };
     hooks.clock = SteadyNow;
     return hooks;
@@ -365,7 +353,8 @@
                        std::move(done));
     };
     hooks.forward_time = [this] {
-      const std::size_t bytes = document_.packed ? document_.packed->size() : 0;
+      const auto& packed = document_.stored().packed;
+      const std::size_t bytes = packed ? packed->size() : 0;
       return document_relay::ForwardTime(settings_.link_mbps, bytes);
     };
     hooks.on_arrival = [this](const stored_document& document) {
@@ -378,11 +367,6 @@
     return hooks;
   }
 
-  /// Version of the document in force; 0 before the first one.
-  document_version CurrentVersion() const {
-    return table_ ? table_->version() : document_version();
-  }
-
   void OnEndpointChange(const endpoint_record& changed) {
     LogEndpoint(log_, changed);
     if (IsLeavingOrEnded(changed.phase)) connections_.Drop(changed.id);
@@ -419,30 +403,25 @@
         [respond](const document_offer& offer) {
           respond(EncodeDocumentOffer(offer));
         },
-        document_, SteadyNow());
+        document_.stored(), SteadyNow());
   }
 
   void OnDocument(const stored_document& document) {
-    if (!document.packed || document.version <= CurrentVersion()) return;
-    const auto text = UnpackText(*document.packed, kMaxDocumentBytes);
-    if (!text) return;
-    auto parsed = control_dialect_.read_document(*text);
-    if (!parsed) {
+    const auto replaced = document_.Replace(document, SteadyNow());
+    if (!replaced) {
       LogUnreadableDocument(log_, document.version,
-                            parsed.assume_error().where);
+                            replaced.assume_error().where);
       return;
     }
-    caller_limits limits = parsed.assume_value().limits;
+    if (!replaced.assume_value()) return;
+    const auto& table = document_.table();
+    caller_limits limits = table->document().limits;
     listener_.SetLimits(limits);
     limits.max_header_bytes += kRelayHeaderBytes;
     relay_listener_.SetLimits(limits);
-    if (!table_) first_document_at_ = SteadyNow();
-    table_ =
-        std::make_shared<const routing_table>(std::move(parsed).assume_value());
-    document_ = document;
-    pools_.SetDocument(table_);
-    metrics_.SetDocumentVersion(table_->version().value());
-    LogDocument(log_, table_->version(), table_->document().routes.size());
+    pools_.SetDocument(table);
+    metrics_.SetDocumentVersion(table->version().value());
+    LogDocument(log_, table->version(), table->document().routes.size());
     UpdateServing(SteadyNow());
   }
 
@@ -450,7 +429,7 @@
   std::optional<software_digest> OnlySoftware(const model_id& pool,
                                               milliseconds period) const {
     const steady_time now = SteadyNow();
-    if (!proof_.IsCurrent(CurrentVersion(), now)) return std::nullopt;
+    if (!document_.IsCurrent(now)) return std::nullopt;
     return pools_.OnlySoftware(pool, period, now);
   }
 
@@ -461,45 +440,13 @@
     return DigestOfSoftware(endpoint->record());
   }
 
-  /// Begins to serve once the document is proven to be current, or after a
-  /// time without proof.
   void UpdateServing(steady_time now) {
-    if (is_serving_ || !table_) return;
-    const bool is_proven = proof_.IsCurrent(table_->version(), now);
-    if (!is_proven && now - first_document_at_ < kProofWait) return;
-    is_serving_ = true;
-    log_.Write("serving", log_fields()
-                              .Add("document", table_->version().value())
-                              .Add("proven", is_proven ? "yes" : "no")
-                              .text());
-  }
-
-  void OnRequest(const std::shared_ptr<caller_connection>& caller,
-                 caller_message message) {
-    auto call = std::make_shared<proxied_call>(environment_, caller,
-                                               std::move(message));
-    call->Start();
-    if (!call->is_done()) calls_.push_back(std::move(call));
-  }
-
-  /// Requests that other entry VMs hand on.
-  void OnRelayRequest(const std::shared_ptr<caller_connection>& caller,
-                      caller_message message) {
-    const auto terms = TakeRelayTerms(message.fields);
-    const auto taken =
-        std::count_if(calls_.begin(), calls_.end(),
-                      [](const auto& call) { return call->is_relayed(); });
-    const bool has_room = taken < kMaxRelayedCalls && !IsBehind();
-    if (terms) metrics_.CountRelayed(has_room);
-    if (!terms || !has_room) {
-      caller->Respond(kStatusUnavailable, {{kRelayField, kRelayUnavailable}},
-                      "");
-      return;
-    }
-    auto call = std::make_shared<proxied_call>(environment_, caller,
-                                               std::move(message), terms);
-    call->Start();
-    if (!call->is_done()) calls_.push_back(std::move(call));
+    if (!document_.StartServing(now)) return;
+    log_.Write("serving",
+               log_fields()
+                   .Add("document", document_.version().value())
+                   .Add("proven", document_.IsCurrent(now) ? "yes" : "no")
+                   .text());
   }
 
   /// This process does not get the processor time that it needs.
@@ -509,7 +456,8 @@
     relay_state state;
     state.port = settings_.relay.port;
     state.domain = DigestOfDomain(settings_.failure_domain);
-    state.has_links = is_serving_ && !stop_.has_begun() && !HasLostLinks();
+    state.has_links =
+        document_.is_serving() && !stop_.has_begun() && !HasLostLinks();
     return state;
   }
 
@@ -531,7 +479,8 @@
   }
 
   bool IsReady() const {
-    return is_serving_ && watcher_.HasHadContact() && !stop_.has_begun();
+    return document_.is_serving() && watcher_.HasHadContact() &&
+           !stop_.has_begun();
   }
 
   void OnStatusRequest(const http_request& request,
@@ -564,15 +513,13 @@
     const bool is_late = ticks_ > 0 && now - last_tick_ > kTick + kMaxTickDelay;
     late_ticks_ = is_late ? late_ticks_ + 1 : 0;
     previous_tick_ = std::exchange(last_tick_, now);
-    for (const auto& call : calls_) call->Tick(now);
-    RetryPlaces(now);
-    std::erase_if(calls_, [](const auto& call) { return call->is_done(); });
+    calls_.Tick(now);
     watcher_.Tick(now);
     pools_.SetPosition(watcher_.position());
     prober_.Tick(now);
     relay_finder_.Tick(HasLostLinks() || relays_.IsShort(now), now);
     fetcher_.Tick(now);
-    relay_.Tick(document_, now);
+    relay_.Tick(document_.stored(), now);
     origins_.Tick(now);
     content_reporter_.Tick(now);
     if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
@@ -583,17 +530,6 @@
     });
   }
 
-  /// Requests that wait for a place go on in the order of their ranks.
-  void RetryPlaces(steady_time now) {
-    std::vector<std::shared_ptr<proxied_call>> waiting;
-    std::copy_if(calls_.begin(), calls_.end(), std::back_inserter(waiting),
-                 [](const auto& call) { return call->is_awaiting_place(); });
-    std::stable_sort(
-        waiting.begin(), waiting.end(),
-        [](const auto& a, const auto& b) { return a->Rank() < b->Rank(); });
-    for (const auto& call : waiting) call->RetryPlace(now);
-  }
-
   void Sweep(steady_time now) {
     UpdateServing(now);
     listener_.Tick(now);
@@ -616,7 +552,7 @@
     listener_.CloseIdle(now);
     relay_listener_.StopAccepting();
     relay_listener_.CloseIdle(now);
-    if (stop_.AreRequestsOver(now)) EndCalls();
+    if (stop_.AreRequestsOver(now)) ended_calls_ += calls_.EndAll();
     const bool is_busy =
         !calls_.empty() || listener_.IsBusy(now) || relay_listener_.IsBusy(now);
     if (is_busy && !stop_.IsOver(now)) return false;
@@ -626,13 +562,7 @@
     return true;
   }
 
-  void EndCalls() {
-    ended_calls_ += calls_.size();
-    for (const auto& call : std::exchange(calls_, {})) call->Stop();
-  }
-
   const node_settings settings_;
-  const control_dialect control_dialect_;
   stop_sequence stop_;
   /// Requests that the process ended because it stops.
   std::size_t ended_calls_ = 0;
@@ -642,16 +572,10 @@
   decision_log log_;
   entry_metrics metrics_;
   call_environment environment_;
-  std::shared_ptr<const routing_table> table_;
-  /// The document from which `table_` was built, for other entry processes.
-  stored_document document_;
+  document_in_force document_;
   peer_transport peers_;
   control_watcher watcher_;
   document_fetcher fetcher_;
-  document_proof proof_;
-  steady_time first_document_at_;
-  /// False until the first document may be used.
-  bool is_serving_ = false;
   document_relay relay_;
   endpoint_connection_pool connections_;
   endpoint_connection_pool relay_connections_;
@@ -668,7 +592,7 @@
   settings_watch settings_watch_;
   std::optional<http_server> readiness_;
   std::optional<http_server> metrics_server_;
-  std::vector<std::shared_ptr<proxied_call>> calls_;
+  call_set calls_;
   int ticks_ = 0;
   steady_time last_tick_;
   steady_time previous_tick_;
--- a/source/process/placement/placement_choice.h
+++ b/source/process/placement/placement_choice.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <string>
 
+#include "process/placement/placement_cost.h"
 #include "types/units.h"
 
 namespace marjoramsill {
@@ -15,10 +16,7 @@
   endpoint_estimate* endpoint = nullptr;
   /// Number of endpoints that could have been chosen.
   std::size_t candidates = 0;
-  /// Estimated cost in milliseconds of delay.
-  double cost_ms = 0;
-  /// Estimated time until the endpoint has a free slot.
-  double wait_ms = 0;
+  placement_cost cost;
   /// Estimated requests that run or wait on the endpoint.
   double load = 0;
   /// Mean of that over all endpoints of the pool that serve.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -91,17 +91,17 @@
                         .Add("software", choice->endpoint->record().software)
                         .Add("resumes", resumed_request_)
                         .Add("candidates", choice->candidates)
-                        .Add("cost_ms", choice->cost_ms)
+                        .Add("cost_ms", choice->cost.Total())
                         .Add("load", choice->load)
                         .Add("load_age_ms", choice->load_age_ms)
                         .Add("pool_mean", choice->pool_mean)
                         .Add("left_out", choice->left_out)
-                        .Add("wait_ms", choice->wait_ms)
+                        .Add("wait_ms", choice->cost.wait_ms)
                         .Add("cached", choice->cached.value())
                         .Add("fetch_from", choice->fetch_from));
   const double allowed = kMaxWaitShare * MillisOf(deadline_ - now);
-  if (sent_ == 0 && choice->wait_ms > allowed) {
-    Refuse("overload", choice->wait_ms - allowed);
+  if (sent_ == 0 && choice->cost.wait_ms > allowed) {
+    Refuse("overload", choice->cost.wait_ms - allowed);
     return;
   }
   if (choice->is_over_bound) LogOverBound(*choice);
