directory: send a change of coldness at once

The remaining warm-up time of an endpoint was decoded but ignored when two records were compared, so that entry VMs never received it if nothing else changed, and a record showed the time that remained at the heartbeat. The directory keeps the end of the warm-up as a time. A move by more than 200 ms is a change; one to a later time is urgent, is sent while the link has no room for other records, and is sent to watchers with equal digests. Records state the time that remains when they are sent.

--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -61,7 +61,8 @@
             {"software", record.software},
             {"pool", record.pool.value()},
             {"born", std::to_string(record.incarnation.value())},
-            {"sequence", std::to_string(record.sequence)}});
+            {"sequence", std::to_string(record.sequence)},
+            {"cold_ms", std::to_string(record.cold_ms)}});
 }
 
 void endpoint_service::Refuse(const endpoint_id& id, const std::string& field,
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -35,8 +35,8 @@
 /// would otherwise leave entry VMs that start after it without endpoints.
 constexpr double kMaxDebtSeconds = 0.25;
 constexpr double kBytesPerMegabit = 1e6 / 8;
-/// Time between two early responses with ends of endpoints to a watcher, so
-/// that the ends of a release are sent in few responses.
+/// Time between two early responses with ends or cold starts of endpoints to a
+/// watcher, so that those of a release are sent in few responses.
 constexpr milliseconds kEndingInterval{100};
 /// Time between two early responses with part faults to a watcher. They change
 /// with each end of an endpoint, and must not use up the link.
@@ -103,7 +103,7 @@
   const bool needs_endings = each.transfer != record_transfer::kNone &&
                              each.transfer != record_transfer::kPresent;
   const bool lacks_endings =
-      needs_endings && each.applied_ending < from_.directory->last_ending() &&
+      needs_endings && each.applied_ending < from_.directory->last_urgent() &&
       now - each.last_endings >= kEndingInterval;
   return lacks_endings || each.document < from_.document() || lacks_faults;
 }
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -27,12 +27,12 @@
 struct watch_response;
 
 /// Responds to the watch requests of entry VMs and other control members, and
-/// tracks the last change that each of them has applied. Endpoints that leave
-/// or have ended and a newer document are sent at once. Other records and load
-/// reports wait where the watcher lacks no endpoint, and are sent at a bounded
-/// rate: after a restart of control processes every watcher needs all of them,
-/// and they must not delay the messages of the replicated group. Not
-/// thread-safe.
+/// tracks the last change that each of them has applied. Endpoints that leave,
+/// have ended or turn cold, and a newer document, are sent at once. Other
+/// records and load reports wait where the watcher lacks no endpoint, and are
+/// sent at a bounded rate: after a restart of control processes every watcher
+/// needs all of them, and they must not delay the messages of the replicated
+/// group. Not thread-safe.
 class watch_hub {
  public:
   /// Sends an encoded watch_response.
--- a/source/process/controller/watch_hub_records.cc
+++ b/source/process/controller/watch_hub_records.cc
@@ -67,13 +67,15 @@
   const bool is_complete = HasBulkBudget(now);
   if (each.transfer == record_transfer::kDifferences) {
     response.records = directory.DifferencesFrom(each.known_digests);
+    directory.AppendCold(response.records, now);
     response.last_ending = directory.last_change();
   } else if (is_complete) {
     response.records = directory.Present();
   }
   if (!is_complete) {
+    directory.SetRemainingCold(response.records, now);
     std::erase_if(response.records, [](const endpoint_record& record) {
-      return !IsLeavingOrEnded(record.phase);
+      return !IsLeavingOrEnded(record.phase) && record.cold_ms == 0;
     });
     return;
   }
@@ -87,6 +89,7 @@
 void watch_hub::AddRecords(watcher& each, watch_response& response,
                            steady_time now) {
   FindRecords(each, response, now);
+  from_.directory->SetRemainingCold(response.records, now);
   if (each.transfer != record_transfer::kAll) ShortenEnded(response.records);
 }
 
@@ -105,7 +108,7 @@
     response.history = History(now);
     if (!response.records.empty()) each.last_records = now;
   } else {
-    response.records = from_.directory->EndingsAfter(each.applied_ending);
+    response.records = from_.directory->UrgentAfter(each.applied_ending, now);
     response.last_change = each.applied_change;
   }
   if (!response.records.empty()) {
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -1,14 +1,20 @@
 #include "process/directory/endpoint_directory.h"
 
 #include <algorithm>
+#include <chrono>
+#include <set>
 #include <utility>
 
 namespace marjoramsill {
 namespace {
 
+/// Heartbeats arrive with a delay that varies. A warm-up whose end moves by
+/// less than this time has not changed.
+constexpr std::chrono::milliseconds kColdTolerance{200};
+
 /// True if watchers need not receive the change from `a` to `b`. The sequence
-/// number and the remaining warm-up time, which differ between heartbeats, do
-/// not matter to them.
+/// number, which differs between heartbeats, does not matter to them. Whether
+/// the endpoint is cold is compared by time, see Store().
 bool IsSameForWatchers(const endpoint_record& a, const endpoint_record& b) {
   return a.incarnation == b.incarnation && a.phase == b.phase &&
          a.address == b.address && a.pool == b.pool && a.slots == b.slots &&
@@ -94,7 +100,18 @@
       return false;
     }
   }
-  const bool is_changed = added || !IsSameForWatchers(record, known.record);
+  const bool may_serve = !IsLeavingOrEnded(record.phase);
+  const steady_time cold_until =
+      now + std::chrono::milliseconds(may_serve ? record.cold_ms : 0);
+  const steady_time announced = known.announced_cold_until;
+  const bool is_colder =
+      cold_until > now && cold_until > announced + kColdTolerance;
+  const bool is_warmer = announced > now + kColdTolerance &&
+                         cold_until + kColdTolerance < announced;
+  // Entry VMs send nothing to an endpoint that is new or had ended.
+  const bool was_serving = !added && !IsLeavingOrEnded(known.record.phase);
+  const bool is_changed = added || is_colder || is_warmer ||
+                          !IsSameForWatchers(record, known.record);
   // The process that received the heartbeats so far must not mark the endpoint
   // as silent, so it has to receive this record.
   const bool takes_over = !added && received_here && !known.received_here;
@@ -107,7 +124,9 @@
   digest_.Toggle(known.record);
   known.received_here = received_here;
   known.received_at = now;
+  known.cold_until = cold_until;
   if (is_changed || takes_over) RecordChange(known);
+  if (is_colder && was_serving) last_urgent_ = last_change_;
   if (is_changed) EndOthersAt(record, now);
   return is_changed;
 }
@@ -116,7 +135,10 @@
   if (changed.change != 0) changes_.erase(changed.change);
   changed.change = ++last_change_;
   changes_.emplace(last_change_, changed.record.id);
-  if (IsLeavingOrEnded(changed.record.phase)) last_ending_ = last_change_;
+  changed.announced_cold_until = changed.cold_until;
+  if (!IsLeavingOrEnded(changed.record.phase)) return;
+  last_ending_ = last_change_;
+  last_urgent_ = last_change_;
 }
 
 void endpoint_directory::SetPhase(entry& known, endpoint_phase phase) {
@@ -198,6 +220,43 @@
   return found;
 }
 
+bool endpoint_directory::IsCold(const endpoint_id& id, steady_time now) const {
+  const auto found = entries_.find(id);
+  return found != entries_.end() && found->second.cold_until > now &&
+         !IsLeavingOrEnded(found->second.record.phase);
+}
+
+std::vector<endpoint_record> endpoint_directory::UrgentAfter(
+    std::uint64_t change, steady_time now) const {
+  std::vector<endpoint_record> found = ChangesAfter(change);
+  std::erase_if(found, [this, now](const endpoint_record& record) {
+    return !IsLeavingOrEnded(record.phase) && !IsCold(record.id, now);
+  });
+  return found;
+}
+
+void endpoint_directory::AppendCold(std::vector<endpoint_record>& records,
+                                    steady_time now) const {
+  std::set<endpoint_id> present;
+  for (const endpoint_record& record : records) present.insert(record.id);
+  for (const auto& [id, known] : entries_) {
+    if (IsCold(id, now) && !present.contains(id)) {
+      records.push_back(known.record);
+    }
+  }
+}
+
+void endpoint_directory::SetRemainingCold(std::vector<endpoint_record>& records,
+                                          steady_time now) const {
+  for (endpoint_record& record : records) {
+    record.cold_ms = 0;
+    if (!IsCold(record.id, now)) continue;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+        entries_.find(record.id)->second.cold_until - now);
+    record.cold_ms = static_cast<std::uint32_t>(left.count());
+  }
+}
+
 std::vector<endpoint_record> endpoint_directory::Present() const {
   std::vector<endpoint_record> found = ChangesAfter(0);
   std::erase_if(found, [](const endpoint_record& record) {
--- a/source/process/directory/endpoint_directory.h
+++ b/source/process/directory/endpoint_directory.h
@@ -43,11 +43,23 @@
   std::uint64_t last_change() const { return last_change_; }
   /// Number of the last change by which an endpoint leaves or has ended.
   std::uint64_t last_ending() const { return last_ending_; }
+  /// Number of the last change by which an endpoint leaves, has ended, or is
+  /// cold for longer than known before.
+  std::uint64_t last_urgent() const { return last_urgent_; }
   /// Records that changed after the change with this number, in the order of
   /// their changes.
   std::vector<endpoint_record> ChangesAfter(std::uint64_t change) const;
   /// Those of ChangesAfter() whose endpoint leaves or has ended.
   std::vector<endpoint_record> EndingsAfter(std::uint64_t change) const;
+  /// Those of ChangesAfter() whose endpoint leaves, has ended or is cold.
+  std::vector<endpoint_record> UrgentAfter(std::uint64_t change,
+                                           steady_time now) const;
+  /// Appends the records of cold endpoints that `records` lacks. The digests do
+  /// not show that a known endpoint has become cold.
+  void AppendCold(std::vector<endpoint_record>& records, steady_time now) const;
+  /// Sets the warm-up time of these records to what remains of it.
+  void SetRemainingCold(std::vector<endpoint_record>& records,
+                        steady_time now) const;
   /// Records of the endpoints that have not ended.
   std::vector<endpoint_record> Present() const;
   /// Digests of these records.
@@ -80,6 +92,10 @@
     /// may mark the endpoint as silent.
     bool received_here = false;
     steady_time received_at;
+    /// When the endpoint is warm, by its newest heartbeat.
+    steady_time cold_until;
+    /// The same by the last change, which watchers have.
+    steady_time announced_cold_until;
   };
 
   bool Store(endpoint_record record, bool received_here, steady_time now);
@@ -89,6 +105,8 @@
   /// an address serves one endpoint at a time.
   void EndOthersAt(const endpoint_record& record, steady_time now);
   bool IsExpired(const entry& old, steady_time now) const;
+  /// The endpoint of this id is cold at `now`.
+  bool IsCold(const endpoint_id& id, steady_time now) const;
 
   const directory_settings settings_;
   std::unordered_map<endpoint_id, entry> entries_;
@@ -97,6 +115,7 @@
   software_history former_software_;
   std::uint64_t last_change_ = 0;
   std::uint64_t last_ending_ = 0;
+  std::uint64_t last_urgent_ = 0;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/endpoint_record.h
+++ b/source/process/directory/endpoint_record.h
@@ -27,8 +27,9 @@
   incarnation_number incarnation;
   /// Number of the heartbeat within this incarnation.
   std::uint64_t sequence = 0;
-  /// Remaining warm-up time after the heartbeat in milliseconds, during which
-  /// the endpoint is slow.
+  /// Remaining warm-up time in milliseconds, during which the endpoint is slow:
+  /// after the heartbeat in a record that an endpoint sent, after sending in a
+  /// record that another process sent.
   std::uint32_t cold_ms = 0;
 
   friend bool operator==(const endpoint_record&,
--- a/source/process/entry/entry_events.cc
+++ b/source/process/entry/entry_events.cc
@@ -15,6 +15,7 @@
                             .Add("software", changed.software)
                             .Add("born", changed.incarnation.value())
                             .Add("sequence", changed.sequence)
+                            .Add("cold_ms", changed.cold_ms)
                             .text());
 }
 
--- a/tests/directory/endpoint_directory_test.cc
+++ b/tests/directory/endpoint_directory_test.cc
@@ -26,6 +26,10 @@
   CPPUNIT_TEST(late_heartbeat_does_not_take_an_address_from_a_newer_endpoint);
   CPPUNIT_TEST(software_of_a_replaced_record_is_kept);
   CPPUNIT_TEST(changes_after_a_number_are_complete);
+  CPPUNIT_TEST(endpoint_that_turns_cold_is_a_change);
+  CPPUNIT_TEST(heartbeats_of_one_warm_up_are_no_change);
+  CPPUNIT_TEST(warm_up_that_ends_early_is_a_change);
+  CPPUNIT_TEST(endpoint_of_a_known_id_that_starts_cold_is_urgent);
   CPPUNIT_TEST(records_merged_in_any_order_give_the_same_state);
   CPPUNIT_TEST_SUITE_END();
 
@@ -43,6 +47,12 @@
     return record;
   }
 
+  static endpoint_record Cold(std::uint64_t sequence, std::uint32_t cold_ms) {
+    endpoint_record record = MakeRecord("e", 100, sequence);
+    record.cold_ms = cold_ms;
+    return record;
+  }
+
   static endpoint_record Leaving(endpoint_record record) {
     record.phase = endpoint_phase::kLeaving;
     return record;
@@ -75,6 +85,62 @@
     }
   }
 
+  // Guards against entry VMs that send a cold endpoint the usual load, since
+  // nothing but its warm-up time has changed.
+  void endpoint_that_turns_cold_is_a_change() {
+    directory_.ReceiveHeartbeat(MakeRecord("e", 100, 1), now_);
+    const std::uint64_t before = directory_.last_change();
+    CPPUNIT_ASSERT(directory_.ReceiveHeartbeat(Cold(2, 9'000), now_));
+    CPPUNIT_ASSERT(directory_.last_urgent() > before);
+    now_ += milliseconds(1'200);
+    // The endpoint turns cold again.
+    CPPUNIT_ASSERT(directory_.ReceiveHeartbeat(Cold(3, 9'000), now_));
+    CPPUNIT_ASSERT_EQUAL(directory_.last_change(), directory_.last_urgent());
+    now_ += milliseconds(400);
+    auto records = directory_.UrgentAfter(0, now_);
+    directory_.SetRemainingCold(records, now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.size());
+    CPPUNIT_ASSERT_EQUAL(8'600U, records[0].cold_ms);
+  }
+
+  // Guards against a response to every watcher with each heartbeat of a cold
+  // endpoint. Heartbeats are up to 150 ms late.
+  void heartbeats_of_one_warm_up_are_no_change() {
+    directory_.ReceiveHeartbeat(Cold(1, 9'000), now_);
+    for (std::uint32_t i = 1; i < 8; ++i) {
+      const milliseconds delay(i % 4 * 50);
+      CPPUNIT_ASSERT(
+          !directory_.ReceiveHeartbeat(Cold(i + 1, 9'000 - i * 1'200),
+                                       now_ + milliseconds(i * 1'200) + delay));
+    }
+    now_ += milliseconds(9'600);
+    CPPUNIT_ASSERT(!directory_.ReceiveHeartbeat(Cold(9, 0), now_));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, directory_.last_urgent());
+    auto records = directory_.ChangesAfter(0);
+    directory_.SetRemainingCold(records, now_);
+    CPPUNIT_ASSERT_EQUAL(0U, records[0].cold_ms);
+  }
+
+  void warm_up_that_ends_early_is_a_change() {
+    directory_.ReceiveHeartbeat(Cold(1, 9'000), now_);
+    now_ += milliseconds(1'200);
+    CPPUNIT_ASSERT(directory_.ReceiveHeartbeat(Cold(2, 0), now_));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, directory_.last_urgent());
+    CPPUNIT_ASSERT(directory_.UrgentAfter(0, now_).empty());
+  }
+
+  // Guards against a restart whose coldness waits for the end of the hold time.
+  // Endpoints that entry VMs do not know yet get no requests before.
+  void endpoint_of_a_known_id_that_starts_cold_is_urgent() {
+    directory_.ReceiveHeartbeat(Cold(1, 9'000), now_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, directory_.last_urgent());
+    endpoint_record restarted = Cold(1, 9'000);
+    restarted.incarnation = incarnation_number(200);
+    now_ += milliseconds(2'000);
+    CPPUNIT_ASSERT(directory_.ReceiveHeartbeat(restarted, now_));
+    CPPUNIT_ASSERT_EQUAL(directory_.last_change(), directory_.last_urgent());
+  }
+
   void first_heartbeat_is_a_change_and_the_next_is_not() {
     CPPUNIT_ASSERT(directory_.ReceiveHeartbeat(MakeRecord("e", 100, 1), now_));
     CPPUNIT_ASSERT(!directory_.ReceiveHeartbeat(MakeRecord("e", 100, 2), now_));
