placement: divide the rate of cold endpoints among entry VMs

Entry VMs sent cold endpoints the usual load, and more, since these are empty; 17 to 40 requests per second reached one that can take 16.9. The document's coldStartS and coldPerS now set pool_spec::warm_up. For such a pool, warm_up_limit divides the announced rate among a few VMs for each endpoint, so that rate and saved requests stay within rate x cold_overage + cold_slack in any second, also with two VMs that have an old or a double place. warm_up_share counts what one VM sends. Silent endpoints, those after a failed connection and those of a domain given to endpoint_pool::AssumeCold() count as cold. Pools without the limit choose as before, by a test.

--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -96,6 +96,10 @@
       Millis(reader, "document_apply_ms", parsed.document_apply);
   parsed.link_mbps = reader.Number("link_mbps", 0, kMaxMbps, 0);
   ReadRetries(reader, parsed.retries);
+  parsed.warm_up.overage =
+      reader.Number("cold_overage", 1, kMaxRatio, parsed.warm_up.overage);
+  parsed.warm_up.slack =
+      reader.Number("cold_slack", 0, kMaxAllowance, parsed.warm_up.slack);
   reader.Finish();
   if (report.error()) return failure(*report.error());
   return parsed;
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -10,6 +10,7 @@
 
 #include "connection/socket_address.h"
 #include "process/placement/retry_settings.h"
+#include "process/placement/warm_up_bound.h"
 #include "types/ids.h"
 #include "types/result.h"
 #include "version/section_error.h"
@@ -54,6 +55,7 @@
   /// Speed of the VM's link in Mbit/s; 0 if unknown.
   double link_mbps = 0;
   retry_settings retries;
+  warm_up_bound warm_up;
 };
 
 /// Parses settings in YAML. `file` appears in error messages only.
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -50,6 +50,9 @@
   over_bound_ = registry_.AddCounter(
       "marjoramsill_entry_over_bound_total",
       "Requests sent to an endpoint above the load bound of its pool");
+  cold_requests_ = registry_.AddCounter(
+      "marjoramsill_entry_cold_requests_total",
+      "Requests sent to a cold endpoint of a pool with a warm-up limit");
   full_pools_ = registry_.AddCounter(
       "marjoramsill_entry_pool_full_total",
       "Requests without an endpoint within the load bound of their pool");
@@ -83,6 +86,9 @@
   endpoints_leaving_ =
       registry_.AddGauge("marjoramsill_entry_endpoints_leaving",
                          "Endpoints that announced their end");
+  endpoints_cold_ =
+      registry_.AddGauge("marjoramsill_entry_endpoints_cold",
+                         "Cold endpoints of pools with a warm-up limit");
   open_calls_ = registry_.AddGauge("marjoramsill_entry_open_calls",
                                    "Requests in progress");
   dropped_lines_ = registry_.AddGauge("marjoramsill_entry_dropped_lines",
@@ -115,6 +121,8 @@
 
 void entry_metrics::CountOverBound() { over_bound_->Increment(); }
 
+void entry_metrics::CountColdRequest() { cold_requests_->Increment(); }
+
 void entry_metrics::CountFullPool() { full_pools_->Increment(); }
 
 void entry_metrics::CountPause() { pauses_->Increment(); }
@@ -144,6 +152,10 @@
   endpoints_leaving_->Set(static_cast<double>(leaving));
 }
 
+void entry_metrics::SetColdEndpoints(std::size_t count) {
+  endpoints_cold_->Set(static_cast<double>(count));
+}
+
 void entry_metrics::SetOpenCalls(std::size_t count) {
   open_calls_->Set(static_cast<double>(count));
 }
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -40,6 +40,8 @@
   void CountRelayed(bool taken);
   /// A request was sent to an endpoint above the load bound of its pool.
   void CountOverBound();
+  /// A request was sent to a cold endpoint of a pool that limits these.
+  void CountColdRequest();
   /// A request got no endpoint because of the load bound of its pool.
   void CountFullPool();
   /// An endpoint asked for a pause.
@@ -58,6 +60,8 @@
   void ObserveGap(double seconds);
   void SetDocumentVersion(std::uint64_t version);
   void SetEndpoints(std::size_t ready, std::size_t silent, std::size_t leaving);
+  /// Endpoints that are cold, of pools that limit requests to them.
+  void SetColdEndpoints(std::size_t count);
   void SetOpenCalls(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
   /// All metrics in the Prometheus text format.
@@ -80,6 +84,7 @@
   prometheus::Counter* relayed_ = nullptr;
   prometheus::Counter* relays_refused_ = nullptr;
   prometheus::Counter* over_bound_ = nullptr;
+  prometheus::Counter* cold_requests_ = nullptr;
   prometheus::Counter* full_pools_ = nullptr;
   prometheus::Counter* pauses_ = nullptr;
   prometheus::Counter* endpoint_refusals_ = nullptr;
@@ -92,6 +97,7 @@
   prometheus::Gauge* endpoints_ready_ = nullptr;
   prometheus::Gauge* endpoints_silent_ = nullptr;
   prometheus::Gauge* endpoints_leaving_ = nullptr;
+  prometheus::Gauge* endpoints_cold_ = nullptr;
   prometheus::Gauge* open_calls_ = nullptr;
   prometheus::Gauge* dropped_lines_ = nullptr;
 };
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -74,6 +74,7 @@
 placement_settings PlacementSettings(const node_settings& settings) {
   placement_settings placement;
   placement.domain = settings.failure_domain;
+  placement.warm_up = settings.warm_up;
   return placement;
 }
 
@@ -516,6 +517,7 @@
     calls_.Tick(now);
     watcher_.Tick(now);
     pools_.SetPosition(watcher_.position());
+    pools_.SetInContact(!watcher_.Reachable(now).empty());
     prober_.Tick(now);
     relay_finder_.Tick(HasLostLinks() || relays_.IsShort(now), now);
     fetcher_.Tick(now);
@@ -541,6 +543,7 @@
     settings_watch_.Tick(now);
     const auto phases = pools_.CountPhases();
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
+    metrics_.SetColdEndpoints(pools_.CountCold(now));
     metrics_.SetOpenCalls(calls_.size());
     metrics_.SetDroppedLines(log_.dropped());
   }
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -9,6 +9,8 @@
 namespace marjoramsill {
 namespace {
 
+using std::chrono::milliseconds;
+
 /// Percentage of an engine's cache that is expected to hold reusable prefixes.
 /// Running requests use the rest.
 constexpr std::uint64_t kCachedPercent = 80;
@@ -33,13 +35,20 @@
                      100);
 }
 
+std::optional<warm_up_spec> pool_table::WarmUp(const model_id& id) const {
+  const pool_spec* spec = table_ ? table_->FindPool(id) : nullptr;
+  return spec == nullptr ? std::nullopt : spec->warm_up;
+}
+
 endpoint_pool* pool_table::Pool(const model_id& id) {
   std::unique_ptr<endpoint_pool>& pool = pools_[id];
   if (!pool) {
     pool = std::make_unique<endpoint_pool>(placement_, random_, terms_);
     pool->SetPosition(position_);
+    pool->SetInContact(in_contact_);
   }
   pool->SetCacheCapacity(CacheCapacity(id));
+  pool->SetWarmUp(WarmUp(id));
   return pool.get();
 }
 
@@ -49,6 +58,18 @@
   for (const auto& [id, pool] : pools_) pool->SetPosition(position);
 }
 
+void pool_table::SetInContact(bool in_contact) {
+  if (in_contact == in_contact_) return;
+  in_contact_ = in_contact;
+  for (const auto& [id, pool] : pools_) pool->SetInContact(in_contact);
+}
+
+std::size_t pool_table::CountCold(steady_time now) const {
+  std::size_t count = 0;
+  for (const auto& [id, pool] : pools_) count += pool->CountCold(now);
+  return count;
+}
+
 retry_window* pool_table::Retries(const model_id& id) {
   std::unique_ptr<retry_window>& window = retries_[id];
   if (!window) window = std::make_unique<retry_window>(retry_settings_);
@@ -60,12 +81,12 @@
   for (const endpoint_record& record : records) directory_.Merge(record, now);
   for (const endpoint_record& record :
        directory_.ChangesAfter(applied_change_)) {
-    Apply(record);
+    Apply(record, now);
   }
   applied_change_ = directory_.last_change();
 }
 
-void pool_table::Apply(const endpoint_record& record) {
+void pool_table::Apply(const endpoint_record& record, steady_time now) {
   const auto known = pool_by_endpoint_.find(record.id);
   if (known != pool_by_endpoint_.end() && known->second != record.pool) {
     endpoint_record ended = record;
@@ -76,7 +97,11 @@
   if (!record.pool.empty()) {
     pool_by_endpoint_[record.id] = record.pool;
     endpoint_by_digest_[DigestOf(record.id)] = record.id;
-    Pool(record.pool)->Apply(record);
+    endpoint_pool* pool = Pool(record.pool);
+    pool->Apply(record);
+    if (endpoint_estimate* endpoint = pool->Find(record.id)) {
+      endpoint->SetColdFor(milliseconds(record.cold_ms), now);
+    }
   }
   on_change_(record);
 }
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -72,6 +72,10 @@
   void OnIdleConnectionLost(const endpoint_id& id, steady_time now);
   /// Sets this entry VM's place in the fleet.
   void SetPosition(const fleet_position& position);
+  /// Whether any control process reports changes of endpoints now.
+  void SetInContact(bool in_contact);
+  /// Endpoints of pools that limit requests to cold ones, and are cold.
+  std::size_t CountCold(steady_time now) const;
   /// Number of endpoints that have not ended.
   std::size_t CountPresent() const { return directory_.CountPresent(); }
   /// Digests of the endpoints that have not ended, see endpoint_set_digest.
@@ -90,7 +94,8 @@
 
  private:
   token_count CacheCapacity(const model_id& id) const;
-  void Apply(const endpoint_record& record);
+  std::optional<warm_up_spec> WarmUp(const model_id& id) const;
+  void Apply(const endpoint_record& record, steady_time now);
   endpoint_estimate* Find(endpoint_digest digest);
 
   const placement_settings placement_;
@@ -101,6 +106,7 @@
   endpoint_directory directory_;
   std::uint64_t applied_change_ = 0;
   fleet_position position_;
+  bool in_contact_ = true;
   /// Endpoints that were present since then are known.
   std::optional<steady_time> history_since_;
   std::map<endpoint_id, model_id> pool_by_endpoint_;
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -31,6 +31,8 @@
 /// The record of an endpoint that starts again arrives within this time: one
 /// interval of heartbeats, and the way over a control process.
 constexpr std::chrono::milliseconds kRecordDelay{2'000};
+/// Control processes do not send a change of the warm-up time that is smaller.
+constexpr std::chrono::milliseconds kColdMargin{200};
 /// Assumed until the endpoint reports how many requests it runs at once.
 constexpr std::uint32_t kDefaultSlots = 8;
 
@@ -64,6 +66,7 @@
   ++in_flight_;
   own_calls_.Add(1, now);
   terms_->limit().Take(now);
+  warm_up_.Take(now);
 }
 
 void endpoint_estimate::OnCallEnd(steady_time now) {
@@ -161,6 +164,16 @@
   return connection_lost_at_ && now - *connection_lost_at_ < kRecordDelay;
 }
 
+void endpoint_estimate::SetColdFor(std::chrono::milliseconds left,
+                                   steady_time now) {
+  cold_until_ = left.count() > 0 ? now + left + kColdMargin : now;
+}
+
+bool endpoint_estimate::HasFailedWithin(std::chrono::milliseconds period,
+                                        steady_time now) const {
+  return failed_at_ != steady_time() && now - failed_at_ < period;
+}
+
 void endpoint_estimate::ForgetFailures() {
   waiting_since_.reset();
   consecutive_failures_ = 0;
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -15,6 +15,7 @@
 #include "process/placement/own_call_history.h"
 #include "process/placement/prefix_cache_model.h"
 #include "process/placement/smoothed_value.h"
+#include "process/placement/warm_up_share.h"
 #include "types/steady_time.h"
 #include "types/units.h"
 
@@ -56,6 +57,15 @@
   /// The terms on which the endpoint takes requests.
   endpoint_terms& terms() { return *terms_; }
   const endpoint_terms& terms() const { return *terms_; }
+  /// The endpoint said, in a heartbeat or in a response, that it is cold for
+  /// this time from now on.
+  void SetColdFor(std::chrono::milliseconds left, steady_time now);
+  /// When the endpoint is warm, by what it said last.
+  steady_time cold_until() const { return cold_until_; }
+  /// A connection to the endpoint failed within this period. It may have
+  /// started again and be cold, without its record showing it yet.
+  bool HasFailedWithin(std::chrono::milliseconds period, steady_time now) const;
+  warm_up_share& warm_up() { return warm_up_; }
   /// A complete response arrived; `success` tells whether its status is one.
   void OnResponse(bool success);
   /// The connection could not be established, was lost, or stalled without a
@@ -140,6 +150,8 @@
   bool is_report_own_ = false;
   bool is_report_shared_ = true;
   const std::shared_ptr<endpoint_terms> terms_;
+  warm_up_share warm_up_;
+  steady_time cold_until_;
   bool is_misdirected_ = false;
   std::optional<steady_time> waiting_since_;
   std::uint32_t consecutive_failures_ = 0;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -123,6 +123,7 @@
     const placement_limits& limits, bool also_avoided, steady_time now) {
   std::vector<candidate> found;
   const double usual_rate = UsualRate(now);
+  if (warm_up_limit_) warm_up_limit_->SetPosition(position_, now);
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint->IsServing()) continue;
     endpoint->terms().limit().SetUsualRate(usual_rate);
@@ -130,8 +131,15 @@
     if (!IsWithin(limits, *endpoint, now)) continue;
     if (!endpoint->terms().IsOpen(now)) continue;
     if (!endpoint->terms().limit().HasAllowance(position_, now)) continue;
+    const coldness state = ColdnessOf(*endpoint, now);
+    const bool is_cold = IsLimited(state, also_avoided);
+    if (!state.is_cold && !state.may_be_cold) endpoint->warm_up().OnWarm();
+    if (is_cold &&
+        !endpoint->warm_up().HasAllowance(ColdPart(*endpoint, now), now)) {
+      continue;
+    }
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
-                     PreferenceWeight(*endpoint, now)});
+                     PreferenceWeight(*endpoint, is_cold, now), is_cold});
   }
   return found;
 }
@@ -168,6 +176,7 @@
   const shared_prefix shared = FindSharedPrefix(demand, candidates, mean);
   placement_choice best = FindCheapest(demand, candidates, shared);
   best.candidates = found;
+  best.is_cold = ColdnessOf(*best.endpoint, now).is_cold;
   best.left_out = CountServing() - found;
   best.pool_mean = mean;
   best.is_over_bound = bound && best.load > bound->most();
@@ -188,7 +197,11 @@
       continue;
     }
     if (!endpoint->terms().IsOpen(now)) continue;
-    const auto wait = endpoint->terms().limit().Wait(position_, now);
+    auto wait = endpoint->terms().limit().Wait(position_, now);
+    const coldness state = ColdnessOf(*endpoint, now);
+    if (wait && state.is_cold) {
+      wait = std::max(*wait, ColdWait(*endpoint, state, now));
+    }
     if (wait && (!least || *wait < *least)) least = wait;
   }
   return least;
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -20,9 +20,11 @@
 #include "process/placement/request_demand.h"
 #include "process/placement/session_detector.h"
 #include "process/placement/smoothed_value.h"
+#include "process/placement/warm_up_limit.h"
 #include "types/ids.h"
 #include "types/random_source.h"
 #include "types/steady_time.h"
+#include "version/routing/warm_up_spec.h"
 
 namespace marjoramsill {
 
@@ -41,6 +43,16 @@
   /// Sets this entry VM's place in the fleet, by which limits are divided.
   void SetPosition(const fleet_position& position) { position_ = position; }
 
+  /// Sets the limit of cold endpoints, if the pool has one.
+  void SetWarmUp(const std::optional<warm_up_spec>& spec);
+  /// Endpoints of this failure domain count as cold until then.
+  void AssumeCold(const failure_domain_id& domain, steady_time until);
+  /// Without contact to a control process, nothing shows that an endpoint whose
+  /// connection failed has not started again, until it would be warm.
+  void SetInContact(bool in_contact) { in_contact_ = in_contact; }
+  /// Endpoints that serve and count as cold.
+  std::size_t CountCold(steady_time now) const;
+
   /// Adds or updates an endpoint. An ended one stays until Sweep() finds that
   /// its calls have ended.
   void Apply(const endpoint_record& record);
@@ -116,15 +128,36 @@
     /// Share of the prefixes that prefer this endpoint, relative to one
     /// without a limit.
     double weight = 1;
+    bool is_cold = false;
   };
   /// Endpoints within the limits that serve; avoided ones only if
   /// `also_avoided`.
   std::vector<candidate> FindCandidates(const placement_limits& limits,
                                         bool also_avoided, steady_time now);
+  // endpoint_pool_warm_up.cc: cold endpoints.
+  /// Why and until when an endpoint counts as cold.
+  struct coldness {
+    /// The endpoint said so, is silent, or AssumeCold() was called.
+    bool is_cold = false;
+    /// A connection to it failed, so that it may have started again.
+    bool may_be_cold = false;
+    steady_time until;
+  };
+  coldness ColdnessOf(const endpoint_estimate& endpoint, steady_time now) const;
+  /// The coldness by which the limit counts; one that only may be is ignored if
+  /// no other endpoint is left (`also_avoided`).
+  bool IsLimited(const coldness& state, bool also_avoided) const;
+  /// Time until a cold endpoint takes a request from this VM.
+  std::chrono::microseconds ColdWait(endpoint_estimate& endpoint,
+                                     const coldness& state, steady_time now);
+  /// Requests per second that this VM may send to the endpoint while it is
+  /// cold.
+  double ColdPart(const endpoint_estimate& endpoint, steady_time now) const;
+
   /// Requests per second that this VM sends to an endpoint on average.
   double UsualRate(steady_time now) const;
   /// An endpoint with a limit is preferred as often as this VM may send to it.
-  double PreferenceWeight(const endpoint_estimate& endpoint,
+  double PreferenceWeight(const endpoint_estimate& endpoint, bool is_cold,
                           steady_time now) const;
   /// As FindCandidates(), with avoided ones only if there are no others.
   std::vector<candidate> FindUsable(const placement_limits& limits,
@@ -134,6 +167,7 @@
   /// What InProgress() is of all other entry VMs together, 0 if unknown.
   double OthersInProgress(steady_time now) const;
   /// Mean load of the candidates that name no limit, or of all if each does.
+  /// Cold ones hold few requests and do not count either.
   static double MeanUnlimitedLoad(const std::vector<candidate>& candidates);
   static double MeanLoad(const std::vector<candidate>& candidates);
   /// The candidates without those that would have to refuse a request for want
@@ -188,6 +222,10 @@
   const placement_settings settings_;
   token_count cache_capacity_;
   fleet_position position_;
+  std::optional<warm_up_spec> warm_up_;
+  std::optional<warm_up_limit> warm_up_limit_;
+  std::map<failure_domain_id, steady_time> assumed_cold_;
+  bool in_contact_ = true;
   const random_source random_;
   const std::shared_ptr<endpoint_terms_table> terms_;
   std::map<endpoint_id, std::unique_ptr<endpoint_estimate>> endpoints_;
--- a/source/process/placement/endpoint_pool_bound.cc
+++ b/source/process/placement/endpoint_pool_bound.cc
@@ -121,7 +121,7 @@
   double total = 0;
   double count = 0;
   for (const candidate& each : candidates) {
-    if (each.endpoint->terms().limit().per_second()) continue;
+    if (each.is_cold || each.endpoint->terms().limit().per_second()) continue;
     total += each.load;
     ++count;
   }
--- a/source/process/placement/endpoint_pool_prefix.cc
+++ b/source/process/placement/endpoint_pool_prefix.cc
@@ -42,12 +42,18 @@
 }  // namespace
 
 double endpoint_pool::PreferenceWeight(const endpoint_estimate& endpoint,
-                                       steady_time now) const {
-  const auto own_rate = endpoint.terms().limit().OwnRate(position_, now);
+                                       bool is_cold, steady_time now) const {
+  auto own_rate = endpoint.terms().limit().OwnRate(position_, now);
+  double most = kMaxWeight;
+  if (is_cold) {
+    const double part = ColdPart(endpoint, now);
+    own_rate = std::min(own_rate.value_or(part), part);
+    most = std::min(most, warm_up_limit_->MaxWeight());
+  }
   if (!own_rate) return 1;
   const double usual = UsualRate(now);
   if (usual <= 0) return 1;
-  return std::clamp(*own_rate / usual, kMinWeight, kMaxWeight);
+  return std::clamp(*own_rate / usual, kMinWeight, most);
 }
 
 const endpoint_estimate* endpoint_pool::FindPreferredExcept(
--- a/source/process/placement/placement_choice.h
+++ b/source/process/placement/placement_choice.h
@@ -25,6 +25,8 @@
   std::size_t left_out = 0;
   /// The load exceeds the bound of the whole pool.
   bool is_over_bound = false;
+  /// The endpoint is cold, and its pool has a limit for cold endpoints.
+  bool is_cold = false;
   /// Age of the endpoint's latest load report; negative without one.
   double load_age_ms = -1;
   /// Prompt tokens that the endpoint is expected to have cached.
--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 
+#include "process/placement/warm_up_bound.h"
 #include "types/ids.h"
 #include "types/units.h"
 
@@ -44,6 +45,8 @@
   /// `load_allowance`. Close to it, the requests for a prefix go to the other
   /// preferred endpoint.
   double preferred_load_cap = 2;
+  /// For pools whose cold endpoints take fewer requests.
+  warm_up_bound warm_up;
 };
 
 }  // namespace marjoramsill
--- a/source/process/placement/stated_terms.h
+++ b/source/process/placement/stated_terms.h
@@ -18,6 +18,8 @@
   std::optional<std::chrono::milliseconds> pause = std::nullopt;
   /// It leaves, and wants no further request from this VM.
   bool is_leaving = false;
+  /// Time until the endpoint is warm; 0 if it is.
+  std::optional<std::chrono::milliseconds> cold_left = std::nullopt;
   /// A refusal names a pause that is no time from now.
   bool is_pause_unreadable = false;
 };
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -96,6 +96,7 @@
                         .Add("load_age_ms", choice->load_age_ms)
                         .Add("pool_mean", choice->pool_mean)
                         .Add("left_out", choice->left_out)
+                        .Add("cold", choice->is_cold ? 1 : 0)
                         .Add("wait_ms", choice->cost.wait_ms)
                         .Add("cached", choice->cached.value())
                         .Add("fetch_from", choice->fetch_from));
@@ -105,6 +106,7 @@
     return;
   }
   if (choice->is_over_bound) LogOverBound(*choice);
+  if (choice->is_cold) environment_.metrics->CountColdRequest();
   OpenConnection(*choice);
 }
 
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -165,6 +165,7 @@
   LogLeaving(*endpoint, stated);
   endpoint->terms().Record(stated, IsSuccessStatus(head_.status),
                            ReturnSpread(stated, environment_.random), now);
+  if (stated.cold_left) endpoint->SetColdFor(*stated.cold_left, now);
   LogPause(stated);
 }
 
--- a/source/version/routing/pool_spec.h
+++ b/source/version/routing/pool_spec.h
@@ -7,6 +7,7 @@
 
 #include "types/ids.h"
 #include "version/routing/engine_spec.h"
+#include "version/routing/warm_up_spec.h"
 
 namespace marjoramsill {
 
@@ -18,6 +19,8 @@
   std::uint32_t max_connections = 0;
   /// Set for pools of model engines.
   std::optional<engine_spec> engine;
+  /// Set for pools whose cold endpoints take fewer requests.
+  std::optional<warm_up_spec> warm_up;
 };
 
 }  // namespace marjoramsill
--- a/tests/platform/platform_decoder_test.cc
+++ b/tests/platform/platform_decoder_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -10,6 +11,7 @@
 #include "platform/document_decoder.h"
 #include "platform/header_decoder.h"
 #include "platform/heartbeat_decoder.h"
+#include "process/controller/node_settings.h"
 #include "version/routing/routing_check.h"
 
 namespace marjoramsill::platform {
@@ -33,6 +35,10 @@
   CPPUNIT_TEST(malformed_refusal_limit_is_ignored);
   CPPUNIT_TEST(pause_is_decoded_from_a_refusal);
   CPPUNIT_TEST(leaving_is_decoded_from_any_response);
+  CPPUNIT_TEST(warm_up_limit_is_decoded_from_the_service);
+  CPPUNIT_TEST(warm_up_limit_of_a_wrong_type_is_malformed);
+  CPPUNIT_TEST(remaining_warm_up_is_decoded_from_any_response);
+  CPPUNIT_TEST(warm_up_bound_is_read_from_the_settings);
   CPPUNIT_TEST_SUITE_END();
 
   static json Document() {
@@ -198,6 +204,61 @@
     CPPUNIT_ASSERT(!DecodeHeartbeat(endpoint_id("a\nb"), Heartbeat().dump()));
   }
 
+  void warm_up_limit_is_decoded_from_the_service() {
+    json document = Document();
+    document["services"][0]["coldStartS"] = 12.5;
+    document["services"][0]["coldPerS"] = 7.9;
+    document["services"][1]["coldStartS"] = 12;
+    document["services"][1]["coldPerS"] = 0;
+    const auto decoded = DecodeDocument(document.dump());
+    const auto& pools = decoded.assume_value().pools;
+    CPPUNIT_ASSERT(pools[0].warm_up.has_value());
+    CPPUNIT_ASSERT_EQUAL(7.9, pools[0].warm_up->per_second);
+    CPPUNIT_ASSERT(pools[0].warm_up->duration ==
+                   std::chrono::milliseconds(12'500));
+    CPPUNIT_ASSERT(!pools[1].warm_up.has_value());
+    const auto without = DecodeDocument(Document().dump());
+    CPPUNIT_ASSERT(!without.assume_value().pools[0].warm_up.has_value());
+  }
+
+  void warm_up_limit_of_a_wrong_type_is_malformed() {
+    for (const char* name : {"coldStartS", "coldPerS"}) {
+      for (const json& value : {json("7"), json(-1), json(1e300), json::array(),
+                                json(true), json(nullptr)}) {
+        json document = Document();
+        document["services"][0][name] = value;
+        const auto decoded = DecodeDocument(document.dump());
+        CPPUNIT_ASSERT_MESSAGE(document.dump(), !decoded);
+      }
+    }
+  }
+
+  void remaining_warm_up_is_decoded_from_any_response() {
+    const auto decode = [](const char* text) {
+      return DecodeTerms(200, {{"Cold-Ms", text}}).cold_left;
+    };
+    CPPUNIT_ASSERT(decode("8600") == std::chrono::milliseconds(8'600));
+    CPPUNIT_ASSERT(decode("0") == std::chrono::milliseconds(0));
+    for (const char* text : {"", "x", "-1", "1.5", "99999999999"}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !decode(text));
+    }
+    CPPUNIT_ASSERT(!DecodeTerms(200, {}).cold_left);
+  }
+
+  // Deployments without these settings keep the announced rate.
+  void warm_up_bound_is_read_from_the_settings() {
+    const std::string text =
+        "failure_domain: \"a\"\npeers: \"10.0.0.1:7000\"\n";
+    const auto without = ParseNodeSettings("node.yaml", text);
+    CPPUNIT_ASSERT(without.assume_value().warm_up == warm_up_bound{});
+    const auto with = ParseNodeSettings(
+        "node.yaml", text + "cold_overage: 1.5\ncold_slack: 5\n");
+    CPPUNIT_ASSERT((with.assume_value().warm_up == warm_up_bound{1.5, 5}));
+    const auto low =
+        ParseNodeSettings("node.yaml", text + "cold_overage: 0.5\n");
+    CPPUNIT_ASSERT(!low.has_value());
+  }
+
   void demand_is_decoded_with_its_parts() {
     const request_demand demand =
         DecodeDemand({{"Token-Usage", "1460,80"},
