evacuation: keep requests away from failure domains on order

Three orders to evacuate a failure domain were answered 404 on. Control processes now take POST and DELETE on an evacuation path and replicate the order in the group of the routing document; the state is the document and a sorted set of domains with a change number. Watch messages carry the set as an urgent update, and entry processes leave out endpoints of these domains, for the load bound as well; one that starts, or resumes after a long suspension, waits up to 2 s for the leader's confirmation. Code that checks the link's traffic, maps outcomes to HTTP status and reads the limit of files moves out of the two large processes.

--- a/source/commands/status_command.cc
+++ b/source/commands/status_command.cc
@@ -24,6 +24,17 @@
   std::cout << " " << endpoint.value("capacity", 0) << "\n";
 }
 
+void PrintEvacuations(const json& evacuations) {
+  const json domains = evacuations.value("failure_domains", json::array());
+  std::cout << "Evacuated failure domains (change "
+            << evacuations.value("change", 0) << "):";
+  if (domains.empty()) std::cout << " none";
+  for (const json& domain : domains) {
+    std::cout << " " << domain.get<std::string>();
+  }
+  std::cout << "\n";
+}
+
 void PrintStatus(const json& status) {
   std::cout << "VM " << status.value("vm", "") << " in "
             << status.value("failure_domain", "") << ", "
@@ -45,6 +56,7 @@
               << (vm.value("reachable", false) ? "reachable" : "not reachable")
               << "\n";
   }
+  if (status.contains("evacuations")) PrintEvacuations(status["evacuations"]);
   if (status.contains("entry_vms")) {
     std::cout << "Entry VMs " << status.value("entry_vms", 0) << "\n";
   }
--- a/source/process/controller/control_dialect.h
+++ b/source/process/controller/control_dialect.h
@@ -21,6 +21,9 @@
   /// Path prefix followed by the id of an endpoint: heartbeat (PUT) or end
   /// (DELETE).
   std::string endpoint_prefix = "/v1/endpoints/";
+  /// Path prefix followed by a failure domain: evacuate it (POST) or withdraw
+  /// its evacuation (DELETE).
+  std::string evacuation_prefix = "/v1/evacuations/";
 
   std::function<result<routing_document, routing_error>(std::string_view)>
       read_document;
--- a/source/process/controller/controller_metrics.cc
+++ b/source/process/controller/controller_metrics.cc
@@ -22,6 +22,15 @@
                             "Routing documents submitted here");
   accepted_ = &submissions.Add({{"outcome", "accepted"}});
   not_accepted_ = &submissions.Add({{"outcome", "not_accepted"}});
+  auto& orders =
+      registry_.AddCounters("marjoramsill_controller_evacuation_orders_total",
+                            "Evacuations ordered or withdrawn here");
+  for (std::size_t i = 0; i < orders_.size(); ++i) {
+    const auto outcome = static_cast<evacuation_outcome>(i);
+    orders_[i] = &orders.Add({{"outcome", EvacuationOutcomeText(outcome)}});
+  }
+  evacuated_ = registry_.AddGauge("marjoramsill_controller_evacuated_domains",
+                                  "Failure domains that are evacuated");
   reads_ = registry_.AddCounter("marjoramsill_controller_reads_total",
                                 "Reads of the routing document");
   end_time_ = registry_.AddHistogram(
@@ -54,6 +63,14 @@
   (accepted ? accepted_ : not_accepted_)->Increment();
 }
 
+void controller_metrics::CountOrder(evacuation_outcome outcome) {
+  orders_[static_cast<std::size_t>(outcome)]->Increment();
+}
+
+void controller_metrics::SetEvacuated(std::size_t domains) {
+  evacuated_->Set(static_cast<double>(domains));
+}
+
 void controller_metrics::CountRead() { reads_->Increment(); }
 
 void controller_metrics::ObserveEnd(double seconds) {
--- a/source/process/controller/controller_metrics.h
+++ b/source/process/controller/controller_metrics.h
@@ -1,9 +1,12 @@
 #ifndef MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
 #define MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
+#include "process/controller/evacuation_outcome.h"
 #include "process/daemon/metric_registry.h"
 
 namespace prometheus {
@@ -24,6 +27,9 @@
 
   void CountHeartbeat();
   void CountSubmission(bool accepted);
+  /// An order to evacuate a failure domain, or its withdrawal.
+  void CountOrder(evacuation_outcome outcome);
+  void SetEvacuated(std::size_t domains);
   void CountRead();
   /// Seconds from the announcement of an endpoint's end to its acknowledgement.
   void ObserveEnd(double seconds);
@@ -41,6 +47,9 @@
   prometheus::Counter* heartbeats_ = nullptr;
   prometheus::Counter* accepted_ = nullptr;
   prometheus::Counter* not_accepted_ = nullptr;
+  /// Indexed by evacuation_outcome.
+  std::array<prometheus::Counter*, kEvacuationOutcomeCount> orders_{};
+  prometheus::Gauge* evacuated_ = nullptr;
   prometheus::Counter* reads_ = nullptr;
   prometheus::Histogram* end_time_ = nullptr;
   prometheus::Gauge* leads_ = nullptr;
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -21,7 +21,11 @@
 #include "process/controller/document_store.h"
 #include "process/controller/ending_store.h"
 #include "process/controller/endpoint_service.h"
+#include "process/controller/evacuation_log.h"
+#include "process/controller/evacuation_service.h"
+#include "process/controller/link_traffic.h"
 #include "process/controller/node_start.h"
+#include "process/controller/order_status.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
 #include "process/controller/storage_failure.h"
@@ -56,32 +60,12 @@
 /// For operators. The command `status` reads it.
 constexpr std::string_view kStatusPath = "/v1/status";
 
-/// Above this share of the link's speed, the traffic is logged each second.
-constexpr double kBusyLinkShare = 0.5;
-constexpr std::chrono::seconds kTrafficInterval{1};
-constexpr double kBytesPerMegabit = 1e6 / 8;
-
 directory_settings DirectorySettings(const node_settings& settings) {
   directory_settings directory;
   directory.silent_after = kSilentIntervals * settings.heartbeat_interval;
   return directory;
 }
 
-int StatusOf(document_response::kind outcome) {
-  switch (outcome) {
-    case document_response::kind::kAccepted:
-    case document_response::kind::kDocument:
-      return kStatusOk;
-    case document_response::kind::kInvalid:
-      return kStatusBadRequest;
-    case document_response::kind::kNone:
-      return kStatusNotFound;
-    case document_response::kind::kUnavailable:
-      return kStatusUnavailable;
-  }
-  return kStatusUnavailable;
-}
-
 void RespondJson(const std::shared_ptr<http_responder>& responder, int status,
                  std::string body) {
   responder->Respond(status, {{"Content-Type", "application/json"}},
@@ -111,7 +95,8 @@
               .members = [this] { return Members(); },
               .is_newest = [this] { return store_->IsLeading(); },
               .link_mbps = settings_.link_mbps,
-              .pack = PackText},
+              .pack = PackText,
+              .evacuations = [this] { return store_->Evacuations(); }},
              SystemRandom()() | 1U),
         watcher_(io_, peers_, settings_.vm, false, WatcherHooks()),
         settings_watch_(
@@ -132,6 +117,7 @@
     documents_.emplace(
         dialect_, *store_, watcher_, settings_.link_mbps,
         [this](std::size_t bytes) { hub_.YieldLink(bytes, SteadyNow()); });
+    evacuations_.emplace(*store_, watcher_);
     const std::string address = FormatSocketAddress(*settings_.control);
     endpoints_.emplace(dialect_, hub_, directory_, watcher_, *endings_,
                        address);
@@ -159,6 +145,7 @@
       }
     }
     held_version_ = store_->Held().version;
+    held_evacuations_ = store_->Evacuations();
     watcher_.SetSeeds(SeedVms(settings_));
     store_->Start();
     LogEvent(log_level::kInfo, "started",
@@ -182,7 +169,7 @@
     if (!folder) return failure(StartError(folder.assume_error()));
     folder_ = std::move(folder).assume_value();
     auto documents = document_store::Open(settings_, *folder_, peers_, [this] {
-      asio::post(io_, [this] { OnDocumentChange(); });
+      asio::post(io_, [this] { OnCommit(); });
     });
     if (!documents) return failure(std::move(documents).assume_error());
     store_ = std::move(documents).assume_value();
@@ -221,6 +208,7 @@
     metrics_.SetGroup(store_->IsLeading(), status.term.value(),
                       status.members.size(), static_cast<std::size_t>(voters));
     metrics_.SetDocumentVersion(held_version_.value());
+    metrics_.SetEvacuated(held_evacuations_.domains.size());
     metrics_.SetEntries(hub_.EntryCount(SteadyNow()));
     metrics_.SetEndpoints(directory_.size());
     metrics_.SetDroppedLines(log_.dropped());
@@ -276,6 +264,7 @@
     status.vm = settings_.vm;
     status.domain = settings_.failure_domain;
     status.document = held_version_;
+    status.evacuations = held_evacuations_;
     status.group = store_->Status();
     const steady_time now = SteadyNow();
     for (const reachable_member& member : watcher_.Reachable(now)) {
@@ -308,25 +297,7 @@
     hub_.Tick(now);
     documents_->Tick();
     settings_watch_.Tick(now);
-    if (now >= next_traffic_check_) CheckTraffic(now);
-  }
-
-  /// Logs what was sent in the last second if it fills the link of this VM:
-  /// the messages of the group then wait behind it.
-  void CheckTraffic(steady_time now) {
-    next_traffic_check_ = now + kTrafficInterval;
-    const std::uint64_t sent = peers_.sent_bytes();
-    const std::uint64_t bytes = sent - std::exchange(sent_before_, sent);
-    const watch_hub::traffic watch = hub_.sent();
-    const watch_hub::traffic before = std::exchange(watch_before_, watch);
-    const double busy = kBusyLinkShare * kBytesPerMegabit * settings_.link_mbps;
-    if (busy <= 0 || static_cast<double>(bytes) < busy) return;
-    LogEvent(log_level::kInfo, "link_busy",
-             {{"sent_bytes", std::to_string(bytes)},
-              {"watch_bytes", std::to_string(watch.bytes - before.bytes)},
-              {"responses", std::to_string(watch.responses - before.responses)},
-              {"records", std::to_string(watch.records - before.records)},
-              {"loads", std::to_string(watch.loads - before.loads)}});
+    traffic_.Tick(peers_.sent_bytes(), hub_.sent(), now);
   }
 
   void Stop() {
@@ -342,13 +313,21 @@
     store_->SetPeers(SeedVms(changed));
   }
 
-  void OnDocumentChange() {
+  void OnCommit() {
     const document_version version = store_->Held().version;
-    if (version <= held_version_) return;
-    held_version_ = version;
-    LogEvent(log_level::kInfo, "document_committed",
-             {{"version", std::to_string(version.value())}});
-    hub_.Notify(SteadyNow());
+    const bool has_document = version > held_version_;
+    if (has_document) {
+      held_version_ = version;
+      LogEvent(log_level::kInfo, "document_committed",
+               {{"version", std::to_string(version.value())}});
+    }
+    const evacuation_set evacuations = store_->Evacuations();
+    const bool has_set = evacuations.change > held_evacuations_.change;
+    if (has_set) {
+      held_evacuations_ = evacuations;
+      LogEvacuations(evacuations);
+    }
+    if (has_document || has_set) hub_.Notify(SteadyNow());
   }
 
   /// Runs on the thread of the transport.
@@ -394,6 +373,8 @@
       documents_->OnDocumentMessage(vm_id(message.from), message.body, respond);
     } else if (message.kind == kReadDocumentKind) {
       documents_->OnReadMessage(message.body, respond);
+    } else if (message.kind == kEvacuationOrderKind) {
+      evacuations_->OnOrderMessage(message.body, respond);
     } else if (message.kind == kSubmitDocumentKind) {
       documents_->OnSubmitMessage(message.body, respond);
     } else {
@@ -411,6 +392,8 @@
       RespondJson(responder, kStatusOk, StatusJson(Status()));
     } else if (request.path == dialect_.document_path) {
       OnDocumentRequest(request, responder);
+    } else if (request.path.starts_with(dialect_.evacuation_prefix)) {
+      OnEvacuationRequest(request, responder);
     } else if (request.path.starts_with(prefix)) {
       const endpoint_id id(request.path.substr(prefix.size()));
       if (request.method == "PUT") {
@@ -457,6 +440,18 @@
     }
   }
 
+  void OnEvacuationRequest(const http_request& request,
+                           const std::shared_ptr<http_responder>& responder) {
+    const failure_domain_id domain(
+        request.path.substr(dialect_.evacuation_prefix.size()));
+    evacuations_->OnRequest(
+        request.method, domain, [this, responder](evacuation_outcome outcome) {
+          // The outcome may arrive on a thread of the replicated group.
+          asio::post(io_, [this, outcome] { metrics_.CountOrder(outcome); });
+          RespondJson(responder, StatusOf(outcome), "");
+        });
+  }
+
   const node_settings settings_;
   const control_dialect dialect_;
   asio::io_context io_{1};
@@ -473,14 +468,14 @@
   std::unique_ptr<document_store> store_;
   std::unique_ptr<ending_store> endings_;
   std::optional<document_service> documents_;
+  std::optional<evacuation_service> evacuations_;
   std::optional<endpoint_service> endpoints_;
   std::optional<http_server> server_;
   std::optional<http_server> metrics_server_;
   document_version held_version_;
+  evacuation_set held_evacuations_;
   std::optional<steady_time> stop_at_;
-  steady_time next_traffic_check_;
-  std::uint64_t sent_before_ = 0;
-  watch_hub::traffic watch_before_;
+  link_traffic traffic_{settings_.link_mbps};
 };
 
 controller_process::controller_process(node_settings settings,
--- a/source/process/controller/controller_status.cc
+++ b/source/process/controller/controller_status.cc
@@ -39,6 +39,11 @@
                              {"failure_domain", member.domain.value()},
                              {"reachable", is_reachable}});
   }
+  output["evacuations"] = {{"change", status.evacuations.change},
+                           {"failure_domains", json::array()}};
+  for (const failure_domain_id& domain : status.evacuations.domains) {
+    output["evacuations"]["failure_domains"].push_back(domain.value());
+  }
   output["entry_vms"] = status.entry_count;
   output["pools"] = json::object();
   for (const endpoint_record& record : status.endpoints) {
--- a/source/process/controller/controller_status.h
+++ b/source/process/controller/controller_status.h
@@ -7,6 +7,7 @@
 
 #include "process/daemon/group_runner.h"
 #include "process/directory/endpoint_record.h"
+#include "process/directory/evacuation_set.h"
 #include "types/ids.h"
 
 namespace marjoramsill {
@@ -17,6 +18,8 @@
   failure_domain_id domain;
   /// Version of the newest document that was committed here.
   document_version document;
+  /// Newest evacuation set that was committed here.
+  evacuation_set evacuations;
   group_status group;
   /// Other control processes that responded recently.
   std::vector<vm_id> reachable;
--- a/source/process/controller/document_store.cc
+++ b/source/process/controller/document_store.cc
@@ -128,4 +128,8 @@
   return group_->WithLock([this] { return register_.held(); });
 }
 
+evacuation_set document_store::Evacuations() const {
+  return group_->WithLock([this] { return register_.evacuations(); });
+}
+
 }  // namespace marjoramsill
--- a/source/process/controller/document_store.h
+++ b/source/process/controller/document_store.h
@@ -22,14 +22,15 @@
 class peer_transport;
 struct node_settings;
 
-/// The replicated routing document of this control process: one Raft group with
-/// its log on disk. Thread-safe.
+/// The replicated routing document of this control process, with the evacuated
+/// failure domains: one Raft group with its log on disk. Thread-safe.
 class document_store {
  public:
-  /// Receives the resulting version, or nothing if the outcome is unknown.
+  /// Receives the result of the command, see document_register::Apply(), or
+  /// nothing if the outcome is unknown.
   using committed_hook = std::function<void(std::optional<std::string>)>;
 
-  /// `on_change` is called on any thread after a document is committed here.
+  /// `on_change` is called on any thread after a command is committed here.
   static result<std::unique_ptr<document_store>, start_error> Open(
       const node_settings& settings, data_folder& folder, peer_transport& peers,
       std::function<void()> on_change);
@@ -41,7 +42,7 @@
   /// Must be called at least every 50 ms.
   void Tick();
   void OnRaftMessage(std::string_view body);
-  /// Replicates a document if this process leads.
+  /// Replicates a command if this process leads.
   void Propose(std::string command, committed_hook done);
   /// Transfers leadership to another member before a planned stop.
   void TransferLeadership();
@@ -51,6 +52,7 @@
   bool IsLeading() const { return group_->IsLeading(); }
   std::optional<vm_id> leader() const { return group_->leader(); }
   stored_document Held() const;
+  evacuation_set Evacuations() const;
   group_status Status() const { return group_->Status(); }
 
  private:
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -83,6 +83,7 @@
       is_first ? 0 : std::max(request.applied_change, request.applied_ending);
   known.known_endpoints = request.known_endpoints;
   known.document = request.document;
+  known.applied_evacuations = request.applied_evacuations;
   const bool has_restarted =
       is_first && request.transfer == record_transfer::kChanges;
   known.transfer = has_restarted ? record_transfer::kNone : request.transfer;
@@ -105,7 +106,11 @@
   const bool lacks_endings =
       needs_endings && each.applied_ending < from_.directory->last_ending() &&
       now - each.last_endings >= kEndingInterval;
-  return lacks_endings || each.document < from_.document() || lacks_faults;
+  const bool lacks_evacuations =
+      from_.evacuations && each.applied_evacuations &&
+      *each.applied_evacuations < from_.evacuations().change;
+  return lacks_endings || each.document < from_.document() || lacks_faults ||
+         lacks_evacuations;
 }
 
 void watch_hub::YieldLink(std::size_t bytes, steady_time now) {
@@ -134,6 +139,7 @@
   AddRecords(each, response, now);
   if (response.last_ending > each.applied_ending) each.last_endings = now;
   response.document = from_.document();
+  if (from_.evacuations) response.evacuations = from_.evacuations();
   if (from_.is_newest && from_.is_newest()) {
     response.confirmed_after =
         std::chrono::duration_cast<milliseconds>(now - each.held_since);
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -11,6 +11,7 @@
 
 #include "process/control/token_bucket.h"
 #include "process/directory/content_fault_store.h"
+#include "process/directory/evacuation_set.h"
 #include "process/directory/fleet_position.h"
 #include "process/directory/load_report_store.h"
 #include "process/directory/progress_store.h"
@@ -28,11 +29,11 @@
 
 /// Responds to the watch requests of entry VMs and other control members, and
 /// tracks the last change that each of them has applied. Endpoints that leave
-/// or have ended and a newer document are sent at once. Other records and load
-/// reports wait where the watcher lacks no endpoint, and are sent at a bounded
-/// rate: after a restart of control processes every watcher needs all of them,
-/// and they must not delay the messages of the replicated group. Not
-/// thread-safe.
+/// or have ended, a newer document and a newer evacuation set are sent at once.
+/// Other records and load reports wait where the watcher lacks no endpoint, and
+/// are sent at a bounded rate: after a restart of control processes every
+/// watcher needs all of them, and they must not delay the messages of the
+/// replicated group. Not thread-safe.
 class watch_hub {
  public:
   /// Sends an encoded watch_response.
@@ -47,13 +48,16 @@
     std::function<document_version()> document;
     /// Members of the control group.
     std::function<std::vector<vm_id>()> members;
-    /// True if `document`, read before, was the newest acknowledged one.
+    /// True if `document` and `evacuations`, read before, were the newest
+    /// acknowledged ones.
     std::function<bool()> is_newest = nullptr;
     /// Speed of this VM's link in Mbit/s, 0 if unknown.
     double link_mbps = 0;
     /// Compresses a response to a watcher that reads compressed ones; null if
     /// none is.
     std::function<std::string(std::string)> pack = nullptr;
+    /// Committed evacuation set; null: responses name none.
+    std::function<evacuation_set()> evacuations = nullptr;
   };
 
   /// `epoch`: random number for this start of the process, not 0.
@@ -125,6 +129,8 @@
     /// Last change of the part faults that the watcher has.
     std::uint64_t applied_fault = 0;
     document_version document;
+    /// Nothing if the watcher applies no evacuation set.
+    std::optional<std::uint64_t> applied_evacuations;
     record_transfer transfer = record_transfer::kAll;
     std::vector<std::uint64_t> known_digests;
     relay_state relay;
--- a/source/process/daemon/peer_kinds.h
+++ b/source/process/daemon/peer_kinds.h
@@ -24,6 +24,7 @@
 inline constexpr std::string_view kRelayListKind = "relay/list";
 inline constexpr std::string_view kReadDocumentKind = "document/read";
 inline constexpr std::string_view kSubmitDocumentKind = "document/submit";
+inline constexpr std::string_view kEvacuationOrderKind = "evacuation/order";
 
 }  // namespace marjoramsill
 
--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -109,6 +109,9 @@
   request.applied_ending = member.applied_ending;
   if (hooks_.known_endpoints) SetTransfer(vm, member, request);
   request.document = hooks_.document();
+  if (hooks_.applied_evacuations) {
+    request.applied_evacuations = hooks_.applied_evacuations();
+  }
   if (hooks_.relay) request.relay = hooks_.relay();
   request.requests_loads = ExchangesLoadsWith(vm);
   if (request.requests_loads) {
@@ -227,9 +230,15 @@
   if (!response.faults.empty()) hooks_.on_faults(response.faults);
   if (!response.loads.empty()) hooks_.on_loads(response.loads);
   hooks_.on_progress(vm, response.progress);
-  if (response.confirmed_after && hooks_.on_confirmed) {
-    hooks_.on_confirmed(response.document,
-                        member.request_sent + *response.confirmed_after);
+  std::optional<steady_time> as_of;
+  if (response.confirmed_after) {
+    as_of = member.request_sent + *response.confirmed_after;
+  }
+  if (response.evacuations && hooks_.on_evacuations) {
+    hooks_.on_evacuations(*response.evacuations, as_of);
+  }
+  if (as_of && hooks_.on_confirmed) {
+    hooks_.on_confirmed(response.document, *as_of);
   }
   if (response.document > hooks_.document()) {
     hooks_.on_newer_document(response.document);
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -46,6 +46,13 @@
     /// A leader confirmed that no version newer than this one had been
     /// acknowledged by `as_of`.
     std::function<void(document_version, steady_time as_of)> on_confirmed;
+    /// Called with the evacuation set of a member. `as_of`: moment at which a
+    /// leader had no newer one, if the member is the leader. Null for a control
+    /// member.
+    std::function<void(const evacuation_set&, std::optional<steady_time> as_of)>
+        on_evacuations;
+    /// Change number of the evacuation set in force; null for a control member.
+    std::function<std::uint64_t()> applied_evacuations;
     /// A member became reachable or unreachable.
     std::function<void(const vm_id&, bool reachable)> on_contact;
     /// Called with load reports that other entry VMs received.
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -36,16 +36,19 @@
                std::vector<origin_fields>, std::uint64_t,
                std::vector<fault_fields>, std::uint16_t, std::uint32_t, bool,
                bool, std::vector<progress_fields>, std::uint8_t,
-               std::vector<std::uint64_t>>;
-using reply_fields =
-    std::tuple<std::uint64_t, std::uint64_t, std::vector<record_fields>,
-               std::uint64_t, std::vector<std::string>, std::uint32_t,
-               std::vector<load_fields>, std::uint64_t, std::int64_t,
-               std::uint32_t, std::vector<fault_fields>, std::uint64_t,
-               std::uint32_t, std::uint32_t, std::vector<progress_fields>,
-               std::vector<presence_fields>>;
+               std::vector<std::uint64_t>, std::uint64_t>;
+using reply_fields = std::tuple<
+    std::uint64_t, std::uint64_t, std::vector<record_fields>, std::uint64_t,
+    std::vector<std::string>, std::uint32_t, std::vector<load_fields>,
+    std::uint64_t, std::int64_t, std::uint32_t, std::vector<fault_fields>,
+    std::uint64_t, std::uint32_t, std::uint32_t, std::vector<progress_fields>,
+    std::vector<presence_fields>, std::uint64_t, std::vector<std::string>>;
 /// Encoded confirmed_after of a response that confirms nothing.
 constexpr std::int64_t kUnconfirmed = -1;
+/// Encoded change number of a sender without an evacuation set, as from builds
+/// without this field; what is added to that of a set.
+constexpr std::uint64_t kNoEvacuations = 0;
+constexpr std::uint64_t kFirstEvacuations = 1;
 /// Encoded limit of an endpoint that names none.
 constexpr std::int64_t kUnlimited = -1;
 constexpr double kLimitScale = 1'000;
@@ -241,6 +244,17 @@
   return loads;
 }
 
+/// Nothing also for a set that is not within its bounds.
+std::optional<evacuation_set> ToEvacuations(std::uint64_t encoded_change,
+                                            std::vector<std::string>&& names) {
+  if (encoded_change == kNoEvacuations) return std::nullopt;
+  evacuation_set set;
+  set.change = encoded_change - kFirstEvacuations;
+  for (std::string& name : names) set.domains.emplace_back(std::move(name));
+  if (!IsValidEvacuationSet(set)) return std::nullopt;
+  return set;
+}
+
 /// A way of transfer that only a later build has counts as the one that needs
 /// no other field.
 record_transfer ToTransfer(std::uint8_t encoded) {
@@ -253,14 +267,28 @@
 
 std::string EncodeWatchRequest(const watch_request& request) {
   return Pack(request_fields{
-      request.watcher.value(), request.is_entry, request.epoch,
-      request.applied_change, request.document.value(), request.requests_loads,
-      ToFields(request.loads), request.applied_ending, request.known_endpoints,
-      ToFields(request.origins), request.applied_fault,
-      ToFields(request.faults), request.relay.port, request.relay.domain,
-      request.relay.has_links, request.progress.has_value(),
+      request.watcher.value(),
+      request.is_entry,
+      request.epoch,
+      request.applied_change,
+      request.document.value(),
+      request.requests_loads,
+      ToFields(request.loads),
+      request.applied_ending,
+      request.known_endpoints,
+      ToFields(request.origins),
+      request.applied_fault,
+      ToFields(request.faults),
+      request.relay.port,
+      request.relay.domain,
+      request.relay.has_links,
+      request.progress.has_value(),
       ToFields(request.progress.value_or(std::vector<pool_progress>())),
-      static_cast<std::uint8_t>(request.transfer), request.known_digests});
+      static_cast<std::uint8_t>(request.transfer),
+      request.known_digests,
+      request.applied_evacuations
+          ? *request.applied_evacuations + kFirstEvacuations
+          : kNoEvacuations});
 }
 
 std::optional<watch_request> DecodeWatchRequest(std::string_view bytes) {
@@ -289,6 +317,10 @@
   }
   request.transfer = ToTransfer(std::get<17>(*fields));
   request.known_digests = std::move(std::get<18>(*fields));
+  if (const std::uint64_t encoded = std::get<19>(*fields);
+      encoded != kNoEvacuations) {
+    request.applied_evacuations = encoded - kFirstEvacuations;
+  }
   return request;
 }
 
@@ -316,6 +348,12 @@
   std::get<13>(fields) = response.progress.entry_count;
   std::get<14>(fields) = ToFields(response.progress.pools);
   std::get<15>(fields) = ToFields(response.former_software);
+  if (response.evacuations) {
+    std::get<16>(fields) = response.evacuations->change + kFirstEvacuations;
+    for (const failure_domain_id& domain : response.evacuations->domains) {
+      std::get<17>(fields).push_back(domain.value());
+    }
+  }
   return Pack(fields);
 }
 
@@ -347,6 +385,8 @@
   response.progress = {std::get<13>(*fields),
                        ToProgress(std::get<14>(*fields))};
   response.former_software = ToPresences(std::get<15>(*fields));
+  response.evacuations =
+      ToEvacuations(std::get<16>(*fields), std::move(std::get<17>(*fields)));
   return response;
 }
 
--- a/source/process/directory/watch_request.h
+++ b/source/process/directory/watch_request.h
@@ -53,6 +53,9 @@
   /// Digests of the endpoints that the watcher knows, for a transfer of the
   /// differences.
   std::vector<std::uint64_t> known_digests;
+  /// Change number of the evacuation set that the watcher applies; nothing if
+  /// it applies none, as control members and builds without this field.
+  std::optional<std::uint64_t> applied_evacuations;
 };
 
 }  // namespace marjoramsill
--- a/source/process/directory/watch_response.h
+++ b/source/process/directory/watch_response.h
@@ -8,6 +8,7 @@
 
 #include "process/directory/content_fault.h"
 #include "process/directory/endpoint_record.h"
+#include "process/directory/evacuation_set.h"
 #include "process/directory/fleet_position.h"
 #include "process/directory/fleet_progress.h"
 #include "process/directory/shared_load.h"
@@ -55,6 +56,9 @@
   /// unless each of them has reported it. Response to a control member: what
   /// those have that report to this one.
   fleet_progress progress;
+  /// The evacuation set that the member has committed; nothing from builds
+  /// without this field. `confirmed_after` applies to it as well.
+  std::optional<evacuation_set> evacuations;
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -44,6 +44,9 @@
   /// True if the document in force is proven to be current, so that a request
   /// which it does not allow may be denied.
   std::function<bool()> is_document_current;
+  /// False while a request that arrives must be refused, because the evacuation
+  /// set may be out of date. Null: always true.
+  std::function<bool()> may_serve;
   /// Returns the endpoints of a pool; never null.
   std::function<endpoint_pool*(const model_id&)> pool;
   /// Finds the software that began the stream of a request on this route, and
--- a/source/process/entry/document_in_force.cc
+++ b/source/process/entry/document_in_force.cc
@@ -42,9 +42,11 @@
   proof_.Confirm(newest, as_of);
 }
 
-bool document_in_force::StartServing(steady_time now) {
+bool document_in_force::StartServing(bool is_evacuation_set_current,
+                                     steady_time now) {
   if (is_serving_ || !table_) return false;
-  is_serving_ = IsCurrent(now) || now - first_at_ >= kProofWait;
+  const bool is_proven = IsCurrent(now) && is_evacuation_set_current;
+  is_serving_ = is_proven || now - first_at_ >= kProofWait;
   return is_serving_;
 }
 
--- a/source/process/entry/document_in_force.h
+++ b/source/process/entry/document_in_force.h
@@ -36,9 +36,10 @@
                                       steady_time now);
   /// No document newer than `newest` had been acknowledged by `as_of`.
   void Confirm(document_version newest, steady_time as_of);
-  /// Starts to serve once the document is proven to be current, or after a
-  /// time without proof. Returns true if serving starts now.
-  bool StartServing(steady_time now);
+  /// Starts to serve once the document is proven to be current, and the
+  /// evacuation set too, or after a time without proof. Returns true if serving
+  /// starts now.
+  bool StartServing(bool is_evacuation_set_current, steady_time now);
 
   bool is_serving() const { return is_serving_; }
   /// True if the document is proven to be the newest acknowledged one.
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -83,6 +83,8 @@
   endpoints_leaving_ =
       registry_.AddGauge("marjoramsill_entry_endpoints_leaving",
                          "Endpoints that announced their end");
+  evacuated_ = registry_.AddGauge("marjoramsill_entry_evacuated_domains",
+                                  "Failure domains that get no requests");
   open_calls_ = registry_.AddGauge("marjoramsill_entry_open_calls",
                                    "Requests in progress");
   dropped_lines_ = registry_.AddGauge("marjoramsill_entry_dropped_lines",
@@ -144,6 +146,10 @@
   endpoints_leaving_->Set(static_cast<double>(leaving));
 }
 
+void entry_metrics::SetEvacuated(std::size_t domains) {
+  evacuated_->Set(static_cast<double>(domains));
+}
+
 void entry_metrics::SetOpenCalls(std::size_t count) {
   open_calls_->Set(static_cast<double>(count));
 }
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -58,6 +58,7 @@
   void ObserveGap(double seconds);
   void SetDocumentVersion(std::uint64_t version);
   void SetEndpoints(std::size_t ready, std::size_t silent, std::size_t leaving);
+  void SetEvacuated(std::size_t domains);
   void SetOpenCalls(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
   /// All metrics in the Prometheus text format.
@@ -92,6 +93,7 @@
   prometheus::Gauge* endpoints_ready_ = nullptr;
   prometheus::Gauge* endpoints_silent_ = nullptr;
   prometheus::Gauge* endpoints_leaving_ = nullptr;
+  prometheus::Gauge* evacuated_ = nullptr;
   prometheus::Gauge* open_calls_ = nullptr;
   prometheus::Gauge* dropped_lines_ = nullptr;
 };
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -1,7 +1,5 @@
 #include "process/entry/entry_process.h"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -20,6 +18,7 @@
 #include "connection/peer_transport.h"
 #include "process/controller/document_offer.h"
 #include "process/controller/document_relay.h"
+#include "process/controller/evacuation_log.h"
 #include "process/controller/node_start.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
@@ -36,7 +35,9 @@
 #include "process/entry/document_in_force.h"
 #include "process/entry/endpoint_end_check.h"
 #include "process/entry/entry_events.h"
+#include "process/entry/entry_limits.h"
 #include "process/entry/entry_metrics.h"
+#include "process/entry/evacuations_in_force.h"
 #include "process/entry/log_fields.h"
 #include "process/entry/pool_table.h"
 #include "process/entry/reach_prober.h"
@@ -58,9 +59,6 @@
 constexpr milliseconds kTick{25};
 /// Expired connections and endpoints are removed less often than every tick.
 constexpr int kTicksPerSweep = 8;
-/// File descriptors reserved for endpoints, peers and files.
-constexpr std::size_t kOtherDescriptors = 1'500;
-constexpr std::size_t kMinCallerConnections = 500;
 /// Connections of other entry VMs that hand requests on.
 constexpr std::size_t kMaxRelayConnections = 500;
 /// Bytes that a VM adds to the head of a request that it hands on.
@@ -71,23 +69,6 @@
 /// pause, which is over.
 constexpr int kLateTicks = 2;
 
-placement_settings PlacementSettings(const node_settings& settings) {
-  placement_settings placement;
-  placement.domain = settings.failure_domain;
-  return placement;
-}
-
-/// Derived from the process's limit of open files.
-std::size_t MaxCallerConnections() {
-  rlimit files{};
-  if (::getrlimit(RLIMIT_NOFILE, &files) != 0) return kMinCallerConnections;
-  const auto limit = static_cast<std::size_t>(files.rlim_cur);
-  if (limit < kOtherDescriptors + kMinCallerConnections) {
-    return kMinCallerConnections;
-  }
-  return limit - kOtherDescriptors;
-}
-
 }  // namespace
 
 class entry_process::implementation {
@@ -100,6 +81,7 @@
         signals_(
             io_, [this] { BeginStop(); }, [this] { settings_watch_.Reload(); }),
         document_(std::move(control.read_document), settings_.document_apply),
+        evacuations_(settings_.document_apply),
         peers_(PeerSettings(settings_),
                [this](const vm_message& message, auto respond) {
                  OnPeerMessage(message, std::move(respond));
@@ -190,6 +172,9 @@
     environment_.is_document_current = [this] {
       return document_.IsCurrent(SteadyNow());
     };
+    environment_.may_serve = [this] {
+      return evacuations_.MayServe(SteadyNow());
+    };
     environment_.pool = [this](const model_id& id) { return pools_.Pool(id); };
     environment_.find_origin =
         [this](const std::string& request, const route_rule& route,
@@ -320,6 +305,11 @@
       document_.Confirm(newest, as_of);
       UpdateServing(SteadyNow());
     };
+    hooks.on_evacuations = [this](const evacuation_set& set,
+                                  std::optional<steady_time> as_of) {
+      if (evacuations_.Update(set, as_of)) OnEvacuations(set);
+    };
+    hooks.applied_evacuations = [this] { return evacuations_.set().change; };
     hooks.on_contact = [this](const vm_id& vm, bool reachable) {
       LogContact(log_, vm, reachable);
     };
@@ -367,6 +357,12 @@
     return hooks;
   }
 
+  void OnEvacuations(const evacuation_set& set) {
+    pools_.SetEvacuated(set.domains, SteadyNow());
+    metrics_.SetEvacuated(set.domains.size());
+    LogEvacuations(set);
+  }
+
   void OnEndpointChange(const endpoint_record& changed) {
     LogEndpoint(log_, changed);
     if (IsLeavingOrEnded(changed.phase)) connections_.Drop(changed.id);
@@ -441,7 +437,7 @@
   }
 
   void UpdateServing(steady_time now) {
-    if (!document_.StartServing(now)) return;
+    if (!document_.StartServing(evacuations_.IsCurrent(now), now)) return;
     log_.Write("serving",
                log_fields()
                    .Add("document", document_.version().value())
@@ -516,6 +512,7 @@
     calls_.Tick(now);
     watcher_.Tick(now);
     pools_.SetPosition(watcher_.position());
+    evacuations_.MayServe(now);
     prober_.Tick(now);
     relay_finder_.Tick(HasLostLinks() || relays_.IsShort(now), now);
     fetcher_.Tick(now);
@@ -573,6 +570,7 @@
   entry_metrics metrics_;
   call_environment environment_;
   document_in_force document_;
+  evacuations_in_force evacuations_;
   peer_transport peers_;
   control_watcher watcher_;
   document_fetcher fetcher_;
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -38,6 +38,7 @@
   if (!pool) {
     pool = std::make_unique<endpoint_pool>(placement_, random_, terms_);
     pool->SetPosition(position_);
+    pool->SetEvacuated(evacuated_, evacuations_set_at_);
   }
   pool->SetCacheCapacity(CacheCapacity(id));
   return pool.get();
@@ -49,6 +50,19 @@
   for (const auto& [id, pool] : pools_) pool->SetPosition(position);
 }
 
+void pool_table::SetEvacuated(const std::vector<failure_domain_id>& domains,
+                              steady_time now) {
+  const std::vector<failure_domain_id> before =
+      std::exchange(evacuated_, domains);
+  evacuations_set_at_ = now;
+  for (const auto& [id, pool] : pools_) pool->SetEvacuated(domains, now);
+  for (const failure_domain_id& domain : before) {
+    const bool has_left =
+        !std::binary_search(domains.begin(), domains.end(), domain);
+    if (has_left && on_return_) on_return_(domain, now);
+  }
+}
+
 retry_window* pool_table::Retries(const model_id& id) {
   std::unique_ptr<retry_window>& window = retries_[id];
   if (!window) window = std::make_unique<retry_window>(retry_settings_);
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "process/directory/endpoint_directory.h"
@@ -29,6 +30,9 @@
 /// report and the retry budget of each pool.
 class pool_table {
  public:
+  /// Called when a failure domain is no longer evacuated.
+  using return_hook =
+      std::function<void(const failure_domain_id&, steady_time now)>;
   /// Called when the record of an endpoint has changed.
   using change_hook = std::function<void(const endpoint_record&)>;
 
@@ -72,6 +76,11 @@
   void OnIdleConnectionLost(const endpoint_id& id, steady_time now);
   /// Sets this entry VM's place in the fleet.
   void SetPosition(const fleet_position& position);
+  void OnDomainReturn(return_hook hook) { on_return_ = std::move(hook); }
+  /// Sets the evacuated failure domains in all pools, and calls the return hook
+  /// for each one that was evacuated before and is not any longer.
+  void SetEvacuated(const std::vector<failure_domain_id>& domains,
+                    steady_time now);
   /// Number of endpoints that have not ended.
   std::size_t CountPresent() const { return directory_.CountPresent(); }
   /// Digests of the endpoints that have not ended, see endpoint_set_digest.
@@ -101,6 +110,10 @@
   endpoint_directory directory_;
   std::uint64_t applied_change_ = 0;
   fleet_position position_;
+  return_hook on_return_;
+  /// Evacuated failure domains, sorted, and the time of the last change.
+  std::vector<failure_domain_id> evacuated_;
+  steady_time evacuations_set_at_;
   /// Endpoints that were present since then are known.
   std::optional<steady_time> history_since_;
   std::map<endpoint_id, model_id> pool_by_endpoint_;
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -210,7 +210,7 @@
   return has_report_ && report_.slots > 0 ? report_.slots : kDefaultSlots;
 }
 
-bool endpoint_estimate::IsServing() const {
+bool endpoint_estimate::IsOperating() const {
   return !is_misdirected_ && (record_.phase == endpoint_phase::kReady ||
                               record_.phase == endpoint_phase::kSilent);
 }
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -116,8 +116,13 @@
   /// True if requests were sent some time ago and no response data for any
   /// request has arrived since: the endpoint hangs or cannot be reached.
   bool IsUnresponsive(steady_time now) const;
+  /// The endpoint's failure domain is evacuated, or is no longer.
+  void SetEvacuated(bool is_evacuated) { is_evacuated_ = is_evacuated; }
+  bool is_evacuated() const { return is_evacuated_; }
   /// True if the endpoint's phase and address allow requests.
-  bool IsServing() const;
+  bool IsOperating() const;
+  /// True if the endpoint operates and is not evacuated.
+  bool IsServing() const { return IsOperating() && !is_evacuated_; }
   /// Share of recent calls that failed, 0 to 1.
   double failure_rate() const { return failures_.value(); }
   prefix_cache_model& prefixes() { return prefixes_; }
@@ -141,6 +146,7 @@
   bool is_report_shared_ = true;
   const std::shared_ptr<endpoint_terms> terms_;
   bool is_misdirected_ = false;
+  bool is_evacuated_ = false;
   std::optional<steady_time> waiting_since_;
   std::uint32_t consecutive_failures_ = 0;
   steady_time failed_at_;
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -45,11 +45,26 @@
   if (found != endpoints_.end()) {
     terms_->Of(record);
     found->second->Update(record);
+    found->second->SetEvacuated(IsEvacuated(record));
     return;
   }
   if (record.phase == endpoint_phase::kEnded) return;
   endpoints_[record.id] = std::make_unique<endpoint_estimate>(
       record, cache_capacity_, terms_->Of(record));
+  endpoints_[record.id]->SetEvacuated(IsEvacuated(record));
+}
+
+void endpoint_pool::SetEvacuated(const std::vector<failure_domain_id>& domains,
+                                 steady_time /*now*/) {
+  evacuated_ = domains;
+  for (const auto& [id, endpoint] : endpoints_) {
+    endpoint->SetEvacuated(IsEvacuated(endpoint->record()));
+  }
+}
+
+bool endpoint_pool::IsEvacuated(const endpoint_record& record) const {
+  return std::binary_search(evacuated_.begin(), evacuated_.end(),
+                            record.domain);
 }
 
 endpoint_estimate* endpoint_pool::Find(const endpoint_id& id) {
@@ -137,7 +152,11 @@
 }
 
 double endpoint_pool::UsualRate(steady_time now) const {
-  return choices_.PerSecond(now) / static_cast<double>(endpoints_.size());
+  const auto count = std::count_if(
+      endpoints_.begin(), endpoints_.end(),
+      [](const auto& entry) { return !entry.second->is_evacuated(); });
+  if (count == 0) return 0;
+  return choices_.PerSecond(now) / static_cast<double>(count);
 }
 
 void endpoint_pool::RecordDemand(const request_demand& demand) {
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -44,6 +44,10 @@
   /// Adds or updates an endpoint. An ended one stays until Sweep() finds that
   /// its calls have ended.
   void Apply(const endpoint_record& record);
+  /// Sets the failure domains whose endpoints get no more requests. Requests in
+  /// progress there are not affected. `domains` is sorted.
+  void SetEvacuated(const std::vector<failure_domain_id>& domains,
+                    steady_time now);
   /// Chooses an endpoint for a request, or nothing if none can serve it within
   /// the load bound of the pool.
   std::optional<placement_choice> Choose(const request_demand& demand,
@@ -121,6 +125,7 @@
   /// `also_avoided`.
   std::vector<candidate> FindCandidates(const placement_limits& limits,
                                         bool also_avoided, steady_time now);
+  bool IsEvacuated(const endpoint_record& record) const;
   /// Requests per second that this VM sends to an endpoint on average.
   double UsualRate(steady_time now) const;
   /// An endpoint with a limit is preferred as often as this VM may send to it.
@@ -176,7 +181,7 @@
       std::uint64_t prefix_hash, const std::vector<candidate>& candidates,
       double mean) const;
   /// The preferred endpoint for a prefix apart from `except`. It may be
-  /// leaving, because it still has the prefix in its cache.
+  /// leaving or evacuated, because it still has the prefix in its cache.
   const endpoint_estimate* FindPreferredExcept(
       std::uint64_t prefix_hash, const endpoint_estimate& except) const;
   /// An endpoint from whose cache the chosen one can copy the prefix, or null.
@@ -191,6 +196,8 @@
   const random_source random_;
   const std::shared_ptr<endpoint_terms_table> terms_;
   std::map<endpoint_id, std::unique_ptr<endpoint_estimate>> endpoints_;
+  /// Evacuated failure domains, sorted.
+  std::vector<failure_domain_id> evacuated_;
   pool_reach reach_;
   smoothed_value duration_ms_;
   std::uint32_t waiting_ = 0;
--- a/source/process/placement/endpoint_pool_bound.cc
+++ b/source/process/placement/endpoint_pool_bound.cc
@@ -60,7 +60,8 @@
   return std::any_of(
       endpoints_.begin(), endpoints_.end(), [](const auto& entry) {
         const auto& limit = entry.second->terms().refusal_limit();
-        return limit && *limit != kUnlimitedRefusals;
+        return !entry.second->is_evacuated() && limit &&
+               *limit != kUnlimitedRefusals;
       });
 }
 
--- a/source/process/placement/endpoint_pool_prefix.cc
+++ b/source/process/placement/endpoint_pool_prefix.cc
@@ -57,7 +57,7 @@
   for (const auto& [id, endpoint] : endpoints_) {
     const bool is_leaving =
         endpoint->record().phase == endpoint_phase::kLeaving;
-    if (!endpoint->IsServing() && !is_leaving) continue;
+    if (!endpoint->IsOperating() && !is_leaving) continue;
     if (endpoint.get() == &except) continue;
     const std::uint64_t score =
         PreferenceScore(endpoint->record(), prefix_hash);
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -89,7 +89,8 @@
   const http_field* resumed =
       FindField(message_.fields, environment_.dialect.resumed_request);
   if (resumed != nullptr) resumed_request_ = resumed->value;
-  table_ = environment_.table();
+  const bool may_serve = !environment_.may_serve || environment_.may_serve();
+  if (may_serve) table_ = environment_.table();
   if (terms_ && RefuseOtherDocument()) return;
   Admit();
 }
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -87,8 +87,8 @@
   }
 
   /// Headers of arrays with the number of fields that this build writes.
-  const std::string kRequestHeader = Bytes("dc0013");
-  const std::string kResponseHeader = Bytes("dc0010");
+  const std::string kRequestHeader = Bytes("dc0014");
+  const std::string kResponseHeader = Bytes("dc0012");
 
   static void CheckEarlierRequest(const watch_request& request) {
     CPPUNIT_ASSERT(request.watcher == vm_id("10.0.0.3:7340"));
@@ -117,8 +117,9 @@
     CheckEarlierRequest(*request);
     CPPUNIT_ASSERT(request->relay.has_links);
     CPPUNIT_ASSERT(!request->progress);
+    CPPUNIT_ASSERT(!request->applied_evacuations);
     CPPUNIT_ASSERT_EQUAL(
-        kRequestHeader + Bytes(kRequestFields) + Bytes("c2900090"),
+        kRequestHeader + Bytes(kRequestFields) + Bytes("c290009000"),
         EncodeWatchRequest(*request));
   }
 
@@ -129,8 +130,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("v1"), response->records[0].software);
     CPPUNIT_ASSERT_EQUAL(2U, response->position.entry_index);
     CPPUNIT_ASSERT_EQUAL(0U, response->progress.entry_count);
+    CPPUNIT_ASSERT(!response->evacuations);
     CPPUNIT_ASSERT_EQUAL(
-        kResponseHeader + Bytes(kResponseFields) + Bytes("009090"),
+        kResponseHeader + Bytes(kResponseFields) + Bytes("0090900090"),
         EncodeWatchResponse(*response));
   }
 
@@ -139,13 +141,13 @@
     CPPUNIT_ASSERT(request.has_value());
     request->progress = {{{pool_digest(3), 21}}};
     CPPUNIT_ASSERT_EQUAL(
-        kRequestHeader + Bytes(kRequestFields) + Bytes("c3919203150090"),
+        kRequestHeader + Bytes(kRequestFields) + Bytes("c391920315009000"),
         EncodeWatchRequest(*request));
     auto response = DecodeWatchResponse(Bytes(kResponse));
     CPPUNIT_ASSERT(response.has_value());
     response->progress = {5, {{pool_digest(3), 21}}};
     CPPUNIT_ASSERT_EQUAL(
-        kResponseHeader + Bytes(kResponseFields) + Bytes("059192031590"),
+        kResponseHeader + Bytes(kResponseFields) + Bytes("0591920315900090"),
         EncodeWatchResponse(*response));
   }
 
@@ -161,15 +163,16 @@
   }
 
   void request_with_a_later_field_is_read() {
-    // One field more than the 19 that this build knows.
-    const std::string later = Bytes("dc0014") +
+    // One field more than the 20 that this build knows.
+    const std::string later = Bytes("dc0015") +
                               Bytes(kRequestWithRelay).substr(1) +
-                              Bytes("c29004910c2a");
+                              Bytes("c29004910c092a");
     const auto request = DecodeWatchRequest(later);
     CPPUNIT_ASSERT(request.has_value());
     CheckEarlierRequest(*request);
     CPPUNIT_ASSERT(request->transfer == record_transfer::kDifferences);
     CPPUNIT_ASSERT(request->known_digests == std::vector<std::uint64_t>({12}));
+    CPPUNIT_ASSERT(request->applied_evacuations == 8U);
   }
 
   // Guards against a watcher of a later build that gets no records.
--- a/tests/replication/cluster.cc
+++ b/tests/replication/cluster.cc
@@ -88,13 +88,23 @@
   hooks.apply = [this, vm](log_index index, log_term, std::string_view bytes) {
     RecordApplied(vm, index.value(),
                   ExtendHashChain(vms_[vm].chain, index.value(), bytes));
+    if (options_.machine.apply) options_.machine.apply(vm, bytes);
   };
   hooks.take_snapshot = [this, vm] {
-    return std::to_string(vms_[vm].applied) + " " +
-           std::to_string(vms_[vm].chain) + std::string(100, ' ');
+    std::string bytes = std::to_string(vms_[vm].applied) + " " +
+                        std::to_string(vms_[vm].chain) + std::string(100, ' ');
+    if (options_.machine.take_snapshot) {
+      bytes += '\n' + options_.machine.take_snapshot(vm);
+    }
+    return bytes;
   };
   hooks.install_snapshot = [this, vm](std::string_view bytes) {
     vms_[vm].applied = vms_[vm].chain = 0;
+    const std::size_t end = std::min(bytes.find('\n'), bytes.size());
+    if (options_.machine.install_snapshot) {
+      options_.machine.install_snapshot(
+          vm, bytes.substr(std::min(end + 1, bytes.size())));
+    }
     if (bytes.empty()) return;
     std::istringstream in{std::string(bytes)};
     std::uint64_t index = 0;
@@ -136,6 +146,7 @@
   state.started_at = now_;
   state.start_confirmed = false;
   state.applied = state.chain = 0;
+  if (options_.machine.on_start) options_.machine.on_start(vm);
   raft_start start;
   start.self = {state.id, state.disk_number};
   start.domain = state.domain;
--- a/tests/replication/cluster.h
+++ b/tests/replication/cluster.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "memory_disk.h"
@@ -43,6 +44,16 @@
   /// a slow transfer of its bytes.
   std::chrono::microseconds message_timeout{700'000};
   raft_settings settings;
+  /// State machines of the VMs beside the cluster's own one; each hook may be
+  /// null. The number is that of the VM.
+  struct machine_hooks {
+    /// The process starts, without any state.
+    std::function<void(std::size_t)> on_start;
+    std::function<void(std::size_t, std::string_view)> apply;
+    std::function<std::string(std::size_t)> take_snapshot;
+    std::function<void(std::size_t, std::string_view)> install_snapshot;
+  };
+  machine_hooks machine;
 };
 
 /// Simulates VMs, their disks and the network between them in virtual time.
