evacuation: return orders that were delayed on the way to the leader

An order that a follower forwards may reach the leader seconds later, after the caller has repeated it at another process and withdrawn it; the domain would then stay evacuated. Followers now send the change number that they knew while the caller waited, and the leader returns an order that would change a newer set. The follower sends it again with the newer number within its 900 ms.

--- a/source/process/controller/evacuation_service.cc
+++ b/source/process/controller/evacuation_service.cc
@@ -2,43 +2,35 @@
 
 #include <chrono>
 #include <optional>
-#include <string_view>
 #include <utility>
 
 #include "process/controller/document_store.h"
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
+#include "process/daemon/steady_clock.h"
 #include "process/directory/control_watcher.h"
 #include "process/directory/evacuation_set.h"
 
 namespace marjoramsill {
 namespace {
 
-/// Shorter than the second after which operators try another control process.
-constexpr std::chrono::milliseconds kLeaderTimeout{900};
-
-// Responses to the control process that forwarded an order. An empty one means
-// that the outcome is unknown, as from processes of earlier builds.
-constexpr std::string_view kAcknowledgedText = "acknowledged";
-constexpr std::string_view kFullText = "full";
+using std::chrono::milliseconds;
+using response_kind = evacuation_response::kind;
 
-evacuation_outcome OutcomeOf(std::string_view response) {
-  if (response == kAcknowledgedText) return evacuation_outcome::kAcknowledged;
-  if (response == kFullText) return evacuation_outcome::kFull;
-  return evacuation_outcome::kUnknown;
-}
+/// Shorter than the second after which operators try another control process.
+constexpr milliseconds kLeaderTimeout{900};
 
-std::string ResponseOf(evacuation_outcome outcome) {
-  switch (outcome) {
-    case evacuation_outcome::kAcknowledged:
-      return std::string(kAcknowledgedText);
-    case evacuation_outcome::kFull:
-      return std::string(kFullText);
-    case evacuation_outcome::kInvalid:
-    case evacuation_outcome::kUnknown:
+evacuation_outcome OutcomeOf(const evacuation_response& response) {
+  switch (response.outcome) {
+    case response_kind::kAcknowledged:
+      return evacuation_outcome::kAcknowledged;
+    case response_kind::kFull:
+      return evacuation_outcome::kFull;
+    case response_kind::kUnknown:
+    case response_kind::kBehind:
       break;
   }
-  return "";
+  return evacuation_outcome::kUnknown;
 }
 
 void LogOrder(const evacuation_order& order, evacuation_outcome outcome) {
@@ -72,64 +64,96 @@
                                    const failure_domain_id& domain,
                                    const outcome_hook& done) {
   const evacuation_order order{domain, method == "POST"};
-  const auto finish = [order, done](evacuation_outcome outcome) {
-    LogOrder(order, outcome);
-    done(outcome);
-  };
-  if ((!order.evacuates && method != "DELETE") ||
-      !IsValidEvacuationDomain(domain)) {
-    finish(evacuation_outcome::kInvalid);
+  const bool is_known_method = order.evacuates || method == "DELETE";
+  if (!is_known_method || !IsValidEvacuationDomain(domain)) {
+    LogOrder(order, evacuation_outcome::kInvalid);
+    done(evacuation_outcome::kInvalid);
     return;
   }
-  std::string command = EncodeEvacuationOrder(order);
+  const forwarded_evacuation forwarded{order, store_.Evacuations().change};
+  Forward(forwarded, SteadyNow() + kLeaderTimeout,
+          [order, done](const evacuation_response& response) {
+            const evacuation_outcome outcome = OutcomeOf(response);
+            LogOrder(order, outcome);
+            done(outcome);
+          });
+}
+
+void evacuation_service::Forward(const forwarded_evacuation& forwarded,
+                                 steady_time deadline,
+                                 const response_hook& done) {
   const auto leader = store_.leader();
   if (store_.IsLeading() || !leader) {
-    Accept(command, finish);
+    Accept(forwarded, done);
+    return;
+  }
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(deadline - SteadyNow());
+  if (left <= milliseconds(0)) {
+    done({});
     return;
   }
-  members_.Request(*leader, std::string(kEvacuationOrderKind),
-                   std::move(command), kLeaderTimeout,
-                   [finish](const std::optional<std::string>& response) {
-                     finish(OutcomeOf(response.value_or("")));
-                   });
+  members_.Request(
+      *leader, std::string(kEvacuationOrderKind),
+      EncodeForwardedEvacuation(forwarded), left,
+      [this, forwarded, deadline,
+       done](const std::optional<std::string>& bytes) {
+        const auto response = DecodeEvacuationResponse(bytes.value_or(""));
+        const bool is_behind = response.outcome == response_kind::kBehind &&
+                               response.change > forwarded.known_change;
+        if (!is_behind) {
+          done(response);
+          return;
+        }
+        Forward({forwarded.order, response.change}, deadline, done);
+      });
 }
 
-/// An order that would change nothing is acknowledged without a log entry. The
-/// lease is checked after the state is read, so that the state is the newest
-/// that was acknowledged before the check. While an earlier order is not
-/// committed yet, the state does not show what it will be.
-void evacuation_service::Accept(const std::string& command,
-                                const outcome_hook& done) {
-  const auto order = DecodeEvacuationOrder(command);
-  if (!order || !store_.IsLeading()) {
-    done(evacuation_outcome::kUnknown);
+/// The lease is checked after the state is read, so that the state is the
+/// newest that was acknowledged before the check.
+void evacuation_service::Accept(const forwarded_evacuation& forwarded,
+                                const response_hook& done) {
+  const bool has_open_order = open_orders_->load() > 0;
+  const evacuation_set held = store_.Evacuations();
+  if (!store_.IsLeading()) {
+    done({});
     return;
   }
-  const bool has_open_proposal = open_proposals_->load() > 0;
-  const bool is_so =
-      store_.Evacuations().Contains(order->domain) == order->evacuates;
-  if (is_so && !has_open_proposal && store_.IsLeading()) {
-    done(evacuation_outcome::kAcknowledged);
-    return;
+  switch (NextEvacuationStep(held, forwarded, has_open_order)) {
+    case evacuation_step::kAcknowledge:
+      done({response_kind::kAcknowledged, held.change});
+      return;
+    case evacuation_step::kReturn:
+      done({response_kind::kBehind, held.change});
+      return;
+    case evacuation_step::kPropose:
+      break;
   }
-  open_proposals_->fetch_add(1);
-  store_.Propose(command, [done, open = open_proposals_](
-                              const std::optional<std::string>& change) {
-    open->fetch_sub(1);
-    if (!change) {
-      done(evacuation_outcome::kUnknown);
-    } else {
-      done(change->empty() ? evacuation_outcome::kFull
-                           : evacuation_outcome::kAcknowledged);
-    }
-  });
+  open_orders_->fetch_add(1);
+  store_.Propose(
+      EncodeEvacuationOrder(forwarded.order),
+      [done, open = open_orders_,
+       held](const std::optional<std::string>& change) {
+        open->fetch_sub(1);
+        if (!change) {
+          done({});
+          return;
+        }
+        const bool is_full = change->empty();
+        done({is_full ? response_kind::kFull : response_kind::kAcknowledged,
+              held.change});
+      });
 }
 
 void evacuation_service::OnOrderMessage(
-    const std::string& command,
-    const std::function<void(std::string)>& respond) {
-  Accept(command, [respond](evacuation_outcome outcome) {
-    respond(ResponseOf(outcome));
+    const std::string& body, const std::function<void(std::string)>& respond) {
+  const auto forwarded = DecodeForwardedEvacuation(body);
+  if (!forwarded) {
+    respond("");
+    return;
+  }
+  Accept(*forwarded, [respond](const evacuation_response& response) {
+    respond(EncodeEvacuationResponse(response));
   });
 }
 
--- a/source/process/controller/evacuation_service.h
+++ b/source/process/controller/evacuation_service.h
@@ -6,9 +6,10 @@
 #include <memory>
 #include <string>
 
-#include "process/controller/evacuation_order.h"
+#include "process/controller/evacuation_message.h"
 #include "process/controller/evacuation_outcome.h"
 #include "types/ids.h"
+#include "types/steady_time.h"
 
 namespace marjoramsill {
 
@@ -32,17 +33,23 @@
                  const outcome_hook& done);
   /// Request of another control process. An empty response means that the
   /// outcome is unknown.
-  void OnOrderMessage(const std::string& command,
+  void OnOrderMessage(const std::string& body,
                       const std::function<void(std::string)>& respond);
 
  private:
-  void Accept(const std::string& command, const outcome_hook& done);
+  using response_hook = std::function<void(const evacuation_response&)>;
+
+  /// Sends the order to the leader, again with a newer change number if the
+  /// leader returns it before `deadline`.
+  void Forward(const forwarded_evacuation& forwarded, steady_time deadline,
+               const response_hook& done);
+  void Accept(const forwarded_evacuation& forwarded, const response_hook& done);
 
   document_store& store_;
   control_watcher& members_;
   /// Orders proposed here whose outcome is open. Shared with their hooks, which
   /// run on threads of the group.
-  const std::shared_ptr<std::atomic<int>> open_proposals_ =
+  const std::shared_ptr<std::atomic<int>> open_orders_ =
       std::make_shared<std::atomic<int>>(0);
 };
 
