--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -89,6 +89,8 @@
   endpoints_cold_ =
       registry_.AddGauge("marjoramsill_entry_endpoints_cold",
                          "Cold endpoints of pools with a warm-up limit");
+  evacuated_ = registry_.AddGauge("marjoramsill_entry_evacuated_domains",
+                                  "Failure domains that get no requests");
   open_calls_ = registry_.AddGauge("marjoramsill_entry_open_calls",
                                    "Requests in progress");
   dropped_lines_ = registry_.AddGauge("marjoramsill_entry_dropped_lines",
@@ -156,6 +158,10 @@
   endpoints_cold_->Set(static_cast<double>(count));
 }
 
+void entry_metrics::SetEvacuated(std::size_t domains) {
+  evacuated_->Set(static_cast<double>(domains));
+}
+
 void entry_metrics::SetOpenCalls(std::size_t count) {
   open_calls_->Set(static_cast<double>(count));
 }
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -62,6 +62,7 @@
   void SetEndpoints(std::size_t ready, std::size_t silent, std::size_t leaving);
   /// Endpoints that are cold, of pools that limit requests to them.
   void SetColdEndpoints(std::size_t count);
+  void SetEvacuated(std::size_t domains);
   void SetOpenCalls(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
   /// All metrics in the Prometheus text format.
@@ -98,6 +99,7 @@
   prometheus::Gauge* endpoints_silent_ = nullptr;
   prometheus::Gauge* endpoints_leaving_ = nullptr;
   prometheus::Gauge* endpoints_cold_ = nullptr;
+  prometheus::Gauge* evacuated_ = nullptr;
   prometheus::Gauge* open_calls_ = nullptr;
   prometheus::Gauge* dropped_lines_ = nullptr;
 };
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -46,6 +46,7 @@
     pool = std::make_unique<endpoint_pool>(placement_, random_, terms_);
     pool->SetPosition(position_);
     pool->SetInContact(in_contact_);
+    pool->SetEvacuated(evacuated_, evacuations_set_at_);
   }
   pool->SetCacheCapacity(CacheCapacity(id));
   pool->SetWarmUp(WarmUp(id));
@@ -64,12 +65,30 @@
   for (const auto& [id, pool] : pools_) pool->SetInContact(in_contact);
 }
 
+void pool_table::AssumeCold(const failure_domain_id& domain,
+                            steady_time until) {
+  for (const auto& [id, pool] : pools_) pool->AssumeCold(domain, until);
+}
+
 std::size_t pool_table::CountCold(steady_time now) const {
   std::size_t count = 0;
   for (const auto& [id, pool] : pools_) count += pool->CountCold(now);
   return count;
 }
 
+void pool_table::SetEvacuated(const std::vector<failure_domain_id>& domains,
+                              steady_time now) {
+  const std::vector<failure_domain_id> before =
+      std::exchange(evacuated_, domains);
+  evacuations_set_at_ = now;
+  for (const auto& [id, pool] : pools_) pool->SetEvacuated(domains, now);
+  for (const failure_domain_id& domain : before) {
+    const bool has_left =
+        !std::binary_search(domains.begin(), domains.end(), domain);
+    if (has_left && on_return_) on_return_(domain, now);
+  }
+}
+
 retry_window* pool_table::Retries(const model_id& id) {
   std::unique_ptr<retry_window>& window = retries_[id];
   if (!window) window = std::make_unique<retry_window>(retry_settings_);
