tests: groups of clients that leave large bodies unfinished

Clients that are not controlled made a process run out of memory with many bodies that stop before their end. Each such group gets a test with a real entry process: 16 connections, whole, in pieces, in chunks of 64 KiB and of one byte, chunked over the limit, and announced over the limit. It checks that the process lives, grows by at most 32 MiB, keeps its descriptors and answers one ordinary request afterwards. The setting memory_mb is read, without effect yet, so that the test can state the memory of the VM.

--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -16,6 +16,7 @@
 constexpr double kMaxRatio = 10;
 constexpr double kMaxAllowance = 1'000'000;
 constexpr double kMaxMbps = 1'000'000;
+constexpr std::uint64_t kMaxMemoryMb = 1'000'000;
 
 const text_rule kText{[](std::string_view text) { return !text.empty(); },
                       "a text that is not empty"};
@@ -95,6 +96,8 @@
   parsed.document_apply =
       Millis(reader, "document_apply_ms", parsed.document_apply);
   parsed.link_mbps = reader.Number("link_mbps", 0, kMaxMbps, 0);
+  parsed.memory_mb = static_cast<std::uint32_t>(
+      reader.Integer("memory_mb", 0, kMaxMemoryMb, 0));
   ReadRetries(reader, parsed.retries);
   reader.Finish();
   if (report.error()) return failure(*report.error());
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -53,6 +53,8 @@
   std::chrono::milliseconds document_apply{2'000};
   /// Speed of the VM's link in Mbit/s; 0 if unknown.
   double link_mbps = 0;
+  /// Memory of the VM in MB; 0 if unknown.
+  std::uint32_t memory_mb = 0;
   retry_settings retries;
 };
 
--- /dev/null
+++ b/tests/operations/body_crowd_test.cc
@@ -0,0 +1,140 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+#include "body_crowd.h"
+#include "fleet_fixture.h"
+
+namespace marjoramsill {
+
+using std::chrono::milliseconds;
+
+/// Guards against an entry process that runs out of memory because many clients
+/// leave the bodies of their requests unfinished.
+class body_crowd_test : public fleet_fixture {
+  CPPUNIT_TEST_SUITE(body_crowd_test);
+  CPPUNIT_TEST(whole_bodies_leave_memory_free);
+  CPPUNIT_TEST(slow_bodies_leave_memory_free);
+  CPPUNIT_TEST(large_chunks_leave_memory_free);
+  CPPUNIT_TEST(small_chunks_leave_memory_free);
+  CPPUNIT_TEST(chunks_over_limit_leave_memory_free);
+  CPPUNIT_TEST(announced_over_limit_leave_memory_free);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint16_t kPort = 17'400;
+  static constexpr int kClients = 16;
+  static constexpr int kMemoryMb = 48;
+  /// Growth that leaves the process within `kMemoryMb`; without load it has
+  /// less than 16 MB.
+  static constexpr std::int64_t kMaxGrowthKb = std::int64_t{32} * 1024;
+  static constexpr std::int64_t kMaxMoreDescriptors = kClients + 32;
+  /// `max_body_bytes` of the document.
+  static constexpr std::size_t kLimit = std::size_t{4} * 1024 * 1024;
+  /// What a client leaves out at the end of its body.
+  static constexpr std::size_t kMissing = 9;
+  static constexpr std::size_t kBlock = std::size_t{64} * 1024;
+
+  std::string ProcessFolder() const {
+    return "/proc/" + std::to_string(fleet_->EntryNodes()[0]->process.id());
+  }
+
+  std::int64_t MemoryKb(const std::string& field) const {
+    std::ifstream status(ProcessFolder() + "/status");
+    std::string word;
+    while (status >> word) {
+      std::int64_t kilobytes = 0;
+      if (word == field && status >> kilobytes) return kilobytes;
+    }
+    return 0;
+  }
+
+  std::int64_t Descriptors() const {
+    return static_cast<std::int64_t>(std::distance(
+        std::filesystem::directory_iterator(ProcessFolder() + "/fd"), {}));
+  }
+
+  static std::string Head(const std::string& framing) {
+    return "POST /look/crowd HTTP/1.1\r\nHost: crowd\r\n" + framing +
+           "\r\n\r\n";
+  }
+
+  static std::string LengthHead(std::size_t length) {
+    return Head("Content-Length: " + std::to_string(length));
+  }
+
+  static std::string ChunkedHead() {
+    return Head("Transfer-Encoding: chunked");
+  }
+
+  static std::string LargeChunk() {
+    return "10000\r\n" + std::string(kBlock, 'a') + "\r\n";
+  }
+
+  void Check(const body_crowd::part& part) {
+    const std::int64_t memory = MemoryKb("VmRSS:");
+    const std::int64_t descriptors = Descriptors();
+    CPPUNIT_ASSERT(memory > 0);
+    const body_crowd crowd(io_, fleet_->EntryNodes()[0]->callers, kClients,
+                           part);
+    CPPUNIT_ASSERT(RunUntil([&crowd] { return crowd.IsDone(); }));
+    RunFor(milliseconds(500));
+    const std::int64_t growth = MemoryKb("VmHWM:") - memory;
+    int status = 0;
+    CPPUNIT_ASSERT_MESSAGE("ended",
+                           !fleet_->EntryNodes()[0]->process.HasEnded(status));
+    CPPUNIT_ASSERT_MESSAGE("grew by " + std::to_string(growth) + " KB",
+                           growth <= kMaxGrowthKb);
+    CPPUNIT_ASSERT(Descriptors() <= descriptors + kMaxMoreDescriptors);
+    CPPUNIT_ASSERT_EQUAL(200, Status(0, "/look/", "after-crowd"));
+  }
+
+ public:
+  void setUp() override {
+    soak::soak_settings settings;
+    settings.port = kPort;
+    settings.entry_processes = 1;
+    settings.endpoints = 1;
+    settings.entry_memory_mb = kMemoryMb;
+    StartFleet(settings, MARJORAMSILL_BINARY, MARJORAMSILL_FOLDER);
+  }
+
+  void whole_bodies_leave_memory_free() {
+    Check({LengthHead(kLimit), std::string(kBlock, 'a'), kLimit - kMissing});
+  }
+
+  void slow_bodies_leave_memory_free() {
+    Check({LengthHead(kLimit), std::string(kBlock / 2, 'a'), kLimit - kMissing,
+           milliseconds(20)});
+  }
+
+  void large_chunks_leave_memory_free() {
+    const std::string chunk = LargeChunk();
+    Check({ChunkedHead(), chunk, kLimit / kBlock * chunk.size() - kMissing});
+  }
+
+  void small_chunks_leave_memory_free() {
+    const std::string chunk = "1\r\na\r\n";
+    std::string block;
+    for (int i = 0; i < 10'000; ++i) block += chunk;
+    Check({ChunkedHead(), block, (kLimit - kMissing) * chunk.size()});
+  }
+
+  void chunks_over_limit_leave_memory_free() {
+    const std::string chunk = LargeChunk();
+    Check({ChunkedHead(), chunk, 10 * kLimit / kBlock * chunk.size()});
+  }
+
+  void announced_over_limit_leave_memory_free() {
+    Check({LengthHead(512 * kLimit), std::string(kBlock, 'a'), 2 * kLimit});
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(body_crowd_test);
+
+}  // namespace marjoramsill
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -79,6 +79,9 @@
     file << "callers: " << address(kCallers)
          << "readiness: " << address(kReadiness) << "relay: " << address(kRelay)
          << "endpoint_source: " << ip << "\n";
+    if (settings_.entry_memory_mb > 0) {
+      file << "memory_mb: " << settings_.entry_memory_mb << "\n";
+    }
   }
   file << "seeds:\n";
   for (int i = 0; i < settings_.control_processes; ++i) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -44,6 +44,8 @@
   std::chrono::milliseconds grace{4'000};
   /// Every other endpoint that a prompt part has crashed starts under a new id.
   bool renews_ids = false;
+  /// Memory of an entry VM; 0: not in its settings.
+  int entry_memory_mb = 0;
 };
 
 /// One process of the fleet. Other processes reach it through its proxy.
