connection, entry: bound the memory that callers make a process hold

Limits applied to one connection each, so many bodies that stop before their end exceeded the memory of a VM, and a connection that was refused for its size kept what it had read. Class memory_budget now owns the sum over all connections of callers and of entry VMs that hand requests on: incoming and held requests, unsent responses and parts of endpoint responses. Beyond 40% of the new setting memory_mb (512 MiB without it) the connection without progress that holds most is closed first, with 503 if its request has not run. Refused connections release their body at once; sent parts of a long response and the output of kept endpoint connections are released too. A body of which nothing arrives for the idle limit gets 408; it had no limit. Closes are logged as closed_for_memory with their inputs and counted by reason.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -4,12 +4,14 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/socket_base.hpp>
 #include <charconv>
 #include <utility>
 
+#include "connection/large_buffer.h"
 #include "connection/status_text.h"
 #include "request/http_status.h"
 
@@ -60,6 +62,7 @@
     : socket_(std::move(socket)),
       hooks_(hooks),
       parser_(limits.max_header_bytes, limits.max_body_bytes),
+      memory_(hooks.memory, now, [this] { CloseForMemory(); }),
       accepted_at_(now),
       now_(now),
       idle_since_(now) {}
@@ -89,18 +92,26 @@
     return;
   }
   has_received_ = true;
+  received_at_ = now_;
   if (!is_lingering_) {
     input_.append(buffer_.data(), bytes);
     if (!has_request_) Parse();
+    memory_.RecordTransfer(bytes, now_);
+    CountIncoming();
+    memory_.Relieve(now_);
   }
   ReadNext();
 }
 
 void caller_connection::Parse() {
   while (is_open_ && !has_request_ && !is_lingering_ && !input_.empty()) {
-    if (parser_.state() == parse_state::kIdle) idle_since_ = now_;
+    if (parser_.state() == parse_state::kIdle) {
+      idle_since_ = now_;
+      memory_.RestartProgress(now_);
+    }
     const std::size_t used = parser_.Read(input_);
     input_.erase(0, used);
+    ReleaseIfLarge(input_);
     switch (parser_.state()) {
       case parse_state::kComplete:
         HandleRequest();
@@ -124,10 +135,16 @@
   const parse_state state = parser_.state();
   const int status = StatusFor(state);
   hooks_.on_invalid_request(state, status);
+  Refuse(status, {});
+}
+
+void caller_connection::Refuse(int status, const http_field_list& fields) {
   has_request_ = true;
   keep_alive_ = false;
-  input_.clear();
-  Respond(status, {}, "");
+  ReleaseBuffer(input_);
+  parser_.Discard();
+  memory_.Clear();
+  Respond(status, fields, "");
 }
 
 void caller_connection::HandleRequest() {
@@ -135,6 +152,7 @@
   has_request_ = true;
   keep_alive_ = message.keep_alive;
   accepts_chunks_ = message.accepts_chunks;
+  if (!CountRequest(message)) return;
   hooks_.on_request(shared_from_this(), std::move(message));
 }
 
@@ -189,6 +207,7 @@
     keep_alive_ = false;
     SetResetOnClose(true);
   }
+  memory_.RestartProgress(now_);
   AppendHead(status, fields);
   is_chunked_ = !length && accepts_chunks_;
   if (is_chunked_) {
@@ -230,6 +249,8 @@
 void caller_connection::FinishResponse() {
   on_disconnect_ = nullptr;
   has_request_ = false;
+  memory_.Set(memory_kind::kHeldRequests, 0);
+  memory_.Set(memory_kind::kEndpointResponses, 0);
   is_chunked_ = false;
   idle_since_ = now_;
   is_received_ = false;
@@ -256,7 +277,10 @@
     if (unsent_bytes() > kMaxUnsentBytes) {
       ReportUnreceived();
       HandleDisconnect();
+      return;
     }
+    memory_.Set(memory_kind::kUnsentResponses, output_.size());
+    memory_.Relieve(now_);
     return;
   }
   while (written_ < output_.size()) {
@@ -266,8 +290,12 @@
         error);
     written_ += sent;
     if (sent > 0) idle_since_ = now_;
+    memory_.RecordTransfer(sent, now_);
     if (error == asio::error::would_block) {
+      ReleaseSent();
       WaitWritable();
+      memory_.Set(memory_kind::kUnsentResponses, output_.size());
+      memory_.Relieve(now_);
       return;
     }
     if (error) {
@@ -276,7 +304,9 @@
     }
   }
   output_.clear();
+  ReleaseIfLarge(output_);
   written_ = 0;
+  memory_.Set(memory_kind::kUnsentResponses, 0);
   if (is_lingering_) StartLinger();
 }
 
@@ -315,11 +345,13 @@
     if (idle > idle_limit) CloseAndReport();
     return;
   }
-  if (parser_.state() == parse_state::kInHead && idle > limits.header_timeout) {
-    hooks_.on_invalid_request(parse_state::kInHead, kStatusRequestTimeout);
-    has_request_ = true;
-    keep_alive_ = false;
-    Respond(kStatusRequestTimeout, {}, "");
+  const bool is_late =
+      parser_.state() == parse_state::kInHead
+          ? idle > limits.header_timeout
+          : now - std::max(idle_since_, received_at_) > idle_limit;
+  if (is_late) {
+    hooks_.on_invalid_request(parser_.state(), kStatusRequestTimeout);
+    Refuse(kStatusRequestTimeout, {});
   }
 }
 
@@ -385,6 +417,9 @@
 void caller_connection::Close() {
   if (!is_open_) return;
   is_open_ = false;
+  ReleaseBuffer(input_);
+  parser_.Discard();
+  memory_.Clear();
   std::error_code ignored;
   socket_.close(ignored);
   hooks_.on_end(*this);
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "connection/caller_connection_hooks.h"
+#include "connection/memory_account.h"
 #include "connection/request_parser.h"
 #include "request/http_field.h"
 #include "types/steady_time.h"
@@ -67,8 +68,9 @@
   /// Closes the connection after the next response that can announce it, unless
   /// the caller has sent a further request by then.
   void CloseAfterResponse() { close_after_response_ = true; }
-  /// Closes the connection if it has been idle, or has been receiving the head
-  /// of a request, for longer than the limits allow. Must be called several
+  /// Closes the connection if it has been idle, has been receiving the head of
+  /// a request, or has received nothing of its body for longer than the limits
+  /// allow. Must be called several
   /// times a second.
   void CheckTimeouts(const caller_limits& limits, steady_time now);
   /// Closes the connection if no request is on its way, as far as is known.
@@ -82,6 +84,8 @@
   /// Closes the connection because the process ends. The kernel gets as much of
   /// the response as it takes, and goes on to deliver it.
   void CloseAtEnd();
+  /// Counts what the request in progress makes its process hold.
+  memory_account& memory() { return memory_; }
   /// IP of the caller; empty if the connection has ended.
   std::string RemoteIp() const;
 
@@ -90,6 +94,21 @@
   void OnRead(std::error_code error, std::size_t bytes);
   void Parse();
   void RefuseInvalidRequest();
+  /// Responds to a request of which no more is read, and closes the connection
+  /// so that the response arrives.
+  void Refuse(int status, const http_field_list& fields);
+  /// Refuses a request that is not handled yet, since the memory for requests
+  /// is exhausted.
+  void RefuseForMemory();
+  /// Closes the connection because the memory for connections is exhausted. A
+  /// request that has not run is refused.
+  void CloseForMemory();
+  void CountIncoming();
+  /// Refuses a complete request that exceeds the memory for connections.
+  /// Returns whether it can be handled.
+  bool CountRequest(const caller_message& message);
+  /// Releases the part of the output that was sent.
+  void ReleaseSent();
   void HandleRequest();
   void HandleDisconnect();
   /// The time in which the caller's host acknowledges a response is no idle
@@ -127,6 +146,7 @@
   std::optional<std::size_t> unreceived_;
   /// The caller's host has acknowledged all responses.
   bool is_received_ = true;
+  memory_account memory_;
   std::function<void()> on_disconnect_;
   std::string request_id_;
   bool is_open_ = true;
@@ -151,6 +171,7 @@
   steady_time now_;
   /// Time at which the connection became idle or the current head began.
   steady_time idle_since_;
+  steady_time received_at_;
 };
 
 }  // namespace marjoramsill
--- a/source/connection/caller_connection_hooks.h
+++ b/source/connection/caller_connection_hooks.h
@@ -12,6 +12,7 @@
 namespace marjoramsill {
 
 class caller_connection;
+class memory_budget;
 
 /// Hooks that the owner of caller connections provides.
 struct caller_connection_hooks {
@@ -30,6 +31,11 @@
   std::function<void(std::string_view request, std::size_t unsent,
                      std::size_t unacknowledged)>
       on_unreceived = [](std::string_view, std::size_t, std::size_t) {};
+  /// Bounds the bytes held for the connections; none: they are not bounded.
+  memory_budget* memory = nullptr;
+  /// Further fields of the response to a request that is refused for want of
+  /// memory.
+  http_field_list memory_refusal;
 };
 
 }  // namespace marjoramsill
--- a/source/connection/caller_listener.h
+++ b/source/connection/caller_listener.h
@@ -49,6 +49,13 @@
       std::function<void(std::string_view, std::size_t, std::size_t)> hook) {
     hooks_.on_unreceived = std::move(hook);
   }
+  /// Bounds the bytes held for the connections. `refusal`: further fields of
+  /// the response to a request that is refused for want of memory. Call before
+  /// Listen().
+  void SetMemory(memory_budget& budget, http_field_list refusal) {
+    hooks_.memory = &budget;
+    hooks_.memory_refusal = std::move(refusal);
+  }
   /// Checks the timeouts of all connections.
   void Tick(steady_time now);
   /// Closes each connection after its next response.
--- a/source/connection/caller_message.h
+++ b/source/connection/caller_message.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_CONNECTION_CALLER_MESSAGE_H_
 #define MARJORAMSILL_CONNECTION_CALLER_MESSAGE_H_
 
+#include <cstddef>
 #include <string>
 
 #include "request/http_field.h"
@@ -20,6 +21,14 @@
   bool accepts_chunks = true;
 };
 
+/// Memory of a request whose head has this size. Many short fields take far
+/// more than their bytes.
+inline std::size_t HeldBytes(const caller_message& message,
+                             std::size_t head_bytes) {
+  return head_bytes + message.fields.capacity() * sizeof(http_field) +
+         message.body.size();
+}
+
 }  // namespace marjoramsill
 
 #endif  // MARJORAMSILL_CONNECTION_CALLER_MESSAGE_H_
--- a/source/connection/endpoint_connection.cc
+++ b/source/connection/endpoint_connection.cc
@@ -11,6 +11,8 @@
 #include <optional>
 #include <utility>
 
+#include "connection/large_buffer.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -137,7 +139,9 @@
     has_sent_ = true;
     written_ += sent;
   }
+  // A kept connection does not keep the memory of a large request.
   output_.clear();
+  ReleaseIfLarge(output_);
   written_ = 0;
 }
 
--- /dev/null
+++ b/source/connection/memory_budget.cc
@@ -0,0 +1,132 @@
+#include "connection/memory_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "connection/memory_account.h"
+
+namespace marjoramsill {
+namespace {
+
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
+/// Limit of a process that does not know the memory of its VM.
+constexpr std::size_t kDefaultLimit = 512 * kMegabyte;
+/// 64 MB on a VM of 160 MB. The process needs up to 16 MB besides at 90 entry
+/// VMs (docs/CAPACITY.md), and up to 26 MB for 2,600 connections without
+/// requests; the rest is for the growth of buffers and the system.
+constexpr double kLimitShare = 0.4;
+constexpr std::uint64_t kMinRetryMs = 500;
+constexpr std::uint64_t kRetrySpreadMs = 1'500;
+
+/// Lower groups are closed first. None: the connection is not closed.
+std::optional<memory_close_reason> ReasonToClose(const memory_account& account,
+                                                 steady_time now) {
+  const bool is_incoming = account.held(memory_kind::kIncomingRequests) > 0;
+  const bool is_unsent = account.held(memory_kind::kUnsentResponses) > 0;
+  const bool has_response =
+      is_unsent || account.held(memory_kind::kEndpointResponses) > 0;
+  // Input behind a request in progress belongs to the next request.
+  const bool is_receiving = is_incoming && !has_response &&
+                            account.held(memory_kind::kHeldRequests) == 0;
+  const auto idle = now - account.last_progress();
+  if ((is_receiving || is_unsent) && idle >= memory_budget::kStallTime) {
+    return memory_close_reason::kStalled;
+  }
+  if (is_receiving) return memory_close_reason::kIncoming;
+  if (has_response) return memory_close_reason::kResponse;
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view MemoryKindText(memory_kind kind) {
+  switch (kind) {
+    case memory_kind::kIncomingRequests:
+      return "incoming_requests";
+    case memory_kind::kHeldRequests:
+      return "held_requests";
+    case memory_kind::kUnsentResponses:
+      return "unsent_responses";
+    case memory_kind::kEndpointResponses:
+      return "endpoint_responses";
+  }
+  return "";
+}
+
+std::string_view MemoryCloseReasonText(memory_close_reason reason) {
+  switch (reason) {
+    case memory_close_reason::kStalled:
+      return "stalled";
+    case memory_close_reason::kIncoming:
+      return "incoming";
+    case memory_close_reason::kResponse:
+      return "response";
+    case memory_close_reason::kRefused:
+      return "refused";
+  }
+  return "";
+}
+
+memory_budget::memory_budget(std::size_t limit, random_source random)
+    : limit_(limit), random_(std::move(random)) {}
+
+std::size_t memory_budget::LimitFor(std::uint32_t memory_mb) {
+  if (memory_mb == 0) return kDefaultLimit;
+  return static_cast<std::size_t>(kLimitShare * static_cast<double>(memory_mb) *
+                                  static_cast<double>(kMegabyte));
+}
+
+void memory_budget::Add(memory_account& account) { accounts_.insert(&account); }
+
+void memory_budget::Remove(memory_account& account) {
+  accounts_.erase(&account);
+}
+
+void memory_budget::Change(memory_kind kind, std::size_t from, std::size_t to) {
+  std::size_t& held = held_[static_cast<std::size_t>(kind)];
+  held = held - from + to;
+  total_ = total_ - from + to;
+}
+
+std::optional<memory_budget::candidate> memory_budget::FindCandidate(
+    steady_time now) const {
+  std::optional<candidate> found;
+  for (memory_account* account : accounts_) {
+    const auto reason = ReasonToClose(*account, now);
+    if (!reason) continue;
+    const bool is_better = !found || *reason < found->reason ||
+                           (*reason == found->reason &&
+                            account->total() > found->account->total());
+    if (is_better) found = candidate{account, *reason};
+  }
+  return found;
+}
+
+void memory_budget::Relieve(steady_time now) {
+  while (IsExceeded()) {
+    const auto found = FindCandidate(now);
+    if (!found) return;
+    const std::size_t before = total_;
+    Report(*found->account, found->reason, now);
+    found->account->close_();
+    // Prevents an endless loop if a connection keeps its bytes.
+    if (total_ >= before) return;
+  }
+}
+
+void memory_budget::Refuse(const memory_account& account, steady_time now) {
+  Report(account, memory_close_reason::kRefused, now);
+}
+
+void memory_budget::Report(const memory_account& account,
+                           memory_close_reason reason, steady_time now) const {
+  if (!on_shortage_) return;
+  on_shortage_(
+      {reason, account.all(), now - account.last_progress(), total_, limit_});
+}
+
+std::chrono::milliseconds memory_budget::RetryAfter() {
+  return std::chrono::milliseconds(kMinRetryMs + random_() % kRetrySpreadMs);
+}
+
+}  // namespace marjoramsill
--- a/source/connection/request_parser.cc
+++ b/source/connection/request_parser.cc
@@ -58,6 +58,16 @@
   return std::exchange(message_, {});
 }
 
+std::size_t request_parser::held_bytes() const {
+  return HeldBytes(message_, head_bytes_);
+}
+
+void request_parser::Discard() {
+  state_ = parse_state::kMalformed;
+  // Assigning an empty message would keep the memory of its strings.
+  const caller_message released = std::exchange(message_, {});
+}
+
 request_parser& request_parser::Self(http_parser* parser) {
   return *static_cast<request_parser*>(parser->data);
 }
--- a/source/connection/request_parser.h
+++ b/source/connection/request_parser.h
@@ -28,6 +28,10 @@
   bool TakeExpectContinue();
   /// Returns the complete request and prepares for the next one.
   caller_message Take();
+  /// Bytes of the request that is being received.
+  std::size_t held_bytes() const;
+  /// Releases the request that is being received. No further one is parsed.
+  void Discard();
   void SetLimits(std::size_t max_head_bytes, std::size_t max_body_bytes);
 
  private:
--- a/source/process/entry/entry_events.cc
+++ b/source/process/entry/entry_events.cc
@@ -1,5 +1,6 @@
 #include "process/entry/entry_events.h"
 
+#include "connection/memory_shortage.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetch_outcome.h"
 #include "process/entry/log_fields.h"
@@ -68,6 +69,20 @@
                                        .text());
 }
 
+void LogMemoryClose(decision_log& log, const memory_shortage& shortage) {
+  log_fields fields;
+  fields.Add("reason", MemoryCloseReasonText(shortage.reason));
+  for (std::size_t i = 0; i < kMemoryKindCount; ++i) {
+    fields.Add(MemoryKindText(static_cast<memory_kind>(i)), shortage.held[i]);
+  }
+  log.Write("closed_for_memory",
+            fields.Add("stalled_ms", MillisOf(shortage.stalled))
+                .Add("total", shortage.total)
+                .Add("limit", shortage.limit)
+                .text(),
+            line_class::kFrequent);
+}
+
 void LogDocument(decision_log& log, document_version version,
                  std::size_t routes) {
   log.Write("document_in_force", log_fields()
--- a/source/process/entry/entry_events.h
+++ b/source/process/entry/entry_events.h
@@ -14,6 +14,7 @@
 
 class decision_log;
 struct document_fetch_outcome;
+struct memory_shortage;
 
 // Log lines of an entry process about what it learns of the fleet. Operators
 // find them by the names in docs/OPERATIONS.md.
@@ -38,6 +39,9 @@
 void LogUnreceived(decision_log& log, std::string_view request,
                    std::size_t unsent, std::size_t unacknowledged);
 
+/// A connection of a caller is closed for want of memory.
+void LogMemoryClose(decision_log& log, const memory_shortage& shortage);
+
 /// Requests are decided by this routing document from now on.
 void LogDocument(decision_log& log, document_version version,
                  std::size_t routes);
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "connection/memory_budget.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -87,6 +89,23 @@
                                    "Requests in progress");
   dropped_lines_ = registry_.AddGauge("marjoramsill_entry_dropped_lines",
                                       "Log lines dropped since the start");
+  memory_limit_ =
+      registry_.AddGauge("marjoramsill_entry_memory_limit_bytes",
+                         "Most bytes held for connections of callers");
+  for (std::size_t i = 0; i < kMemoryKindCount; ++i) {
+    const std::string kind(MemoryKindText(static_cast<memory_kind>(i)));
+    memory_[i] =
+        registry_.AddGauge("marjoramsill_entry_memory_" + kind + "_bytes",
+                           "Bytes held for connections of callers");
+  }
+  auto& closes =
+      registry_.AddCounters("marjoramsill_entry_memory_closes_total",
+                            "Connections closed for want of memory, by reason");
+  for (std::size_t i = 0; i < kMemoryCloseReasonCount; ++i) {
+    memory_closes_[i] =
+        &closes.Add({{"reason", std::string(MemoryCloseReasonText(
+                                    static_cast<memory_close_reason>(i)))}});
+  }
 }
 
 entry_metrics::~entry_metrics() = default;
@@ -152,4 +171,16 @@
   dropped_lines_->Set(static_cast<double>(count));
 }
 
+void entry_metrics::SetMemory(const memory_budget& memory) {
+  memory_limit_->Set(static_cast<double>(memory.limit()));
+  for (std::size_t i = 0; i < kMemoryKindCount; ++i) {
+    const std::size_t held = memory.held(static_cast<memory_kind>(i));
+    memory_[i]->Set(static_cast<double>(held));
+  }
+}
+
+void entry_metrics::CountMemoryClose(memory_close_reason reason) {
+  memory_closes_[static_cast<std::size_t>(reason)]->Increment();
+}
+
 }  // namespace marjoramsill
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <string>
 
+#include "connection/memory_kind.h"
+#include "connection/memory_shortage.h"
 #include "process/daemon/metric_registry.h"
 #include "process/entry/call_outcome.h"
 
@@ -16,6 +18,8 @@
 
 namespace marjoramsill {
 
+class memory_budget;
+
 /// Metrics of an entry process. Label values come from fixed sets, so the
 /// number of series is bounded.
 class entry_metrics {
@@ -60,6 +64,10 @@
   void SetEndpoints(std::size_t ready, std::size_t silent, std::size_t leaving);
   void SetOpenCalls(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
+  /// Bytes held for connections of callers, and their limit.
+  void SetMemory(const memory_budget& memory);
+  /// A connection was closed for want of memory.
+  void CountMemoryClose(memory_close_reason reason);
   /// All metrics in the Prometheus text format.
   std::string Text() const { return registry_.Text(); }
 
@@ -94,6 +102,9 @@
   prometheus::Gauge* endpoints_leaving_ = nullptr;
   prometheus::Gauge* open_calls_ = nullptr;
   prometheus::Gauge* dropped_lines_ = nullptr;
+  prometheus::Gauge* memory_limit_ = nullptr;
+  std::array<prometheus::Gauge*, kMemoryKindCount> memory_{};
+  std::array<prometheus::Counter*, kMemoryCloseReasonCount> memory_closes_{};
 };
 
 }  // namespace marjoramsill
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -14,9 +14,11 @@
 #include "connection/caller_connection.h"
 #include "connection/caller_listener.h"
 #include "connection/endpoint_connection_pool.h"
+#include "connection/heap_settings.h"
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
+#include "connection/memory_budget.h"
 #include "connection/peer_transport.h"
 #include "process/controller/document_offer.h"
 #include "process/controller/document_relay.h"
@@ -47,6 +49,7 @@
 #include "process/entry/unconfirmed_origin.h"
 #include "process/placement/endpoint_pool.h"
 #include "request/http_status.h"
+#include "request/relay_terms.h"
 #include "version/routing/routing_table.h"
 
 namespace marjoramsill {
@@ -63,6 +66,8 @@
 constexpr std::size_t kMinCallerConnections = 500;
 /// Connections of other entry VMs that hand requests on.
 constexpr std::size_t kMaxRelayConnections = 500;
+/// Requests for readiness and metrics have no body.
+constexpr std::size_t kMaxStatusBodyBytes = 4'096;
 /// Bytes that a VM adds to the head of a request that it hands on.
 constexpr std::size_t kRelayHeaderBytes = 256;
 /// With later ticks the process takes no requests of other VMs.
@@ -96,6 +101,7 @@
                  request_dialect requests, control_dialect control)
       : settings_(std::move(settings)),
         stop_(settings_.grace),
+        memory_(memory_budget::LimitFor(settings_.memory_mb), SystemRandom()),
         timer_(io_),
         signals_(
             io_, [this] { BeginStop(); }, [this] { settings_watch_.Reload(); }),
@@ -170,6 +176,13 @@
     };
     listener_.OnUnreceived(on_unreceived);
     relay_listener_.OnUnreceived(on_unreceived);
+    listener_.SetMemory(memory_, {});
+    relay_listener_.SetMemory(memory_, {{kRelayField, kRelayUnavailable}});
+    memory_.OnShortage([this](const memory_shortage& shortage) {
+      metrics_.CountMemoryClose(shortage.reason);
+      LogMemoryClose(log_, shortage);
+    });
+    if (settings_.memory_mb > 0) ReturnReleasedBuffers();
     connections_.OnIdleEnd([this](const endpoint_id& endpoint) {
       pools_.OnIdleConnectionLost(endpoint, SteadyNow());
     });
@@ -284,6 +297,7 @@
     if (!address) return success();
     http_server_settings http;
     http.listen = *address;
+    http.max_body_bytes = kMaxStatusBodyBytes;
     server.emplace(io_, http,
                    [this](const http_request& request,
                           const std::shared_ptr<http_responder>& responder) {
@@ -543,6 +557,7 @@
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
     metrics_.SetOpenCalls(calls_.size());
     metrics_.SetDroppedLines(log_.dropped());
+    metrics_.SetMemory(memory_);
   }
 
   /// Continues the shutdown. Returns true when the process ends.
@@ -566,6 +581,8 @@
   stop_sequence stop_;
   /// Requests that the process ended because it stops.
   std::size_t ended_calls_ = 0;
+  /// Handlers in the I/O context keep connections, which use it.
+  memory_budget memory_;
   asio::io_context io_{1};
   asio::steady_timer timer_;
   process_signals signals_;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -277,9 +277,11 @@
     body_ += data;
   }
   RecordProgress();
-  const std::size_t held =
-      body_.size() + events_.rest().size() + caller_->unsent_bytes();
-  if (held > kMaxHeldBytes) OnFailure(call_failure::kMalformed);
+  const std::size_t received = body_.size() + events_.rest().size();
+  caller_->memory().Set(memory_kind::kEndpointResponses, received);
+  if (received + caller_->unsent_bytes() > kMaxHeldBytes) {
+    OnFailure(call_failure::kMalformed);
+  }
 }
 
 void proxied_call::ReleaseEndpoint() {
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -81,6 +81,8 @@
 
 void proxied_call::OnReadEnd() {
   if (response_started_) caller_->Flush();
+  // May close this connection, which ends the call.
+  if (!is_done()) caller_->memory().Relieve(environment_.clock());
 }
 
 void proxied_call::EndStream() {
