--- a/tests/operations/raw_endpoint.cc
+++ b/tests/operations/raw_endpoint.cc
@@ -41,7 +41,12 @@
     asio::async_read_until(
         socket_, asio::dynamic_buffer(input_), kHeadEnd,
         [self = shared_from_this()](std::error_code error, std::size_t head) {
-          if (!error) self->ReadBody(head);
+          if (error) return;
+          if (self->owner_.NextAnswer().ignores_body) {
+            self->Answer(head);
+          } else {
+            self->ReadBody(head);
+          }
         });
   }
 
@@ -130,6 +135,13 @@
     if (answer_.end == raw_end::kReset) {
       socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     }
+    if (answer_.end == raw_end::kShutdown) {
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      timer_.expires_after(kLaterDelay);
+      timer_.async_wait(
+          [self = shared_from_this()](std::error_code) { self->Close(); });
+      return;
+    }
     if (answer_.end == raw_end::kProcessEnd) owner_.EndProcess();
     Close();
   }
@@ -182,11 +194,16 @@
   next_answer_ = 0;
 }
 
+raw_answer raw_endpoint::NextAnswer() const {
+  if (answers_.empty()) return {};
+  return answers_[std::min(next_answer_, answers_.size() - 1)];
+}
+
 raw_answer raw_endpoint::TakeAnswer() {
   ++request_count_;
-  if (answers_.empty()) return {};
-  const std::size_t taken = std::min(next_answer_++, answers_.size() - 1);
-  return answers_[taken];
+  raw_answer taken = NextAnswer();
+  ++next_answer_;
+  return taken;
 }
 
 void raw_endpoint::EndProcess() {
--- a/tests/operations/raw_endpoint.h
+++ b/tests/operations/raw_endpoint.h
@@ -20,6 +20,8 @@
 enum class raw_end {
   kClose,
   kReset,
+  /// The sending side is closed, and the connection a little later.
+  kShutdown,
   /// The connection stays open, and the next request on it is answered.
   kKeep,
   /// The process ends: its connections are closed, and nothing listens any
@@ -41,6 +43,9 @@
   /// Sent one after the other, each after `interval`, and then `repeated`.
   std::vector<std::string> pieces = {};
   std::chrono::milliseconds interval{0};
+  /// The answer begins as soon as the head of the request has arrived, and the
+  /// body of the request is not read.
+  bool ignores_body = false;
 };
 
 /// Announces itself as an endpoint of the pool `raw` and answers every request
@@ -75,6 +80,8 @@
   void EndProcess();
   void SendHeartbeat();
   raw_answer TakeAnswer();
+  /// The answer to the next request.
+  raw_answer NextAnswer() const;
 
   asio::io_context& io_;
   const socket_address listen_;
