entry: decide by evidence whether an endpoint crashed

An endpoint whose links to an entry VM are reset was recorded as ended, because a refused connection attempt counted. After three of them all VMs refused sound requests with the same prompt parts. A refusal now waits for evidence: records, heartbeats that the control processes receive (message heartbeat/states), load reports of other VMs and further connection attempts. Failures of endpoints that did not crash are forgotten.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -368,11 +368,8 @@
                         const peer_transport::respond_hook& respond) {
     if (message.kind == kWatchKind) {
       const auto request = DecodeWatchRequest(message.body);
-      if (request) {
-        hub_.OnWatch(*request, respond, SteadyNow());
-      } else {
-        respond("");
-      }
+      if (request) return hub_.OnWatch(*request, respond, SteadyNow());
+      respond("");
     } else if (message.kind == kDirectoryPositionKind) {
       respond(EncodeDirectoryPosition(
           hub_.PositionFor(vm_id(message.from), SteadyNow())));
@@ -387,6 +384,8 @@
       const auto stream = DecodeStreamDigest(message.body);
       const auto software = stream ? hub_.FindOrigin(*stream) : std::nullopt;
       respond(software ? EncodeSoftwareDigest(*software) : std::string());
+    } else if (message.kind == kHeartbeatStatesKind) {
+      respond(endpoints_->HeartbeatStates(message.body, SteadyNow()));
     } else if (message.kind == kRelayListKind) {
       respond(
           EncodeRelayOffers(hub_.RelaysFor(vm_id(message.from), SteadyNow())));
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -9,6 +9,7 @@
 #include "process/daemon/event_log.h"
 #include "process/directory/control_watcher.h"
 #include "process/directory/document_holder.h"
+#include "process/directory/heartbeat_question.h"
 #include "request/http_status.h"
 
 namespace marjoramsill {
@@ -156,6 +157,19 @@
   }
 }
 
+std::string endpoint_service::HeartbeatStates(std::string_view questions,
+                                              steady_time now) const {
+  const auto decoded = DecodeHeartbeatQuestions(questions);
+  if (!decoded) return "";
+  std::vector<heartbeat_state> states;
+  states.reserve(decoded->size());
+  for (const heartbeat_question& each : *decoded) {
+    states.push_back(directory_.HeartbeatsSince(each.id, each.incarnation,
+                                                now - each.period));
+  }
+  return EncodeHeartbeatStates(states);
+}
+
 void endpoint_service::Tick(steady_time now) {
   if (directory_.Expire(now)) hub_.Notify(now);
 }
--- a/source/process/controller/endpoint_service.h
+++ b/source/process/controller/endpoint_service.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "process/controller/control_dialect.h"
@@ -36,6 +37,9 @@
   void OnEnd(const endpoint_id& id, const response_hook& done, steady_time now);
   /// Endpoint records from other control processes.
   void OnRecords(const std::vector<endpoint_record>& records, steady_time now);
+  /// Answers a message of heartbeat questions; empty if it is malformed.
+  std::string HeartbeatStates(std::string_view questions,
+                              steady_time now) const;
   void Tick(steady_time now);
 
  private:
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -142,6 +142,31 @@
   }
 }
 
+heartbeat_state endpoint_directory::HeartbeatsSince(
+    const endpoint_id& id, incarnation_number incarnation,
+    steady_time moment) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return heartbeat_state::kUnknown;
+  const entry& known = found->second;
+  if (known.record.incarnation > incarnation ||
+      known.record.phase == endpoint_phase::kEnded) {
+    return heartbeat_state::kStopped;
+  }
+  if (!known.received_here || known.record.incarnation != incarnation) {
+    return heartbeat_state::kUnknown;
+  }
+  if (known.received_at > moment) return heartbeat_state::kContinues;
+  const bool receives_others =
+      std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+        const entry& other = item.second;
+        return other.received_here && other.received_at > moment &&
+               other.record.phase == endpoint_phase::kReady &&
+               other.record.domain == known.record.domain;
+      });
+  return receives_others ? heartbeat_state::kStopped
+                         : heartbeat_state::kUnknown;
+}
+
 bool endpoint_directory::IsExpired(const entry& old, steady_time now) const {
   const auto age = now - old.received_at;
   switch (old.record.phase) {
--- a/source/process/directory/endpoint_directory.h
+++ b/source/process/directory/endpoint_directory.h
@@ -9,6 +9,7 @@
 #include "process/directory/directory_settings.h"
 #include "process/directory/endpoint_record.h"
 #include "process/directory/endpoint_set_digest.h"
+#include "process/directory/heartbeat_state.h"
 #include "process/directory/software_history.h"
 #include "types/steady_time.h"
 
@@ -58,6 +59,11 @@
       const std::vector<std::uint64_t>& digests) const;
   /// Number of endpoints that have not ended.
   std::size_t CountPresent() const;
+  /// What the heartbeats that this process received show of an incarnation of
+  /// an endpoint since `moment`.
+  heartbeat_state HeartbeatsSince(const endpoint_id& id,
+                                  incarnation_number incarnation,
+                                  steady_time moment) const;
   /// The record of an endpoint, or null.
   const endpoint_record* Find(const endpoint_id& id) const;
   std::size_t size() const { return entries_.size(); }
--- a/source/process/entry/content_breaker.cc
+++ b/source/process/entry/content_breaker.cc
@@ -123,6 +123,17 @@
   }
 }
 
+std::vector<content_digest> content_breaker::UnansweredSince(
+    steady_time since, const std::vector<content_digest>& suspects) const {
+  std::vector<content_digest> unanswered;
+  for (const content_digest content : suspects) {
+    const auto found = answered_.find(content);
+    const bool is_answered = found != answered_.end() && found->second >= since;
+    if (!is_answered) unanswered.push_back(content);
+  }
+  return unanswered;
+}
+
 void content_breaker::Clear(content_digest content, steady_time now) {
   const content_fault* fault = faults_.Find(content);
   const bool is_refused = fault != nullptr && fault->ends.size() >= kOpenEnds;
--- a/source/process/entry/content_breaker.h
+++ b/source/process/entry/content_breaker.h
@@ -48,6 +48,9 @@
   /// An endpoint ended that had requests with this content.
   void RecordEnd(endpoint_run_digest run,
                  const std::vector<content_digest>& suspects, steady_time now);
+  /// Those of the suspects on which no answer was completed here since then.
+  std::vector<content_digest> UnansweredSince(
+      steady_time since, const std::vector<content_digest>& suspects) const;
   /// A successful answer to a request with this content was completed.
   void RecordAnswer(const request_content& content, steady_time now);
   /// Merges what other VMs know.
--- a/source/process/entry/entry_events.cc
+++ b/source/process/entry/entry_events.cc
@@ -1,5 +1,6 @@
 #include "process/entry/entry_events.h"
 
+#include "process/entry/crash_decision.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetch_outcome.h"
 #include "process/entry/log_fields.h"
@@ -32,6 +33,19 @@
   }
 }
 
+void LogCrashDecision(decision_log& log, const crash_decision& decision) {
+  log.Write("crash_decision",
+            log_fields()
+                .Add("endpoint", decision.endpoint.id.value())
+                .Add("pool", decision.endpoint.pool.value())
+                .Add("run", RunsText({DigestOfRun(decision.endpoint)}))
+                .Add("crash", IsCrash(decision.finding) ? "yes" : "no")
+                .Add("finding", CrashFindingText(decision.finding))
+                .Add("contents", decision.suspects.size())
+                .text(),
+            line_class::kFrequent);
+}
+
 void LogContact(decision_log& log, const vm_id& vm, bool reachable) {
   log.Write("control_contact", log_fields()
                                    .Add("vm", vm.value())
--- a/source/process/entry/entry_events.h
+++ b/source/process/entry/entry_events.h
@@ -13,6 +13,7 @@
 namespace marjoramsill {
 
 class decision_log;
+struct crash_decision;
 struct document_fetch_outcome;
 
 // Log lines of an entry process about what it learns of the fleet. Operators
@@ -24,6 +25,8 @@
 /// cause.
 void LogSuspects(decision_log& log, const endpoint_record& ended,
                  const std::vector<content_digest>& suspects);
+/// It is decided whether an endpoint that refused connections had crashed.
+void LogCrashDecision(decision_log& log, const crash_decision& decision);
 /// A control process was lost or regained.
 void LogContact(decision_log& log, const vm_id& vm, bool reachable);
 /// This VM lost its links to the endpoints of a pool, or regains them.
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -31,6 +31,7 @@
 #include "process/entry/call_set.h"
 #include "process/entry/content_breaker.h"
 #include "process/entry/content_fault_reporter.h"
+#include "process/entry/crash_finder.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetcher.h"
 #include "process/entry/document_in_force.h"
@@ -129,8 +130,11 @@
         end_check_(io_, connections_,
                    [this](const endpoint_record& endpoint,
                           const std::vector<content_digest>& suspects) {
-                     OnEndpointCrash(endpoint, suspects);
+                     crashes_.evidence().OnRefused(endpoint, suspects,
+                                                   SteadyNow());
                    }),
+        crashes_(io_, connections_, watcher_,
+                 [this](const crash_decision& each) { OnCrashDecision(each); }),
         prober_(io_, connections_, pools_,
                 [this](const model_id& pool, link_state state,
                        std::size_t reached, std::size_t failed) {
@@ -305,7 +309,11 @@
           pools_.MergeFormerSoftware(presences, SteadyNow());
         };
     hooks.on_loads = [this](const std::vector<shared_load>& loads) {
-      pools_.MergeLoads(loads, SteadyNow());
+      const steady_time now = SteadyNow();
+      pools_.MergeLoads(loads, now);
+      for (const shared_load& each : loads) {
+        crashes_.evidence().OnReport(each.endpoint, now - each.age);
+      }
     };
     hooks.take_loads = [this] { return pools_.TakeLoads(SteadyNow()); };
     hooks.take_progress = [this] { return pools_.Progress(SteadyNow()); };
@@ -369,11 +377,22 @@
 
   void OnEndpointChange(const endpoint_record& changed) {
     LogEndpoint(log_, changed);
+    crashes_.evidence().OnRecord(changed);
     if (IsLeavingOrEnded(changed.phase)) connections_.Drop(changed.id);
   }
 
-  void OnEndpointCrash(const endpoint_record& endpoint,
-                       const std::vector<content_digest>& suspects) {
+  void OnCrashDecision(const crash_decision& each) {
+    LogCrashDecision(log_, each);
+    const endpoint_record& endpoint = each.endpoint;
+    if (!IsCrash(each.finding)) {
+      // The failures came from the links.
+      if (auto* known = pools_.Pool(endpoint.pool)->Find(endpoint.id)) {
+        known->ForgetFailures();
+      }
+      return;
+    }
+    const auto suspects =
+        contents_.UnansweredSince(each.refused_at, each.suspects);
     contents_.RecordEnd(DigestOfRun(endpoint), suspects, SteadyNow());
     LogSuspects(log_, endpoint, suspects);
   }
@@ -517,6 +536,7 @@
     watcher_.Tick(now);
     pools_.SetPosition(watcher_.position());
     prober_.Tick(now);
+    crashes_.Tick(now);
     relay_finder_.Tick(HasLostLinks() || relays_.IsShort(now), now);
     fetcher_.Tick(now);
     relay_.Tick(document_.stored(), now);
@@ -586,6 +606,7 @@
   content_breaker contents_;
   content_fault_reporter content_reporter_;
   endpoint_end_check end_check_;
+  crash_finder crashes_;
   reach_prober prober_;
   caller_listener listener_;
   caller_listener relay_listener_;
