placement: use the duration of work that endpoints state

Engines that slow down for 0.6 s at a time kept their share of requests, so that urgent ones waited behind long prompts there. The load header's optional fourth figure is decoded, shared with load reports, and scales the cost, the usual load bound and the remaining capacity of preferred endpoints.

--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -17,10 +17,11 @@
                std::uint32_t, std::uint8_t, std::uint64_t, std::uint64_t,
                std::uint32_t, std::string>;
 /// Endpoint, running, waiting, slots, age in milliseconds, limit in thousandths
-/// of a request per second, limit of refusals.
+/// of a request per second, limit of refusals, duration of work in percent (0:
+/// not stated, as from builds without this field).
 using load_fields =
     std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t,
-               std::uint32_t, std::int64_t, std::uint32_t>;
+               std::uint32_t, std::int64_t, std::uint32_t, std::uint32_t>;
 /// Stream, software.
 using origin_fields = std::tuple<std::uint64_t, std::uint32_t>;
 /// Content, clearances, ends.
@@ -147,7 +148,8 @@
     fields.emplace_back(
         load.endpoint.value(), load.report.running, load.report.waiting,
         load.report.slots, static_cast<std::uint32_t>(load.age.count()),
-        EncodeLimit(load.limit), EncodeRefusalLimit(load.refusal_limit));
+        EncodeLimit(load.limit), EncodeRefusalLimit(load.refusal_limit),
+        load.report.duration_percent.value_or(0));
   }
   return fields;
 }
@@ -231,11 +233,11 @@
   std::vector<shared_load> loads;
   loads.reserve(fields.size());
   for (const auto& [endpoint, running, waiting, slots, age_ms, limit,
-                    refusal_limit] : fields) {
-    loads.push_back({endpoint_digest(endpoint),
-                     {running, waiting, slots},
-                     std::chrono::milliseconds(age_ms),
-                     DecodeLimit(limit),
+                    refusal_limit, duration_percent] : fields) {
+    load_report report{running, waiting, slots};
+    if (duration_percent > 0) report.duration_percent = duration_percent;
+    loads.push_back({endpoint_digest(endpoint), report,
+                     std::chrono::milliseconds(age_ms), DecodeLimit(limit),
                      DecodeRefusalLimit(refusal_limit)});
   }
   return loads;
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -55,6 +55,7 @@
     waiting_since_.reset();
     dropped_until_.clear();
     connection_lost_at_.reset();
+    speed_.Clear();
   }
   if (record.address != record_.address) is_misdirected_ = false;
   record_ = record;
@@ -109,6 +110,9 @@
   has_report_ = true;
   is_report_own_ = true;
   is_report_shared_ = false;
+  if (report.duration_percent) {
+    speed_.RecordStated(*report.duration_percent, now);
+  }
 }
 
 void endpoint_estimate::RecordSharedLoad(const load_report& report,
@@ -121,6 +125,9 @@
   has_report_ = true;
   is_report_own_ = false;
   is_report_shared_ = true;
+  if (report.duration_percent) {
+    speed_.RecordStated(*report.duration_percent, measured_at);
+  }
 }
 
 std::optional<shared_load> endpoint_estimate::TakeUnsharedLoad(
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -15,6 +15,7 @@
 #include "process/placement/own_call_history.h"
 #include "process/placement/prefix_cache_model.h"
 #include "process/placement/smoothed_value.h"
+#include "process/placement/speed_estimate.h"
 #include "types/steady_time.h"
 #include "types/units.h"
 
@@ -122,6 +123,8 @@
   double failure_rate() const { return failures_.value(); }
   prefix_cache_model& prefixes() { return prefixes_; }
   const prefix_cache_model& prefixes() const { return prefixes_; }
+  speed_estimate& speed() { return speed_; }
+  const speed_estimate& speed() const { return speed_; }
 
  private:
   endpoint_record record_;
@@ -147,6 +150,7 @@
   std::optional<steady_time> connection_lost_at_;
   steady_time avoid_until_;
   smoothed_value failures_;
+  speed_estimate speed_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -122,6 +122,7 @@
 std::vector<endpoint_pool::candidate> endpoint_pool::FindCandidates(
     const placement_limits& limits, bool also_avoided, steady_time now) {
   std::vector<candidate> found;
+  UpdateSpeeds(now);
   const double usual_rate = UsualRate(now);
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint->IsServing()) continue;
@@ -131,7 +132,8 @@
     if (!endpoint->terms().IsOpen(now)) continue;
     if (!endpoint->terms().limit().HasAllowance(position_, now)) continue;
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
-                     PreferenceWeight(*endpoint, now)});
+                     PreferenceWeight(*endpoint, now),
+                     DurationFactor(*endpoint)});
   }
   return found;
 }
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -116,6 +116,8 @@
     /// Share of the prefixes that prefer this endpoint, relative to one
     /// without a limit.
     double weight = 1;
+    /// Estimated duration of work relative to the pool.
+    double duration_factor = 1;
   };
   /// Endpoints within the limits that serve; avoided ones only if
   /// `also_avoided`.
@@ -126,6 +128,14 @@
   /// An endpoint with a limit is preferred as often as this VM may send to it.
   double PreferenceWeight(const endpoint_estimate& endpoint,
                           steady_time now) const;
+  /// Speed matters in this pool: an endpoint states the duration of work.
+  bool EstimatesSpeed(steady_time now) const;
+  /// Compares the estimated speeds of the endpoints with each other.
+  void UpdateSpeeds(steady_time now);
+  /// Duration of work relative to the pool; 1 if the pool estimates no speed.
+  double DurationFactor(const endpoint_estimate& endpoint) const;
+  /// Share of a load bound that the candidate gets: 1, or less if it is slow.
+  static double SpeedShare(const candidate& each);
   /// As FindCandidates(), with avoided ones only if there are no others.
   std::vector<candidate> FindUsable(const placement_limits& limits,
                                     steady_time now);
@@ -168,6 +178,10 @@
   placement_choice FindCheapest(const request_demand& demand,
                                 const std::vector<candidate>& candidates,
                                 const shared_prefix& shared) const;
+  /// One of those with nearly the least cost, at random.
+  placement_choice FindNearlyCheapest(const request_demand& demand,
+                                      const std::vector<candidate>& candidates,
+                                      const shared_prefix& shared) const;
   shared_prefix FindSharedPrefix(const request_demand& demand,
                                  const std::vector<candidate>& candidates,
                                  double mean) const;
@@ -194,6 +208,8 @@
   pool_reach reach_;
   smoothed_value duration_ms_;
   std::uint32_t waiting_ = 0;
+  std::optional<steady_time> speeds_updated_at_;
+  bool uses_speed_ = false;
   /// Requests per second for which this VM chooses an endpoint.
   event_rate choices_;
   session_detector sessions_;
--- a/source/process/placement/endpoint_pool_bound.cc
+++ b/source/process/placement/endpoint_pool_bound.cc
@@ -103,14 +103,21 @@
     return found;
   };
   if (bound.IsScarce(MeanUnlimitedLoad(candidates))) {
-    return select([&bound](const candidate& each) {
+    const auto has_place = [&bound](const candidate& each) {
       return each.load <= bound.most() &&
              each.endpoint->in_flight() <
                  bound.OwnPlaces(OrderOf(*each.endpoint));
+    };
+    // A slow endpoint's places are used once the others have none left.
+    std::vector<candidate> quick = select([&bound,
+                                           &has_place](const candidate& each) {
+      return has_place(each) && each.load <= bound.most() * SpeedShare(each);
     });
+    return quick.empty() ? select(has_place) : quick;
   }
-  std::vector<candidate> usual = select(
-      [&bound](const candidate& each) { return each.load <= bound.usual(); });
+  std::vector<candidate> usual = select([&bound](const candidate& each) {
+    return each.load <= bound.usual() * SpeedShare(each);
+  });
   if (!usual.empty()) return usual;
   return select(
       [&bound](const candidate& each) { return each.load <= bound.most(); });
--- a/source/process/placement/endpoint_pool_prefix.cc
+++ b/source/process/placement/endpoint_pool_prefix.cc
@@ -16,6 +16,9 @@
 /// with. One above the load bound still gets a few requests, since their
 /// responses carry its load reports.
 constexpr double kMinRemainingCapacity = 0.01;
+/// Ratio of durations above which the first preferred endpoint of an idle pool
+/// shares its prefixes with the second one.
+constexpr double kClearlySlower = 1.5;
 /// Precision of a double in bits, for a uniform random number below 1.
 constexpr int kDoubleBits = 53;
 constexpr int kDoubleShift = 64 - kDoubleBits;
@@ -89,14 +92,24 @@
   }
   const auto [first, second] = std::pair(best[0].second, best[1].second);
   if (first == nullptr) return nullptr;
+  if (second == nullptr) return first->endpoint;
+  // In an idle pool a slow endpoint is no reason to compute a prefix twice
+  // unless the other one is clearly faster.
+  const bool is_slow =
+      first->duration_factor > kClearlySlower * second->duration_factor;
   const bool is_idle = mean < 1;
-  if (second == nullptr || is_idle) return first->endpoint;
+  if (is_idle && !is_slow) return first->endpoint;
   const double bound =
       settings_.preferred_load_cap * mean + settings_.load_allowance;
-  const double first_remaining =
-      std::max(kMinRemainingCapacity, bound - first->load);
-  const double second_remaining =
-      std::max(kMinRemainingCapacity, bound - second->load);
+  // The slower one of the two counts as loaded earlier.
+  const double fastest =
+      std::min(first->duration_factor, second->duration_factor);
+  const auto remaining = [bound, fastest](const candidate& each) {
+    const double share = fastest / each.duration_factor;
+    return std::max(kMinRemainingCapacity, bound * share - each.load);
+  };
+  const double first_remaining = remaining(*first);
+  const double second_remaining = remaining(*second);
   const double drawn = static_cast<double>(random_() >> kDoubleShift) *
                        std::ldexp(1, -kDoubleBits);
   const bool picks_first =
--- a/source/process/placement/placement_choice.h
+++ b/source/process/placement/placement_choice.h
@@ -27,6 +27,8 @@
   bool is_over_bound = false;
   /// Age of the endpoint's latest load report; negative without one.
   double load_age_ms = -1;
+  /// Estimated duration of work relative to the pool; 1 if not estimated.
+  double duration_factor = 1;
   /// Prompt tokens that the endpoint is expected to have cached.
   token_count cached;
   /// IP:PORT of another endpoint that probably has more of the prompt in its
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -95,6 +95,7 @@
                         .Add("load", choice->load)
                         .Add("load_age_ms", choice->load_age_ms)
                         .Add("pool_mean", choice->pool_mean)
+                        .Add("speed", 1 / choice->duration_factor)
                         .Add("left_out", choice->left_out)
                         .Add("wait_ms", choice->cost.wait_ms)
                         .Add("cached", choice->cached.value())
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -67,15 +67,15 @@
       "1078ff0c0fcd03849193050291081f02";
 
   /// Fields of these messages as this build encodes them. Load reports, lists
-  /// of six elements before, have a seventh one: the limit of refusals is
-  /// unknown.
+  /// of six elements before, have two more: the limit of refusals is unknown,
+  /// and no duration of work is stated.
   static constexpr const char* kRequestFields =
-      "ad31302e302e302e333a37333430c3050608c391970902001028cd119400070391920b0c"
-      "1e919306019109cd1cadceee6b2800c3";
+      "ad31302e302e302e333a37333430c3050608c391980902001028cd11940000070391920b"
+      "0c1e919306019109cd1cadceee6b2800c3";
   static constexpr const char* kResponseFields =
       "070c919aa165a463686174ad31302e302e302e393a38303830a57065727468cc8002cf"
-      "0000018bcfe5680063ccfaa276312891ad31302e302e302e313a373334300691974d0301"
-      "1078ff000c0fcd03849193050291081f02";
+      "0000018bcfe5680063ccfaa276312891ad31302e302e302e313a373334300691984d0301"
+      "1078ff00000c0fcd03849193050291081f02";
 
   static std::string Bytes(const std::string& hex) {
     constexpr int kBase = 16;
@@ -191,7 +191,7 @@
     request.document = document_version(8);
     request.requests_loads = true;
     request.loads = {
-        {endpoint_digest(9), {2, 0, 16}, milliseconds(40)},
+        {endpoint_digest(9), {2, 0, 16, 250}, milliseconds(40)},
         {endpoint_digest(10), {}, milliseconds(0), 4.5, kUnlimitedRefusals},
         {endpoint_digest(11), {}, milliseconds(0), std::nullopt, 0},
         {endpoint_digest(12), {}, milliseconds(0), std::nullopt, 12}};
--- a/tests/placement/engine_model.cc
+++ b/tests/placement/engine_model.cc
@@ -1,5 +1,7 @@
 #include "engine_model.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace marjoramsill {
@@ -9,14 +11,23 @@
 constexpr std::uint64_t kPrefillTokensPerMs = 112;
 /// Time to the first token of a request whose prefix is cached.
 constexpr std::chrono::milliseconds kFirstToken{25};
+/// Age of a stated duration on arrival.
+constexpr std::chrono::milliseconds kFigureAge{200};
+constexpr double kPercent = 100;
 
 }  // namespace
 
 engine_model::engine_model(std::uint32_t slots, scheduler schedule)
     : slots_(slots), schedule_(std::move(schedule)) {}
 
-load_report engine_model::Report() const {
-  return {running_, static_cast<std::uint32_t>(queue_.size()), slots_};
+load_report engine_model::Report(steady_time now) const {
+  load_report report{running_, static_cast<std::uint32_t>(queue_.size()),
+                     slots_};
+  if (is_stated_) {
+    report.duration_percent = static_cast<std::uint32_t>(
+        std::lround(kPercent * factor_(now - kFigureAge, load())));
+  }
+  return report;
 }
 
 void engine_model::Submit(job submitted, steady_time now) {
@@ -35,8 +46,23 @@
     first_token +=
         std::chrono::milliseconds(started.prefix_tokens / kPrefillTokensPerMs);
   }
-  schedule_(first_token, [this, started] { started.on_first_token(Report()); });
-  const steady_time end = first_token + started.response_time;
+  std::chrono::microseconds response_time = started.response_time;
+  if (factor_) {
+    const double factor = factor_(now, load());
+    const auto scaled = [factor](std::chrono::microseconds usual) {
+      return std::chrono::microseconds(
+          std::llround(factor * static_cast<double>(usual.count())));
+    };
+    const auto work = std::chrono::duration_cast<std::chrono::microseconds>(
+        first_token - now - kFirstToken);
+    computed_at_ = std::max(computed_at_, now) + scaled(work);
+    first_token = computed_at_ + scaled(kFirstToken);
+    response_time = scaled(response_time);
+  }
+  schedule_(first_token, [this, started, first_token] {
+    started.on_first_token(Report(first_token));
+  });
+  const steady_time end = first_token + response_time;
   schedule_(end, [this, started, end] {
     --running_;
     started.on_end();
--- a/tests/placement/engine_model.h
+++ b/tests/placement/engine_model.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <set>
+#include <utility>
 
 #include "process/directory/load_report.h"
 #include "types/steady_time.h"
@@ -26,9 +27,18 @@
   };
   /// Runs a function at the given time.
   using scheduler = std::function<void(steady_time, std::function<void()>)>;
+  /// Duration of work relative to the usual one, at a time and load.
+  using duration_source = std::function<double(steady_time, std::uint32_t)>;
 
   engine_model(std::uint32_t slots, scheduler schedule);
 
+  /// Work takes as long as `factor` says; prompts are computed one after the
+  /// other. `is_stated`: reports state it, as it was 200 ms before.
+  void SetDuration(duration_source factor, bool is_stated) {
+    factor_ = std::move(factor);
+    is_stated_ = is_stated;
+  }
+
   void Submit(job submitted, steady_time now);
   /// Requests that run or wait.
   std::uint32_t load() const {
@@ -38,7 +48,7 @@
 
  private:
   void Start(const job& started, steady_time now);
-  load_report Report() const;
+  load_report Report(steady_time now) const;
 
   const std::uint32_t slots_;
   const scheduler schedule_;
@@ -46,6 +56,10 @@
   std::deque<job> queue_;
   std::set<std::uint64_t> cached_;
   std::uint64_t computed_tokens_ = 0;
+  duration_source factor_;
+  bool is_stated_ = false;
+  /// The prompts accepted so far have been computed then.
+  steady_time computed_at_;
 };
 
 }  // namespace marjoramsill
--- a/tests/placement/entry_fleet_model.cc
+++ b/tests/placement/entry_fleet_model.cc
@@ -18,6 +18,8 @@
 constexpr double kBoundFactor = 2;
 constexpr double kBoundAllowance = 3;
 constexpr int kDomainCount = 3;
+/// Relative duration of work from which an engine counts as slow.
+constexpr double kSlow = 1.5;
 
 const model_id& PoolId() {
   static const model_id id("chat");
@@ -57,6 +59,13 @@
                             Schedule(when, std::move(act));
                           });
     records.push_back(MakeRecord(i));
+    if (!chosen.duration) continue;
+    const auto number = static_cast<std::size_t>(i);
+    engines_.back().SetDuration(
+        [this, number](steady_time when, std::uint32_t load) {
+          return parameters_.duration(number, when, load);
+        },
+        chosen.states_duration);
   }
   for (int i = 0; i < chosen.entry_count; ++i) {
     entries_.push_back(std::make_unique<pool_table>(
@@ -89,6 +98,7 @@
 
 entry_fleet_model::span_counts entry_fleet_model::Run(milliseconds span) {
   counts_ = {};
+  counts_.by_engine.resize(engines_.size());
   RunUntil(now_ + span);
   return counts_;
 }
@@ -140,6 +150,11 @@
   const auto number = static_cast<std::size_t>(std::stoi(id.value().substr(1)));
   engine_model& engine = engines_[number];
   ++counts_.arrivals;
+  if (number < counts_.by_engine.size()) ++counts_.by_engine[number];
+  if (parameters_.duration &&
+      parameters_.duration(number, now_, engine.load()) >= kSlow) {
+    ++counts_.at_slow;
+  }
   if (engine.load() > Bound()) ++counts_.above_bound;
 
   engine_model::job job;
@@ -147,8 +162,12 @@
   job.prefix_tokens = tokens;
   job.response_time =
       is_long ? milliseconds(1'600) : parameters_.short_response;
-  job.on_first_token = [this, &pool, id, number,
-                        demand](const load_report& report) {
+  job.on_first_token = [this, &pool, id, number, demand, is_long,
+                        sent = now_](const load_report& report) {
+    if (!is_long) {
+      ++counts_.urgent;
+      if (now_ - sent > parameters_.urgent_target) ++counts_.late_urgent;
+    }
     endpoint_estimate& endpoint = *pool.Find(id);
     if (IsLimited(number)) {
       endpoint.terms().Record({.limit = parameters_.limit_per_s}, false, 0,
--- a/tests/placement/entry_fleet_model.h
+++ b/tests/placement/entry_fleet_model.h
@@ -42,6 +42,15 @@
     int limited_engines = 0;
     double limit_per_s = 0;
     std::uint32_t seed = 1;
+    /// Duration of work at an engine relative to the usual one; null: engines
+    /// are equally fast and compute any number of prompts at once.
+    std::function<double(std::size_t engine, steady_time now,
+                         std::uint32_t load)>
+        duration;
+    /// Engines state the duration in their reports.
+    bool states_duration = false;
+    /// Requests of short sessions are late if their first event comes later.
+    std::chrono::milliseconds urgent_target{400};
   };
   /// Counts of one span of simulated time.
   struct span_counts {
@@ -52,6 +61,13 @@
     int refused = 0;
     /// Those of them while an engine without a limit had room for two more.
     int refused_with_room = 0;
+    /// Requests of short sessions with a first event, and the late ones.
+    int urgent = 0;
+    int late_urgent = 0;
+    /// Choices of an engine while its work took 1.5 times as long, or more.
+    int at_slow = 0;
+    /// Choices by number of the engine.
+    std::vector<int> by_engine;
   };
 
   explicit entry_fleet_model(const parameters& chosen);
--- a/tests/platform/platform_decoder_test.cc
+++ b/tests/platform/platform_decoder_test.cc
@@ -262,6 +262,15 @@
          {"", "3", "3,0", "a,b,c", "3,-1,8", "4294967297,0,8", "0,0,1e3"}) {
       CPPUNIT_ASSERT(!DecodeLoad({{"Server-Load", text}}).has_value());
     }
+    // A malformed duration must not hide the load.
+    const auto stated = DecodeLoad({{"Server-Load", "3,0,8,250"}});
+    CPPUNIT_ASSERT(stated->duration_percent == 250U);
+    for (const char* text :
+         {"3,0,8", "3,0,8,", "3,0,8,0", "3,0,8,-1", "3,0,8,x", "3,0,8,10001"}) {
+      const auto load = DecodeLoad({{"Server-Load", text}});
+      CPPUNIT_ASSERT_EQUAL(8U, load->slots);
+      CPPUNIT_ASSERT(!load->duration_percent.has_value());
+    }
   }
 };
 
