placement: estimate endpoint speed from measured durations

A third of the engines is slower at all times, which endpoints need not state. Entry VMs compare first events, pauses and plain requests with the work sent, share the result with load reports (5 bytes), and add it to the stated figure; pools without the figure do so only with learn_endpoint_speed.

--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -95,6 +95,7 @@
   parsed.document_apply =
       Millis(reader, "document_apply_ms", parsed.document_apply);
   parsed.link_mbps = reader.Number("link_mbps", 0, kMaxMbps, 0);
+  parsed.learn_endpoint_speed = reader.Boolean("learn_endpoint_speed", false);
   ReadRetries(reader, parsed.retries);
   reader.Finish();
   if (report.error()) return failure(*report.error());
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -53,6 +53,8 @@
   std::chrono::milliseconds document_apply{2'000};
   /// Speed of the VM's link in Mbit/s; 0 if unknown.
   double link_mbps = 0;
+  /// Estimate the speed of endpoints that state no duration of work too.
+  bool learn_endpoint_speed = false;
   retry_settings retries;
 };
 
--- a/source/process/directory/load_report_store.cc
+++ b/source/process/directory/load_report_store.cc
@@ -22,8 +22,8 @@
     const steady_time measured_at = now - load.age;
     const auto [known, added] = loads_.try_emplace(load.endpoint);
     if (!added && known->second.measured_at >= measured_at) continue;
-    known->second = {load.report, load.limit, load.refusal_limit, measured_at,
-                     from};
+    known->second = {load.report, load.limit,  load.refusal_limit,
+                     load.sample, measured_at, from};
   }
 }
 
@@ -40,7 +40,7 @@
     if (from_entries_only && load.from != source::kEntry) continue;
     found.push_back({endpoint, load.report,
                      std::chrono::duration_cast<milliseconds>(age), load.limit,
-                     load.refusal_limit});
+                     load.refusal_limit, load.sample});
     cursor = endpoint;
     if (found.size() == kMaxLoadsPerResponse) break;
   }
--- a/source/process/directory/load_report_store.h
+++ b/source/process/directory/load_report_store.h
@@ -38,6 +38,7 @@
     load_report report;
     std::optional<double> limit;
     std::optional<std::uint32_t> refusal_limit;
+    std::optional<duration_sample> sample;
     steady_time measured_at;
     source from = source::kEntry;
   };
--- a/source/process/directory/shared_load.h
+++ b/source/process/directory/shared_load.h
@@ -6,6 +6,7 @@
 #include <limits>
 #include <optional>
 
+#include "process/directory/duration_sample.h"
 #include "process/directory/load_report.h"
 #include "types/ids.h"
 #include "types/strong_number.h"
@@ -36,6 +37,9 @@
   /// Refusals for want of room in one second that the endpoint survives;
   /// nothing if that entry VM does not know.
   std::optional<std::uint32_t> refusal_limit = std::nullopt;
+  /// Durations of work that it measured there; nothing in pools that estimate
+  /// no speed.
+  std::optional<duration_sample> sample = std::nullopt;
 
   friend bool operator==(const shared_load&, const shared_load&) = default;
 };
--- a/source/process/directory/watch_codec.cc
+++ b/source/process/directory/watch_codec.cc
@@ -18,10 +18,11 @@
                std::uint32_t, std::string>;
 /// Endpoint, running, waiting, slots, age in milliseconds, limit in thousandths
 /// of a request per second, limit of refusals, duration of work in percent (0:
-/// not stated, as from builds without this field).
-using load_fields =
-    std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t,
-               std::uint32_t, std::int64_t, std::uint32_t, std::uint32_t>;
+/// not stated, as from builds without this field), sample of durations (0:
+/// none).
+using load_fields = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
+                               std::uint32_t, std::uint32_t, std::int64_t,
+                               std::uint32_t, std::uint32_t, std::uint32_t>;
 /// Stream, software.
 using origin_fields = std::tuple<std::uint64_t, std::uint32_t>;
 /// Content, clearances, ends.
@@ -55,6 +56,9 @@
 constexpr std::uint32_t kUnknownRefusals = 0;
 constexpr std::uint32_t kAnyRefusals = 1;
 constexpr std::uint32_t kFirstRefusalLimit = 2;
+/// Position of the fields of an encoded sample, in bits.
+constexpr std::uint32_t kTagShift = 16;
+constexpr std::uint32_t kLogShift = 8;
 
 /// Limit for nested arrays. The deepest message has four: the response, its
 /// list of content faults, one of these, its list of ends.
@@ -141,6 +145,24 @@
   return encoded - kFirstRefusalLimit;
 }
 
+/// Tag, logarithm and count, from the highest byte on.
+std::uint32_t EncodeSample(const std::optional<duration_sample>& sample) {
+  if (!sample) return 0;
+  const auto log_ratio = static_cast<std::uint8_t>(sample->log_ratio);
+  return std::uint32_t{sample->tag} << kTagShift |
+         std::uint32_t{log_ratio} << kLogShift | sample->count;
+}
+
+std::optional<duration_sample> DecodeSample(std::uint32_t encoded) {
+  duration_sample sample;
+  sample.tag = static_cast<std::uint16_t>(encoded >> kTagShift);
+  sample.log_ratio =
+      static_cast<std::int8_t>(static_cast<std::uint8_t>(encoded >> kLogShift));
+  sample.count = static_cast<std::uint8_t>(encoded);
+  if (sample.count == 0) return std::nullopt;
+  return sample;
+}
+
 std::vector<load_fields> ToFields(const std::vector<shared_load>& loads) {
   std::vector<load_fields> fields;
   fields.reserve(loads.size());
@@ -149,7 +171,7 @@
         load.endpoint.value(), load.report.running, load.report.waiting,
         load.report.slots, static_cast<std::uint32_t>(load.age.count()),
         EncodeLimit(load.limit), EncodeRefusalLimit(load.refusal_limit),
-        load.report.duration_percent.value_or(0));
+        load.report.duration_percent.value_or(0), EncodeSample(load.sample));
   }
   return fields;
 }
@@ -233,12 +255,12 @@
   std::vector<shared_load> loads;
   loads.reserve(fields.size());
   for (const auto& [endpoint, running, waiting, slots, age_ms, limit,
-                    refusal_limit, duration_percent] : fields) {
+                    refusal_limit, duration_percent, sample] : fields) {
     load_report report{running, waiting, slots};
     if (duration_percent > 0) report.duration_percent = duration_percent;
     loads.push_back({endpoint_digest(endpoint), report,
                      std::chrono::milliseconds(age_ms), DecodeLimit(limit),
-                     DecodeRefusalLimit(refusal_limit)});
+                     DecodeRefusalLimit(refusal_limit), DecodeSample(sample)});
   }
   return loads;
 }
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -85,6 +85,9 @@
                          "Endpoints that announced their end");
   open_calls_ = registry_.AddGauge("marjoramsill_entry_open_calls",
                                    "Requests in progress");
+  endpoints_slow_ = registry_.AddGauge(
+      "marjoramsill_entry_endpoints_slow",
+      "Endpoints whose work takes 1.5 times as long as usual in their pool");
   dropped_lines_ = registry_.AddGauge("marjoramsill_entry_dropped_lines",
                                       "Log lines dropped since the start");
 }
@@ -144,6 +147,10 @@
   endpoints_leaving_->Set(static_cast<double>(leaving));
 }
 
+void entry_metrics::SetSlowEndpoints(std::size_t count) {
+  endpoints_slow_->Set(static_cast<double>(count));
+}
+
 void entry_metrics::SetOpenCalls(std::size_t count) {
   open_calls_->Set(static_cast<double>(count));
 }
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -59,6 +59,8 @@
   void SetDocumentVersion(std::uint64_t version);
   void SetEndpoints(std::size_t ready, std::size_t silent, std::size_t leaving);
   void SetOpenCalls(std::size_t count);
+  /// Endpoints whose work takes clearly longer than usual in their pools.
+  void SetSlowEndpoints(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
   /// All metrics in the Prometheus text format.
   std::string Text() const { return registry_.Text(); }
@@ -93,6 +95,7 @@
   prometheus::Gauge* endpoints_silent_ = nullptr;
   prometheus::Gauge* endpoints_leaving_ = nullptr;
   prometheus::Gauge* open_calls_ = nullptr;
+  prometheus::Gauge* endpoints_slow_ = nullptr;
   prometheus::Gauge* dropped_lines_ = nullptr;
 };
 
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -74,6 +74,7 @@
 placement_settings PlacementSettings(const node_settings& settings) {
   placement_settings placement;
   placement.domain = settings.failure_domain;
+  placement.learn_endpoint_speed = settings.learn_endpoint_speed;
   return placement;
 }
 
@@ -542,6 +543,7 @@
     const auto phases = pools_.CountPhases();
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
     metrics_.SetOpenCalls(calls_.size());
+    metrics_.SetSlowEndpoints(pools_.CountSlow());
     metrics_.SetDroppedLines(log_.dropped());
   }
 
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -148,6 +148,9 @@
     endpoint_estimate* endpoint = Find(load.endpoint);
     if (endpoint != nullptr) {
       endpoint->RecordSharedLoad(load.report, now - load.age);
+      if (load.sample) {
+        endpoint->speed().evidence().AddSample(*load.sample, now);
+      }
       endpoint->terms().RecordShared(load.limit, load.refusal_limit,
                                      now - load.age);
     }
@@ -181,6 +184,12 @@
   }
 }
 
+std::size_t pool_table::CountSlow() const {
+  std::size_t slow = 0;
+  for (const auto& [id, pool] : pools_) slow += pool->CountSlow();
+  return slow;
+}
+
 pool_table::phase_counts pool_table::CountPhases() const {
   phase_counts counts;
   for (const endpoint_record& record : directory_.ChangesAfter(0)) {
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -87,6 +87,8 @@
     std::size_t leaving = 0;
   };
   phase_counts CountPhases() const;
+  /// Endpoints that take clearly longer than their pools.
+  std::size_t CountSlow() const;
 
  private:
   token_count CacheCapacity(const model_id& id) const;
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -133,17 +133,22 @@
 std::optional<shared_load> endpoint_estimate::TakeUnsharedLoad(
     steady_time now) {
   const bool has_load = has_report_ && !is_report_shared_;
-  if (!has_load && !terms_->has_unshared()) return std::nullopt;
+  // Without a load, the entry would displace the one of another VM.
+  const bool has_sample = !has_report_ && speed_.evidence().HasUnshared();
+  if (!has_load && !terms_->has_unshared() && !has_sample) return std::nullopt;
   is_report_shared_ = true;
   terms_->MarkShared();
   shared_load load;
   load.endpoint = DigestOf(record_.id);
   if (has_load) load.report = report_;
-  const steady_time measured_at = has_load ? reported_at_ : terms_->stated_at();
+  const steady_time measured_at = has_load     ? reported_at_
+                                  : has_sample ? now
+                                               : terms_->stated_at();
   load.age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - measured_at);
   load.limit = terms_->limit().per_second();
   load.refusal_limit = terms_->refusal_limit();
+  load.sample = speed_.evidence().TakeSample(now);
   return load;
 }
 
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "process/directory/shared_load.h"
+#include "process/placement/duration_baseline.h"
 #include "process/placement/endpoint_estimate.h"
 #include "process/placement/endpoint_terms_table.h"
 #include "process/placement/event_rate.h"
@@ -20,6 +21,7 @@
 #include "process/placement/request_demand.h"
 #include "process/placement/session_detector.h"
 #include "process/placement/smoothed_value.h"
+#include "process/placement/work_sample.h"
 #include "types/ids.h"
 #include "types/random_source.h"
 #include "types/steady_time.h"
@@ -74,6 +76,13 @@
   /// Records the time from the start to the end of a successful call.
   void RecordDuration(std::chrono::microseconds duration);
 
+  /// Records how long work took at an endpoint. Only complete work counts: a
+  /// broken connection, a refusal or a time-out is no evidence of its speed.
+  void RecordWork(endpoint_estimate& endpoint, const work_sample& sample,
+                  steady_time now);
+  /// Endpoints that take clearly longer than their pool.
+  std::size_t CountSlow() const;
+
   /// Appends the load reports that endpoints sent with responses to this entry
   /// VM since the last call.
   void TakeLoads(std::vector<shared_load>& loads, steady_time now);
@@ -128,12 +137,17 @@
   /// An endpoint with a limit is preferred as often as this VM may send to it.
   double PreferenceWeight(const endpoint_estimate& endpoint,
                           steady_time now) const;
-  /// Speed matters in this pool: an endpoint states the duration of work.
+  /// Speed matters in this pool: an endpoint states the duration of work,
+  /// or the settings say so.
   bool EstimatesSpeed(steady_time now) const;
   /// Compares the estimated speeds of the endpoints with each other.
   void UpdateSpeeds(steady_time now);
   /// Duration of work relative to the pool; 1 if the pool estimates no speed.
   double DurationFactor(const endpoint_estimate& endpoint) const;
+  /// Expected duration of the work, up to a factor that is the same for all
+  /// endpoints.
+  double UsualMs(const endpoint_estimate& endpoint, const work_sample& sample,
+                 steady_time now) const;
   /// Share of a load bound that the candidate gets: 1, or less if it is slow.
   static double SpeedShare(const candidate& each);
   /// As FindCandidates(), with avoided ones only if there are no others.
@@ -210,6 +224,7 @@
   std::uint32_t waiting_ = 0;
   std::optional<steady_time> speeds_updated_at_;
   bool uses_speed_ = false;
+  duration_baseline usual_durations_;
   /// Requests per second for which this VM chooses an endpoint.
   event_rate choices_;
   session_detector sessions_;
--- a/source/process/placement/endpoint_pool_cost.cc
+++ b/source/process/placement/endpoint_pool_cost.cc
@@ -39,12 +39,14 @@
   const double slots = endpoint.slots();
   const double queued = std::max(0.0, each.load - slots + 1);
   placement_cost& cost = choice.cost;
-  cost.wait_ms = each.duration_factor * (queued * duration_ms_.value() / slots);
-  cost.compute_ms =
-      each.duration_factor * (computed / settings_.prefill_tokens_per_ms);
+  const double wait_ms = queued * duration_ms_.value() / slots;
+  const double compute_ms = computed / settings_.prefill_tokens_per_ms;
+  const double running_ms = settings_.running_cost_ms * each.load;
+  choice.usual_ms = wait_ms + compute_ms + running_ms;
+  cost.wait_ms = each.duration_factor * wait_ms;
+  cost.compute_ms = each.duration_factor * compute_ms;
   cost.recompute_ms = settings_.recompute_cost_ms * recomputed;
-  cost.running_ms =
-      each.duration_factor * (settings_.running_cost_ms * each.load);
+  cost.running_ms = each.duration_factor * running_ms;
   cost.failure_ms = settings_.failure_cost_ms * endpoint.failure_rate();
   if (endpoint.record().domain != settings_.domain) {
     cost.remote_ms = settings_.remote_cost_ms;
--- a/source/process/placement/placement_choice.h
+++ b/source/process/placement/placement_choice.h
@@ -29,6 +29,8 @@
   double load_age_ms = -1;
   /// Estimated duration of work relative to the pool; 1 if not estimated.
   double duration_factor = 1;
+  /// The part of the cost that is work of the endpoint, at the usual speed.
+  double usual_ms = 0;
   /// Prompt tokens that the endpoint is expected to have cached.
   token_count cached;
   /// IP:PORT of another endpoint that probably has more of the prompt in its
--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -44,6 +44,8 @@
   /// `load_allowance`. Close to it, the requests for a prefix go to the other
   /// preferred endpoint.
   double preferred_load_cap = 2;
+  /// Speed is estimated in pools whose endpoints state no duration of work too.
+  bool learn_endpoint_speed = false;
 };
 
 }  // namespace marjoramsill
--- a/source/process/placement/speed_estimate.cc
+++ b/source/process/placement/speed_estimate.cc
@@ -47,7 +47,7 @@
   return stated_at_ && now - *stated_at_ <= kFigureMemory;
 }
 
-double speed_estimate::LogDuration(steady_time now) const {
+double speed_estimate::LogStated(steady_time now) const {
   if (!stated_at_) return 0;
   const double age = std::max(0.0, MillisOf(now - *stated_at_));
   const double weight = std::max(0.0, 1 - age / kFigureLifeMs);
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -17,6 +17,7 @@
 #include "process/entry/endpoint_end_finding.h"
 #include "process/placement/placement_limits.h"
 #include "process/placement/request_demand.h"
+#include "process/placement/work_sample.h"
 #include "request/attempt_facts.h"
 #include "request/event_splitter.h"
 #include "request/relay_terms.h"
@@ -161,6 +162,12 @@
 
   // proxied_call_progress.cc: attempts that are late.
   void RecordProgress();
+  /// Records the pace of the events that have arrived since `last_progress_` as
+  /// evidence of the endpoint's speed. `events`: number in the response.
+  void RecordPace(std::uint64_t events, steady_time now);
+  /// Records a piece of complete work of the endpoint.
+  void RecordWork(work_kind kind, std::chrono::microseconds took,
+                  steady_time now);
   void CheckStall(steady_time now);
   /// Time without progress after which an attempt is late.
   std::chrono::milliseconds ProgressTimeout(steady_time now) const;
@@ -348,6 +355,13 @@
   /// it in milliseconds, negative without one.
   double estimated_load_ = 0;
   double estimate_age_ms_ = -1;
+  /// placement_choice::usual_ms.
+  double usual_ms_ = 0;
+  /// The request was sent then.
+  steady_time sent_at_;
+  /// Start of the pauses that RecordPace() measures, and events since.
+  steady_time pace_since_;
+  std::uint64_t pace_events_ = 0;
   steady_time attempt_started_;
   steady_time last_progress_;
   /// CheckRecord() waits for the records of endpoints.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -121,6 +121,7 @@
   is_counted_ = true;
   estimated_load_ = choice.load;
   estimate_age_ms_ = choice.load_age_ms;
+  usual_ms_ = choice.usual_ms;
   Connect(choice.endpoint->record().address);
 }
 
@@ -212,6 +213,7 @@
   state_ = state::kAwaitingHead;
   sent_ += granted_;
   last_progress_ = environment_.clock();
+  sent_at_ = last_progress_;
   environment_.metrics->CountAttempt();
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->prefixes().Record(demand_.parts);
@@ -332,6 +334,7 @@
   if (IsSuccessStatus(head_.status)) {
     RecordAnswer(endpoint, now);
     pool_->RecordDuration(now - attempt_started_);
+    if (!is_stream_) RecordWork(work_kind::kPlain, now - sent_at_, now);
     if (is_stream_) {
       EndStream();
     } else {
--- a/source/request/proxied_call_progress.cc
+++ b/source/request/proxied_call_progress.cc
@@ -45,6 +45,7 @@
   if (!is_stream_ && received_bytes_ < counted_bytes_ + kMinProgressBytes) {
     return;
   }
+  if (is_stream_) RecordPace(events, environment_.clock());
   has_event_ = is_stream_;
   counted_events_ = events;
   counted_bytes_ = received_bytes_;
--- a/tests/directory/watch_codec_test.cc
+++ b/tests/directory/watch_codec_test.cc
@@ -67,15 +67,16 @@
       "1078ff0c0fcd03849193050291081f02";
 
   /// Fields of these messages as this build encodes them. Load reports, lists
-  /// of six elements before, have two more: the limit of refusals is unknown,
-  /// and no duration of work is stated.
+  /// of six elements before, have three more: the limit of refusals is
+  /// unknown, no duration of work is stated, and none was measured.
   static constexpr const char* kRequestFields =
-      "ad31302e302e302e333a37333430c3050608c391980902001028cd11940000070391920b"
+      "ad31302e302e302e333a37333430c3050608c391990902001028cd119400000007039192"
+      "0b"
       "0c1e919306019109cd1cadceee6b2800c3";
   static constexpr const char* kResponseFields =
       "070c919aa165a463686174ad31302e302e302e393a38303830a57065727468cc8002cf"
-      "0000018bcfe5680063ccfaa276312891ad31302e302e302e313a373334300691984d0301"
-      "1078ff00000c0fcd03849193050291081f02";
+      "0000018bcfe5680063ccfaa276312891ad31302e302e302e313a373334300691994d0301"
+      "1078ff0000000c0fcd03849193050291081f02";
 
   static std::string Bytes(const std::string& hex) {
     constexpr int kBase = 16;
@@ -194,7 +195,12 @@
         {endpoint_digest(9), {2, 0, 16, 250}, milliseconds(40)},
         {endpoint_digest(10), {}, milliseconds(0), 4.5, kUnlimitedRefusals},
         {endpoint_digest(11), {}, milliseconds(0), std::nullopt, 0},
-        {endpoint_digest(12), {}, milliseconds(0), std::nullopt, 12}};
+        {endpoint_digest(12),
+         {},
+         milliseconds(0),
+         std::nullopt,
+         12,
+         duration_sample{-37, 9, 65'535}}};
     request.applied_fault = 30;
     request.faults = {{content_digest(6), 0, {endpoint_run_digest(9)}}};
     request.relay = {7'341, 4'000'000'000, true};
--- a/tests/placement/entry_fleet_model.cc
+++ b/tests/placement/entry_fleet_model.cc
@@ -39,8 +39,9 @@
   return record;
 }
 
-placement_settings Settings(int entry) {
+placement_settings Settings(int entry, bool learns_speed) {
   placement_settings settings;
+  settings.learn_endpoint_speed = learns_speed;
   settings.domain =
       failure_domain_id("d" + std::to_string(entry % kDomainCount));
   return settings;
@@ -69,8 +70,8 @@
   }
   for (int i = 0; i < chosen.entry_count; ++i) {
     entries_.push_back(std::make_unique<pool_table>(
-        Settings(i), retry_settings(), [this] { return random_(); },
-        [](const endpoint_record&) {}));
+        Settings(i, chosen.learns_speed), retry_settings(),
+        [this] { return random_(); }, [](const endpoint_record&) {}));
     entries_.back()->Pool(PoolId())->SetCacheCapacity(token_count(240'000));
     entries_.back()->Merge(records, now_);
     fleet_position position;
@@ -162,8 +163,9 @@
   job.prefix_tokens = tokens;
   job.response_time =
       is_long ? milliseconds(1'600) : parameters_.short_response;
-  job.on_first_token = [this, &pool, id, number, demand, is_long,
-                        sent = now_](const load_report& report) {
+  job.on_first_token = [this, &pool, id, number, demand, is_long, sent = now_,
+                        usual_ms =
+                            choice->usual_ms](const load_report& report) {
     if (!is_long) {
       ++counts_.urgent;
       if (now_ - sent > parameters_.urgent_target) ++counts_.late_urgent;
@@ -174,12 +176,15 @@
                               now_);
     }
     endpoint.RecordLoad(report, now_);
+    pool.RecordWork(endpoint,
+                    {work_kind::kFirstEvent, is_long ? "long" : "short",
+                     ElapsedSince(sent), usual_ms},
+                    now_);
     endpoint.prefixes().Record(demand.parts);
   };
   job.on_end = [this, &pool, id, started = now_] {
     pool.Find(id)->OnCallEnd(now_);
-    pool.RecordDuration(
-        std::chrono::duration_cast<std::chrono::microseconds>(now_ - started));
+    pool.RecordDuration(ElapsedSince(started));
   };
   engine.Submit(std::move(job), now_);
 }
--- a/tests/placement/entry_fleet_model.h
+++ b/tests/placement/entry_fleet_model.h
@@ -49,6 +49,8 @@
         duration;
     /// Engines state the duration in their reports.
     bool states_duration = false;
+    /// Entry VMs estimate speed from what they measure.
+    bool learns_speed = false;
     /// Requests of short sessions are late if their first event comes later.
     std::chrono::milliseconds urgent_target{400};
   };
@@ -86,6 +88,9 @@
   void PlaceRequest(pool_table& entry);
   void ExchangeLoads();
   void ExchangeProgress();
+  std::chrono::microseconds ElapsedSince(steady_time then) const {
+    return std::chrono::duration_cast<std::chrono::microseconds>(now_ - then);
+  }
   /// Most requests that an engine may hold when another one arrives.
   double Bound() const;
   bool IsLimited(std::size_t engine) const;
--- a/tests/placement/estimated_speed_test.cc
+++ b/tests/placement/estimated_speed_test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST_SUITE(estimated_speed_test);
   CPPUNIT_TEST(slow_phases_make_fewer_urgent_requests_late);
   CPPUNIT_TEST(permanently_slow_engines_get_fewer_requests);
+  CPPUNIT_TEST(permanently_slow_engines_are_found_without_stated_durations);
+  CPPUNIT_TEST(equal_engines_are_used_alike_where_speed_is_learned);
   CPPUNIT_TEST(engine_that_slows_down_from_half_load_on_is_not_filled);
   CPPUNIT_TEST(entry_vms_with_the_same_reports_do_not_oscillate);
   CPPUNIT_TEST_SUITE_END();
@@ -162,6 +164,30 @@
     CPPUNIT_ASSERT_LESS(0.001 * after.arrivals, after.refused + 1);
   }
 
+  void permanently_slow_engines_are_found_without_stated_durations() {
+    // No entry VM sends enough requests to an engine to find out by itself.
+    entry_fleet_model::parameters chosen = Alumni();
+    const totals before = Run(chosen, false);
+    chosen.learns_speed = true;
+    const totals after = Run(chosen, false);
+    CPPUNIT_ASSERT_LESS(0.97 * before.at_slow_third / before.arrivals,
+                        after.at_slow_third / after.arrivals);
+    CPPUNIT_ASSERT_LESS(1.1 * before.LateShare(), after.LateShare());
+    CPPUNIT_ASSERT_LESS(0.001 * after.arrivals, after.refused + 1);
+  }
+
+  void equal_engines_are_used_alike_where_speed_is_learned() {
+    // Guards against measured durations that scatter and so move requests
+    // between equal engines, whose prefixes are then computed more often.
+    entry_fleet_model::parameters chosen = Alumni();
+    chosen.duration = [](std::size_t, steady_time, std::uint32_t) { return 1; };
+    const totals before = Run(chosen, false);
+    chosen.learns_speed = true;
+    const totals after = Run(chosen, false);
+    CPPUNIT_ASSERT_LESS(1.15 * before.late + 20, after.late);
+    CPPUNIT_ASSERT_LESS(0.03, after.above_bound / after.arrivals);
+  }
+
   void engine_that_slows_down_from_half_load_on_is_not_filled() {
     // Guards against a load bound that lets an engine slow down for good
     // because it has as many requests as the others.
