--- a/source/process/controller/node_settings.cc
+++ b/source/process/controller/node_settings.cc
@@ -98,6 +98,7 @@
   parsed.link_mbps = reader.Number("link_mbps", 0, kMaxMbps, 0);
   parsed.memory_mb = static_cast<std::uint32_t>(
       reader.Integer("memory_mb", 0, kMaxMemoryMb, 0));
+  parsed.learn_endpoint_speed = reader.Boolean("learn_endpoint_speed", false);
   ReadRetries(reader, parsed.retries);
   parsed.warm_up.overage =
       reader.Number("cold_overage", 1, kMaxRatio, parsed.warm_up.overage);
--- a/source/process/controller/node_settings.h
+++ b/source/process/controller/node_settings.h
@@ -56,6 +56,8 @@
   double link_mbps = 0;
   /// Memory of the VM in MB; 0 if unknown.
   std::uint32_t memory_mb = 0;
+  /// Estimate the speed of endpoints that state no duration of work too.
+  bool learn_endpoint_speed = false;
   retry_settings retries;
   warm_up_bound warm_up;
 };
--- a/source/process/entry/entry_limits.cc
+++ b/source/process/entry/entry_limits.cc
@@ -15,6 +15,7 @@
   placement_settings placement;
   placement.domain = settings.failure_domain;
   placement.warm_up = settings.warm_up;
+  placement.learn_endpoint_speed = settings.learn_endpoint_speed;
   return placement;
 }
 
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -68,6 +68,8 @@
   void SetColdEndpoints(std::size_t count);
   void SetEvacuated(std::size_t domains);
   void SetOpenCalls(std::size_t count);
+  /// Endpoints whose work takes clearly longer than usual in their pools.
+  void SetSlowEndpoints(std::size_t count);
   void SetDroppedLines(std::uint64_t count);
   /// Bytes held for connections of callers, and their limit.
   void SetMemory(const memory_budget& memory);
@@ -109,6 +111,7 @@
   prometheus::Gauge* endpoints_cold_ = nullptr;
   prometheus::Gauge* evacuated_ = nullptr;
   prometheus::Gauge* open_calls_ = nullptr;
+  prometheus::Gauge* endpoints_slow_ = nullptr;
   prometheus::Gauge* dropped_lines_ = nullptr;
   prometheus::Gauge* memory_limit_ = nullptr;
   std::array<prometheus::Gauge*, kMemoryKindCount> memory_{};
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -584,6 +584,7 @@
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
     metrics_.SetColdEndpoints(pools_.CountCold(now));
     metrics_.SetOpenCalls(calls_.size());
+    metrics_.SetSlowEndpoints(pools_.CountSlow());
     metrics_.SetDroppedLines(log_.dropped());
     metrics_.SetMemory(memory_);
   }
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -57,6 +57,7 @@
     waiting_since_.reset();
     dropped_until_.clear();
     connection_lost_at_.reset();
+    speed_.Clear();
   }
   if (record.address != record_.address) is_misdirected_ = false;
   record_ = record;
@@ -112,6 +113,9 @@
   has_report_ = true;
   is_report_own_ = true;
   is_report_shared_ = false;
+  if (report.duration_percent) {
+    speed_.RecordStated(*report.duration_percent, now);
+  }
 }
 
 void endpoint_estimate::RecordSharedLoad(const load_report& report,
@@ -124,22 +128,30 @@
   has_report_ = true;
   is_report_own_ = false;
   is_report_shared_ = true;
+  if (report.duration_percent) {
+    speed_.RecordStated(*report.duration_percent, measured_at);
+  }
 }
 
 std::optional<shared_load> endpoint_estimate::TakeUnsharedLoad(
     steady_time now) {
   const bool has_load = has_report_ && !is_report_shared_;
-  if (!has_load && !terms_->has_unshared()) return std::nullopt;
+  // Without a load, the entry would displace the one of another VM.
+  const bool has_sample = !has_report_ && speed_.evidence().HasUnshared();
+  if (!has_load && !terms_->has_unshared() && !has_sample) return std::nullopt;
   is_report_shared_ = true;
   terms_->MarkShared();
   shared_load load;
   load.endpoint = DigestOf(record_.id);
   if (has_load) load.report = report_;
-  const steady_time measured_at = has_load ? reported_at_ : terms_->stated_at();
+  const steady_time measured_at = has_load     ? reported_at_
+                                  : has_sample ? now
+                                               : terms_->stated_at();
   load.age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - measured_at);
   load.limit = terms_->limit().per_second();
   load.refusal_limit = terms_->refusal_limit();
+  load.sample = speed_.evidence().TakeSample(now);
   return load;
 }
 
--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -137,6 +137,7 @@
 std::vector<endpoint_pool::candidate> endpoint_pool::FindCandidates(
     const placement_limits& limits, bool also_avoided, steady_time now) {
   std::vector<candidate> found;
+  UpdateSpeeds(now);
   const double usual_rate = UsualRate(now);
   if (warm_up_limit_) warm_up_limit_->SetPosition(position_, now);
   for (const auto& [id, endpoint] : endpoints_) {
@@ -154,7 +155,8 @@
       continue;
     }
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
-                     PreferenceWeight(*endpoint, is_cold, now), is_cold});
+                     PreferenceWeight(*endpoint, is_cold, now), is_cold,
+                     DurationFactor(*endpoint)});
   }
   return found;
 }
--- a/source/process/placement/placement_settings.h
+++ b/source/process/placement/placement_settings.h
@@ -47,6 +47,8 @@
   double preferred_load_cap = 2;
   /// For pools whose cold endpoints take fewer requests.
   warm_up_bound warm_up;
+  /// Speed is estimated in pools whose endpoints state no duration of work too.
+  bool learn_endpoint_speed = false;
 };
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -95,6 +95,7 @@
                         .Add("load", choice->load)
                         .Add("load_age_ms", choice->load_age_ms)
                         .Add("pool_mean", choice->pool_mean)
+                        .Add("speed", 1 / choice->duration_factor)
                         .Add("left_out", choice->left_out)
                         .Add("cold", choice->is_cold ? 1 : 0)
                         .Add("wait_ms", choice->cost.wait_ms)
@@ -122,6 +123,7 @@
   is_counted_ = true;
   estimated_load_ = choice.load;
   estimate_age_ms_ = choice.load_age_ms;
+  usual_ms_ = choice.usual_ms;
   Connect(choice.endpoint->record().address);
 }
 
@@ -213,6 +215,7 @@
   state_ = state::kAwaitingHead;
   sent_ += granted_;
   last_progress_ = environment_.clock();
+  sent_at_ = last_progress_;
   environment_.metrics->CountAttempt();
   if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
     endpoint->prefixes().Record(demand_.parts);
@@ -335,6 +338,7 @@
   if (IsSuccessStatus(head_.status)) {
     RecordAnswer(endpoint, now);
     pool_->RecordDuration(now - attempt_started_);
+    if (!is_stream_) RecordWork(work_kind::kPlain, now - sent_at_, now);
     if (is_stream_) {
       EndStream();
     } else {
