--- a/tests/placement/evacuated_pool_test.cc
+++ b/tests/placement/evacuated_pool_test.cc
@@ -59,6 +59,7 @@
   static std::vector<failure_domain_id> Domains(
       const std::vector<std::string>& names) {
     std::vector<failure_domain_id> domains;
+    domains.reserve(names.size());
     for (const std::string& name : names) domains.emplace_back(name);
     return domains;
   }
