--- a/source/version/routing/pool_spec.h
+++ b/source/version/routing/pool_spec.h
@@ -20,7 +20,7 @@
   /// Set for pools of model engines.
   std::optional<engine_spec> engine;
   /// Set for pools whose cold endpoints take fewer requests.
-  std::optional<warm_up_spec> warm_up;
+  std::optional<warm_up_spec> warm_up = std::nullopt;
 };
 
 }  // namespace marjoramsill
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -1,5 +1,7 @@
 #include "fake_endpoint.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -95,6 +97,11 @@
   SendHeartbeat();
 }
 
+void fake_endpoint::SetColdFor(std::chrono::milliseconds duration) {
+  cold_until_ = std::chrono::steady_clock::now() + duration;
+  SendHeartbeat();
+}
+
 void fake_endpoint::ScheduleHeartbeat() {
   heartbeat_.expires_after(kHeartbeatInterval);
   heartbeat_.async_wait(
@@ -107,13 +114,17 @@
   const std::string pool = next_heartbeat_pool_.empty()
                                ? settings_.pool
                                : std::exchange(next_heartbeat_pool_, "");
+  const auto cold_left = std::chrono::ceil<std::chrono::milliseconds>(
+      cold_until_ - std::chrono::steady_clock::now());
+  const auto cold_ms =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(cold_left.count(), 0));
   const nlohmann::json body{{"service", pool},
                             {"address", settings_.announced},
                             {"zone", settings_.domain},
                             {"version", settings_.software},
                             {"slots", settings_.slots},
                             {"state", is_leaving_ ? "draining" : "ready"},
-                            {"coldRemainingMs", 0},
+                            {"coldRemainingMs", cold_ms},
                             {"sequence", ++sequence_},
                             {"born", incarnation_number_}};
   Call(io_, settings_.control(),
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -76,6 +76,8 @@
   /// From now on its responses name the request rate, per second, that it takes
   /// from all entry VMs together; nothing: no limit.
   void SetLimit(std::optional<double> per_second) { limit_ = per_second; }
+  /// It is cold for this time, and says so in its heartbeats from now on.
+  void SetColdFor(std::chrono::milliseconds duration);
   /// From now on its responses name the refusals in a second that it survives,
   /// and kContactTime later it refuses requests beyond its slots and crashes
   /// after more refusals; nothing: no longer.
@@ -176,6 +178,7 @@
   /// Expires before this object: timers with requests may outlive it.
   const std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
   std::optional<double> limit_;
+  std::chrono::steady_clock::time_point cold_until_;
   std::optional<int> brittle_refusals_;
   std::chrono::steady_clock::time_point brittle_since_;
   time_list refused_at_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -89,6 +89,7 @@
   }
   file << "heartbeat_interval_ms: 300\ngrace_ms: " << settings_.grace.count()
        << "\nlink_mbps: 0.1\n";
+  if (settings_.cold_per_s) file << "cold_overage: 1.5\ncold_slack: 5\n";
 }
 
 void soak_fleet::AddEndpoint(int index) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
   bool renews_ids = false;
   /// Memory of an entry VM; 0: not in its settings.
   int entry_memory_mb = 0;
+  /// Requests per second that a cold endpoint takes, in the document and with
+  /// the usual settings beside it; nothing: no such limit.
+  std::optional<double> cold_per_s;
 };
 
 /// One process of the fleet. Other processes reach it through its proxy.
@@ -72,6 +76,7 @@
   soak_fleet(const soak_fleet&) = delete;
   soak_fleet& operator=(const soak_fleet&) = delete;
 
+  const soak_settings& settings() const { return settings_; }
   void Start();
   void StartNode(soak_node& node);
   /// Kills the process. `erase_disk` also removes its data folder, if it is a
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -39,7 +39,8 @@
                      run_ledger& ledger, std::uint64_t seed)
     : io_(io), fleet_(fleet), ledger_(ledger), random_(seed) {}
 
-std::string soak_load::Document(std::uint64_t version) {
+std::string soak_load::Document(std::uint64_t version,
+                                std::optional<double> cold_per_s) {
   nlohmann::json document{{"version", version}};
   document["routes"] = {Route("/book/", "non_idempotent", 1, false),
                         Route("/look/", "idempotent", 2, false),
@@ -68,6 +69,10 @@
   }
   document["services"] = {{{"name", "svc"}, {"maxConns", 500}},
                           {{"name", "raw"}, {"maxConns", 500}}};
+  if (cold_per_s) {
+    document["services"][0]["coldStartS"] = 20;
+    document["services"][0]["coldPerS"] = *cold_per_s;
+  }
   return document.dump();
 }
 
@@ -214,8 +219,9 @@
 
 void soak_load::Submit(std::uint64_t version) {
   Call(io_, RandomControl(),
-       RequestText("PUT", "/config", {}, Document(version)), kOperatorTimeout,
-       [this, version](const auto& response) {
+       RequestText("PUT", "/config", {},
+                   Document(version, fleet_.settings().cold_per_s)),
+       kOperatorTimeout, [this, version](const auto& response) {
          if (response && response->head.status == 200) {
            acknowledged_ = std::max(acknowledged_, version);
            is_submitting_ = false;
@@ -244,7 +250,8 @@
            ledger_.RecordViolation("read version " + std::to_string(version) +
                                    " after " + std::to_string(known_version) +
                                    " was acknowledged");
-         } else if (response->body != Document(version)) {
+         } else if (response->body !=
+                    Document(version, fleet_.settings().cold_per_s)) {
            ledger_.RecordViolation("document read is not the one submitted");
          }
        });
--- a/tests/soak/soak_load.h
+++ b/tests/soak/soak_load.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -52,7 +53,9 @@
   /// Broken streams that went on when they were taken up again.
   int resumed() const { return resumed_; }
   /// The routing document of a version, as JSON.
-  static std::string Document(std::uint64_t version);
+  /// `cold_per_s`: requests per second that a cold endpoint takes, if limited.
+  static std::string Document(std::uint64_t version,
+                              std::optional<double> cold_per_s = std::nullopt);
 
  private:
   using time_point = std::chrono::steady_clock::time_point;
