connection, request: an answer that ends during the upload is not complete

An answer without a length ends with its connection. If its endpoint closed the sending side before it had read the request, the entry process took the end as that of a whole answer, because the endpoint still ran. The end now counts as a break if a part of the request is unsent, unacknowledged or reset. A status below 100 or above 599 makes a response malformed, as do 64 interim responses, instead of being passed on (600, 999) or skipped.

--- a/source/connection/endpoint_connection.cc
+++ b/source/connection/endpoint_connection.cc
@@ -1,6 +1,8 @@
 #include "connection/endpoint_connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -114,6 +116,7 @@
   ++calls_;
   in_call_ = true;
   has_sent_ = false;
+  is_request_received_ = false;
   head_request_ = head_request;
   output_ = std::move(bytes);
   written_ = 0;
@@ -238,6 +241,7 @@
     on_idle_end_(*this);
     return;
   }
+  is_request_received_ = HasDeliveredRequest();
   if (clean && head_seen_ && !skipping_ && parser_.ReadEnd()) {
     close_after_call_ = true;
     FinishCall();
@@ -246,6 +250,20 @@
   Fail(call_failure::kBroken);
 }
 
+bool endpoint_connection::HasDeliveredRequest() {
+  if (!output_.empty()) return false;
+  int unacknowledged = 0;
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 &&
+      unacknowledged > 0) {
+    return false;
+  }
+  // A reset after the end of the answer does not show in a read.
+  int error = 0;
+  socklen_t size = sizeof(error);
+  ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+  return error == 0;
+}
+
 void endpoint_connection::Fail(call_failure failure) {
   if (!in_call_) return;
   in_call_ = false;
--- a/source/connection/endpoint_connection.h
+++ b/source/connection/endpoint_connection.h
@@ -51,6 +51,9 @@
   /// Whether any byte of the current call's request has been written to the
   /// socket.
   bool has_sent() const { return has_sent_; }
+  /// Whether the endpoint's host has received the whole request, as far as is
+  /// known. If an answer without a length ends before, it may be a part.
+  bool is_request_received() const { return is_request_received_; }
   /// Whether the connection carried another call before the current one.
   bool is_reused() const { return calls_ > 1; }
   /// Checks an idle connection for an end or unexpected bytes that have arrived
@@ -81,6 +84,8 @@
   void OnEnd(std::error_code error);
   void Fail(call_failure failure);
   void FinishCall();
+  /// Whether nothing of the request is unsent, unacknowledged or reset.
+  bool HasDeliveredRequest();
   void UpdateIdleLimit(const endpoint_response_head& head);
   void Shutdown();
 
@@ -97,6 +102,7 @@
   std::uint64_t calls_ = 0;
   bool in_call_ = false;
   bool has_sent_ = false;
+  bool is_request_received_ = false;
   bool head_seen_ = false;
   bool head_request_ = false;
   /// The current response belongs to an earlier call and is skipped.
--- a/source/connection/response_parser.cc
+++ b/source/connection/response_parser.cc
@@ -14,6 +14,12 @@
 constexpr int kNoBody = 1;
 constexpr std::size_t kMaxHeadBytes = std::size_t{64} * 1024;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+/// What the head of an interim response counts at least.
+constexpr std::size_t kInterimBytes = 1024;
+/// To http_parser, 1 means "no body" at the end of a head; -1 means an error.
+constexpr int kMalformed = -1;
 
 }  // namespace
 
@@ -86,7 +92,15 @@
 
 int response_parser::OnHeadEnd(http_parser* parser) {
   response_parser& self = Self(parser);
-  if (parser->status_code < kFirstFinalStatus) return kContinue;
+  // RFC 9110 section 15. One below 100 would be skipped like an interim one.
+  if (parser->status_code < kFirstStatus || parser->status_code > kLastStatus) {
+    return kMalformed;
+  }
+  if (parser->status_code < kFirstFinalStatus) {
+    // Bounds their number.
+    self.head_bytes_ += kInterimBytes;
+    return self.head_bytes_ <= kMaxHeadBytes ? kContinue : kMalformed;
+  }
   self.head_.status = static_cast<int>(parser->status_code);
   if ((parser->flags & F_CONTENTLENGTH) != 0) {
     self.head_.length = parser->content_length;
--- a/source/request/proxied_call_end.cc
+++ b/source/request/proxied_call_end.cc
@@ -1,4 +1,5 @@
 #include "connection/call_failure.h"
+#include "connection/endpoint_connection.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/content_breaker.h"
 #include "process/placement/endpoint_pool.h"
@@ -13,7 +14,7 @@
                               IsSuccessStatus(head_.status);
   if (!is_unconfirmed) {
     OnCompleteAnswer();
-  } else if (IsBrokenOff()) {
+  } else if (IsBrokenOff() || !connection_->is_request_received()) {
     LogUnframedAnswer("unasked", true);
     OnFailure(call_failure::kBroken);
   } else {
--- a/tests/proxy/message_parser_test.cc
+++ b/tests/proxy/message_parser_test.cc
@@ -16,6 +16,9 @@
   CPPUNIT_TEST(too_large_head_and_body_are_distinguished);
   CPPUNIT_TEST(response_parser_stops_after_the_head_and_at_the_end);
   CPPUNIT_TEST(interim_response_is_skipped);
+  CPPUNIT_TEST(status_outside_the_classes_of_http_is_malformed);
+  CPPUNIT_TEST(endless_interim_responses_are_malformed);
+  CPPUNIT_TEST(held_bytes_follow_the_request_and_end_with_it);
   CPPUNIT_TEST(response_without_length_ends_with_its_connection);
   CPPUNIT_TEST(truncated_response_is_not_complete);
   CPPUNIT_TEST(random_bytes_do_not_crash_the_parsers);
@@ -115,6 +118,44 @@
     CPPUNIT_ASSERT_EQUAL(204, parser.head().status);
   }
 
+  void status_outside_the_classes_of_http_is_malformed() {
+    for (const char* status : {"0", "000", "099", "600", "999"}) {
+      response_parser parser([](std::string_view) {});
+      std::string bytes = std::string("HTTP/1.1 ") + status +
+                          " Odd\r\nContent-Length: 0\r\n\r\n";
+      parser.Read(bytes);
+      CPPUNIT_ASSERT_MESSAGE(status, parser.state() == parse_state::kMalformed);
+    }
+  }
+
+  // Guards against a call that an endpoint keeps open without any answer.
+  void endless_interim_responses_are_malformed() {
+    response_parser parser([](std::string_view) {});
+    int count = 0;
+    while (parser.state() != parse_state::kMalformed && count < 1'000) {
+      ++count;
+      std::string bytes = "HTTP/1.1 102 Processing\r\n\r\n";
+      while (!bytes.empty() && parser.state() != parse_state::kMalformed) {
+        bytes.erase(0, parser.Read(bytes));
+      }
+    }
+    CPPUNIT_ASSERT(count > 10 && count < 1'000);
+  }
+
+  void held_bytes_follow_the_request_and_end_with_it() {
+    request_parser parser(1'000, 1'000);
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n";
+    parser.Read(head);
+    const std::size_t held = parser.held_bytes();
+    CPPUNIT_ASSERT(held >= 2 * sizeof(http_field));
+    parser.Read(std::string(400, 'x'));
+    CPPUNIT_ASSERT_EQUAL(held + 400, parser.held_bytes());
+    parser.Read(std::string(100, 'x'));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{500}, parser.Take().body.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, parser.held_bytes());
+  }
+
   void response_without_length_ends_with_its_connection() {
     response_parser parser([](std::string_view) {});
     std::string bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
