connection: bound the sum of the messages on one connection between VMs

A connection between processes takes 1,000 streams of up to 8 MiB each, so messages at the same time could hold far more than the memory of a VM. All that are not complete may have 16 MiB together now; a stream that exceeds this is reset alone, so that heartbeats and other messages beside it go on.

--- a/source/connection/http2_session.cc
+++ b/source/connection/http2_session.cc
@@ -15,6 +15,8 @@
 
 // The largest message is one chunk of a policy document or of a snapshot.
 constexpr std::size_t kMaxMessageBytes = 8UL * 1024 * 1024;
+// Of all messages of a connection that are not complete.
+constexpr std::size_t kMaxReceivedBytes = 2 * kMaxMessageBytes;
 constexpr std::size_t kMaxPathBytes = 256;
 // Larger than all but snapshot messages, so that window updates are rare.
 constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
@@ -58,14 +60,8 @@
                     std::int32_t stream_id, const std::uint8_t* data,
                     std::size_t length, void* user) {
     auto& self = *static_cast<http2_session*>(user);
-    const auto found = self.streams_.find(stream_id);
-    if (found == self.streams_.end()) return 0;
-    std::string& received = found->second.received;
-    if (received.size() + length > kMaxMessageBytes) {
-      return NGHTTP2_ERR_CALLBACK_FAILURE;
-    }
-    received.append(reinterpret_cast<const char*>(data), length);
-    return 0;
+    const std::string_view bytes(reinterpret_cast<const char*>(data), length);
+    return self.Receive(stream_id, bytes) ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
   }
 
   static int OnFrame(nghttp2_session* /*session*/, const nghttp2_frame* frame,
@@ -197,16 +193,39 @@
   Write();
 }
 
+bool http2_session::Receive(std::int32_t stream_id, std::string_view bytes) {
+  const auto found = streams_.find(stream_id);
+  if (found == streams_.end() || found->second.is_refused) return true;
+  stream_state& stream = found->second;
+  if (stream.received.size() + bytes.size() > kMaxMessageBytes) return false;
+  if (received_bytes_ + bytes.size() > kMaxReceivedBytes) {
+    // The other messages go on.
+    TakeReceived(stream);
+    stream.is_refused = true;
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, stream_id,
+                              NGHTTP2_ENHANCE_YOUR_CALM);
+    return true;
+  }
+  received_bytes_ += bytes.size();
+  stream.received.append(bytes);
+  return true;
+}
+
+std::string http2_session::TakeReceived(stream_state& stream) {
+  received_bytes_ -= stream.received.size();
+  return std::exchange(stream.received, {});
+}
+
 void http2_session::OnMessageComplete(std::int32_t stream_id) {
   const auto found = streams_.find(stream_id);
-  if (found == streams_.end()) return;
+  if (found == streams_.end() || found->second.is_refused) return;
   stream_state& stream = found->second;
   if (role_ == role::kClient) {
     response_handler done = std::move(stream.done);
     stream.done = nullptr;
     if (!done) return;
     if (stream.succeeded) {
-      done(std::move(stream.received));
+      done(TakeReceived(stream));
     } else {
       done(failure(peer_error::kRefused));
     }
@@ -220,7 +239,7 @@
   }
   vm_message message;
   message.kind = stream.path.substr(kPathPrefix.size());
-  message.body = std::move(stream.received);
+  message.body = TakeReceived(stream);
   message.from = std::move(stream.from);
   handle_(std::move(message),
           [weak = weak_from_this(), stream_id](std::string body) {
@@ -234,6 +253,7 @@
   const auto found = streams_.find(stream_id);
   if (found == streams_.end()) return;
   response_handler done = std::move(found->second.done);
+  TakeReceived(found->second);
   streams_.erase(found);
   if (done) done(failure(peer_error::kConnectionLost));
 }
@@ -306,6 +326,7 @@
   stream_->Close();
   auto streams = std::move(streams_);
   streams_.clear();
+  received_bytes_ = 0;
   for (auto& [id, stream] : streams) {
     if (stream.done) stream.done(failure(peer_error::kConnectionLost));
   }
--- a/source/connection/http2_session.h
+++ b/source/connection/http2_session.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "connection/peer_error.h"
@@ -68,6 +69,8 @@
     std::string outgoing;
     std::size_t outgoing_offset = 0;
     bool succeeded = false;
+    /// The other VM was told that the message is not received.
+    bool is_refused = false;
     response_handler done;
   };
 
@@ -76,6 +79,9 @@
   void Write();
   void OnMessageComplete(std::int32_t stream_id);
   void OnStreamClosed(std::int32_t stream_id);
+  /// Adds bytes to a message. False if it becomes too large.
+  bool Receive(std::int32_t stream_id, std::string_view bytes);
+  std::string TakeReceived(stream_state& stream);
 
   const role role_;
   std::unique_ptr<byte_stream> stream_;
@@ -83,6 +89,8 @@
   std::function<void()> on_closed_;
   nghttp2_session* session_ = nullptr;
   std::unordered_map<std::int32_t, stream_state> streams_;
+  /// Bytes of messages that are not complete, over all streams.
+  std::size_t received_bytes_ = 0;
   std::array<std::uint8_t, 16UL * 1024> input_{};
   std::string output_;
   std::chrono::steady_clock::time_point last_received_{};
--- a/tests/daemon/peer_transport_test.cc
+++ b/tests/daemon/peer_transport_test.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "test_certificates.h"
 
@@ -62,6 +63,7 @@
   CPPUNIT_TEST_SUITE(peer_transport_test);
   CPPUNIT_TEST(message_arrives_with_kind_body_and_sender);
   CPPUNIT_TEST(message_of_one_megabyte_arrives_complete);
+  CPPUNIT_TEST(large_messages_at_once_are_bounded_and_others_arrive);
   CPPUNIT_TEST(messages_with_responses_out_of_order_get_their_own);
   CPPUNIT_TEST(message_without_response_times_out);
   CPPUNIT_TEST(timeout_on_a_working_connection_keeps_other_messages);
@@ -122,6 +124,42 @@
     }
   }
 
+  // Guards against messages on many streams whose sum exceeds the memory of a
+  // VM, and against a limit that ends the messages beside them.
+  void large_messages_at_once_are_bounded_and_others_arrive() {
+    peer_transport receiver(Settings("vm2", kSecond),
+                            [](const vm_message& message,
+                               const peer_transport::respond_hook& respond) {
+                              respond(std::to_string(message.body.size()));
+                            });
+    CPPUNIT_ASSERT(receiver.Listen());
+    peer_transport sender(Settings("vm1", kFirst), NoMessages);
+    CPPUNIT_ASSERT(sender.Listen());
+    CPPUNIT_ASSERT(SendAndWait(sender, kSecond, "first"));
+    constexpr std::size_t kBytes = 6UL * 1024 * 1024;
+    constexpr int kMessages = 8;
+    const std::string body(kBytes, 'a');
+    std::vector<std::future<response_result>> responses;
+    for (int i = 0; i < kMessages; ++i) {
+      auto promise = std::make_shared<std::promise<response_result>>();
+      responses.push_back(promise->get_future());
+      sender.Send(kSecond, {"status", body, ""}, 10s,
+                  [promise](response_result response) {
+                    promise->set_value(std::move(response));
+                  });
+    }
+    CPPUNIT_ASSERT(SendAndWait(sender, kSecond, "beside"));
+    int arrived = 0;
+    for (auto& each : responses) {
+      const auto response = each.get();
+      if (response) ++arrived;
+      CPPUNIT_ASSERT(!response ||
+                     response.assume_value() == std::to_string(kBytes));
+    }
+    CPPUNIT_ASSERT(arrived >= 1 && arrived < kMessages);
+    CPPUNIT_ASSERT(SendAndWait(sender, kSecond, "after"));
+  }
+
   // Guards against a response that is delivered to the sender of a different
   // message.
   void messages_with_responses_out_of_order_get_their_own() {
