connection: let a new caller take the place of a stalled request

At the limit of connections every new caller was closed, so as many clients that begin a request and stop kept all ordinary ones out until the idle limit. A new connection now takes the place of the one that has received nothing of an incomplete request for longest, if that is two seconds or more. Slow senders, requests in progress and idle connections keep their places.

--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -79,6 +80,10 @@
   /// yet, or the caller has just connected to send one.
   bool IsBusy(steady_time now);
   bool has_request() const { return has_request_; }
+  /// Time in which nothing has arrived of a request that is not complete.
+  std::chrono::microseconds StalledTime(steady_time now) const;
+  /// Closes the connection without a response to make room for another one.
+  void CloseStalled();
   /// Id of the request in progress, for on_unreceived.
   void SetRequestId(std::string id) { request_id_ = std::move(id); }
   /// Closes the connection because the process ends. The kernel gets as much of
--- a/source/connection/caller_connection_memory.cc
+++ b/source/connection/caller_connection_memory.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <string>
 
@@ -63,6 +65,20 @@
   HandleDisconnect();
 }
 
+std::chrono::microseconds caller_connection::StalledTime(
+    steady_time now) const {
+  const bool is_receiving = is_open_ && !has_request_ && !is_lingering_ &&
+                            parser_.state() != parse_state::kIdle;
+  if (!is_receiving) return std::chrono::microseconds(0);
+  return now - std::max(idle_since_, received_at_);
+}
+
+void caller_connection::CloseStalled() {
+  constexpr int kNoResponse = 0;
+  hooks_.on_invalid_request(parser_.state(), kNoResponse);
+  Close();
+}
+
 void caller_connection::ReleaseSent() {
   // Less often than at each send, since the rest is copied.
   if (written_ < kMaxKeptBuffer || written_ < output_.size() / 2) return;
--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "connection/caller_connection.h"
+#include "connection/memory_budget.h"
 
 namespace marjoramsill {
 namespace {
@@ -84,7 +85,7 @@
 void caller_listener::Add(asio::ip::tcp::socket socket) {
   // A connection beyond the limit is closed, so that its caller tries another
   // entry VM instead of waiting.
-  if (connections_.size() >= settings_.max_connections) return;
+  if (connections_.size() >= settings_.max_connections && !MakeRoom()) return;
   auto connection = std::make_shared<caller_connection>(
       std::move(socket), hooks_, limits_, clock_());
   if (close_after_responses_) connection->CloseAfterResponse();
@@ -92,6 +93,21 @@
   connection->Start();
 }
 
+bool caller_listener::MakeRoom() {
+  const steady_time now = clock_();
+  std::chrono::microseconds longest{0};
+  std::shared_ptr<caller_connection> found;
+  for (const auto& [key, connection] : connections_) {
+    const auto stalled = connection->StalledTime(now);
+    if (stalled <= longest) continue;
+    longest = stalled;
+    found = connection;
+  }
+  if (longest < memory_budget::kStallTime) return false;
+  found->CloseStalled();
+  return true;
+}
+
 std::vector<std::shared_ptr<caller_connection>> caller_listener::All() const {
   std::vector<std::shared_ptr<caller_connection>> all;
   all.reserve(connections_.size());
--- a/source/connection/caller_listener.h
+++ b/source/connection/caller_listener.h
@@ -73,6 +73,9 @@
   void Accept();
   void OnAccept(std::error_code error, asio::ip::tcp::socket socket);
   void Add(asio::ip::tcp::socket socket);
+  /// Closes the connection whose request has stalled for longest. False if
+  /// there is none.
+  bool MakeRoom();
   /// A copy: a connection that closes removes itself.
   std::vector<std::shared_ptr<caller_connection>> All() const;
 
