controller: bound all responses to watchers by a link budget

Only responses with records or load reports were debited, debts were forgiven, and each control process sent each content record to each watcher, so faults could fill the links that the replicated log needs. link_budget now owns the division of the link: documents, responses to watchers in the order of need, and a reserve that nothing else takes. What does not fit is part of the next response. Watchers get no content record that they have. A log line and a metric count what was held back.

--- a/source/process/controller/controller_metrics.cc
+++ b/source/process/controller/controller_metrics.cc
@@ -4,6 +4,7 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
+#include <cstddef>
 #include <vector>
 
 namespace marjoramsill {
@@ -42,6 +43,13 @@
                                 "Entry processes that watch this one");
   endpoints_ = registry_.AddGauge("marjoramsill_controller_endpoints",
                                   "Endpoints known, ended ones included");
+  auto& held_back =
+      registry_.AddCounters("marjoramsill_controller_held_back_total",
+                            "Updates for watchers that waited for the link");
+  for (std::size_t i = 0; i < kLinkUses; ++i) {
+    held_back_[i] =
+        &held_back.Add({{"use", LinkUseText(static_cast<link_use>(i))}});
+  }
   dropped_lines_ = registry_.AddGauge("marjoramsill_controller_dropped_lines",
                                       "Log lines dropped since the start");
 }
@@ -80,6 +88,15 @@
   endpoints_->Set(static_cast<double>(count));
 }
 
+void controller_metrics::SetHeldBack(
+    const std::array<std::uint64_t, kLinkUses>& counts) {
+  for (std::size_t i = 0; i < kLinkUses; ++i) {
+    const double added =
+        static_cast<double>(counts[i]) - held_back_[i]->Value();
+    held_back_[i]->Increment(added);
+  }
+}
+
 void controller_metrics::SetDroppedLines(std::uint64_t count) {
   dropped_lines_->Set(static_cast<double>(count));
 }
--- a/source/process/controller/controller_metrics.h
+++ b/source/process/controller/controller_metrics.h
@@ -1,9 +1,11 @@
 #ifndef MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
 #define MARJORAMSILL_PROCESS_CONTROLLER_CONTROLLER_METRICS_H_
 
+#include <array>
 #include <cstdint>
 #include <string>
 
+#include "process/controller/link_use.h"
 #include "process/daemon/metric_registry.h"
 
 namespace prometheus {
@@ -32,6 +34,8 @@
   void SetDocumentVersion(std::uint64_t version);
   void SetEntries(std::size_t count);
   void SetEndpoints(std::size_t count);
+  /// Updates for watchers that waited for the link since the start.
+  void SetHeldBack(const std::array<std::uint64_t, kLinkUses>& counts);
   void SetDroppedLines(std::uint64_t count);
   /// All metrics in the Prometheus text format.
   std::string Text() const { return registry_.Text(); }
@@ -50,6 +54,7 @@
   prometheus::Gauge* document_version_ = nullptr;
   prometheus::Gauge* entries_ = nullptr;
   prometheus::Gauge* endpoints_ = nullptr;
+  std::array<prometheus::Counter*, kLinkUses> held_back_{};
   prometheus::Gauge* dropped_lines_ = nullptr;
 };
 
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -1,6 +1,7 @@
 #include "process/controller/controller_process.h"
 
 #include <algorithm>
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -21,6 +22,7 @@
 #include "process/controller/document_store.h"
 #include "process/controller/ending_store.h"
 #include "process/controller/endpoint_service.h"
+#include "process/controller/link_events.h"
 #include "process/controller/node_start.h"
 #include "process/controller/process_signals.h"
 #include "process/controller/settings_watch.h"
@@ -223,6 +225,7 @@
     metrics_.SetDocumentVersion(held_version_.value());
     metrics_.SetEntries(hub_.EntryCount(SteadyNow()));
     metrics_.SetEndpoints(directory_.size());
+    metrics_.SetHeldBack(hub_.held_back());
     metrics_.SetDroppedLines(log_.dropped());
   }
 
@@ -319,14 +322,11 @@
     const std::uint64_t bytes = sent - std::exchange(sent_before_, sent);
     const watch_hub::traffic watch = hub_.sent();
     const watch_hub::traffic before = std::exchange(watch_before_, watch);
+    LogHeldBack(hub_.held_back(), held_back_before_);
+    held_back_before_ = hub_.held_back();
     const double busy = kBusyLinkShare * kBytesPerMegabit * settings_.link_mbps;
     if (busy <= 0 || static_cast<double>(bytes) < busy) return;
-    LogEvent(log_level::kInfo, "link_busy",
-             {{"sent_bytes", std::to_string(bytes)},
-              {"watch_bytes", std::to_string(watch.bytes - before.bytes)},
-              {"responses", std::to_string(watch.responses - before.responses)},
-              {"records", std::to_string(watch.records - before.records)},
-              {"loads", std::to_string(watch.loads - before.loads)}});
+    LogBusyLink(bytes, watch, before);
   }
 
   void Stop() {
@@ -480,6 +480,7 @@
   steady_time next_traffic_check_;
   std::uint64_t sent_before_ = 0;
   watch_hub::traffic watch_before_;
+  std::array<std::uint64_t, kLinkUses> held_back_before_{};
 };
 
 controller_process::controller_process(node_settings settings,
--- a/source/process/controller/document_relay.cc
+++ b/source/process/controller/document_relay.cc
@@ -4,13 +4,13 @@
 #include <chrono>
 #include <utility>
 
+#include "process/controller/link_budget.h"
+
 namespace marjoramsill {
 namespace {
 
 using std::chrono::microseconds;
 
-/// Share of the link for documents; the rest is left for heartbeats.
-constexpr double kLinkShare = 0.5;
 constexpr double kBitsPerByte = 8;
 /// Transfers may be queued this far ahead, so that one transfer overlaps with
 /// the wait for the next request.
@@ -108,7 +108,7 @@
 microseconds document_relay::TransferTime(double link_mbps, std::size_t bytes) {
   const double bits = kBitsPerByte * static_cast<double>(bytes);
   // 1 Mbit/s is one bit per microsecond.
-  const double speed = link_mbps * kLinkShare;
+  const double speed = link_mbps * link_budget::kDocumentShare;
   return microseconds(speed > 0 ? static_cast<std::int64_t>(bits / speed) : 0);
 }
 
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -27,13 +27,6 @@
 constexpr milliseconds kDeferredHold{300};
 /// A watcher without a request for this long is down or partitioned.
 constexpr milliseconds kWatcherLifetime{1'600};
-/// Share of the link for records and load reports. Documents take up to half of
-/// it; the rest is left for the replicated group and for heartbeats.
-constexpr double kBulkShare = 0.35;
-constexpr double kBulkBurstSeconds = 0.25;
-/// Urgent responses may delay records by this time at most. A series of ends
-/// would otherwise leave entry VMs that start after it without endpoints.
-constexpr double kMaxDebtSeconds = 0.25;
 constexpr double kBytesPerMegabit = 1e6 / 8;
 /// Time between two early responses with ends of endpoints to a watcher, so
 /// that the ends of a release are sent in few responses.
@@ -52,13 +45,7 @@
 }  // namespace
 
 watch_hub::watch_hub(sources from, std::uint64_t epoch)
-    : from_(std::move(from)), epoch_(epoch) {
-  if (from_.link_mbps <= 0) return;
-  const double rate = kBulkShare * kBytesPerMegabit * from_.link_mbps;
-  bulk_burst_ = static_cast<std::int64_t>(rate * kBulkBurstSeconds);
-  max_debt_ = static_cast<std::int64_t>(rate * kMaxDebtSeconds);
-  bulk_budget_.emplace(static_cast<std::int64_t>(rate), bulk_burst_);
-}
+    : from_(std::move(from)), epoch_(epoch), budget_(from_.link_mbps) {}
 
 void watch_hub::OnWatch(const watch_request& request, response_hook respond,
                         steady_time now) {
@@ -77,7 +64,11 @@
   }
   RecordOrigins(request.origins, now);
   RecordFaults(request.faults, now);
+  if (is_first) known.receipts = content_fault_receipts();
+  known.receipts.OnApplied(request.applied_fault, now);
+  known.receipts.OnReported(request.faults, now);
   known.applied_fault = is_first ? 0 : request.applied_fault;
+  known.checked_fault = 0;
   known.applied_change = is_first ? 0 : request.applied_change;
   known.applied_ending =
       is_first ? 0 : std::max(request.applied_change, request.applied_ending);
@@ -91,21 +82,36 @@
   known.last_contact = now;
   known.held_since = now;
   known.respond = std::move(respond);
-  if (is_first || HasUrgentUpdates(known, now) || IsDueForRecords(known, now)) {
+  known.is_owed = is_first;
+  if (IsUrgent(known, now) || IsDueForRecords(known, now)) {
     Respond(request.watcher, known, now);
   }
   CheckAwaited(now);
 }
 
 bool watch_hub::HasUrgentUpdates(const watcher& each, steady_time now) const {
-  const bool lacks_faults = each.applied_fault < faults_.last_urgent_change() &&
-                            now - each.last_faults >= kFaultInterval;
   const bool needs_endings = each.transfer != record_transfer::kNone &&
                              each.transfer != record_transfer::kPresent;
   const bool lacks_endings =
       needs_endings && each.applied_ending < from_.directory->last_ending() &&
       now - each.last_endings >= kEndingInterval;
-  return lacks_endings || each.document < from_.document() || lacks_faults;
+  return lacks_endings || each.document < from_.document();
+}
+
+bool watch_hub::IsDueForFaults(watcher& each, steady_time now) {
+  const std::uint64_t last = faults_.last_urgent_change();
+  const std::uint64_t done = std::max(each.applied_fault, each.checked_fault);
+  if (done >= last || now - each.last_faults < kFaultInterval) return false;
+  std::uint64_t number = each.applied_fault;
+  std::vector<content_fault> lacking = faults_.TakeSharedAfter(number);
+  each.receipts.RemoveKnown(lacking, now);
+  if (lacking.empty()) {
+    if (number >= last) each.checked_fault = last;
+    return false;
+  }
+  if (budget_.Allows(link_use::kUrgentContents, now)) return true;
+  budget_.CountHeldBack(link_use::kUrgentContents);
+  return false;
 }
 
 void watch_hub::YieldLink(std::size_t bytes, steady_time now) {
@@ -117,18 +123,51 @@
   loads_paused_until_ = std::max(loads_paused_until_, now + sending);
 }
 
-bool watch_hub::HasBulkBudget(steady_time now) {
-  return !bulk_budget_ || bulk_budget_->Available(now) > 0;
-}
-
 milliseconds watch_hub::LoadHold(steady_time now) {
   if (now < loads_paused_until_) return kWatchHold;
-  const bool has_room =
-      bulk_budget_ && 2 * bulk_budget_->Available(now) > bulk_burst_;
-  return has_room ? kShortLoadHold : kLoadHold;
+  return budget_.HasRoom(now) ? kShortLoadHold : kLoadHold;
+}
+
+void watch_hub::AddFaults(watcher& each, watch_response& response,
+                          steady_time now) {
+  std::uint64_t last = each.applied_fault;
+  std::vector<content_fault> faults = faults_.TakeSharedAfter(last);
+  each.receipts.RemoveKnown(faults, now);
+  response.last_fault = each.applied_fault;
+  const bool is_urgent = each.applied_fault < faults_.last_urgent_change();
+  const link_use use =
+      is_urgent ? link_use::kUrgentContents : link_use::kContents;
+  if (!faults.empty() && !budget_.Allows(use, now)) {
+    budget_.CountHeldBack(use);
+    return;
+  }
+  response.last_fault = last;
+  if (faults.empty()) return;
+  each.last_faults = now;
+  each.receipts.OnSent(last, faults);
+  response.faults = std::move(faults);
+}
+
+void watch_hub::AddLoads(watcher& each, watch_response& response,
+                         steady_time now) {
+  const bool is_due =
+      each.requests_loads && now - each.last_loads >= LoadHold(now);
+  if (!is_due || now < loads_paused_until_) return;
+  if (!budget_.Allows(link_use::kLoads, now)) {
+    budget_.CountHeldBack(link_use::kLoads);
+    return;
+  }
+  each.last_loads = now;
+  response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
 }
 
 void watch_hub::Respond(const vm_id& vm, watcher& each, steady_time now) {
+  if (!budget_.Allows(link_use::kUrgent, now)) {
+    if (!each.is_owed) budget_.CountHeldBack(link_use::kUrgent);
+    each.is_owed = true;
+    return;
+  }
+  each.is_owed = false;
   watch_response response;
   response.epoch = epoch_;
   AddRecords(each, response, now);
@@ -141,29 +180,27 @@
   response.members = from_.members();
   response.position = PositionOf(vm, now);
   response.progress = ProgressFor(vm, each, now);
-  response.last_fault = each.applied_fault;
-  response.faults = faults_.TakeSharedAfter(response.last_fault);
-  if (!response.faults.empty()) each.last_faults = now;
-  const bool is_due_for_loads =
-      each.requests_loads && now - each.last_loads >= LoadHold(now);
-  const bool is_paused = now < loads_paused_until_;
-  if (is_due_for_loads && !is_paused && HasBulkBudget(now)) {
-    each.last_loads = now;
-    response.loads = loads_.Collect(each.last_sent_load, !each.is_entry, now);
-  }
+  AddFaults(each, response, now);
+  AddLoads(each, response, now);
   std::string bytes = Encode(each, response);
   ++sent_.responses;
   sent_.records += response.records.size();
   sent_.loads += response.loads.size();
   sent_.bytes += bytes.size();
-  const bool is_bulk = !response.records.empty() || !response.loads.empty();
-  if (bulk_budget_ && is_bulk) {
-    bulk_budget_->Debit(now, static_cast<std::int64_t>(bytes.size()),
-                        max_debt_);
-  }
+  const std::size_t content_bytes =
+      response.faults.empty() ? 0 : EncodeContentFaults(response.faults).size();
+  budget_.Charge(bytes.size(), content_bytes, now);
   std::exchange(each.respond, nullptr)(std::move(bytes));
 }
 
+void watch_hub::RespondInOrder(std::vector<std::pair<vm_id, watcher*>> due,
+                               steady_time now) {
+  std::sort(due.begin(), due.end(), [](const auto& a, const auto& b) {
+    return a.second->held_since < b.second->held_since;
+  });
+  for (const auto& [vm, each] : due) Respond(vm, *each, now);
+}
+
 fleet_progress watch_hub::ProgressFor(const vm_id& vm, const watcher& each,
                                       steady_time now) const {
   if (!each.is_entry) return progress_.OwnSum();
@@ -240,9 +277,11 @@
 }
 
 void watch_hub::Notify(steady_time now) {
+  std::vector<std::pair<vm_id, watcher*>> due;
   for (auto& [vm, each] : watchers_) {
-    if (each.respond && HasUrgentUpdates(each, now)) Respond(vm, each, now);
+    if (each.respond && IsUrgent(each, now)) due.emplace_back(vm, &each);
   }
+  RespondInOrder(std::move(due), now);
   RespondWithRecords(now);
 }
 
@@ -251,21 +290,25 @@
   // Processes that have just started serve nothing before this confirmation.
   const bool can_confirm = is_newest && !std::exchange(was_newest_, is_newest);
   was_newest_ = is_newest;
+  std::vector<std::pair<vm_id, watcher*>> urgent;
+  std::vector<std::pair<vm_id, watcher*>> due;
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     watcher& each = it->second;
     milliseconds hold = each.requests_loads ? LoadHold(now) : kWatchHold;
     if (each.transfer == record_transfer::kNone) {
       hold = std::min(hold, kDeferredHold);
     }
-    const bool is_due = can_confirm || now - each.held_since >= hold ||
-                        HasUrgentUpdates(each, now);
-    if (each.respond && is_due) {
-      Respond(it->first, each, now);
+    if (each.respond && (can_confirm || IsUrgent(each, now))) {
+      urgent.emplace_back(it->first, &each);
+    } else if (each.respond && now - each.held_since >= hold) {
+      due.emplace_back(it->first, &each);
     }
     const bool is_expired =
         !each.respond && now - each.last_contact > kWatcherExpiry;
     it = is_expired ? watchers_.erase(it) : std::next(it);
   }
+  RespondInOrder(std::move(urgent), now);
+  RespondInOrder(std::move(due), now);
   RespondWithRecords(now);
   loads_.Expire(now);
   progress_.Expire(now);
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -1,15 +1,18 @@
 #ifndef MARJORAMSILL_PROCESS_CONTROLLER_WATCH_HUB_H_
 #define MARJORAMSILL_PROCESS_CONTROLLER_WATCH_HUB_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "process/control/token_bucket.h"
+#include "process/controller/link_budget.h"
+#include "process/directory/content_fault_receipts.h"
 #include "process/directory/content_fault_store.h"
 #include "process/directory/fleet_position.h"
 #include "process/directory/load_report_store.h"
@@ -29,9 +32,9 @@
 /// Responds to the watch requests of entry VMs and other control members, and
 /// tracks the last change that each of them has applied. Endpoints that leave
 /// or have ended and a newer document are sent at once. Other records and load
-/// reports wait where the watcher lacks no endpoint, and are sent at a bounded
-/// rate: after a restart of control processes every watcher needs all of them,
-/// and they must not delay the messages of the replicated group. Not
+/// reports wait where the watcher lacks no endpoint. All responses together are
+/// bounded by link_budget, so that they do not delay the messages of the
+/// replicated group; what does not fit is part of the next response. Not
 /// thread-safe.
 class watch_hub {
  public:
@@ -104,6 +107,10 @@
     std::uint64_t bytes = 0;
   };
   const traffic& sent() const { return sent_; }
+  /// Updates that waited for the link, by link_use.
+  const std::array<std::uint64_t, kLinkUses>& held_back() const {
+    return budget_.held_back();
+  }
   /// This VM sends a document of this size to an operator, who goes to another
   /// one after a second. Load reports wait for as long as the link needs for
   /// it.
@@ -124,6 +131,12 @@
     std::uint32_t known_endpoints = 0;
     /// Last change of the part faults that the watcher has.
     std::uint64_t applied_fault = 0;
+    content_fault_receipts receipts;
+    /// Last urgent change of the part faults that the watcher needs no response
+    /// for.
+    std::uint64_t checked_fault = 0;
+    /// It must get a response as soon as the link has room.
+    bool is_owed = false;
     document_version document;
     record_transfer transfer = record_transfer::kAll;
     std::vector<std::uint64_t> known_digests;
@@ -147,14 +160,30 @@
   bool HasUrgentUpdates(const watcher& each, steady_time now) const;
   /// The watcher lacks endpoints and may get their records now.
   bool IsDueForRecords(const watcher& each, steady_time now);
-  bool HasBulkBudget(steady_time now);
+  /// The watcher lacks content records that it must get at once.
+  bool IsDueForFaults(watcher& each, steady_time now);
+  /// The watcher must get a response at once for any reason.
+  bool IsUrgent(watcher& each, steady_time now) {
+    return each.is_owed || HasUrgentUpdates(each, now) ||
+           IsDueForFaults(each, now);
+  }
+  bool HasBulkBudget(steady_time now) {
+    return budget_.Allows(link_use::kRecords, now);
+  }
   static bool IsFirstTransfer(const watcher& each);
   /// The watcher is an entry VM that knows no endpoint, so that it sends
   /// nothing to one that leaves.
   static bool KnowsNoEndpoint(const watcher& each);
   /// Time until a request for load reports gets a response.
   std::chrono::milliseconds LoadHold(steady_time now);
+  /// Responds, or remembers that the watcher is owed a response if the link has
+  /// no room for one.
   void Respond(const vm_id& vm, watcher& each, steady_time now);
+  void AddFaults(watcher& each, watch_response& response, steady_time now);
+  void AddLoads(watcher& each, watch_response& response, steady_time now);
+  /// Responds to held requests, the one that has waited longest first.
+  void RespondInOrder(std::vector<std::pair<vm_id, watcher*>> due,
+                      steady_time now);
   /// What a watcher may get of the requests in progress.
   fleet_progress ProgressFor(const vm_id& vm, const watcher& each,
                              steady_time now) const;
@@ -185,10 +214,7 @@
   progress_store progress_;
   stream_origin_store origins_;
   content_fault_store faults_;
-  /// Limits records and load reports. Empty if the link's speed is unknown.
-  std::optional<token_bucket> bulk_budget_;
-  std::int64_t bulk_burst_ = 0;
-  std::int64_t max_debt_ = 0;
+  link_budget budget_;
   /// Load reports are sent again from then on.
   steady_time loads_paused_until_;
   traffic sent_;
--- a/source/process/controller/watch_hub_records.cc
+++ b/source/process/controller/watch_hub_records.cc
@@ -72,6 +72,7 @@
     response.records = directory.Present();
   }
   if (!is_complete) {
+    budget_.CountHeldBack(link_use::kRecords);
     std::erase_if(response.records, [](const endpoint_record& record) {
       return !IsLeavingOrEnded(record.phase);
     });
@@ -105,6 +106,9 @@
     response.history = History(now);
     if (!response.records.empty()) each.last_records = now;
   } else {
+    if (each.applied_change < last_change) {
+      budget_.CountHeldBack(link_use::kRecords);
+    }
     response.records = from_.directory->EndingsAfter(each.applied_ending);
     response.last_change = each.applied_change;
   }
--- a/tests/replication/cluster.cc
+++ b/tests/replication/cluster.cc
@@ -428,6 +428,14 @@
   AdvanceLink(from);
 }
 
+void cluster::SendOther(std::size_t vm, std::size_t bytes) {
+  AdvanceLink(vm);
+  const auto timeout = options_.message_timeout + SlowTransferTime(bytes);
+  vms_[vm].link.Send(now_, bytes, now_ + timeout.count(),
+                     options_.link_bytes_per_second, [] {});
+  AdvanceLink(vm);
+}
+
 void cluster::AdvanceLink(std::size_t from) {
   for (const auto& deliver : vms_[from].link.Advance(now_)) deliver();
   const time_us next = vms_[from].link.NextEvent();
--- a/tests/replication/cluster.h
+++ b/tests/replication/cluster.h
@@ -86,6 +86,9 @@
   void Heal();
   void SetNetwork(int drop_percent, int duplicate_percent, int delay_ms);
 
+  /// Other traffic of a VM takes a part of its outgoing link.
+  void SendOther(std::size_t vm, std::size_t bytes);
+
   std::optional<std::uint64_t> Propose(std::size_t vm, std::string command);
   void Read(std::size_t vm);
   void Transfer(std::size_t vm);
