--- a/source/process/controller/controller_metrics.h
+++ b/source/process/controller/controller_metrics.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "process/controller/evacuation_outcome.h"
+#include "process/controller/link_use.h"
 #include "process/daemon/metric_registry.h"
 
 namespace prometheus {
@@ -38,6 +39,8 @@
   void SetDocumentVersion(std::uint64_t version);
   void SetEntries(std::size_t count);
   void SetEndpoints(std::size_t count);
+  /// Updates for watchers that waited for the link since the start.
+  void SetHeldBack(const std::array<std::uint64_t, kLinkUses>& counts);
   void SetDroppedLines(std::uint64_t count);
   /// All metrics in the Prometheus text format.
   std::string Text() const { return registry_.Text(); }
@@ -59,6 +62,7 @@
   prometheus::Gauge* document_version_ = nullptr;
   prometheus::Gauge* entries_ = nullptr;
   prometheus::Gauge* endpoints_ = nullptr;
+  std::array<prometheus::Counter*, kLinkUses> held_back_{};
   prometheus::Gauge* dropped_lines_ = nullptr;
 };
 
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -1,6 +1,7 @@
 #include "process/controller/controller_process.h"
 
 #include <algorithm>
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -211,6 +212,7 @@
     metrics_.SetEvacuated(held_evacuations_.domains.size());
     metrics_.SetEntries(hub_.EntryCount(SteadyNow()));
     metrics_.SetEndpoints(directory_.size());
+    metrics_.SetHeldBack(hub_.held_back());
     metrics_.SetDroppedLines(log_.dropped());
   }
 
@@ -297,7 +299,7 @@
     hub_.Tick(now);
     documents_->Tick();
     settings_watch_.Tick(now);
-    traffic_.Tick(peers_.sent_bytes(), hub_.sent(), now);
+    traffic_.Tick(peers_.sent_bytes(), hub_.sent(), hub_.held_back(), now);
   }
 
   void Stop() {
--- a/source/process/controller/link_traffic.cc
+++ b/source/process/controller/link_traffic.cc
@@ -1,10 +1,9 @@
 #include "process/controller/link_traffic.h"
 
 #include <chrono>
-#include <string>
 #include <utility>
 
-#include "process/daemon/event_log.h"
+#include "process/controller/link_events.h"
 
 namespace marjoramsill {
 namespace {
@@ -17,20 +16,19 @@
 }  // namespace
 
 void link_traffic::Tick(std::uint64_t sent_bytes,
-                        const watch_hub::traffic& watch, steady_time now) {
+                        const watch_hub::traffic& watch,
+                        const std::array<std::uint64_t, kLinkUses>& held_back,
+                        steady_time now) {
   if (now < next_check_) return;
   next_check_ = now + kTrafficInterval;
+  LogHeldBack(held_back, held_back_before_);
+  held_back_before_ = held_back;
   const std::uint64_t bytes =
       sent_bytes - std::exchange(sent_before_, sent_bytes);
   const watch_hub::traffic before = std::exchange(watch_before_, watch);
   const double busy = kBusyLinkShare * kBytesPerMegabit * link_mbps_;
   if (busy <= 0 || static_cast<double>(bytes) < busy) return;
-  LogEvent(log_level::kInfo, "link_busy",
-           {{"sent_bytes", std::to_string(bytes)},
-            {"watch_bytes", std::to_string(watch.bytes - before.bytes)},
-            {"responses", std::to_string(watch.responses - before.responses)},
-            {"records", std::to_string(watch.records - before.records)},
-            {"loads", std::to_string(watch.loads - before.loads)}});
+  LogBusyLink(bytes, watch, before);
 }
 
 }  // namespace marjoramsill
