entry: log the estimated speed in percent

Log fields have one decimal place, so that the speed of an endpoint that is a few percent slower read as 1.0. It is now a percentage, and a test checks that control processes pass samples on.

--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstdint>
 #include <utility>
 
 #include "connection/caller_connection.h"
@@ -47,6 +49,13 @@
   return std::min(2 * std::max(rank, 0) + 1, kMaxEnginePriority);
 }
 
+constexpr double kPercent = 100;
+
+/// Estimated speed of the endpoint relative to its pool.
+std::int64_t SpeedPercent(const placement_choice& choice) {
+  return std::lround(kPercent / choice.duration_factor);
+}
+
 }  // namespace
 
 void proxied_call::Attempt() {
@@ -95,7 +104,7 @@
                         .Add("load", choice->load)
                         .Add("load_age_ms", choice->load_age_ms)
                         .Add("pool_mean", choice->pool_mean)
-                        .Add("speed", 1 / choice->duration_factor)
+                        .Add("speed", SpeedPercent(*choice))
                         .Add("left_out", choice->left_out)
                         .Add("wait_ms", choice->cost.wait_ms)
                         .Add("cached", choice->cached.value())
--- a/tests/directory/load_report_store_test.cc
+++ b/tests/directory/load_report_store_test.cc
@@ -41,6 +41,8 @@
     shared_load load = Load(1, 7);
     load.limit = 4.5;
     load.refusal_limit = 3;
+    load.report.duration_percent = 250;
+    load.sample = duration_sample{-12, 4, 7};
     board_.Record({load}, load_report_store::source::kEntry, now_);
     CPPUNIT_ASSERT(board_.Collect(cursor_, false, now_) ==
                    std::vector<shared_load>{load});
