--- a/tests/directory/cold_record_test.cc
+++ b/tests/directory/cold_record_test.cc
@@ -120,3 +120,34 @@
       hub.Tick(now_);
     }
     CPPUNIT_ASSERT(last.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last->records.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("e3"), last->records[0].id.value());
+    CPPUNIT_ASSERT(last->records[0].cold_ms >= 8'800);
+  }
+
+  // Guards against a VM that was cut off while an endpoint turned cold, and
+  // finds no difference when it returns.
+  void watcher_with_the_same_digests_gets_cold_endpoints() {
+    AddEndpoint("e1");
+    AddEndpoint("e2");
+    SetCold("e2", 9'000);
+    watch_request request = Request("a");
+    request.transfer = record_transfer::kDifferences;
+    request.known_endpoints = 2;
+    request.known_digests = directory_.digest().parts();
+    std::optional<watch_response> response;
+    hub_.OnWatch(
+        request,
+        [&response](const std::string& bytes) {
+          response = DecodeWatchResponse(bytes);
+        },
+        now_);
+    CPPUNIT_ASSERT(response.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, response->records.size());
+    CPPUNIT_ASSERT(response->records[0].id == endpoint_id("e2"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cold_record_test);
+
+}  // namespace marjoramsill
