--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -78,6 +78,11 @@
   gap_ = registry_.AddHistogram("marjoramsill_entry_gap_seconds",
                                 "Longest pause within a streamed answer",
                                 kSeconds);
+  AddGauges();
+  AddMemoryMetrics();
+}
+
+void entry_metrics::AddGauges() {
   document_version_ =
       registry_.AddGauge("marjoramsill_entry_document_version",
                          "Version of the routing document in force");
@@ -100,6 +105,9 @@
       "Endpoints whose work takes 1.5 times as long as usual in their pool");
   dropped_lines_ = registry_.AddGauge("marjoramsill_entry_dropped_lines",
                                       "Log lines dropped since the start");
+}
+
+void entry_metrics::AddMemoryMetrics() {
   memory_limit_ =
       registry_.AddGauge("marjoramsill_entry_memory_limit_bytes",
                          "Most bytes held for connections of callers");
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -79,6 +79,10 @@
   std::string Text() const { return registry_.Text(); }
 
  private:
+  // Parts of the constructor.
+  void AddGauges();
+  void AddMemoryMetrics();
+
   /// Number of ranks with series of their own; higher ranks are counted in the
   /// last one.
   static constexpr std::size_t kRanks = 4;
