placement: compute prefixes at no third endpoint during a warm-up

A cold endpoint that a VM may not use now was no candidate, so the third endpoint in the order of a prefix took its place as the second preferred one, and computed prefixes that return to the cold one seconds later. Now the other preferred endpoint takes them alone.

--- a/source/process/placement/endpoint_pool.cc
+++ b/source/process/placement/endpoint_pool.cc
@@ -137,6 +137,7 @@
 std::vector<endpoint_pool::candidate> endpoint_pool::FindCandidates(
     const placement_limits& limits, bool also_avoided, steady_time now) {
   std::vector<candidate> found;
+  cold_left_out_.clear();
   UpdateSpeeds(now);
   const double usual_rate = UsualRate(now);
   if (warm_up_limit_) warm_up_limit_->SetPosition(position_, now);
@@ -152,6 +153,7 @@
     if (!state.is_cold && !state.may_be_cold) endpoint->warm_up().OnWarm();
     if (is_cold &&
         !endpoint->warm_up().HasAllowance(ColdPart(*endpoint, now), now)) {
+      cold_left_out_.push_back(endpoint.get());
       continue;
     }
     found.push_back({endpoint.get(), endpoint->EstimatedLoad(now),
--- a/source/process/placement/endpoint_pool.h
+++ b/source/process/placement/endpoint_pool.h
@@ -238,6 +238,9 @@
   shared_prefix FindSharedPrefix(const request_demand& demand,
                                  const std::vector<candidate>& candidates,
                                  double mean) const;
+  /// A cold endpoint that may not be used now is preferred over this score, and
+  /// takes the prefix again once it is warm.
+  bool HasColdPreferred(std::uint64_t prefix_hash, double score) const;
   /// Picks one of the two endpoints that all entry VMs prefer for a prefix.
   const endpoint_estimate* PickPreferred(
       std::uint64_t prefix_hash, const std::vector<candidate>& candidates,
@@ -264,6 +267,8 @@
   std::map<endpoint_id, std::unique_ptr<endpoint_estimate>> endpoints_;
   /// Evacuated failure domains, sorted.
   std::vector<failure_domain_id> evacuated_;
+  /// Endpoints that the last FindCandidates() left out because they are cold.
+  std::vector<const endpoint_estimate*> cold_left_out_;
   pool_reach reach_;
   smoothed_value duration_ms_;
   std::uint32_t waiting_ = 0;
--- a/source/process/placement/endpoint_pool_prefix.cc
+++ b/source/process/placement/endpoint_pool_prefix.cc
@@ -78,6 +78,16 @@
   return best;
 }
 
+bool endpoint_pool::HasColdPreferred(std::uint64_t prefix_hash,
+                                     double score) const {
+  return std::any_of(cold_left_out_.begin(), cold_left_out_.end(),
+                     [prefix_hash, score](const endpoint_estimate* each) {
+                       const std::uint64_t own =
+                           PreferenceScore(each->record(), prefix_hash);
+                       return WeightedScore(own, 1) > score;
+                     });
+}
+
 /// Load reports lag: if a loaded endpoint were always avoided, all entry VMs
 /// would leave it at the same time and return at the same time. A random choice
 /// between two, weighted by their remaining capacity, keeps both loads steady
@@ -99,6 +109,8 @@
   const auto [first, second] = std::pair(best[0].second, best[1].second);
   if (first == nullptr) return nullptr;
   if (second == nullptr) return first->endpoint;
+  // A third endpoint would compute the prefix for the time of a warm-up only.
+  if (HasColdPreferred(prefix_hash, best[1].first)) return first->endpoint;
   // In an idle pool a slow endpoint is no reason to compute a prefix twice
   // unless the other one is clearly faster.
   const bool is_slow =
--- a/tests/placement/warm_up_pool_test.cc
+++ b/tests/placement/warm_up_pool_test.cc
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "process/placement/endpoint_pool.h"
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(endpoint_that_turns_cold_by_itself_stays_within_the_bound);
   CPPUNIT_TEST(domain_that_returns_at_once_stays_within_the_bound);
   CPPUNIT_TEST(cold_endpoint_gets_requests_from_the_start);
+  CPPUNIT_TEST(prefix_of_a_cold_endpoint_goes_to_no_third_endpoint);
   CPPUNIT_TEST(restarted_vm_begins_without_an_allowance);
   CPPUNIT_TEST(pool_without_the_limit_chooses_as_before);
   CPPUNIT_TEST(pool_with_the_limit_and_warm_endpoints_chooses_as_before);
@@ -164,6 +166,19 @@
     return got;
   }
 
+  /// The endpoints to which a loaded pool sends requests with one long prefix.
+  std::set<endpoint_id> PreferredFor(endpoint_pool& pool) {
+    std::set<endpoint_id> chosen;
+    request_demand demand;
+    demand.parts = {{11, token_count(5'000)}};
+    demand.prompt = token_count(5'130);
+    for (int i = 0; i < 200; ++i) {
+      const auto choice = pool.Choose(demand, {}, now_);
+      if (choice) chosen.insert(choice->endpoint->record().id);
+    }
+    return chosen;
+  }
+
   steady_time now_{seconds(1'000)};
   std::mt19937_64 random_{7};
 
@@ -204,6 +219,26 @@
     CPPUNIT_ASSERT(played.sent[MakeRecord(0).id] >= 10);
   }
 
+  // Guards against prefixes that are computed at a further endpoint only while
+  // one of the two that are preferred for them is cold.
+  void prefix_of_a_cold_endpoint_goes_to_no_third_endpoint() {
+    for (unsigned vm = 0; vm < 71; ++vm) {
+      endpoint_pool pool = MakePool(30, true, vm);
+      pool.SetPosition({71, vm});
+      for (int call = 0; call < 3; ++call) {
+        for (int i = 0; i < 30; ++i) {
+          pool.Find(MakeRecord(i).id)->OnCallStart(now_);
+        }
+      }
+      const std::set<endpoint_id> warm = PreferredFor(pool);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, warm.size());
+      pool.Find(*warm.begin())->SetColdFor(kColdTime, now_);
+      for (const endpoint_id& each : PreferredFor(pool)) {
+        CPPUNIT_ASSERT(warm.contains(each));
+      }
+    }
+  }
+
   // Guards against a process that takes a full share the moment it starts.
   void restarted_vm_begins_without_an_allowance() {
     for (unsigned vm = 0; vm < 71; ++vm) {
