control link: skip blocks of content records that the watcher has

The store returns at most 64 records at a time. If a watcher had all of them, an urgent record behind them waited for regular responses, which advance by 64 records each.

The hub now takes further blocks while nothing is lacking, and remembers the change up to which it has skipped.

--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -102,15 +102,26 @@
   return lacks_endings || lacks_evacuations || each.document < from_.document();
 }
 
+std::vector<content_fault> watch_hub::LackingFaults(watcher& each,
+                                                    std::uint64_t& number,
+                                                    steady_time now) const {
+  number = std::max(each.applied_fault, each.checked_fault);
+  while (true) {
+    const std::uint64_t before = number;
+    std::vector<content_fault> lacking = faults_.TakeSharedAfter(number);
+    each.receipts.RemoveKnown(lacking, now);
+    if (!lacking.empty() || number == before) return lacking;
+    each.checked_fault = number;
+  }
+}
+
 bool watch_hub::IsDueForFaults(watcher& each, steady_time now) {
   const std::uint64_t last = faults_.last_urgent_change();
   const std::uint64_t done = std::max(each.applied_fault, each.checked_fault);
   if (done >= last || now - each.last_faults < kFaultInterval) return false;
-  std::uint64_t number = each.applied_fault;
-  std::vector<content_fault> lacking = faults_.TakeSharedAfter(number);
-  each.receipts.RemoveKnown(lacking, now);
-  if (lacking.empty()) {
-    if (number >= last) each.checked_fault = last;
+  std::uint64_t number = 0;
+  if (LackingFaults(each, number, now).empty()) {
+    each.checked_fault = std::max(each.checked_fault, last);
     return false;
   }
   if (budget_.Allows(link_use::kUrgentContents, now)) return true;
@@ -134,10 +145,9 @@
 
 void watch_hub::AddFaults(watcher& each, watch_response& response,
                           steady_time now) {
-  std::uint64_t last = each.applied_fault;
-  std::vector<content_fault> faults = faults_.TakeSharedAfter(last);
-  each.receipts.RemoveKnown(faults, now);
-  response.last_fault = each.applied_fault;
+  std::uint64_t last = 0;
+  std::vector<content_fault> faults = LackingFaults(each, last, now);
+  response.last_fault = std::max(each.applied_fault, each.checked_fault);
   const bool is_urgent = each.applied_fault < faults_.last_urgent_change();
   const link_use use =
       is_urgent ? link_use::kUrgentContents : link_use::kContents;
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -136,8 +136,8 @@
     /// Last change of the part faults that the watcher has.
     std::uint64_t applied_fault = 0;
     content_fault_receipts receipts;
-    /// Last urgent change of the part faults that the watcher needs no response
-    /// for.
+    /// The watcher has the part faults up to this change, beyond those that it
+    /// has confirmed.
     std::uint64_t checked_fault = 0;
     /// It must get a response as soon as the link has room.
     bool is_owed = false;
@@ -166,6 +166,10 @@
   bool HasUrgentUpdates(const watcher& each, steady_time now) const;
   /// The watcher lacks endpoints and may get their records now.
   bool IsDueForRecords(const watcher& each, steady_time now);
+  /// The next content records that the watcher lacks, and the number of the
+  /// last change among them. Remembers the changes that it skips.
+  std::vector<content_fault> LackingFaults(watcher& each, std::uint64_t& number,
+                                           steady_time now) const;
   /// The watcher lacks content records that it must get at once.
   bool IsDueForFaults(watcher& each, steady_time now);
   /// The watcher must get a response at once for any reason.
--- a/tests/directory/link_budget_test.cc
+++ b/tests/directory/link_budget_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(any_watch_traffic_leaves_the_reserve);
   CPPUNIT_TEST(document_and_ends_reach_watchers_beside_content_records);
   CPPUNIT_TEST(content_record_is_not_sent_to_a_watcher_that_has_it);
+  CPPUNIT_TEST(urgent_record_behind_known_ones_arrives_at_once);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint64_t kEpoch = 7;
@@ -80,6 +81,13 @@
     hub_.RecordFaults(faults, now_);
   }
 
+  static content_fault UrgentFault(std::uint64_t content) {
+    return {content_digest(content),
+            0,
+            {endpoint_run_digest(1), endpoint_run_digest(2),
+             endpoint_run_digest(3)}};
+  }
+
   std::vector<shared_load> Loads() {
     std::vector<shared_load> loads;
     for (int i = 0; i < kEndpoints; ++i) {
@@ -259,6 +267,41 @@
     Run(seconds(2));
     CPPUNIT_ASSERT_EQUAL(before + kWatchers, contents_sent_);
   }
+
+  // Guards against an urgent record that waits for regular responses, because
+  // the watcher has all records of the block before it.
+  void urgent_record_behind_known_ones_arrives_at_once() {
+    std::vector<content_fault> received;
+    const auto watch = [this, &received](const watch_request& request) {
+      hub_.OnWatch(
+          request,
+          [&received](const std::string& bytes) {
+            const auto response = DecodeWatchResponse(bytes);
+            CPPUNIT_ASSERT(response);
+            received.insert(received.end(), response->faults.begin(),
+                            response->faults.end());
+          },
+          now_);
+    };
+    watch_request request;
+    request.watcher = vm_id("10.1.0.1");
+    request.is_entry = true;
+    request.transfer = record_transfer::kChanges;
+    watch(request);
+    request.epoch = kEpoch;
+    request.document = document_version(document_);
+    for (std::uint64_t i = 1; i <= 200; ++i) {
+      request.faults.push_back(UrgentFault(i));
+    }
+    watch(request);
+    CPPUNIT_ASSERT(received.empty());
+    hub_.RecordFaults({UrgentFault(201)}, now_);
+    // The interval of early responses with content records and one tick.
+    const steady_time end = now_ + milliseconds(100) + milliseconds(50);
+    for (; now_ <= end; now_ += milliseconds(50)) hub_.Tick(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received.size());
+    CPPUNIT_ASSERT(received.front() == UrgentFault(201));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(link_budget_test);
