control link: keep the records' part of the budget for records

Any response took from the part of records while the rest was overdrawn, so that ends used it up, and a new watcher was refused while records were allowed.

Charge now knows whether a response has records other than ends and cold starts. Change numbers cannot tell: they advance with ends too. Respond goes on for a watcher that is due for records.

--- a/source/process/controller/link_budget.cc
+++ b/source/process/controller/link_budget.cc
@@ -57,12 +57,14 @@
 }
 
 void link_budget::Charge(std::size_t bytes, std::size_t content_bytes,
-                         steady_time now) {
+                         bool has_records, steady_time now) {
   if (!watch_) return;
   contents_->Debit(now, static_cast<std::int64_t>(content_bytes));
-  // Takes from the part of the records only when the rest is used up.
+  // Takes from the part of the records only when the rest is used up, and only
+  // for records: urgent responses would use it up.
   const bool is_overdrawn = watch_->Available(now) <= 0;
-  const bool takes_records = is_overdrawn && records_->Available(now) > 0;
+  const bool takes_records =
+      has_records && is_overdrawn && records_->Available(now) > 0;
   // A single response that is longer than the burst, on a very slow link, does
   // not hold back all others for longer than the burst takes.
   (takes_records ? *records_ : *watch_)
--- a/source/process/controller/link_budget.h
+++ b/source/process/controller/link_budget.h
@@ -31,8 +31,9 @@
   /// The link has room for optional updates: half of the burst is unused.
   bool HasRoom(steady_time now);
   /// A response of this size is sent; `content_bytes` of it are content
-  /// records.
-  void Charge(std::size_t bytes, std::size_t content_bytes, steady_time now);
+  /// records. `has_records`: it has records other than those of ends.
+  void Charge(std::size_t bytes, std::size_t content_bytes, bool has_records,
+              steady_time now);
   /// An update that is due waits for a later response.
   void CountHeldBack(link_use use) {
     ++held_back_[static_cast<std::size_t>(use)];
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -42,6 +42,16 @@
 /// Shorter responses gain nothing by compression.
 constexpr std::size_t kMinPackedBytes = 512;
 
+/// Records other than those that are sent at once. The change numbers do not
+/// tell: they also advance with ends while the budget allows records.
+bool HasBulkRecords(const watch_response& response) {
+  return std::any_of(response.records.begin(), response.records.end(),
+                     [](const endpoint_record& record) {
+                       return !IsLeavingOrEnded(record.phase) &&
+                              record.cold_ms == 0;
+                     });
+}
+
 }  // namespace
 
 watch_hub::watch_hub(sources from, std::uint64_t epoch)
@@ -176,7 +186,9 @@
 }
 
 void watch_hub::Respond(const vm_id& vm, watcher& each, steady_time now) {
-  if (!budget_.Allows(link_use::kUrgent, now)) {
+  // The part of the budget for records is left also while urgent responses have
+  // overdrawn the rest.
+  if (!budget_.Allows(link_use::kUrgent, now) && !IsDueForRecords(each, now)) {
     if (!each.is_owed) budget_.CountHeldBack(link_use::kUrgent);
     each.is_owed = true;
     return;
@@ -204,7 +216,7 @@
   sent_.bytes += bytes.size();
   const std::size_t content_bytes =
       response.faults.empty() ? 0 : EncodeContentFaults(response.faults).size();
-  budget_.Charge(bytes.size(), content_bytes, now);
+  budget_.Charge(bytes.size(), content_bytes, HasBulkRecords(response), now);
   std::exchange(each.respond, nullptr)(std::move(bytes));
 }
 
--- a/tests/directory/link_budget_test.cc
+++ b/tests/directory/link_budget_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "process/controller/watch_hub.h"
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(any_watch_traffic_leaves_the_reserve);
   CPPUNIT_TEST(document_and_ends_reach_watchers_beside_content_records);
   CPPUNIT_TEST(content_record_is_not_sent_to_a_watcher_that_has_it);
+  CPPUNIT_TEST(new_watcher_gets_all_records_during_a_series_of_ends);
   CPPUNIT_TEST(urgent_record_behind_known_ones_arrives_at_once);
   CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +60,7 @@
   std::map<steady_time, std::int64_t> sent_;
   std::uint64_t contents_sent_ = 0;
   std::uint64_t last_run_ = 0;
+  int ends_ = 0;
 
   void Heartbeat(int endpoint, std::uint64_t incarnation) {
     endpoint_record record;
@@ -139,6 +142,50 @@
     }
   }
 
+  /// Time until a new watcher has all endpoints during a series of ends.
+  milliseconds TimeToAllRecords(int index) {
+    watch_request request;
+    request.watcher = vm_id("10.1.1." + std::to_string(index));
+    request.is_entry = true;
+    request.transfer = record_transfer::kPresent;
+    bool has_records = false;
+    bool is_waiting = false;
+    const steady_time begin = now_;
+    while (!has_records && now_ < begin + seconds(2)) {
+      if (!std::exchange(is_waiting, true)) {
+        hub_.OnWatch(
+            request,
+            [&](const std::string& bytes) {
+              sent_[now_] += static_cast<std::int64_t>(bytes.size());
+              const auto response = DecodeWatchResponse(bytes);
+              if (!response) return;
+              request.epoch = response->epoch;
+              request.document = response->document;
+              request.applied_ending = response->last_ending;
+              has_records = has_records || response->last_change > 0;
+              is_waiting = false;
+            },
+            now_);
+      }
+      EndEvery50Ms(1);
+    }
+    if (is_waiting)
+      hub_.OnWatch(
+          request, [](const std::string&) {}, now_);
+    return std::chrono::duration_cast<milliseconds>(now_ - begin);
+  }
+
+  /// An end of an endpoint in each round, every 50 ms.
+  void EndEvery50Ms(int rounds) {
+    for (int i = 0; i < rounds; ++i, ++ends_) {
+      const int endpoint = ends_ % kEndpoints;
+      directory_.End(endpoint_id("i-00000000" + std::to_string(endpoint)),
+                     incarnation_number(2 + ends_), now_);
+      hub_.Notify(now_);
+      Run(milliseconds(50));
+    }
+  }
+
   std::int64_t MaxBytesInOneSecond() const {
     std::int64_t most = 0;
     for (auto first = sent_.begin(); first != sent_.end(); ++first) {
@@ -171,7 +218,7 @@
  public:
   void unknown_link_allows_everything() {
     link_budget budget(0);
-    budget.Charge(1'000'000, 1'000'000, now_);
+    budget.Charge(1'000'000, 1'000'000, false, now_);
     CPPUNIT_ASSERT(budget.Allows(link_use::kContents, now_));
   }
 
@@ -184,7 +231,7 @@
       CPPUNIT_ASSERT(budget.Allows(use, now_));
       for (int i = 0; budget.Allows(use, now_); ++i) {
         CPPUNIT_ASSERT(i < 1'000);
-        budget.Charge(500, 0, now_);
+        budget.Charge(500, 0, false, now_);
       }
     }
   }
@@ -197,7 +244,7 @@
       now_ += milliseconds(1);
       while (budget.Allows(link_use::kUrgent, now_)) {
         if (budget.Allows(link_use::kRecords, now_)) ++records;
-        budget.Charge(500, 0, now_);
+        budget.Charge(500, 0, false, now_);
       }
     }
     CPPUNIT_ASSERT(records > 30);
@@ -268,6 +315,21 @@
     CPPUNIT_ASSERT_EQUAL(before + kWatchers, contents_sent_);
   }
 
+  // Guards against urgent responses that use up the part of the budget that is
+  // meant for records, so that a new watcher gets none.
+  void new_watcher_gets_all_records_during_a_series_of_ends() {
+    for (int i = 0; i < kEndpoints; ++i) Heartbeat(i, 1);
+    // The other watchers have all records after this time.
+    Run(seconds(10));
+    EndEvery50Ms(20);
+    for (int i = 0; i < 20; ++i) {
+      const milliseconds time = TimeToAllRecords(i);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()),
+                             time <= milliseconds(300));
+    }
+    CheckReserve();
+  }
+
   // Guards against an urgent record that waits for regular responses, because
   // the watcher has all records of the block before it.
   void urgent_record_behind_known_ones_arrives_at_once() {
--- a/tests/replication/watch_traffic_test.cc
+++ b/tests/replication/watch_traffic_test.cc
@@ -81,7 +81,7 @@
     const int most = is_bounded ? kWatchers : kUnboundedResponses;
     for (int i = 0; i < most; ++i) {
       if (!budget.Allows(link_use::kUrgent, now)) return;
-      budget.Charge(kResponseBytes, 0, now);
+      budget.Charge(kResponseBytes, 0, false, now);
       group.SendOther(vm, kResponseBytes);
     }
   }
