placement: date a load that has only a duration sample by the sample

A load without a report was dated by the time of sending, so that a duration measured before a crash counted as a response after it.

The evidence now keeps the time of its last own measurement, and the load has that age, or that of newly stated terms if they are later.

--- a/source/process/placement/duration_evidence.cc
+++ b/source/process/placement/duration_evidence.cc
@@ -31,6 +31,7 @@
 void duration_evidence::Add(double log_ratio, steady_time now) {
   const double bounded = std::clamp(log_ratio, -kMaxLogRatio, kMaxLogRatio);
   AddWeighted(bounded, 1, now);
+  measured_at_ = now;
   unshared_total_ += bounded;
   ++unshared_count_;
 }
--- a/source/process/placement/duration_evidence.h
+++ b/source/process/placement/duration_evidence.h
@@ -21,6 +21,8 @@
   /// The durations that this entry VM measured since the last call.
   std::optional<duration_sample> TakeSample(steady_time now);
   bool HasUnshared() const { return unshared_count_ > 0; }
+  /// Time of the latest duration that this entry VM measured.
+  steady_time measured_at() const { return measured_at_; }
   /// Estimated logarithm of the duration relative to the pool: the mean, drawn
   /// towards 0 where there is little evidence.
   double LogRatio(steady_time now) const;
@@ -33,6 +35,7 @@
   double mean_ = 0;
   double weight_ = 0;
   steady_time added_at_;
+  steady_time measured_at_;
   double unshared_total_ = 0;
   std::uint32_t unshared_count_ = 0;
   std::uint16_t last_tag_ = 0;
--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -144,9 +144,10 @@
   shared_load load;
   load.endpoint = DigestOf(record_.id);
   if (has_load) load.report = report_;
-  const steady_time measured_at = has_load     ? reported_at_
-                                  : has_sample ? now
-                                               : terms_->stated_at();
+  steady_time measured_at = has_load ? reported_at_ : terms_->stated_at();
+  if (has_sample) {
+    measured_at = std::max(measured_at, speed_.evidence().measured_at());
+  }
   load.age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - measured_at);
   load.limit = terms_->limit().per_second();
--- a/tests/placement/shared_load_test.cc
+++ b/tests/placement/shared_load_test.cc
@@ -5,8 +5,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <memory>
 
 #include "entry_fleet_model.h"
+#include "process/placement/endpoint_estimate.h"
 
 namespace marjoramsill {
 
@@ -20,6 +22,7 @@
   CPPUNIT_TEST(many_entry_vms_stay_within_the_load_bound);
   CPPUNIT_TEST(endpoints_beside_limited_ones_stay_within_the_load_bound);
   CPPUNIT_TEST(frequent_sessions_are_computed_by_few_engines);
+  CPPUNIT_TEST(load_with_a_sample_only_has_the_age_of_the_sample);
   CPPUNIT_TEST_SUITE_END();
 
   /// Maximum share of the requests in any window that may be sent to an engine
@@ -73,6 +76,19 @@
   }
 
  public:
+  // Guards against a duration measured before a crash that counts as a response
+  // after it.
+  void load_with_a_sample_only_has_the_age_of_the_sample() {
+    const steady_time start{std::chrono::seconds(100)};
+    endpoint_estimate endpoint(
+        endpoint_record(), token_count(0),
+        std::make_shared<endpoint_terms>(endpoint_digest()));
+    endpoint.speed().evidence().Add(1, start);
+    const auto load = endpoint.TakeUnsharedLoad(start + milliseconds(300));
+    CPPUNIT_ASSERT(load && load->sample);
+    CPPUNIT_ASSERT_EQUAL(milliseconds(300).count(), load->age.count());
+  }
+
   void exchange_of_load_reports_reduces_computed_tokens() {
     // Without exchanged reports the mean load is underestimated, so that
     // engines with a cached prefix seem overloaded and are not chosen.
