--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -42,6 +42,16 @@
 /// Shorter responses gain nothing by compression.
 constexpr std::size_t kMinPackedBytes = 512;
 
+/// Records other than those that are sent at once. The change numbers do not
+/// tell: they also advance with ends while the budget allows records.
+bool HasBulkRecords(const watch_response& response) {
+  return std::any_of(response.records.begin(), response.records.end(),
+                     [](const endpoint_record& record) {
+                       return !IsLeavingOrEnded(record.phase) &&
+                              record.cold_ms == 0;
+                     });
+}
+
 }  // namespace
 
 watch_hub::watch_hub(sources from, std::uint64_t epoch)
@@ -102,15 +112,26 @@
   return lacks_endings || lacks_evacuations || each.document < from_.document();
 }
 
+std::vector<content_fault> watch_hub::LackingFaults(watcher& each,
+                                                    std::uint64_t& number,
+                                                    steady_time now) const {
+  number = std::max(each.applied_fault, each.checked_fault);
+  while (true) {
+    const std::uint64_t before = number;
+    std::vector<content_fault> lacking = faults_.TakeSharedAfter(number);
+    each.receipts.RemoveKnown(lacking, now);
+    if (!lacking.empty() || number == before) return lacking;
+    each.checked_fault = number;
+  }
+}
+
 bool watch_hub::IsDueForFaults(watcher& each, steady_time now) {
   const std::uint64_t last = faults_.last_urgent_change();
   const std::uint64_t done = std::max(each.applied_fault, each.checked_fault);
   if (done >= last || now - each.last_faults < kFaultInterval) return false;
-  std::uint64_t number = each.applied_fault;
-  std::vector<content_fault> lacking = faults_.TakeSharedAfter(number);
-  each.receipts.RemoveKnown(lacking, now);
-  if (lacking.empty()) {
-    if (number >= last) each.checked_fault = last;
+  std::uint64_t number = 0;
+  if (LackingFaults(each, number, now).empty()) {
+    each.checked_fault = std::max(each.checked_fault, last);
     return false;
   }
   if (budget_.Allows(link_use::kUrgentContents, now)) return true;
@@ -134,10 +155,9 @@
 
 void watch_hub::AddFaults(watcher& each, watch_response& response,
                           steady_time now) {
-  std::uint64_t last = each.applied_fault;
-  std::vector<content_fault> faults = faults_.TakeSharedAfter(last);
-  each.receipts.RemoveKnown(faults, now);
-  response.last_fault = each.applied_fault;
+  std::uint64_t last = 0;
+  std::vector<content_fault> faults = LackingFaults(each, last, now);
+  response.last_fault = std::max(each.applied_fault, each.checked_fault);
   const bool is_urgent = each.applied_fault < faults_.last_urgent_change();
   const link_use use =
       is_urgent ? link_use::kUrgentContents : link_use::kContents;
@@ -166,7 +186,9 @@
 }
 
 void watch_hub::Respond(const vm_id& vm, watcher& each, steady_time now) {
-  if (!budget_.Allows(link_use::kUrgent, now)) {
+  // The part of the budget for records is left also while urgent responses have
+  // overdrawn the rest.
+  if (!budget_.Allows(link_use::kUrgent, now) && !IsDueForRecords(each, now)) {
     if (!each.is_owed) budget_.CountHeldBack(link_use::kUrgent);
     each.is_owed = true;
     return;
@@ -194,7 +216,7 @@
   sent_.bytes += bytes.size();
   const std::size_t content_bytes =
       response.faults.empty() ? 0 : EncodeContentFaults(response.faults).size();
-  budget_.Charge(bytes.size(), content_bytes, now);
+  budget_.Charge(bytes.size(), content_bytes, HasBulkRecords(response), now);
   std::exchange(each.respond, nullptr)(std::move(bytes));
 }
 
