entry: do not count a domain that is cut off as crashed

Records of a cut-off failure domain turn silent together, and each of its endpoints then counted as crashed. Silence decides now only where the endpoint refused alone. A report of another VM counts as later evidence from 600 ms on, since its age leaves out two transfers, and decisions come before questions that discard answers. Comments give the intervals behind the constants.

The model's contact time of 4,000 ms was not varied; some deployments have 3,000.

--- a/source/process/entry/crash_evidence.cc
+++ b/source/process/entry/crash_evidence.cc
@@ -10,13 +10,12 @@
 
 using std::chrono::milliseconds;
 
-/// Time after which refused connections alone show a crash. Longer than links
-/// were seen broken (1.4 s) and than one and a half of the deployments'
-/// heartbeat intervals (1.2 s). Reports of three crashes reach all VMs in the
-/// rest of the 4 s after which requests have to be refused.
+/// Time after which refused connections alone count as a crash. Exceeds one and
+/// a half heartbeat intervals (1.2 s each), and leaves the rest of the contact
+/// time for the reports to reach all VMs.
 constexpr milliseconds kRefusalTime{1'900};
-/// A new start, an end or a silence decides up to this time. Endpoints that
-/// crash are back after about 3.4 s; silence shows after 3.6 s.
+/// A new start, an end or a silence decides up to this time. Longer than three
+/// heartbeat intervals, after which a record turns silent.
 constexpr milliseconds kRecordTime{4'500};
 /// Refusals of several endpoints of a pool within this time may come from
 /// broken links of this VM.
@@ -24,12 +23,16 @@
 constexpr milliseconds kProbeInterval{200};
 /// A sound endpoint has sent a heartbeat by then.
 constexpr milliseconds kQuestionTime{1'600};
-/// Answers arrive within 300 ms or not at all.
+/// Longer than the timeout of a question, so that answers of two rounds do not
+/// mix.
 constexpr milliseconds kQuestionInterval{400};
-/// Heartbeats and responses may have been sent before the crash and arrive
-/// within this time after it.
+/// Heartbeats may have been sent before the crash and arrive within this time
+/// after it.
 constexpr milliseconds kTravelTime{200};
-/// About 100 KB. More endpoints do not crash within kRecordTime.
+/// The age of a report of another VM leaves out its two transfers, which take
+/// longer than one heartbeat on busy links.
+constexpr milliseconds kReportTravelTime{600};
+/// Bounds the memory to about 100 KB; further ends are not recorded.
 constexpr std::size_t kMaxOpen = 256;
 
 }  // namespace
@@ -76,7 +79,8 @@
 void crash_evidence::OnReport(endpoint_digest endpoint,
                               steady_time measured_at) {
   for (auto& [run, each] : open_) {
-    const bool is_later = measured_at >= each.decision.refused_at + kTravelTime;
+    const bool is_later =
+        measured_at >= each.decision.refused_at + kReportTravelTime;
     if (each.digest == endpoint && is_later) each.was_reached = true;
   }
 }
@@ -141,7 +145,8 @@
   if (each.has_heartbeat) return crash_finding::kHeartbeatsContinue;
   if (!each.was_reached && age >= kRefusalTime) {
     const bool has_majority = 2 * each.answers > control_processes;
-    if (each.is_silent) return crash_finding::kSilent;
+    // Records of a failure domain that is cut off turn silent together.
+    if (each.is_silent && !each.is_together) return crash_finding::kSilent;
     if (each.has_stopped && has_majority) {
       return crash_finding::kHeartbeatsStopped;
     }
--- a/source/process/entry/crash_finder.cc
+++ b/source/process/entry/crash_finder.cc
@@ -40,12 +40,13 @@
   for (const endpoint_record& endpoint : evidence_.TakeProbes(now)) {
     Probe(endpoint);
   }
-  const auto questions = evidence_.TakeQuestions(now);
-  if (!questions.empty()) Ask(questions, now);
+  // A further question discards the answers to the one before.
   const std::size_t members = members_.members().size();
   for (const crash_decision& each : evidence_.TakeDecisions(members, now)) {
     on_decision_(each);
   }
+  const auto questions = evidence_.TakeQuestions(now);
+  if (!questions.empty()) Ask(questions, now);
 }
 
 void crash_finder::Probe(const endpoint_record& endpoint) {
--- a/tests/placement/crash_evidence_test.cc
+++ b/tests/placement/crash_evidence_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <iostream>
+#include <string>
 #include <utility>
 
 #include "crash_model.h"
@@ -24,6 +25,8 @@
   CPPUNIT_TEST(crashing_part_is_refused_without_control);
   CPPUNIT_TEST(identical_crashing_request_is_refused);
   CPPUNIT_TEST(identical_crashing_request_is_refused_while_links_fail);
+  CPPUNIT_TEST(domain_that_is_cut_off_is_no_crash);
+  CPPUNIT_TEST(report_from_before_the_crash_is_no_sign_of_life);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr milliseconds kCrashInterval{150};
@@ -124,6 +127,48 @@
     CheckStopped(std::move(settings), 3, "request");
   }
 
+  static endpoint_record Endpoint(const std::string& id) {
+    endpoint_record record;
+    record.id = endpoint_id(id);
+    record.pool = model_id("chat");
+    record.incarnation = incarnation_number(1);
+    return record;
+  }
+
+  // Guards against a failure domain without links to this VM and to control
+  // processes whose endpoints count as crashed.
+  void domain_that_is_cut_off_is_no_crash() {
+    crash_evidence evidence;
+    const steady_time start{seconds(100)};
+    for (const char* id : {"a", "b", "c"}) {
+      evidence.OnRefused(Endpoint(id), {content_digest(1)}, start);
+    }
+    for (const char* id : {"a", "b", "c"}) {
+      endpoint_record silent = Endpoint(id);
+      silent.phase = endpoint_phase::kSilent;
+      evidence.OnRecord(silent);
+    }
+    std::size_t decided = 0;
+    for (milliseconds at{0}; at <= seconds(5); at += milliseconds(25)) {
+      for (const crash_decision& each : evidence.TakeDecisions(5, start + at)) {
+        CPPUNIT_ASSERT(!IsCrash(each.finding));
+        ++decided;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decided);
+  }
+
+  // Guards against a report whose age leaves out its way here.
+  void report_from_before_the_crash_is_no_sign_of_life() {
+    crash_evidence evidence;
+    const steady_time start{seconds(100)};
+    evidence.OnRefused(Endpoint("a"), {content_digest(1)}, start);
+    evidence.OnReport(DigestOf(endpoint_id("a")), start + milliseconds(300));
+    const auto decided = evidence.TakeDecisions(5, start + seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decided.size());
+    CPPUNIT_ASSERT(IsCrash(decided[0].finding));
+  }
+
   void identical_crashing_request_is_refused_while_links_fail() {
     crash_model::settings settings = ResettingLinks();
     settings.is_identical = true;
