--- a/source/process/controller/register_snapshot.h
+++ b/source/process/controller/register_snapshot.h
@@ -16,8 +16,9 @@
   evacuation_set evacuations;
 };
 
-/// The encoded document; after it, if a domain was ever evacuated, a skippable
-/// frame of zstd with the evacuation set. Earlier builds read the document and
+/// The encoded document; after it, if a domain was ever evacuated or the
+/// document contains a tag of the frame, a skippable frame of zstd with the
+/// evacuation set. Earlier builds read the document and
 /// skip the frame when they unpack its text.
 std::string EncodeRegisterSnapshot(const register_snapshot& snapshot);
 /// Nothing if the bytes are damaged.
--- a/source/process/directory/evacuation_set.cc
+++ b/source/process/directory/evacuation_set.cc
@@ -2,8 +2,15 @@
 
 #include <algorithm>
 #include <functional>
+#include <string_view>
 
 namespace marjoramsill {
+namespace {
+
+constexpr std::string_view kDomainCharacters =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
+
+}  // namespace
 
 bool evacuation_set::Contains(const failure_domain_id& domain) const {
   return std::binary_search(domains.begin(), domains.end(), domain);
@@ -23,8 +30,9 @@
 }
 
 bool IsValidEvacuationDomain(const failure_domain_id& domain) {
-  const std::size_t size = domain.value().size();
-  return size > 0 && size <= kMaxEvacuatedDomainBytes;
+  const std::string_view name = domain.value();
+  return !name.empty() && name.size() <= kMaxEvacuatedDomainBytes &&
+         name.find_first_not_of(kDomainCharacters) == std::string_view::npos;
 }
 
 bool IsValidEvacuationSet(const evacuation_set& set) {
--- a/source/process/directory/evacuation_set.h
+++ b/source/process/directory/evacuation_set.h
@@ -31,7 +31,8 @@
                          const evacuation_set&) = default;
 };
 
-/// The domain may be part of a set: neither empty nor too long.
+/// The domain may be part of a set: neither empty nor too long, and only of
+/// ASCII letters, digits, `.`, `_` and `-`.
 bool IsValidEvacuationDomain(const failure_domain_id& domain);
 /// The set is sorted and within its bounds.
 bool IsValidEvacuationSet(const evacuation_set& set);
--- a/tests/directory/evacuation_register_test.cc
+++ b/tests/directory/evacuation_register_test.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "process/controller/document_register.h"
 #include "process/controller/evacuation_order.h"
@@ -23,6 +24,9 @@
   CPPUNIT_TEST(earlier_build_reads_the_document_before_the_set);
   CPPUNIT_TEST(earlier_build_ignores_an_order);
   CPPUNIT_TEST(damaged_snapshot_is_refused);
+  CPPUNIT_TEST(order_for_a_domain_with_other_characters_changes_nothing);
+  CPPUNIT_TEST(document_with_a_tag_is_restored);
+  CPPUNIT_TEST(document_with_a_tag_of_an_earlier_build_is_read);
   CPPUNIT_TEST(damaged_order_changes_nothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -43,6 +47,13 @@
     return domains;
   }
 
+  const std::vector<std::string> texts_with_tags_{
+      "evacset{",
+      "a evacset{ b",
+      "}evacset",
+      "a }evacset b",
+      "evacset{}evacset",
+      std::string(40, 'x') + "evacset{" + std::string(40, 'y') + "}evacset"};
   document_register state_;
 
  public:
@@ -173,6 +184,54 @@
     }
   }
 
+  // Guards against a domain name that makes every later snapshot unreadable.
+  void order_for_a_domain_with_other_characters_changes_nothing() {
+    for (const char* domain : {"evacset{", "}evacset", "d 1", "d/1", "d\x80"}) {
+      state_.Apply(Order(domain, true));
+      CPPUNIT_ASSERT(state_.evacuations() == evacuation_set());
+      document_register restored;
+      CPPUNIT_ASSERT(restored.Restore(state_.Snapshot()));
+    }
+    state_.Apply(Order("Az09._-", true));
+    CPPUNIT_ASSERT(state_.evacuations().Contains(failure_domain_id("Az09._-")));
+  }
+
+  // Guards against a document that ends every control process at its start.
+  void document_with_a_tag_is_restored() {
+    for (const bool has_set : {false, true}) {
+      for (const std::string& text : texts_with_tags_) {
+        document_register state;
+        state.Apply(Document(5, text));
+        if (has_set) state.Apply(Order("d1", true));
+        document_register restored;
+        CPPUNIT_ASSERT_MESSAGE(text, restored.Restore(state.Snapshot()));
+        CPPUNIT_ASSERT(restored.held().packed != nullptr);
+        CPPUNIT_ASSERT_EQUAL(text, *restored.held().packed);
+        CPPUNIT_ASSERT(restored.evacuations() == state.evacuations());
+      }
+      // A document that is itself a snapshot with a set.
+      document_register state;
+      state.Apply(Document(5, "five"));
+      state.Apply(Order("d1", true));
+      const std::string inner = state.Snapshot();
+      document_register outer;
+      outer.Apply(Document(6, inner));
+      if (has_set) outer.Apply(Order("d2", true));
+      document_register restored;
+      CPPUNIT_ASSERT(restored.Restore(outer.Snapshot()));
+      CPPUNIT_ASSERT_EQUAL(inner, *restored.held().packed);
+      CPPUNIT_ASSERT(restored.evacuations() == outer.evacuations());
+    }
+  }
+
+  void document_with_a_tag_of_an_earlier_build_is_read() {
+    for (const std::string& text : texts_with_tags_) {
+      CPPUNIT_ASSERT_MESSAGE(text, state_.Restore(Document(9, text)));
+      CPPUNIT_ASSERT_EQUAL(text, *state_.held().packed);
+      CPPUNIT_ASSERT(state_.evacuations() == evacuation_set());
+    }
+  }
+
   void damaged_order_changes_nothing() {
     const std::string long_name(kMaxEvacuatedDomainBytes + 1, 'x');
     const std::string start = Order("d", true).substr(0, 16);
