request: check the evacuation set before each attempt

Whether the evacuation set may be out of date was asked only when a request arrived. A request that waited, or made a further attempt, when its process was frozen went on with the old set, and could reach an endpoint of a domain that was evacuated in the meantime.

Attempt() asks as well. It refuses the request as at its arrival, and returns a relayed one as without links.

--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -28,9 +28,6 @@
 /// Limits of the Retry-After of a refusal.
 constexpr double kMinRetryAfterMs = 100;
 constexpr double kMaxRetryAfterMs = 5'000;
-/// Retry-After before the first routing document. A process that has just
-/// started usually receives it within this time.
-constexpr double kStartingRetryMs = 800;
 /// Retry-After while a newer document may exist. An election takes about this
 /// time.
 constexpr double kUnprovenRetryMs = 800;
@@ -89,15 +86,18 @@
   const http_field* resumed =
       FindField(message_.fields, environment_.dialect.resumed_request);
   if (resumed != nullptr) resumed_request_ = resumed->value;
-  const bool may_serve = !environment_.may_serve || environment_.may_serve();
-  if (may_serve) table_ = environment_.table();
+  if (MayServe()) table_ = environment_.table();
   if (terms_ && RefuseOtherDocument()) return;
   Admit();
 }
 
+bool proxied_call::MayServe() const {
+  return !environment_.may_serve || environment_.may_serve();
+}
+
 void proxied_call::Admit() {
   if (!table_) {
-    Refuse("no_document", kStartingRetryMs);
+    Refuse(kStartingReason, kStartingRetryMs);
     return;
   }
   if (!FindRoute() || !FindWorkspace()) return;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -134,9 +134,17 @@
   void GiveUp();
   void OnCallerDisconnected();
   void Finish(call_outcome outcome, std::string_view reason);
+  /// False while the evacuation set may be out of date.
+  bool MayServe() const;
   /// Keeps a log line, which Finish() writes if the call is logged.
   void LogStep(std::string_view event, const log_fields& fields);
 
+  /// Refusal before the first routing document, or while the evacuation set may
+  /// be out of date. A process that has just started usually has both within
+  /// this time.
+  static constexpr std::string_view kStartingReason = "no_document";
+  static constexpr double kStartingRetryMs = 800;
+
   // proxied_call_attempt.cc: attempts at endpoints.
   void Attempt();
   void OpenConnection(const placement_choice& choice);
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -60,6 +60,16 @@
 
 void proxied_call::Attempt() {
   const steady_time now = environment_.clock();
+  // The process may have been frozen while the request waited or was at another
+  // endpoint.
+  if (!MayServe()) {
+    if (terms_) {
+      ReturnRelayed(kRelayUnavailable, kStartingReason);
+    } else {
+      EndUnsent(kStartingReason, kStartingRetryMs);
+    }
+    return;
+  }
   if (terms_ && IsLinkLost(now)) {
     ReturnRelayed(kRelayUnavailable, "no_links");
     return;
