placement: begin without a saved request when a part returns

warm_up_share noted that it has a part and never that it lost it. A VM that lost its part of a cold endpoint's rate and got it again began with the request that it had saved before, so that more VMs than share could send saved requests in the same second.

The loss is noted now. The first call with a part begins without an allowance, and keeps what was sent beyond the part.

--- a/source/process/placement/warm_up_share.cc
+++ b/source/process/placement/warm_up_share.cc
@@ -19,14 +19,15 @@
 }
 
 void warm_up_share::Refill(double part, steady_time now) {
-  const bool gains_part = part > 0 && !std::exchange(has_part_, part > 0);
+  const bool had_part = std::exchange(has_part_, part > 0);
+  const bool gains_part = has_part_ && !had_part;
   if (!std::exchange(is_cold_, true)) {
     allowance_ = -std::min(Recent(now), part);
     refilled_at_ = now;
     return;
   }
   if (gains_part) {
-    allowance_ = 0;
+    allowance_ = std::min(allowance_, 0.0);
     refilled_at_ = now;
     return;
   }
--- a/tests/placement/warm_up_limit_test.cc
+++ b/tests/placement/warm_up_limit_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(parts_of_any_number_of_vms_use_most_of_the_rate);
   CPPUNIT_TEST(endpoint_that_turns_cold_gets_nothing_saved);
   CPPUNIT_TEST(requests_of_the_second_before_count);
+  CPPUNIT_TEST(part_that_returns_brings_nothing_saved);
+  CPPUNIT_TEST(part_that_returns_keeps_the_debt);
   CPPUNIT_TEST(wait_ends_when_the_next_request_may_be_sent);
   CPPUNIT_TEST_SUITE_END();
 
@@ -185,6 +187,29 @@
     CPPUNIT_ASSERT(share.HasAllowance(2, now_ + milliseconds(1'510)));
   }
 
+  // Guards against saved requests of more VMs than share at a time.
+  void part_that_returns_brings_nothing_saved() {
+    warm_up_share share;
+    CPPUNIT_ASSERT(!share.HasAllowance(2, now_));
+    CPPUNIT_ASSERT(share.HasAllowance(2, now_ + seconds(2)));
+    CPPUNIT_ASSERT(!share.HasAllowance(0, now_ + seconds(3)));
+    CPPUNIT_ASSERT(!share.HasAllowance(2, now_ + seconds(4)));
+    CPPUNIT_ASSERT(!share.HasAllowance(2, now_ + milliseconds(4'490)));
+    CPPUNIT_ASSERT(share.HasAllowance(2, now_ + milliseconds(4'510)));
+  }
+
+  // Guards against requests beyond the part that no longer count once the part
+  // was lost for a moment.
+  void part_that_returns_keeps_the_debt() {
+    warm_up_share share;
+    CPPUNIT_ASSERT(!share.HasAllowance(2, now_));
+    share.Take(now_);
+    CPPUNIT_ASSERT(!share.HasAllowance(0, now_));
+    CPPUNIT_ASSERT(!share.HasAllowance(2, now_));
+    CPPUNIT_ASSERT(!share.HasAllowance(2, now_ + milliseconds(990)));
+    CPPUNIT_ASSERT(share.HasAllowance(2, now_ + milliseconds(1'010)));
+  }
+
   void wait_ends_when_the_next_request_may_be_sent() {
     warm_up_share share;
     const auto wait = share.Wait(4, now_);
