connection: count the heads of requests in progress

The bytes of a request in progress were taken from its message with a head of size 0, so that its target and the text of its fields were not counted and many long heads could exceed the memory limit. Count what the parser held before the request is taken from it.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -148,11 +148,12 @@
 }
 
 void caller_connection::HandleRequest() {
+  const std::size_t held_bytes = parser_.held_bytes();
   caller_message message = parser_.Take();
   has_request_ = true;
   keep_alive_ = message.keep_alive;
   accepts_chunks_ = message.accepts_chunks;
-  if (!CountRequest(message)) return;
+  if (!CountRequest(held_bytes)) return;
   hooks_.on_request(shared_from_this(), std::move(message));
 }
 
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -110,8 +110,9 @@
   void CloseForMemory();
   void CountIncoming();
   /// Refuses a complete request that exceeds the memory for connections.
-  /// Returns whether it can be handled.
-  bool CountRequest(const caller_message& message);
+  /// `held_bytes`: what the parser held of it. Returns whether it can be
+  /// handled.
+  bool CountRequest(std::size_t held_bytes);
   /// Releases the part of the output that was sent.
   void ReleaseSent();
   void HandleRequest();
--- a/source/connection/caller_connection_memory.cc
+++ b/source/connection/caller_connection_memory.cc
@@ -35,10 +35,9 @@
               input_.capacity() + (is_incomplete ? parser_.held_bytes() : 0));
 }
 
-bool caller_connection::CountRequest(const caller_message& message) {
+bool caller_connection::CountRequest(std::size_t held_bytes) {
   CountIncoming();
-  memory_.Set(memory_kind::kHeldRequests,
-              kRequestCopies * HeldBytes(message, 0));
+  memory_.Set(memory_kind::kHeldRequests, kRequestCopies * held_bytes);
   memory_.Relieve(now_);
   // It may have been closed, while its last response was still unread.
   if (!memory_.IsExceeded() || !is_open_) return is_open_;
--- a/tests/daemon/refused_request_test.cc
+++ b/tests/daemon/refused_request_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(incomplete_request_is_refused_when_memory_is_exhausted);
   CPPUNIT_TEST(complete_request_without_memory_is_not_run);
   CPPUNIT_TEST(many_short_fields_count_with_their_overhead);
+  CPPUNIT_TEST(head_of_a_request_in_progress_counts);
   CPPUNIT_TEST(slow_reader_is_closed_when_memory_is_exhausted);
   CPPUNIT_TEST(sent_part_of_a_long_response_is_released);
   CPPUNIT_TEST(connection_after_its_response_holds_nothing);
@@ -218,6 +219,15 @@
     CPPUNIT_ASSERT(budget_.total() >= 2'000 * sizeof(http_field));
   }
 
+  // Guards against long heads of requests in progress that exceed the memory
+  // uncounted.
+  void head_of_a_request_in_progress_counts() {
+    Send("GET / HTTP/1.1\r\nHost: a\r\nLong: " + std::string(10'000, 'x') +
+         "\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(1, requests_);
+    CPPUNIT_ASSERT(budget_.held(memory_kind::kHeldRequests) >= 20'000);
+  }
+
   void slow_reader_is_closed_when_memory_is_exhausted() {
     Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     connection_->Begin(200, {}, std::nullopt);
