connection: scan the accounts once to relieve the memory budget

Each connection that was closed took a scan of all accounts, and small stalled connections were closed before large ones although that releases next to nothing. Scan once, sort by reason and bytes, skip accounts that are gone and check the reason again before each close.

--- a/source/connection/memory_budget.cc
+++ b/source/connection/memory_budget.cc
@@ -1,8 +1,11 @@
 #include "connection/memory_budget.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
 #include <utility>
 
+#include "connection/large_buffer.h"
 #include "connection/memory_account.h"
 
 namespace marjoramsill {
@@ -15,6 +18,9 @@
 /// VMs (docs/CAPACITY.md), and up to 26 MB for 2,600 connections without
 /// requests; the rest is for the growth of buffers and the system.
 constexpr double kLimitShare = 0.4;
+/// A connection that holds less is not closed before larger ones because it is
+/// stalled: many closes would release next to nothing.
+constexpr std::size_t kMinStalledBytes = kMaxKeptBuffer;
 constexpr std::uint64_t kMinRetryMs = 500;
 constexpr std::uint64_t kRetrySpreadMs = 1'500;
 
@@ -29,7 +35,8 @@
   const bool is_receiving = is_incoming && !has_response &&
                             account.held(memory_kind::kHeldRequests) == 0;
   const auto idle = now - account.last_progress();
-  if ((is_receiving || is_unsent) && idle >= memory_budget::kStallTime) {
+  if ((is_receiving || is_unsent) && idle >= memory_budget::kStallTime &&
+      account.total() >= kMinStalledBytes) {
     return memory_close_reason::kStalled;
   }
   if (is_receiving) return memory_close_reason::kIncoming;
@@ -88,29 +95,30 @@
   total_ = total_ - from + to;
 }
 
-std::optional<memory_budget::candidate> memory_budget::FindCandidate(
+std::vector<memory_budget::candidate> memory_budget::FindCandidates(
     steady_time now) const {
-  std::optional<candidate> found;
+  std::vector<candidate> found;
   for (memory_account* account : accounts_) {
     const auto reason = ReasonToClose(*account, now);
-    if (!reason) continue;
-    const bool is_better = !found || *reason < found->reason ||
-                           (*reason == found->reason &&
-                            account->total() > found->account->total());
-    if (is_better) found = candidate{account, *reason};
+    if (reason) found.push_back({account, *reason, account->total()});
   }
+  std::sort(found.begin(), found.end(),
+            [](const candidate& left, const candidate& right) {
+              return std::tie(left.reason, right.total) <
+                     std::tie(right.reason, left.total);
+            });
   return found;
 }
 
 void memory_budget::Relieve(steady_time now) {
-  while (IsExceeded()) {
-    const auto found = FindCandidate(now);
-    if (!found) return;
-    const std::size_t before = total_;
-    Report(*found->account, found->reason, now);
-    found->account->close_();
-    // Prevents an endless loop if a connection keeps its bytes.
-    if (total_ >= before) return;
+  if (!IsExceeded()) return;
+  for (const candidate& next : FindCandidates(now)) {
+    if (!IsExceeded()) return;
+    // Closing one connection can end others or change what they hold.
+    if (accounts_.count(next.account) == 0) continue;
+    if (ReasonToClose(*next.account, now) != next.reason) continue;
+    Report(*next.account, next.reason, now);
+    next.account->close_();
   }
 }
 
--- a/source/connection/memory_budget.h
+++ b/source/connection/memory_budget.h
@@ -6,9 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "connection/memory_kind.h"
 #include "connection/memory_shortage.h"
@@ -65,12 +65,14 @@
   struct candidate {
     memory_account* account = nullptr;
     memory_close_reason reason = memory_close_reason::kStalled;
+    std::size_t total = 0;
   };
 
   void Add(memory_account& account);
   void Remove(memory_account& account);
   void Change(memory_kind kind, std::size_t from, std::size_t to);
-  std::optional<candidate> FindCandidate(steady_time now) const;
+  /// In the order in which they are closed.
+  std::vector<candidate> FindCandidates(steady_time now) const;
   void Report(const memory_account& account, memory_close_reason reason,
               steady_time now) const;
 
--- a/tests/proxy/memory_budget_test.cc
+++ b/tests/proxy/memory_budget_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(response_just_begun_is_not_stalled);
   CPPUNIT_TEST(active_response_is_closed_last);
   CPPUNIT_TEST(closes_until_the_rest_is_within_the_limit);
+  CPPUNIT_TEST(small_stalled_connections_stay_beside_a_large_one);
+  CPPUNIT_TEST(connection_that_a_close_removes_is_skipped);
   CPPUNIT_TEST(connection_that_keeps_its_bytes_causes_no_endless_loop);
   CPPUNIT_TEST(account_that_ends_releases_its_bytes);
   CPPUNIT_TEST(report_has_the_inputs_of_the_decision);
@@ -166,6 +168,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{750'000}, budget_.total());
   }
 
+  // Guards against many closes that release next to nothing.
+  void small_stalled_connections_stay_beside_a_large_one() {
+    for (int i = 0; i < 1'000; ++i) Add(kIncoming, 200);
+    Add(kIncoming, 900'000).RecordTransfer(900'000, At(5'000));
+    CheckClosed({1'000}, 5'100);
+  }
+
+  // Guards against the use of an account that ended while another was closed.
+  void connection_that_a_close_removes_is_skipped() {
+    auto removed = std::make_unique<memory_account>(
+        &budget_, At(0), [this] { closed_.push_back(1); });
+    memory_account first(&budget_, At(0), [&] {
+      closed_.push_back(0);
+      removed.reset();
+      first.Set(kIncoming, kLimit + 1);
+    });
+    removed->Set(kIncoming, kLimit);
+    first.Set(kIncoming, kLimit + 100);
+    CheckClosed({0}, 5'000);
+  }
+
   void connection_that_keeps_its_bytes_causes_no_endless_loop() {
     memory_account kept(&budget_, At(0), [] {});
     kept.Set(kIncoming, 2 * kLimit);
