request: release the response of an attempt before the next one

Clearing the buffer of a rejected response kept its memory, and the account kept its last value, so that a request without any byte of a response could be closed as one that has a response. Release the buffer and the incomplete event of an interrupted stream, and set the bytes of the account to 0 when the next attempt begins.

`test_proxy marjoramsill::event_splitter_test`: before, dropped_event_releases_its_memory failed; with the change 5 of 5 pass. The reset of the account in proxied_call has no unit test, since no fixture runs a proxied_call without processes.

--- a/source/request/event_splitter.cc
+++ b/source/request/event_splitter.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "connection/large_buffer.h"
+
 namespace marjoramsill {
 namespace {
 
@@ -21,7 +23,8 @@
 }
 
 void event_splitter::DropRest() {
-  rest_.clear();
+  ReleaseBuffer(rest_);
+  ReleaseBuffer(complete_);
   scanner_.DropRest();
 }
 
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -7,6 +7,7 @@
 #include "connection/caller_connection.h"
 #include "connection/endpoint_connection.h"
 #include "connection/endpoint_connection_pool.h"
+#include "connection/large_buffer.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/content_breaker.h"
 #include "process/entry/decision_log.h"
@@ -141,7 +142,10 @@
   attempt_started_ = environment_.clock();
   last_progress_ = attempt_started_;
   head_ = {};
-  body_.clear();
+  ReleaseBuffer(body_);
+  // The account would otherwise hold the bytes of the attempt before until the
+  // next response, and the connection could be closed for them.
+  caller_->memory().Set(memory_kind::kEndpointResponses, 0);
   received_bytes_ = 0;
   is_rejected_ = false;
   is_stream_ = false;
--- a/tests/proxy/event_splitter_test.cc
+++ b/tests/proxy/event_splitter_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <random>
 #include <string>
 
@@ -11,6 +12,7 @@
   CPPUNIT_TEST_SUITE(event_splitter_test);
   CPPUNIT_TEST(incomplete_event_is_held_back);
   CPPUNIT_TEST(incomplete_event_is_dropped_before_a_resumption);
+  CPPUNIT_TEST(dropped_event_releases_its_memory);
   CPPUNIT_TEST(lines_with_carriage_returns_end_events);
   CPPUNIT_TEST(stream_split_at_any_byte_is_returned_unchanged);
   CPPUNIT_TEST_SUITE_END();
@@ -36,6 +38,19 @@
                          std::string(splitter.Add("id: 2\ndata: b\n\n")));
   }
 
+  // Guards against megabytes that a call keeps uncounted while it waits for a
+  // further attempt.
+  void dropped_event_releases_its_memory() {
+    event_splitter splitter;
+    splitter.Add("data: " + std::string(1'000'000, 'x'));
+    splitter.DropRest();
+    // The buffer of a short string is part of its object.
+    const std::less<const void*> is_before;
+    const void* data = splitter.rest().data();
+    CPPUNIT_ASSERT(!is_before(data, &splitter));
+    CPPUNIT_ASSERT(is_before(data, &splitter + 1));
+  }
+
   void lines_with_carriage_returns_end_events() {
     event_splitter splitter;
     CPPUNIT_ASSERT_EQUAL(std::string("id: 7\r\ndata: a\r\n\r\n"),
