connection: keep an eighth of the memory limit for small requests

Large requests that were complete and held up to the limit kept ordinary requests out, since every request was refused once the limit was exceeded. Refuse a request of more than 64 KiB once the sum exceeds 7/8 of the limit, and a smaller one only above the limit.

`test_daemon marjoramsill::refused_request_test`: before, small_request_is_served_beside_large_held_ones failed; with the change 13 of 13 pass.

--- a/source/connection/caller_connection_memory.cc
+++ b/source/connection/caller_connection_memory.cc
@@ -40,7 +40,7 @@
   memory_.Set(memory_kind::kHeldRequests, kRequestCopies * held_bytes);
   memory_.Relieve(now_);
   // It may have been closed, while its last response was still unread.
-  if (!memory_.IsExceeded() || !is_open_) return is_open_;
+  if (!memory_.IsExceededFor(held_bytes) || !is_open_) return is_open_;
   memory_.budget()->Refuse(memory_, now_);
   RefuseForMemory();
   return false;
--- a/source/connection/memory_account.cc
+++ b/source/connection/memory_account.cc
@@ -61,4 +61,8 @@
   return budget_ != nullptr && budget_->IsExceeded();
 }
 
+bool memory_account::IsExceededFor(std::size_t request_bytes) const {
+  return budget_ != nullptr && budget_->IsExceededFor(request_bytes);
+}
+
 }  // namespace marjoramsill
--- a/source/connection/memory_account.h
+++ b/source/connection/memory_account.h
@@ -44,6 +44,7 @@
   /// See memory_budget.
   void Relieve(steady_time now);
   bool IsExceeded() const;
+  bool IsExceededFor(std::size_t request_bytes) const;
   memory_budget* budget() const { return budget_; }
 
  private:
--- a/source/connection/memory_budget.cc
+++ b/source/connection/memory_budget.cc
@@ -21,6 +21,10 @@
 /// A connection that holds less is not closed before larger ones because it is
 /// stalled: many closes would release next to nothing.
 constexpr std::size_t kMinStalledBytes = kMaxKeptBuffer;
+/// Larger requests use 7/8 of the limit at most. Otherwise large bodies that
+/// are held up to the limit would keep ordinary requests out.
+constexpr std::size_t kSmallRequestBytes = std::size_t{64} * 1024;
+constexpr std::size_t kReservedDivisor = 8;
 constexpr std::uint64_t kMinRetryMs = 500;
 constexpr std::uint64_t kRetrySpreadMs = 1'500;
 
@@ -122,6 +126,11 @@
   }
 }
 
+bool memory_budget::IsExceededFor(std::size_t request_bytes) const {
+  if (request_bytes <= kSmallRequestBytes) return IsExceeded();
+  return total_ > limit_ - limit_ / kReservedDivisor;
+}
+
 void memory_budget::Refuse(const memory_account& account, steady_time now) {
   Report(account, memory_close_reason::kRefused, now);
 }
--- a/source/connection/memory_budget.h
+++ b/source/connection/memory_budget.h
@@ -51,6 +51,10 @@
   void Refuse(const memory_account& account, steady_time now);
 
   bool IsExceeded() const { return total_ > limit_; }
+  /// A complete request that holds this number of bytes, which are part of the
+  /// sum, must be refused. Requests of more than 64 KiB leave an eighth of the
+  /// limit to smaller ones.
+  bool IsExceededFor(std::size_t request_bytes) const;
   std::size_t limit() const { return limit_; }
   std::size_t total() const { return total_; }
   std::size_t held(memory_kind kind) const {
--- a/tests/daemon/refused_request_test.cc
+++ b/tests/daemon/refused_request_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(slow_body_within_the_time_limits_is_served);
   CPPUNIT_TEST(incomplete_request_is_refused_when_memory_is_exhausted);
   CPPUNIT_TEST(complete_request_without_memory_is_not_run);
+  CPPUNIT_TEST(small_request_is_served_beside_large_held_ones);
   CPPUNIT_TEST(many_short_fields_count_with_their_overhead);
   CPPUNIT_TEST(head_of_a_request_in_progress_counts);
   CPPUNIT_TEST(slow_reader_is_closed_when_memory_is_exhausted);
@@ -123,6 +124,18 @@
     hooks_.on_invalid_request = [](parse_state, int) {};
     hooks_.on_end = [this](caller_connection&) { has_ended_ = true; };
     budget_.OnShortage([this](const memory_shortage&) { ++reports_; });
+    Connect();
+  }
+
+  void tearDown() override {
+    connection_->Abort();
+    Poll();
+  }
+
+  /// Replaces the connection, if there is one.
+  void Connect() {
+    if (connection_) connection_->Abort();
+    client_ = tcp::socket(io_);
     tcp::acceptor acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
     client_.open(tcp::v4());
     client_.set_option(asio::socket_base::receive_buffer_size(8'192));
@@ -135,11 +148,6 @@
     connection_->Start();
   }
 
-  void tearDown() override {
-    connection_->Abort();
-    Poll();
-  }
-
   // Guards against a reset that destroys the answer, because the connection is
   // closed while its caller still sends.
   void answer_to_a_body_over_the_limit_arrives() {
@@ -211,6 +219,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{800'000}, budget_.total());
   }
 
+  // Guards against large requests that use the whole limit, so that ordinary
+  // ones are refused. 890,000 bytes are more than 7/8 of the limit.
+  void small_request_is_served_beside_large_held_ones() {
+    const auto others = Occupy(700'000);
+    Send(Head(95'000) + std::string(95'000, 'x'));
+    CPPUNIT_ASSERT(HasReceived("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT_EQUAL(0, requests_);
+    const auto further = Occupy(170'000);
+    Connect();
+    Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(1, requests_);
+  }
+
   // A field with a name of one byte takes two strings.
   void many_short_fields_count_with_their_overhead() {
     std::string head = "GET / HTTP/1.1\r\nHost: a\r\n";
