--- a/tests/proxy/memory_budget_test.cc
+++ b/tests/proxy/memory_budget_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(report_has_the_inputs_of_the_decision);
   CPPUNIT_TEST(account_without_a_budget_is_not_bounded);
   CPPUNIT_TEST(limit_leaves_room_for_single_requests_of_the_largest_size);
+  CPPUNIT_TEST(six_largest_requests_with_heads_fit_on_the_smallest_vm);
   CPPUNIT_TEST(retry_after_varies_within_its_range);
   CPPUNIT_TEST_SUITE_END();
 
@@ -233,6 +234,19 @@
     CPPUNIT_ASSERT(memory_budget::LimitFor(0) >= 60 * kRequest);
   }
 
+  // Guards against a smaller number than docs/design/memory-budget.md states.
+  void six_largest_requests_with_heads_fit_on_the_smallest_vm() {
+    constexpr std::size_t kHead = 500;
+    constexpr std::size_t kRequest = std::size_t{4} * 1024 * 1024 + kHead;
+    memory_budget smallest(memory_budget::LimitFor(160), [] { return 0; });
+    memory_account account(&smallest, At(0), [] {});
+    account.Set(kHeld, 6 * 2 * kRequest);
+    CPPUNIT_ASSERT(!smallest.IsExceededFor(kRequest));
+    account.Set(kHeld, 7 * 2 * kRequest);
+    CPPUNIT_ASSERT(smallest.IsExceededFor(kRequest));
+    CPPUNIT_ASSERT(!smallest.IsExceededFor(kHead));
+  }
+
   void retry_after_varies_within_its_range() {
     const auto first = budget_.RetryAfter();
     const auto second = budget_.RetryAfter();
