connection: do not count a pause of the process as a stall of its callers

After a process had been frozen for more than 2 s, its callers counted as stalled, although they could not make progress. The listener now ticks the memory budget. A gap between ticks longer than the stall time is a pause, and stalls count from its end at the earliest.

--- a/source/connection/caller_listener.cc
+++ b/source/connection/caller_listener.cc
@@ -116,6 +116,7 @@
 }
 
 void caller_listener::Tick(steady_time now) {
+  if (hooks_.memory != nullptr) hooks_.memory->Tick(now);
   for (const auto& connection : All()) connection->CheckTimeouts(limits_, now);
 }
 
--- a/source/connection/memory_budget.cc
+++ b/source/connection/memory_budget.cc
@@ -28,26 +28,6 @@
 constexpr std::uint64_t kMinRetryMs = 500;
 constexpr std::uint64_t kRetrySpreadMs = 1'500;
 
-/// Lower groups are closed first. None: the connection is not closed.
-std::optional<memory_close_reason> ReasonToClose(const memory_account& account,
-                                                 steady_time now) {
-  const bool is_incoming = account.held(memory_kind::kIncomingRequests) > 0;
-  const bool is_unsent = account.held(memory_kind::kUnsentResponses) > 0;
-  const bool has_response =
-      is_unsent || account.held(memory_kind::kEndpointResponses) > 0;
-  // Input behind a request in progress belongs to the next request.
-  const bool is_receiving = is_incoming && !has_response &&
-                            account.held(memory_kind::kHeldRequests) == 0;
-  const auto idle = now - account.last_progress();
-  if ((is_receiving || is_unsent) && idle >= memory_budget::kStallTime &&
-      account.total() >= kMinStalledBytes) {
-    return memory_close_reason::kStalled;
-  }
-  if (is_receiving) return memory_close_reason::kIncoming;
-  if (has_response) return memory_close_reason::kResponse;
-  return std::nullopt;
-}
-
 }  // namespace
 
 std::string_view MemoryKindText(memory_kind kind) {
@@ -99,6 +79,32 @@
   total_ = total_ - from + to;
 }
 
+std::optional<memory_close_reason> memory_budget::ReasonToClose(
+    const memory_account& account, steady_time now) const {
+  const bool is_incoming = account.held(memory_kind::kIncomingRequests) > 0;
+  const bool is_unsent = account.held(memory_kind::kUnsentResponses) > 0;
+  const bool has_response =
+      is_unsent || account.held(memory_kind::kEndpointResponses) > 0;
+  // Input behind a request in progress belongs to the next request.
+  const bool is_receiving = is_incoming && !has_response &&
+                            account.held(memory_kind::kHeldRequests) == 0;
+  const auto idle =
+      now - std::max(account.last_progress(),
+                     resumed_at_.value_or(account.last_progress()));
+  if ((is_receiving || is_unsent) && idle >= kStallTime &&
+      account.total() >= kMinStalledBytes) {
+    return memory_close_reason::kStalled;
+  }
+  if (is_receiving) return memory_close_reason::kIncoming;
+  if (has_response) return memory_close_reason::kResponse;
+  return std::nullopt;
+}
+
+void memory_budget::Tick(steady_time now) {
+  if (last_tick_ && now - *last_tick_ > kStallTime) resumed_at_ = now;
+  last_tick_ = now;
+}
+
 std::vector<memory_budget::candidate> memory_budget::FindCandidates(
     steady_time now) const {
   std::vector<candidate> found;
--- a/source/connection/memory_budget.h
+++ b/source/connection/memory_budget.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -40,6 +41,9 @@
   /// Called before a connection is closed.
   void OnShortage(shortage_hook hook) { on_shortage_ = std::move(hook); }
 
+  /// Must be called several times a second. A longer gap than the stall time is
+  /// a pause of the process, which is no stall of its callers.
+  void Tick(steady_time now);
   /// Closes connections until the rest is within the limit, or until only
   /// requests in progress without any byte of a response are left. Stalled
   /// connections are closed first, then those whose request is not complete,
@@ -75,6 +79,9 @@
   void Add(memory_account& account);
   void Remove(memory_account& account);
   void Change(memory_kind kind, std::size_t from, std::size_t to);
+  /// Lower groups are closed first. None: the connection is not closed.
+  std::optional<memory_close_reason> ReasonToClose(
+      const memory_account& account, steady_time now) const;
   /// In the order in which they are closed.
   std::vector<candidate> FindCandidates(steady_time now) const;
   void Report(const memory_account& account, memory_close_reason reason,
@@ -83,6 +90,9 @@
   const std::size_t limit_;
   const random_source random_;
   shortage_hook on_shortage_;
+  std::optional<steady_time> last_tick_;
+  /// End of the last pause of the process, if there was one.
+  std::optional<steady_time> resumed_at_;
   std::size_t total_ = 0;
   std::array<std::size_t, kMemoryKindCount> held_{};
   std::unordered_set<memory_account*> accounts_;
--- a/tests/proxy/memory_budget_test.cc
+++ b/tests/proxy/memory_budget_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(account_without_a_budget_is_not_bounded);
   CPPUNIT_TEST(limit_leaves_room_for_single_requests_of_the_largest_size);
   CPPUNIT_TEST(six_largest_requests_with_heads_fit_on_the_smallest_vm);
+  CPPUNIT_TEST(pause_of_the_process_is_no_stall_of_its_callers);
   CPPUNIT_TEST(retry_after_varies_within_its_range);
   CPPUNIT_TEST_SUITE_END();
 
@@ -240,13 +241,27 @@
     constexpr std::size_t kRequest = std::size_t{4} * 1024 * 1024 + kHead;
     memory_budget smallest(memory_budget::LimitFor(160), [] { return 0; });
     memory_account account(&smallest, At(0), [] {});
-    account.Set(kHeld, 6 * 2 * kRequest);
+    account.Set(kHeld, 2 * kRequest * 6);
     CPPUNIT_ASSERT(!smallest.IsExceededFor(kRequest));
-    account.Set(kHeld, 7 * 2 * kRequest);
+    account.Set(kHeld, 2 * kRequest * 7);
     CPPUNIT_ASSERT(smallest.IsExceededFor(kRequest));
     CPPUNIT_ASSERT(!smallest.IsExceededFor(kHead));
   }
 
+  // Guards against callers that are closed as stalled after their process was
+  // frozen, before larger ones that are not.
+  void pause_of_the_process_is_no_stall_of_its_callers() {
+    budget_.Tick(At(0));
+    Add(kIncoming, 300'000);
+    budget_.Tick(At(100));
+    budget_.Tick(At(9'000));
+    Add(kIncoming, 900'000).RecordTransfer(900'000, At(9'000));
+    CheckClosed({1}, 9'000);
+    for (int time = 9'100; time <= 11'000; time += 100) budget_.Tick(At(time));
+    Add(kIncoming, 900'000).RecordTransfer(900'000, At(11'000));
+    CheckClosed({1, 0}, 11'000);
+  }
+
   void retry_after_varies_within_its_range() {
     const auto first = budget_.RetryAfter();
     const auto second = budget_.RetryAfter();
