--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -71,8 +71,7 @@
   void CloseAfterResponse() { close_after_response_ = true; }
   /// Closes the connection if it has been idle, has been receiving the head of
   /// a request, or has received nothing of its body for longer than the limits
-  /// allow. Must be called several
-  /// times a second.
+  /// allow. Must be called several times a second.
   void CheckTimeouts(const caller_limits& limits, steady_time now);
   /// Closes the connection if no request is on its way, as far as is known.
   void CloseIfIdle(steady_time now);
--- a/source/connection/caller_listener.h
+++ b/source/connection/caller_listener.h
@@ -50,8 +50,8 @@
     hooks_.on_unreceived = std::move(hook);
   }
   /// Bounds the bytes held for the connections. `refusal`: further fields of
-  /// the response to a request that is refused for want of memory. Call before
-  /// Listen().
+  /// the response to a request that is refused because memory is exhausted.
+  /// Call before Listen().
   void SetMemory(memory_budget& budget, http_field_list refusal) {
     hooks_.memory = &budget;
     hooks_.memory_refusal = std::move(refusal);
--- a/source/connection/http2_session.h
+++ b/source/connection/http2_session.h
@@ -69,7 +69,7 @@
     std::string outgoing;
     std::size_t outgoing_offset = 0;
     bool succeeded = false;
-    /// The other VM was told that the message is not received.
+    /// The stream was reset; further bytes are discarded.
     bool is_refused = false;
     response_handler done;
   };
--- a/source/connection/memory_account.h
+++ b/source/connection/memory_account.h
@@ -28,7 +28,7 @@
   void Clear();
   /// The caller has sent or taken this number of bytes. It is progress once it
   /// amounts to a fixed fraction of what is held, so that a caller cannot keep
-  /// megabytes with a byte now and then.
+  /// megabytes with single bytes at long intervals.
   void RecordTransfer(std::size_t bytes, steady_time now);
 
   /// The caller sends a new request or receives a new response from now on.
--- a/source/connection/memory_shortage.h
+++ b/source/connection/memory_shortage.h
@@ -10,7 +10,7 @@
 
 namespace marjoramsill {
 
-/// Why a connection was closed for want of memory.
+/// Why a connection was closed because memory is exhausted.
 enum class memory_close_reason {
   /// The largest one without progress.
   kStalled,
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -83,7 +83,7 @@
   known.last_contact = now;
   known.held_since = now;
   known.respond = std::move(respond);
-  known.is_owed = is_first;
+  known.is_response_pending = is_first;
   if (IsUrgent(known, now) || IsDueForRecords(known, now)) {
     Respond(request.watcher, known, now);
   }
@@ -167,11 +167,11 @@
 
 void watch_hub::Respond(const vm_id& vm, watcher& each, steady_time now) {
   if (!budget_.Allows(link_use::kUrgent, now)) {
-    if (!each.is_owed) budget_.CountHeldBack(link_use::kUrgent);
-    each.is_owed = true;
+    if (!each.is_response_pending) budget_.CountHeldBack(link_use::kUrgent);
+    each.is_response_pending = true;
     return;
   }
-  each.is_owed = false;
+  each.is_response_pending = false;
   watch_response response;
   response.epoch = epoch_;
   AddRecords(each, response, now);
--- a/source/process/controller/watch_hub.h
+++ b/source/process/controller/watch_hub.h
@@ -140,7 +140,7 @@
     /// for.
     std::uint64_t checked_fault = 0;
     /// It must get a response as soon as the link has room.
-    bool is_owed = false;
+    bool is_response_pending = false;
     document_version document;
     /// Nothing if the watcher applies no evacuation set.
     std::optional<std::uint64_t> applied_evacuations;
@@ -170,7 +170,7 @@
   bool IsDueForFaults(watcher& each, steady_time now);
   /// The watcher must get a response at once for any reason.
   bool IsUrgent(watcher& each, steady_time now) {
-    return each.is_owed || HasUrgentUpdates(each, now) ||
+    return each.is_response_pending || HasUrgentUpdates(each, now) ||
            IsDueForFaults(each, now);
   }
   bool HasBulkBudget(steady_time now) {
@@ -182,8 +182,8 @@
   static bool KnowsNoEndpoint(const watcher& each);
   /// Time until a request for load reports gets a response.
   std::chrono::milliseconds LoadHold(steady_time now);
-  /// Responds, or remembers that the watcher is owed a response if the link has
-  /// no room for one.
+  /// Responds, or remembers that the response to the watcher is pending if the
+  /// link has no room for one.
   void Respond(const vm_id& vm, watcher& each, steady_time now);
   void AddFaults(watcher& each, watch_response& response, steady_time now);
   void AddLoads(watcher& each, watch_response& response, steady_time now);
--- a/source/process/entry/entry_events.h
+++ b/source/process/entry/entry_events.h
@@ -42,7 +42,7 @@
 void LogUnreceived(decision_log& log, std::string_view request,
                    std::size_t unsent, std::size_t unacknowledged);
 
-/// A connection of a caller is closed for want of memory.
+/// A connection of a caller is closed because memory is exhausted.
 void LogMemoryClose(decision_log& log, const memory_shortage& shortage);
 
 /// Requests are decided by this routing document from now on.
--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -109,9 +109,9 @@
         registry_.AddGauge("marjoramsill_entry_memory_" + kind + "_bytes",
                            "Bytes held for connections of callers");
   }
-  auto& closes =
-      registry_.AddCounters("marjoramsill_entry_memory_closes_total",
-                            "Connections closed for want of memory, by reason");
+  auto& closes = registry_.AddCounters(
+      "marjoramsill_entry_memory_closes_total",
+      "Connections closed because memory is exhausted, by reason");
   for (std::size_t i = 0; i < kMemoryCloseReasonCount; ++i) {
     memory_closes_[i] =
         &closes.Add({{"reason", std::string(MemoryCloseReasonText(
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -73,7 +73,7 @@
   void SetDroppedLines(std::uint64_t count);
   /// Bytes held for connections of callers, and their limit.
   void SetMemory(const memory_budget& memory);
-  /// A connection was closed for want of memory.
+  /// A connection was closed because memory is exhausted.
   void CountMemoryClose(memory_close_reason reason);
   /// All metrics in the Prometheus text format.
   std::string Text() const { return registry_.Text(); }
--- a/source/process/placement/endpoint_pool_speed.cc
+++ b/source/process/placement/endpoint_pool_speed.cc
@@ -15,7 +15,7 @@
 constexpr std::chrono::milliseconds kUpdateInterval{10};
 /// Work of an idle endpoint until the first event of a stream whose prompt is
 /// cached, and between two events. They limit how much a small difference of
-/// the load counts; the usual ratio to the measured times is learned.
+/// the load counts; the usual ratio to the measured times is estimated.
 constexpr double kFirstEventMs = 25;
 constexpr double kPauseMs = 10;
 /// Shorter durations are below the precision of the event loop.
--- a/tests/proxy/memory_budget_test.cc
+++ b/tests/proxy/memory_budget_test.cc
@@ -18,7 +18,7 @@
   CPPUNIT_TEST(nothing_is_closed_within_the_limit);
   CPPUNIT_TEST(largest_stalled_connection_is_closed_first);
   CPPUNIT_TEST(small_stalled_connection_goes_before_a_large_active_one);
-  CPPUNIT_TEST(a_byte_now_and_then_is_no_progress);
+  CPPUNIT_TEST(single_bytes_at_long_intervals_are_no_progress);
   CPPUNIT_TEST(slow_sender_makes_progress);
   CPPUNIT_TEST(largest_incomplete_request_is_closed_if_none_is_stalled);
   CPPUNIT_TEST(requests_in_progress_are_kept);
@@ -101,7 +101,7 @@
     CheckClosed({1}, 5'100);
   }
 
-  void a_byte_now_and_then_is_no_progress() {
+  void single_bytes_at_long_intervals_are_no_progress() {
     memory_account& dripping = Add(kIncoming, 600'000);
     for (int time = 0; time < 3'000; time += 100) {
       dripping.RecordTransfer(1, At(time));
