placement: count evacuated endpoints in the mean of the load bound

The mean was taken over the endpoints outside the evacuated domain, so the bound of these rose to three times the mean of the whole pool. Evacuated endpoints count as idle now.

--- a/source/process/placement/endpoint_estimate.cc
+++ b/source/process/placement/endpoint_estimate.cc
@@ -218,7 +218,11 @@
 }
 
 bool endpoint_estimate::IsKnownToServe(steady_time now) const {
-  if (!IsServing()) return false;
+  return IsServing() && IsKnownToOperate(now);
+}
+
+bool endpoint_estimate::IsKnownToOperate(steady_time now) const {
+  if (!IsOperating()) return false;
   const bool has_recent_report =
       has_report_ && now - reported_at_ <= kMaxReportAge;
   if (has_recent_report && reported_at_ > failed_at_) return true;
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -106,6 +106,8 @@
   /// True if something shows that the endpoint serves: its heartbeats, and no
   /// failure of a connection to it that is newer than its latest load report.
   bool IsKnownToServe(steady_time now) const;
+  /// As IsKnownToServe(), also while its failure domain is evacuated.
+  bool IsKnownToOperate(steady_time now) const;
   /// Age of the latest load report, or nothing without a report.
   std::optional<std::chrono::microseconds> ReportAge(steady_time now) const;
   /// Calls of this entry VM that have started and not ended.
--- a/source/process/placement/endpoint_pool_bound.cc
+++ b/source/process/placement/endpoint_pool_bound.cc
@@ -25,8 +25,10 @@
   double in_progress = OthersInProgress(now);
   double count = 0;
   bool reports_load = false;
+  // The bound is a multiple of the mean of all endpoints of the pool. Those of
+  // an evacuated domain belong to it, and are idle.
   for (const auto& [id, endpoint] : endpoints_) {
-    if (!endpoint->IsKnownToServe(now)) continue;
+    if (!endpoint->IsKnownToOperate(now)) continue;
     estimated += endpoint->EstimatedLoad(now);
     expected += endpoint->ExpectedLoad(duration_ms_.value(), now);
     in_progress += endpoint->in_flight();
