controller: give the response to an evacuation order its own header

evacuation_message.h held two structs, against the rule of one class a header, and a comment in watch_hub.cc used a figurative word. evacuation_response moves to a header of its name; behaviour is unchanged. marjoramsill builds with warnings as errors and test_directory passes (177).

--- a/source/process/controller/evacuation_message.h
+++ b/source/process/controller/evacuation_message.h
@@ -8,6 +8,7 @@
 
 #include "process/controller/evacuation_order.h"
 #include "process/controller/evacuation_outcome.h"
+#include "process/controller/evacuation_response.h"
 #include "process/directory/evacuation_set.h"
 
 namespace marjoramsill {
@@ -20,22 +21,6 @@
   std::uint64_t known_change = 0;
 };
 
-/// The leader's response.
-struct evacuation_response {
-  enum class kind : std::uint8_t {
-    kUnknown,
-    kAcknowledged,
-    kFull,
-    /// The set has changed after `known_change`. The order may be one that was
-    /// delayed on the way until it had been withdrawn. The sender repeats it
-    /// with `change` if its caller still waits.
-    kBehind,
-  };
-  kind outcome = kind::kUnknown;
-  /// Change number of the leader's set.
-  std::uint64_t change = 0;
-};
-
 std::string EncodeForwardedEvacuation(const forwarded_evacuation& forwarded);
 /// Nothing if the bytes are damaged or name no usable domain.
 std::optional<forwarded_evacuation> DecodeForwardedEvacuation(
--- a/source/process/controller/watch_hub.cc
+++ b/source/process/controller/watch_hub.cc
@@ -42,8 +42,9 @@
 /// Shorter responses gain nothing by compression.
 constexpr std::size_t kMinPackedBytes = 512;
 
-/// Records other than those that are sent at once. The change numbers do not
-/// tell: they also advance with ends while the budget allows records.
+/// Whether there are records other than those that are sent at once. The change
+/// numbers do not show it: they also advance with ends while the budget allows
+/// records.
 bool HasBulkRecords(const watch_response& response) {
   return std::any_of(response.records.begin(), response.records.end(),
                      [](const endpoint_record& record) {
