request, connection: log why the connection of a caller ended

A request whose connection ended before its response was counted as left by its caller, whoever closed the connection: a caller that closes, a reset, a write that fails, too much unsent, or exhausted memory had the same outcome and reason, one line of 64 outside a stop, and during a stop a line of the frequent class, of which 90 a second are kept.

The connection now names the cause to its owner. One that this process closes is cut_off, always logged. During a stop a response that has begun and is left is logged as essential, and ordinary requests with one attempt write their end only, so that half as many lines compete for the limit.

caller_connection_test: two cases for the cause. The lines about the end of a call move to proxied_call_log.cc, in functions of their own.

Not changed: which requests are ended, and when.

--- a/source/connection/caller_connection.cc
+++ b/source/connection/caller_connection.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <asio/buffer.hpp>
+#include <asio/error.hpp>
 #include <asio/post.hpp>
 #include <asio/socket_base.hpp>
 #include <charconv>
@@ -88,7 +89,8 @@
 void caller_connection::OnRead(std::error_code error, std::size_t bytes) {
   if (!is_open_) return;
   if (error) {
-    HandleDisconnect();
+    HandleDisconnect(error == asio::error::eof ? disconnect_cause::kClosed
+                                               : disconnect_cause::kReadFailed);
     return;
   }
   has_received_ = true;
@@ -157,9 +159,9 @@
   hooks_.on_request(shared_from_this(), std::move(message));
 }
 
-void caller_connection::HandleDisconnect() {
-  const std::function<void()> hook = std::exchange(on_disconnect_, nullptr);
-  if (has_request_ && hook) hook();
+void caller_connection::HandleDisconnect(disconnect_cause cause) {
+  const disconnect_hook hook = std::exchange(on_disconnect_, nullptr);
+  if (has_request_ && hook) hook(cause);
   Close();
 }
 
@@ -277,7 +279,7 @@
   if (waiting_writable_) {
     if (unsent_bytes() > kMaxUnsentBytes) {
       ReportUnreceived();
-      HandleDisconnect();
+      HandleDisconnect(disconnect_cause::kTooMuchUnsent);
       return;
     }
     memory_.Set(memory_kind::kUnsentResponses, output_.size());
@@ -300,7 +302,7 @@
       return;
     }
     if (error) {
-      HandleDisconnect();
+      HandleDisconnect(disconnect_cause::kWriteFailed);
       return;
     }
   }
--- a/source/connection/caller_connection.h
+++ b/source/connection/caller_connection.h
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "connection/caller_connection_hooks.h"
+#include "connection/disconnect_cause.h"
 #include "connection/memory_account.h"
 #include "connection/request_parser.h"
 #include "request/http_field.h"
@@ -61,9 +62,11 @@
   /// Sends the data that Write() has buffered.
   void Flush();
 
-  /// Sets the hook that is called once if the caller disconnects before the end
-  /// of the response.
-  void OnCallerDisconnected(std::function<void()> hook) {
+  using disconnect_hook = std::function<void(disconnect_cause)>;
+
+  /// Sets the hook that is called once if the connection ends before the end of
+  /// the response.
+  void OnCallerDisconnected(disconnect_hook hook) {
     on_disconnect_ = std::move(hook);
   }
   /// Closes the connection after the next response that can announce it, unless
@@ -115,7 +118,7 @@
   /// Releases the part of the output that was sent.
   void ReleaseSent();
   void HandleRequest();
-  void HandleDisconnect();
+  void HandleDisconnect(disconnect_cause cause);
   /// The time in which the caller's host acknowledges a response is no idle
   /// time.
   void CheckDelivery();
@@ -152,7 +155,7 @@
   /// The caller's host has acknowledged all responses.
   bool is_received_ = true;
   memory_account memory_;
-  std::function<void()> on_disconnect_;
+  disconnect_hook on_disconnect_;
   std::string request_id_;
   bool is_open_ = true;
   bool reading_ = false;
--- a/source/connection/caller_connection_memory.cc
+++ b/source/connection/caller_connection_memory.cc
@@ -61,7 +61,7 @@
     return;
   }
   ReportUnreceived();
-  HandleDisconnect();
+  HandleDisconnect(disconnect_cause::kMemoryExhausted);
 }
 
 std::chrono::microseconds caller_connection::StalledTime(
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -33,9 +33,6 @@
 constexpr double kUnprovenRetryMs = 800;
 /// Retry-After of a stream whose origin is not known here.
 constexpr double kUnknownOriginRetryMs = 300;
-/// One in this many ordinary requests (served, or abandoned by the caller) is
-/// logged.
-constexpr std::uint64_t kLogSample = 64;
 /// Further steps of a request are not logged.
 constexpr std::size_t kMaxLoggedSteps = 24;
 
@@ -76,9 +73,10 @@
 proxied_call::~proxied_call() { DropConnection(); }
 
 void proxied_call::Start() {
-  caller_->OnCallerDisconnected([self = weak_from_this()] {
-    if (const auto call = self.lock()) call->OnCallerDisconnected();
-  });
+  caller_->OnCallerDisconnected(
+      [self = weak_from_this()](disconnect_cause cause) {
+        if (const auto call = self.lock()) call->OnCallerDisconnected(cause);
+      });
   const http_field* id =
       FindField(message_.fields, environment_.dialect.request_id);
   if (id != nullptr) request_id_ = id->value;
@@ -308,9 +306,11 @@
   }
 }
 
-void proxied_call::OnCallerDisconnected() {
+void proxied_call::OnCallerDisconnected(disconnect_cause cause) {
   if (is_done()) return;
-  Finish(call_outcome::kAbandoned, "caller_gone");
+  const call_outcome outcome =
+      IsClosedHere(cause) ? call_outcome::kCutOff : call_outcome::kAbandoned;
+  Finish(outcome, DisconnectCauseText(cause));
 }
 
 void proxied_call::Stop() {
@@ -357,42 +357,7 @@
     const std::chrono::duration<double> gap = longest_gap_;
     environment_.metrics->ObserveGap(gap.count());
   }
-  const bool is_ordinary =
-      outcome == call_outcome::kServed || outcome == call_outcome::kAbandoned;
-  const auto stopping_for = environment_.stop->Elapsed(environment_.clock());
-  // A stream that was taken up again can only be explained by its lines, and so
-  // can a response that is lost with the end of the process, and a request that
-  // several VMs may have sent to endpoints.
-  const bool is_sampled = is_ordinary && resumed_request_.empty() &&
-                          !stopping_for && relays_lost_ == 0;
-  if (is_sampled && environment_.random() % kLogSample != 0) return;
-  // The log limits the rate of frequent lines, so that a flood of immediate
-  // refusals cannot displace the lines of requests that failed at an endpoint.
-  const bool is_frequent = is_ordinary || sent_ == 0;
-  const line_class kind =
-      is_frequent ? line_class::kFrequent : line_class::kEssential;
-  for (const std::string_view step : steps_) {
-    const std::size_t space = step.find(' ');
-    environment_.log->Write(step.substr(0, space), step.substr(space + 1),
-                            kind);
-  }
-  const auto taken = environment_.clock() - arrived_;
-  log_fields fields;
-  fields.Add("request", request_id_)
-      .Add("outcome", CallOutcomeText(outcome))
-      .Add("reason", reason)
-      .Add("route", route_ == nullptr ? "" : route_->name)
-      .Add("rank", Rank())
-      .Add("sent", sent_)
-      .Add("relay", terms_                  ? "taken"
-                    : tried_relays_.empty() ? "none"
-                                            : "handed_on")
-      .Add("relays_lost", relays_lost_)
-      .Add("took_ms", MillisOf(taken))
-      .Add("gap_ms", MillisOf(longest_gap_))
-      .Add("document", table_ ? table_->version().value() : 0);
-  if (stopping_for) fields.Add("stopping_for_ms", stopping_for->count());
-  environment_.log->Write("ended", fields.text(), kind);
+  LogEnd(outcome, reason);
 }
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -11,10 +11,12 @@
 
 #include "connection/call_failure.h"
 #include "connection/caller_message.h"
+#include "connection/disconnect_cause.h"
 #include "connection/endpoint_response_head.h"
 #include "process/directory/content_fault.h"
 #include "process/entry/call_outcome.h"
 #include "process/entry/endpoint_end_finding.h"
+#include "process/entry/line_class.h"
 #include "process/placement/placement_limits.h"
 #include "process/placement/request_demand.h"
 #include "process/placement/work_sample.h"
@@ -132,11 +134,11 @@
   void Fail(std::string_view reason);
   /// Ends the call at its deadline or when the process stops.
   void GiveUp();
-  void OnCallerDisconnected();
+  void OnCallerDisconnected(disconnect_cause cause);
   void Finish(call_outcome outcome, std::string_view reason);
   /// False while the evacuation set may be out of date.
   bool MayServe() const;
-  /// Keeps a log line, which Finish() writes if the call is logged.
+  /// Keeps a log line, which LogEnd() writes if the call is logged.
   void LogStep(std::string_view event, const log_fields& fields);
 
   /// Refusal before the first routing document, or while the evacuation set may
@@ -245,7 +247,12 @@
   /// Records that an answer on the request and its parts was completed.
   void RecordAnswer(const endpoint_estimate* endpoint, steady_time now);
 
-  // proxied_call_log.cc: log lines about attempts.
+  // proxied_call_log.cc: log lines about the call and its attempts.
+  /// Writes the kept lines and the one about the end, if the call is logged.
+  void LogEnd(call_outcome outcome, std::string_view reason);
+  bool IsLogged(call_outcome outcome) const;
+  line_class EndLineClass(call_outcome outcome) const;
+  bool AreStepsLogged(call_outcome outcome) const;
   /// Logs that a request goes to an endpoint above the load bound of its pool.
   void LogOverBound(const placement_choice& choice) const;
   /// Logs that the endpoints hold what the load bound of their pool allows.
--- a/source/request/proxied_call_log.cc
+++ b/source/request/proxied_call_log.cc
@@ -5,10 +5,12 @@
 #include "process/entry/decision_log.h"
 #include "process/entry/entry_metrics.h"
 #include "process/entry/log_fields.h"
+#include "process/entry/stop_sequence.h"
 #include "process/placement/endpoint_pool.h"
 #include "process/placement/stated_terms.h"
 #include "request/proxied_call.h"
 #include "request/retry_after.h"
+#include "version/routing/routing_table.h"
 
 namespace marjoramsill {
 namespace {
@@ -21,6 +23,15 @@
 /// Characters of a response field in a log line.
 constexpr std::size_t kMaxLoggedValue = 40;
 
+/// One in this many ordinary requests (served, or abandoned by the caller) is
+/// logged.
+constexpr std::uint64_t kLogSample = 64;
+
+bool IsOrdinary(call_outcome outcome) {
+  return outcome == call_outcome::kServed ||
+         outcome == call_outcome::kAbandoned;
+}
+
 /// The start of a field's value; empty without the field.
 std::string_view ShortValue(const http_field* field) {
   if (field == nullptr) return {};
@@ -30,6 +41,66 @@
 
 }  // namespace
 
+/// A stream that was taken up again can only be explained by its lines, and so
+/// can a response that is lost with the end of the process, and a request that
+/// several VMs may have sent to endpoints.
+bool proxied_call::IsLogged(call_outcome outcome) const {
+  const bool is_sampled = IsOrdinary(outcome) && resumed_request_.empty() &&
+                          !environment_.stop->has_begun() && relays_lost_ == 0;
+  return !is_sampled || environment_.random() % kLogSample == 0;
+}
+
+/// The log limits the rate of frequent lines, so that a flood of immediate
+/// refusals cannot displace the lines of requests that failed at an endpoint.
+line_class proxied_call::EndLineClass(call_outcome outcome) const {
+  // During a stop a response without its end may be a failure of this process,
+  // whoever closed the connection.
+  const bool is_cut_at_stop = environment_.stop->has_begun() &&
+                              outcome == call_outcome::kAbandoned &&
+                              response_started_;
+  const bool is_frequent =
+      (IsOrdinary(outcome) && !is_cut_at_stop) || sent_ == 0;
+  return is_frequent ? line_class::kFrequent : line_class::kEssential;
+}
+
+/// During a stop the end of each request is logged. Without their steps the
+/// lines of ordinary requests fit into the limit of a busy process.
+bool proxied_call::AreStepsLogged(call_outcome outcome) const {
+  const bool is_plain = IsOrdinary(outcome) && sent_ <= 1 &&
+                        relays_lost_ == 0 && resumed_request_.empty();
+  return !is_plain || !environment_.stop->has_begun();
+}
+
+void proxied_call::LogEnd(call_outcome outcome, std::string_view reason) {
+  if (!IsLogged(outcome)) return;
+  const line_class kind = EndLineClass(outcome);
+  if (!AreStepsLogged(outcome)) steps_.clear();
+  for (const std::string_view step : steps_) {
+    const std::size_t space = step.find(' ');
+    environment_.log->Write(step.substr(0, space), step.substr(space + 1),
+                            kind);
+  }
+  const steady_time now = environment_.clock();
+  log_fields fields;
+  fields.Add("request", request_id_)
+      .Add("outcome", CallOutcomeText(outcome))
+      .Add("reason", reason)
+      .Add("route", route_ == nullptr ? "" : route_->name)
+      .Add("rank", Rank())
+      .Add("sent", sent_)
+      .Add("relay", terms_                  ? "taken"
+                    : tried_relays_.empty() ? "none"
+                                            : "handed_on")
+      .Add("relays_lost", relays_lost_)
+      .Add("took_ms", MillisOf(now - arrived_))
+      .Add("gap_ms", MillisOf(longest_gap_))
+      .Add("document", table_ ? table_->version().value() : 0);
+  if (const auto stopping_for = environment_.stop->Elapsed(now)) {
+    fields.Add("stopping_for_ms", stopping_for->count());
+  }
+  environment_.log->Write("ended", fields.text(), kind);
+}
+
 void proxied_call::LogOverBound(const placement_choice& choice) const {
   environment_.metrics->CountOverBound();
   environment_.log->Write(
--- a/tests/daemon/caller_connection_test.cc
+++ b/tests/daemon/caller_connection_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(kept_connection_with_a_large_send_buffer_is_not_idle);
   CPPUNIT_TEST(response_left_at_the_end_of_the_process_goes_to_the_kernel);
   CPPUNIT_TEST(caller_dropped_for_unsent_bytes_is_reported);
+  CPPUNIT_TEST(caller_that_closes_is_told_apart_from_one_that_is_closed);
   CPPUNIT_TEST(connection_with_an_unacknowledged_response_is_busy);
   CPPUNIT_TEST(last_response_in_the_send_buffer_is_awaited);
   CPPUNIT_TEST_SUITE_END();
@@ -199,19 +200,36 @@
   void caller_dropped_for_unsent_bytes_is_reported() {
     constexpr std::size_t kTooMuch = std::size_t{5} * 1024 * 1024;
     std::size_t reported = 0;
+    std::optional<disconnect_cause> cause;
     hooks_.on_unreceived = [&reported](std::string_view, std::size_t unsent,
                                        std::size_t) { reported = unsent; };
     Connect(kBufferBytes);
     SendRequest();
+    connection_->OnCallerDisconnected(
+        [&cause](disconnect_cause reason) { cause = reason; });
     connection_->Begin(200, {}, std::nullopt);
     connection_->Write(std::string(kBodyBytes, 'x'));
     connection_->Flush();
     connection_->Write(std::string(kTooMuch, 'x'));
-    connection_->End();
+    connection_->Flush();
     CPPUNIT_ASSERT(has_ended_);
+    CPPUNIT_ASSERT(cause == disconnect_cause::kTooMuchUnsent);
     CPPUNIT_ASSERT(reported > kTooMuch);
   }
 
+  // Guards against a request that is cut off by this process and logged as left
+  // by its caller.
+  void caller_that_closes_is_told_apart_from_one_that_is_closed() {
+    std::optional<disconnect_cause> cause;
+    Connect(kBufferBytes);
+    SendRequest();
+    connection_->OnCallerDisconnected(
+        [&cause](disconnect_cause reason) { cause = reason; });
+    client_.close();
+    while (!has_ended_) Poll();
+    CPPUNIT_ASSERT(cause == disconnect_cause::kClosed);
+  }
+
   // Guards against an end of the process, and of its VM, while the send buffer
   // still holds a part of a response.
   void connection_with_an_unacknowledged_response_is_busy() {
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -276,9 +276,10 @@
         ledger_.pool_load().Release(settings_.id);
       });
   if (finishes_dropped_) return held;
-  caller->OnCallerDisconnected([dropped = std::weak_ptr<held_request>(held)] {
-    if (const auto request = dropped.lock()) request->Release();
-  });
+  caller->OnCallerDisconnected(
+      [dropped = std::weak_ptr<held_request>(held)](disconnect_cause) {
+        if (const auto request = dropped.lock()) request->Release();
+      });
   return held;
 }
 
