request: hold the state of one attempt in a struct

proxied_call kept some 25 members of its current attempt beside those of the whole call, and each new attempt reset them one by one. They become endpoint_attempt, which a new attempt replaces whole.

--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -291,7 +291,7 @@
 void proxied_call::GiveUp() {
   if (state_ == state::kAwaitingHead || state_ == state::kReceiving) {
     may_have_run_ = true;
-    if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
+    if (endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint)) {
       if (!response_started_) endpoint->OnTimeout();
     }
   }
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -21,6 +21,7 @@
 #include "process/placement/request_demand.h"
 #include "process/placement/work_sample.h"
 #include "request/attempt_facts.h"
+#include "request/endpoint_attempt.h"
 #include "request/event_splitter.h"
 #include "request/relay_terms.h"
 #include "types/ids.h"
@@ -312,7 +313,7 @@
   /// Decides anew by the document in force. The request has not run.
   void AdmitAgain();
   void EndRelay();
-  /// The connections to which `connection_` belongs.
+  /// The connections to which that of the attempt belongs.
   endpoint_connection_pool& Connections() const;
 
   // proxied_call_response.cc: the response to the caller.
@@ -356,45 +357,7 @@
   /// Position of this request in the gradual return to own links, 0 to 1.
   const double return_position_;
 
-  // The current attempt.
-  std::shared_ptr<endpoint_connection> connection_;
-  /// The endpoint, or the address of the VM that the request was handed on to.
-  endpoint_id endpoint_;
-  /// The attempt is at another entry VM.
-  bool is_handed_on_ = false;
-  software_digest software_;
-  std::string fetch_from_;
-  /// The endpoint's load estimate counts this attempt as in progress.
-  bool is_counted_ = false;
-  /// The endpoint's load when it was chosen, and the age of the report behind
-  /// it in milliseconds, negative without one.
-  double estimated_load_ = 0;
-  double estimate_age_ms_ = -1;
-  /// placement_choice::usual_ms.
-  double usual_ms_ = 0;
-  /// The request was sent then.
-  steady_time sent_at_;
-  /// Start of the pauses that RecordPace() measures, and events since.
-  steady_time pace_since_;
-  std::uint64_t pace_events_ = 0;
-  steady_time attempt_started_;
-  steady_time last_progress_;
-  /// CheckRecord() waits for the records of endpoints.
-  bool is_record_awaited_ = false;
-  endpoint_response_head head_;
-  /// Bytes of the body that this attempt has received, and how many had been at
-  /// `last_progress_`.
-  std::uint64_t received_bytes_ = 0;
-  std::uint64_t counted_bytes_ = 0;
-  /// This attempt has brought an event.
-  bool has_event_ = false;
-  /// A late attempt is not replaced before then.
-  steady_time replacement_retry_at_;
-  /// The endpoint reported that it has not run the request.
-  bool is_rejected_ = false;
-  bool is_stream_ = false;
-  /// Body of a response that is not streamed.
-  std::string body_;
+  endpoint_attempt attempt_;
 
   // All attempts.
   placement_limits limits_;
@@ -410,8 +373,6 @@
   /// Attempts in which the request was or may have been sent to an endpoint,
   /// here or at other VMs. Never lower than their number.
   int sent_ = 0;
-  /// Attempts of `sent_` that the VM of the current attempt may make.
-  int granted_ = 0;
   /// The next attempt has been taken from the retry budget.
   bool has_retry_ = false;
   /// The request counts towards the retry budget of this VM.
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -7,7 +7,6 @@
 #include "connection/caller_connection.h"
 #include "connection/endpoint_connection.h"
 #include "connection/endpoint_connection_pool.h"
-#include "connection/large_buffer.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/content_breaker.h"
 #include "process/entry/decision_log.h"
@@ -134,55 +133,47 @@
 void proxied_call::OpenConnection(const placement_choice& choice) {
   CountRequest();
   ResetAttempt(choice.endpoint->record().id);
-  is_handed_on_ = false;
-  granted_ = 1;
-  fetch_from_ = choice.fetch_from;
-  limits_.tried.push_back(endpoint_);
-  software_ = DigestOfSoftware(choice.endpoint->record());
-  choice.endpoint->OnCallStart(attempt_started_);
-  is_counted_ = true;
-  estimated_load_ = choice.load;
-  estimate_age_ms_ = choice.load_age_ms;
-  usual_ms_ = choice.usual_ms;
+  attempt_.fetch_from = choice.fetch_from;
+  limits_.tried.push_back(attempt_.endpoint);
+  attempt_.software = DigestOfSoftware(choice.endpoint->record());
+  choice.endpoint->OnCallStart(attempt_.started);
+  attempt_.is_counted = true;
+  attempt_.estimated_load = choice.load;
+  attempt_.estimate_age_ms = choice.load_age_ms;
+  attempt_.usual_ms = choice.usual_ms;
   Connect(choice.endpoint->record().address);
 }
 
 void proxied_call::ResetAttempt(endpoint_id target) {
-  endpoint_ = std::move(target);
-  attempt_started_ = environment_.clock();
-  last_progress_ = attempt_started_;
-  head_ = {};
-  ReleaseBuffer(body_);
+  attempt_ = endpoint_attempt();
+  attempt_.endpoint = std::move(target);
+  attempt_.started = environment_.clock();
+  attempt_.last_progress = attempt_.started;
+  attempt_.replacement_retry_at = attempt_.started;
   // The account would otherwise hold the bytes of the attempt before until the
   // next response, and the connection could be closed for them.
   caller_->memory().Set(memory_kind::kEndpointResponses, 0);
-  received_bytes_ = 0;
-  is_rejected_ = false;
-  is_stream_ = false;
-  is_record_awaited_ = false;
-  has_event_ = false;
-  counted_bytes_ = 0;
-  replacement_retry_at_ = attempt_started_;
 }
 
 void proxied_call::Connect(const std::string& address) {
   // A response to a request without an id can only be distinguished from
   // one to an earlier request by its connection.
   if (!request_id_.empty()) {
-    connection_ = Connections().TakeIdle(endpoint_, !route_->IsRepeatable(),
-                                         attempt_started_);
+    attempt_.connection = Connections().TakeIdle(
+        attempt_.endpoint, !route_->IsRepeatable(), attempt_.started);
   }
-  if (connection_) {
+  if (attempt_.connection) {
     SendWhenRecorded();
     return;
   }
   state_ = state::kConnecting;
   environment_.metrics->CountConnection();
-  connection_ = Connections().Open(endpoint_, address);
-  connection_->Connect(
-      [self = weak_from_this(), opened = connection_.get()](bool connected) {
+  attempt_.connection = Connections().Open(attempt_.endpoint, address);
+  attempt_.connection->Connect(
+      [self = weak_from_this(),
+       opened = attempt_.connection.get()](bool connected) {
         const auto call = self.lock();
-        if (call && call->connection_.get() == opened) {
+        if (call && call->attempt_.connection.get() == opened) {
           call->OnConnected(connected);
         }
       });
@@ -194,8 +185,8 @@
     OnFailure(call_failure::kNotConnected);
     return;
   }
-  if (!is_handed_on_) pool_->reach().OnConnected();
-  connection_->set_opened_at(environment_.clock());
+  if (!attempt_.is_handed_on) pool_->reach().OnConnected();
+  attempt_.connection->set_opened_at(environment_.clock());
   SendWhenRecorded();
 }
 
@@ -214,7 +205,7 @@
       deadline_ - environment_.clock());
   AppendField(bytes, dialect.remaining_ms,
               std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-  AppendField(bytes, dialect.endpoint, endpoint_.value());
+  AppendField(bytes, dialect.endpoint, attempt_.endpoint.value());
   if (workspace_ != nullptr) {
     AppendField(bytes, dialect.workspace, workspace_->id.value());
   }
@@ -222,8 +213,8 @@
     AppendField(bytes, dialect.engine_priority,
                 std::to_string(EnginePriority(Rank())));
   }
-  if (!fetch_from_.empty()) {
-    AppendField(bytes, dialect.cache_source, fetch_from_);
+  if (!attempt_.fetch_from.empty()) {
+    AppendField(bytes, dialect.cache_source, attempt_.fetch_from);
   }
   const bool has_body = !message_.body.empty() || message_.method != "GET";
   if (has_body) {
@@ -236,13 +227,13 @@
 
 void proxied_call::Send() {
   state_ = state::kAwaitingHead;
-  sent_ += granted_;
-  last_progress_ = environment_.clock();
-  sent_at_ = last_progress_;
+  sent_ += attempt_.granted;
+  attempt_.last_progress = environment_.clock();
+  attempt_.sent_at = attempt_.last_progress;
   environment_.metrics->CountAttempt();
-  if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
+  if (endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint)) {
     endpoint->prefixes().Record(demand_.parts);
-    endpoint->OnRequestSent(last_progress_);
+    endpoint->OnRequestSent(attempt_.last_progress);
   }
   // This call owns the connection, which releases the hooks when it is closed.
   // The hooks may therefore use `this`.
@@ -258,18 +249,18 @@
   hooks.on_end = [this] { OnEnd(); };
   hooks.on_failure = [this](call_failure failure) { OnFailure(failure); };
   const auto self = shared_from_this();
-  const auto connection = connection_;
-  connection->Send(is_handed_on_ ? HandedOnBytes() : RequestBytes(),
+  const auto connection = attempt_.connection;
+  connection->Send(attempt_.is_handed_on ? HandedOnBytes() : RequestBytes(),
                    message_.method == "HEAD", std::move(hooks));
 }
 
 void proxied_call::OnHead(const endpoint_response_head& head) {
   const steady_time now = environment_.clock();
   state_ = state::kReceiving;
-  if (route_->kind != route_kind::kStreaming) last_progress_ = now;
-  if (!is_handed_on_) pool_->reach().OnActivity(now);
-  head_ = head;
-  endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  if (route_->kind != route_kind::kStreaming) attempt_.last_progress = now;
+  if (!attempt_.is_handed_on) pool_->reach().OnActivity(now);
+  attempt_.head = head;
+  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   const auto load = environment_.dialect.read_load(head.fields);
   if (endpoint != nullptr) endpoint->OnActivity();
   if (endpoint != nullptr && load) {
@@ -277,35 +268,35 @@
     LogUnderestimate(*load);
   }
   RecordTerms(endpoint, now);
-  is_rejected_ =
+  attempt_.is_rejected =
       FindField(head.fields, environment_.dialect.not_run) != nullptr ||
-      (!is_handed_on_ && head.status == kStatusMisdirected);
-  const bool is_refusal = is_rejected_ || SignalsNotRun(head.status);
-  if (is_refusal && !is_handed_on_) LogRefusal();
-  if (!IsSuccessStatus(head.status) || is_rejected_) return;
+      (!attempt_.is_handed_on && head.status == kStatusMisdirected);
+  const bool is_refusal = attempt_.is_rejected || SignalsNotRun(head.status);
+  if (is_refusal && !attempt_.is_handed_on) LogRefusal();
+  if (!IsSuccessStatus(head.status) || attempt_.is_rejected) return;
   const bool is_proven =
       FindField(head.fields, environment_.dialect.endpoint_proof) != nullptr;
   if (!is_proven || !ContinuesResponse(head)) {
     OnFailure(call_failure::kMalformed);
     return;
   }
-  is_stream_ = route_->kind == route_kind::kStreaming;
-  if (is_stream_ && !route_->is_resumable) StartResponse();
+  attempt_.is_stream = route_->kind == route_kind::kStreaming;
+  if (attempt_.is_stream && !route_->is_resumable) StartResponse();
 }
 
 void proxied_call::OnBody(std::string_view data) {
-  if (!is_handed_on_) pool_->reach().OnActivity(environment_.clock());
-  received_bytes_ += data.size();
-  if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
+  if (!attempt_.is_handed_on) pool_->reach().OnActivity(environment_.clock());
+  attempt_.received_bytes += data.size();
+  if (endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint)) {
     endpoint->OnActivity();
   }
-  if (is_stream_) {
+  if (attempt_.is_stream) {
     ForwardStream(data);
-  } else if (!is_rejected_) {
-    body_ += data;
+  } else if (!attempt_.is_rejected) {
+    attempt_.body += data;
   }
   RecordProgress();
-  const std::size_t received = body_.size() + events_.rest().size();
+  const std::size_t received = attempt_.body.size() + events_.rest().size();
   caller_->memory().Set(memory_kind::kEndpointResponses, received);
   if (received + caller_->unsent_bytes() > kMaxHeldBytes) {
     OnFailure(call_failure::kMalformed);
@@ -315,16 +306,18 @@
 void proxied_call::ReleaseEndpoint() {
   LeaveOrigin();
   EndRelay();
-  if (!is_counted_) return;
-  is_counted_ = false;
-  if (endpoint_estimate* target = pool_->Find(endpoint_)) {
+  if (!attempt_.is_counted) return;
+  attempt_.is_counted = false;
+  if (endpoint_estimate* target = pool_->Find(attempt_.endpoint)) {
     target->OnCallEnd(environment_.clock());
   }
 }
 
 void proxied_call::RecordDroppedCall() {
-  if (is_handed_on_ || !connection_ || !connection_->has_sent()) return;
-  endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  if (attempt_.is_handed_on || !attempt_.connection ||
+      !attempt_.connection->has_sent())
+    return;
+  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   if (endpoint == nullptr) return;
   const std::chrono::duration<double, std::milli> usual(
       pool_->mean_duration_ms());
@@ -337,19 +330,19 @@
 
 void proxied_call::DropConnection() {
   ReleaseEndpoint();
-  if (!connection_) return;
-  connection_->Close();
-  connection_.reset();
+  if (!attempt_.connection) return;
+  attempt_.connection->Close();
+  attempt_.connection.reset();
 }
 
 void proxied_call::OnCompleteAnswer() {
   const steady_time now = environment_.clock();
   const auto self = shared_from_this();
-  endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   LeaveConnection();
-  if (is_handed_on_ && OnRelayRefusal()) return;
-  if (is_rejected_) {
-    if (endpoint != nullptr && head_.status == kStatusMisdirected) {
+  if (attempt_.is_handed_on && OnRelayRefusal()) return;
+  if (attempt_.is_rejected) {
+    if (endpoint != nullptr && attempt_.head.status == kStatusMisdirected) {
       endpoint->OnMisdirection();
     } else if (endpoint != nullptr) {
       endpoint->OnCapacityRefusal(now);
@@ -357,12 +350,14 @@
     AfterAttempt(attempt_end::kNotRun, "rejected");
     return;
   }
-  if (endpoint != nullptr) endpoint->OnResponse(IsSuccessStatus(head_.status));
-  if (IsSuccessStatus(head_.status)) {
+  if (endpoint != nullptr)
+    endpoint->OnResponse(IsSuccessStatus(attempt_.head.status));
+  if (IsSuccessStatus(attempt_.head.status)) {
     RecordAnswer(endpoint, now);
-    pool_->RecordDuration(now - attempt_started_);
-    if (!is_stream_) RecordWork(work_kind::kPlain, now - sent_at_, now);
-    if (is_stream_) {
+    pool_->RecordDuration(now - attempt_.started);
+    if (!attempt_.is_stream)
+      RecordWork(work_kind::kPlain, now - attempt_.sent_at, now);
+    if (attempt_.is_stream) {
       EndStream();
     } else {
       ForwardBuffered();
@@ -371,7 +366,7 @@
   }
   may_have_run_ = true;
   // Another entry VM has made all the attempts that it may.
-  if (!is_handed_on_ && IsTransientFailure(head_.status)) {
+  if (!attempt_.is_handed_on && IsTransientFailure(attempt_.head.status)) {
     AfterAttempt(attempt_end::kFailed, "endpoint_failure");
   } else {
     ForwardBuffered();
@@ -381,30 +376,30 @@
 void proxied_call::OnFailure(call_failure failure) {
   const steady_time now = environment_.clock();
   const auto self = shared_from_this();
-  const bool was_sent =
-      state_ != state::kConnecting && connection_ && connection_->has_sent();
+  const bool was_sent = state_ != state::kConnecting && attempt_.connection &&
+                        attempt_.connection->has_sent();
   // A kept connection turned out to be closed before any byte was written.
-  if (state_ == state::kAwaitingHead && !was_sent) sent_ -= granted_;
-  if (endpoint_estimate* endpoint = pool_->Find(endpoint_)) {
+  if (state_ == state::kAwaitingHead && !was_sent) sent_ -= attempt_.granted;
+  if (endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint)) {
     endpoint->OnConnectionFailure(now);
   }
-  if (is_handed_on_) {
-    environment_.relays->OnUnavailable(endpoint_.value(), now);
+  if (attempt_.is_handed_on) {
+    environment_.relays->OnUnavailable(attempt_.endpoint.value(), now);
   } else if (failure == call_failure::kNotConnected) {
-    if (now - attempt_started_ > kConnectTimeout) {
-      pool_->reach().OnConnectTimeout(endpoint_);
+    if (now - attempt_.started > kConnectTimeout) {
+      pool_->reach().OnConnectTimeout(attempt_.endpoint);
     } else {
       ++refused_connections_;
     }
   }
-  if (was_sent && is_handed_on_) {
+  if (was_sent && attempt_.is_handed_on) {
     ++relays_lost_;
     environment_.metrics->CountRelayLost();
   }
   // Other idle connections to the endpoint may be dead as well. Opening a new
   // one reveals this before anything is sent, so that another endpoint can be
   // tried.
-  Connections().Drop(endpoint_);
+  Connections().Drop(attempt_.endpoint);
   if (failure != call_failure::kBroken) RecordDroppedCall();
   DropConnection();
   if (was_sent) may_have_run_ = true;
@@ -424,7 +419,7 @@
   facts.end = end;
   // Which software goes on with a stream is known to the other VM only.
   facts.is_repeatable = route_->IsRepeatable() &&
-                        !(is_handed_on_ && response_started_) &&
+                        !(attempt_.is_handed_on && response_started_) &&
                         !HasUnnumberedEvents();
   facts.response_started = response_started_;
   facts.sent = sent_;
@@ -436,10 +431,10 @@
     return std::exchange(has_retry_, false) || TakeRetry(now);
   });
   LogStep("attempt_ended", log_fields()
-                               .Add("endpoint", endpoint_.value())
+                               .Add("endpoint", attempt_.endpoint.value())
                                .Add("cause", cause)
-                               .Add("status", head_.status)
-                               .Add("took_ms", MillisOf(now - attempt_started_))
+                               .Add("status", attempt_.head.status)
+                               .Add("took_ms", MillisOf(now - attempt_.started))
                                .Add("next", AttemptStepText(step)));
   switch (step) {
     case attempt_step::kTryAgain:
--- a/source/request/proxied_call_end.cc
+++ b/source/request/proxied_call_end.cc
@@ -10,11 +10,12 @@
 namespace marjoramsill {
 
 void proxied_call::OnEnd() {
-  const bool is_unconfirmed = head_.ends_with_connection && !is_rejected_ &&
-                              IsSuccessStatus(head_.status);
+  const bool is_unconfirmed = attempt_.head.ends_with_connection &&
+                              !attempt_.is_rejected &&
+                              IsSuccessStatus(attempt_.head.status);
   if (!is_unconfirmed) {
     OnCompleteAnswer();
-  } else if (IsBrokenOff() || !connection_->is_request_received()) {
+  } else if (IsBrokenOff() || !attempt_.connection->is_request_received()) {
     LogUnframedAnswer("unasked", true);
     OnFailure(call_failure::kBroken);
   } else {
@@ -28,7 +29,7 @@
   state_ = state::kConfirmingEnd;
   may_have_run_ = true;
   OnReadEnd();
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   if (endpoint == nullptr) {
     OnEndFinding(endpoint_end_finding::kUnknown);
     return;
@@ -54,10 +55,11 @@
 /// attempt may carry the cause to the next one.
 void proxied_call::OnBrokenAnswer() {
   LogBrokenAnswer();
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   if (endpoint == nullptr) {
     // Another VM that has ended itself sends no head.
-    endpoint_ended_ = endpoint_ended_ || !is_handed_on_ || head_.status != 0;
+    endpoint_ended_ =
+        endpoint_ended_ || !attempt_.is_handed_on || attempt_.head.status != 0;
     AfterAttempt(attempt_end::kUnknown, CallFailureText(call_failure::kBroken));
     return;
   }
@@ -97,7 +99,7 @@
                                 steady_time now) {
   content_breaker& contents = *environment_.contents;
   if (demand_.parts.empty() && !contents.HasFaults()) return;
-  if (!head_.ends_with_connection) {
+  if (!attempt_.head.ends_with_connection) {
     contents.RecordAnswer(Content(), now);
   } else if (endpoint != nullptr) {
     environment_.check_end(endpoint->record(), Content(), nullptr);
--- a/source/request/proxied_call_log.cc
+++ b/source/request/proxied_call_log.cc
@@ -132,18 +132,18 @@
 
 void proxied_call::LogUnderestimate(const load_report& report) const {
   const double reported = static_cast<double>(report.running) + report.waiting;
-  if (reported - 1 <= estimated_load_ + kLoggedUnderestimate) return;
+  if (reported - 1 <= attempt_.estimated_load + kLoggedUnderestimate) return;
   environment_.metrics->CountUnderestimate();
   environment_.log->Write(
       "load_underestimated",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", endpoint_.value())
-          .Add("estimated", estimated_load_)
-          .Add("load_age_ms", estimate_age_ms_)
+          .Add("endpoint", attempt_.endpoint.value())
+          .Add("estimated", attempt_.estimated_load)
+          .Add("load_age_ms", attempt_.estimate_age_ms)
           .Add("running", report.running)
           .Add("waiting", report.waiting)
-          .Add("took_ms", MillisOf(environment_.clock() - attempt_started_))
+          .Add("took_ms", MillisOf(environment_.clock() - attempt_.started))
           .text(),
       line_class::kFrequent);
 }
@@ -154,7 +154,7 @@
   environment_.log->Write("endpoint_leaving",
                           log_fields()
                               .Add("request", request_id_)
-                              .Add("endpoint", endpoint_.value())
+                              .Add("endpoint", attempt_.endpoint.value())
                               .text());
 }
 
@@ -165,7 +165,7 @@
       stated.pause ? "endpoint_paused" : "pause_ignored",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", endpoint_.value())
+          .Add("endpoint", attempt_.endpoint.value())
           .Add("pause_ms", stated.pause ? stated.pause->count() : 0)
           .text(),
       line_class::kFrequent);
@@ -178,7 +178,7 @@
   environment_.log->Write("response_skipped",
                           log_fields()
                               .Add("request", request_id_)
-                              .Add("endpoint", endpoint_.value())
+                              .Add("endpoint", attempt_.endpoint.value())
                               .Add("status", head.status)
                               .Add("names", ShortValue(id))
                               .text(),
@@ -186,33 +186,34 @@
 }
 
 void proxied_call::LogRefusal() const {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   const http_field* id =
-      FindField(head_.fields, environment_.dialect.request_id);
-  const http_field* pause = FindField(head_.fields, kRetryAfterField);
-  const auto load = environment_.dialect.read_load(head_.fields);
+      FindField(attempt_.head.fields, environment_.dialect.request_id);
+  const http_field* pause = FindField(attempt_.head.fields, kRetryAfterField);
+  const auto load = environment_.dialect.read_load(attempt_.head.fields);
   environment_.metrics->CountEndpointRefusal();
   environment_.log->Write(
       "endpoint_refused",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", endpoint_.value())
-          .Add("status", head_.status)
-          .Add("not_run", is_rejected_)
+          .Add("endpoint", attempt_.endpoint.value())
+          .Add("status", attempt_.head.status)
+          .Add("not_run", attempt_.is_rejected)
           .Add("names_request", id != nullptr)
-          .Add("kept_connection", connection_ && connection_->is_reused())
+          .Add("kept_connection",
+               attempt_.connection && attempt_.connection->is_reused())
           .Add("retry_after", ShortValue(pause))
           .Add("running", load ? load->running : 0)
           .Add("waiting", load ? load->waiting : 0)
           .Add("slots", endpoint == nullptr ? 0 : endpoint->slots())
           .Add("own_calls", endpoint == nullptr ? 0 : endpoint->in_flight())
-          .Add("took_ms", MillisOf(environment_.clock() - attempt_started_))
+          .Add("took_ms", MillisOf(environment_.clock() - attempt_.started))
           .text(),
       line_class::kFrequent);
 }
 
 void proxied_call::LogBrokenAnswer() const {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   const http_field* prompt =
       FindField(message_.fields, environment_.dialect.prompt_parts);
   const std::string_view parts =
@@ -221,12 +222,12 @@
       "answer_broken",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", endpoint_.value())
+          .Add("endpoint", attempt_.endpoint.value())
           .Add("born",
                endpoint == nullptr ? 0 : endpoint->record().incarnation.value())
-          .Add("status", head_.status)
-          .Add("bytes", received_bytes_)
-          .Add("took_ms", MillisOf(environment_.clock() - attempt_started_))
+          .Add("status", attempt_.head.status)
+          .Add("bytes", attempt_.received_bytes)
+          .Add("took_ms", MillisOf(environment_.clock() - attempt_.started))
           .Add("content", ContentText(Digest()))
           .Add("prompt", parts.substr(0, kMaxLoggedPrompt))
           .text(),
@@ -239,10 +240,10 @@
       "unframed_answer",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", endpoint_.value())
-          .Add("status", head_.status)
-          .Add("bytes", received_bytes_)
-          .Add("took_ms", MillisOf(environment_.clock() - attempt_started_))
+          .Add("endpoint", attempt_.endpoint.value())
+          .Add("status", attempt_.head.status)
+          .Add("bytes", attempt_.received_bytes)
+          .Add("took_ms", MillisOf(environment_.clock() - attempt_.started))
           .Add("endpoint_state", endpoint_state)
           .Add("taken_for", is_broken_off ? "broken_off" : "complete")
           .text(),
--- a/source/request/proxied_call_progress.cc
+++ b/source/request/proxied_call_progress.cc
@@ -41,15 +41,16 @@
 /// progress: an endpoint that sends nothing else has stalled.
 void proxied_call::RecordProgress() {
   const std::uint64_t events = ForwardedEvents().event_count();
-  if (is_stream_ && events == counted_events_) return;
-  if (!is_stream_ && received_bytes_ < counted_bytes_ + kMinProgressBytes) {
+  if (attempt_.is_stream && events == counted_events_) return;
+  if (!attempt_.is_stream &&
+      attempt_.received_bytes < attempt_.counted_bytes + kMinProgressBytes) {
     return;
   }
-  if (is_stream_) RecordPace(events, environment_.clock());
-  has_event_ = is_stream_;
+  if (attempt_.is_stream) RecordPace(events, environment_.clock());
+  attempt_.has_event = attempt_.is_stream;
   counted_events_ = events;
-  counted_bytes_ = received_bytes_;
-  last_progress_ = environment_.clock();
+  attempt_.counted_bytes = attempt_.received_bytes;
+  attempt_.last_progress = environment_.clock();
 }
 
 bool proxied_call::HasUnnumberedEvents() const {
@@ -69,8 +70,8 @@
 
 void proxied_call::CheckStall(steady_time now) {
   if (state_ == state::kConnecting) {
-    const bool is_hopeless = !is_handed_on_ && IsLinkLost(now);
-    if (is_hopeless || now - attempt_started_ > kConnectTimeout) {
+    const bool is_hopeless = !attempt_.is_handed_on && IsLinkLost(now);
+    if (is_hopeless || now - attempt_.started > kConnectTimeout) {
       OnFailure(call_failure::kNotConnected);
     }
     return;
@@ -83,13 +84,13 @@
       state_ == state::kFindingOrigin || state_ == state::kAwaitingPlace ||
       state_ == state::kConfirmingEnd || state_ == state::kCheckingEndpoint;
   if (is_waiting) return;
-  if (is_handed_on_) {
+  if (attempt_.is_handed_on) {
     CheckRelayStall(now);
     return;
   }
   if (!CanTryAnotherEndpoint()) return;
   const milliseconds timeout = ProgressTimeout(now);
-  const auto waited = now - last_progress_;
+  const auto waited = now - attempt_.last_progress;
   if (waited <= timeout) return;
   const bool may_end =
       !response_started_ && waited > kUnreplacedFactor * timeout;
@@ -100,20 +101,20 @@
 /// It ends so that the caller can try again, but not before the other VM has
 /// replaced its own late attempts.
 void proxied_call::CheckRelayStall(steady_time now) {
-  const bool makes_one = granted_ <= 1;
+  const bool makes_one = attempt_.granted <= 1;
   if (makes_one || response_started_ || !route_->IsRepeatable()) return;
   const milliseconds limit =
-      kUnreplacedFactor * granted_ * ProgressTimeout(now);
-  if (now - last_progress_ > limit) OnFailure(call_failure::kStalled);
+      kUnreplacedFactor * attempt_.granted * ProgressTimeout(now);
+  if (now - attempt_.last_progress > limit) OnFailure(call_failure::kStalled);
 }
 
 milliseconds proxied_call::ProgressTimeout(steady_time now) const {
-  if (!is_handed_on_ && IsLinkLost(now)) return kLostLinkTimeout;
+  if (!attempt_.is_handed_on && IsLinkLost(now)) return kLostLinkTimeout;
   const milliseconds response_timeout = std::max(
       kMinResponseTimeout, kResponseTimeoutFactor * route_->latency_target);
   const milliseconds event_timeout =
       std::max(kMinEventTimeout, kEventTimeoutFactor * route_->gap_target);
-  milliseconds timeout = has_event_ ? event_timeout : response_timeout;
+  milliseconds timeout = attempt_.has_event ? event_timeout : response_timeout;
   if (state_ == state::kReceiving) timeout = std::max(timeout, event_timeout);
   return timeout;
 }
@@ -121,8 +122,8 @@
 /// A late attempt may still succeed, so it is only given up for one that can be
 /// made.
 bool proxied_call::SecuresReplacement(steady_time now) {
-  if (now < replacement_retry_at_) return false;
-  replacement_retry_at_ = now + kReplacementRetryDelay;
+  if (now < attempt_.replacement_retry_at) return false;
+  attempt_.replacement_retry_at = now + kReplacementRetryDelay;
   if (!IsLinkLost(now) && !pool_->HasPlace(limits_, now)) return false;
   has_retry_ = TakeRetry(now);
   return has_retry_;
--- a/source/request/proxied_call_relay.cc
+++ b/source/request/proxied_call_relay.cc
@@ -51,8 +51,8 @@
 }
 
 endpoint_connection_pool& proxied_call::Connections() const {
-  return is_handed_on_ ? *environment_.relay_connections
-                       : *environment_.connections;
+  return attempt_.is_handed_on ? *environment_.relay_connections
+                               : *environment_.connections;
 }
 
 bool proxied_call::HandOn(steady_time now) {
@@ -69,25 +69,25 @@
                            .Add("sent", sent_));
   environment_.metrics->CountHandedOn();
   ResetAttempt(endpoint_id(*address));
-  is_handed_on_ = true;
+  attempt_.is_handed_on = true;
   // Without an answer it is unknown how many of them the other VM has made.
-  granted_ = std::max(route_->max_attempts - sent_, 1);
-  is_counted_ = true;
+  attempt_.granted = std::max(route_->max_attempts - sent_, 1);
+  attempt_.is_counted = true;
   environment_.relays->OnStart(*address);
   Connect(*address);
   return true;
 }
 
 void proxied_call::EndRelay() {
-  if (!is_handed_on_ || !is_counted_) return;
-  environment_.relays->OnEnd(endpoint_.value());
+  if (!attempt_.is_handed_on || !attempt_.is_counted) return;
+  environment_.relays->OnEnd(attempt_.endpoint.value());
 }
 
 std::string proxied_call::HandedOnBytes() const {
   const request_dialect& dialect = environment_.dialect;
   const bool resumes = !events_.last_id().empty();
   // The attempts of the other VM are counted already.
-  const relay_terms terms{table_->version(), sent_ - granted_,
+  const relay_terms terms{table_->version(), sent_ - attempt_.granted,
                           limits_.software};
   std::string bytes = message_.method + " " + message_.target + " HTTP/1.1\r\n";
   AppendField(bytes, kRelayField, EncodeRelayTerms(terms));
@@ -120,18 +120,19 @@
 
 bool proxied_call::OnRelayRefusal() {
   const bool is_from_endpoint =
-      FindField(head_.fields, environment_.dialect.endpoint_proof) != nullptr;
+      FindField(attempt_.head.fields, environment_.dialect.endpoint_proof) !=
+      nullptr;
   if (is_from_endpoint) return false;
-  const http_field* answer = FindField(head_.fields, kRelayField);
+  const http_field* answer = FindField(attempt_.head.fields, kRelayField);
   const auto attempts =
       answer ? DecodeRelayAttempts(answer->value) : std::nullopt;
   if (attempts) {
     OnRelayReturned(*attempts);
     return true;
   }
-  if (!SignalsNotRun(head_.status)) return false;
+  if (!SignalsNotRun(attempt_.head.status)) return false;
   if (answer != nullptr) {
-    sent_ -= granted_;
+    sent_ -= attempt_.granted;
     if (const auto newer = DecodeNewerDocument(answer->value)) {
       OnNewerDocument(*newer);
     } else {
@@ -145,14 +146,15 @@
     Fail("relay_refused");
     return true;
   }
-  caller_->Respond(head_.status, ReturnedFields(head_.fields), body_);
+  caller_->Respond(attempt_.head.status, ReturnedFields(attempt_.head.fields),
+                   attempt_.body);
   Finish(call_outcome::kRefused, "relay_refused");
   return true;
 }
 
 void proxied_call::OnRelayReturned(int attempts) {
-  sent_ -= granted_ - std::clamp(attempts, 1, granted_);
-  const bool may_run = !SignalsNotRun(head_.status);
+  sent_ -= attempt_.granted - std::clamp(attempts, 1, attempt_.granted);
+  const bool may_run = !SignalsNotRun(attempt_.head.status);
   if (may_run) may_have_run_ = true;
   AfterAttempt(may_run ? attempt_end::kUnknown : attempt_end::kNotRun,
                kReturnedCause);
@@ -161,9 +163,9 @@
 void proxied_call::OnRelayNotTaken(std::string_view cause) {
   const steady_time now = environment_.clock();
   if (cause == kUnavailableCause) {
-    environment_.relays->OnUnavailable(endpoint_.value(), now);
+    environment_.relays->OnUnavailable(attempt_.endpoint.value(), now);
   } else {
-    environment_.relays->OnFull(endpoint_.value(), pool_id_, now);
+    environment_.relays->OnFull(attempt_.endpoint.value(), pool_id_, now);
   }
   AfterAttempt(attempt_end::kNotSent, cause);
 }
@@ -188,10 +190,10 @@
 void proxied_call::OnNewerDocument(const newer_document& newer) {
   const steady_time now = environment_.clock();
   LogStep("newer_document", log_fields()
-                                .Add("vm", endpoint_.value())
+                                .Add("vm", attempt_.endpoint.value())
                                 .Add("version", newer.version.value())
                                 .Add("held", table_->version().value()));
-  auto address = ParseSocketAddress(endpoint_.value());
+  auto address = ParseSocketAddress(attempt_.endpoint.value());
   if (address && environment_.table()->version() < newer.version) {
     address->port = newer.port;
     environment_.fetch_document(vm_id(FormatSocketAddress(*address)),
@@ -218,7 +220,7 @@
 
 void proxied_call::AdmitAgain() {
   state_ = state::kNew;
-  is_handed_on_ = false;
+  attempt_.is_handed_on = false;
   tried_relays_.clear();
   limits_.software.reset();
   digest_.reset();
--- a/source/request/proxied_call_response.cc
+++ b/source/request/proxied_call_response.cc
@@ -29,16 +29,16 @@
 /// Starts the streamed response with the head of the endpoint's response.
 void proxied_call::StartResponse() {
   response_started_ = true;
-  response_status_ = head_.status;
-  is_event_stream_ = IsEventStream(head_);
+  response_status_ = attempt_.head.status;
+  is_event_stream_ = IsEventStream(attempt_.head);
   last_response_bytes_at_ = environment_.clock();
   const auto waited =
       std::chrono::duration<double>(last_response_bytes_at_ - arrived_);
   environment_.metrics->ObserveFirstByte(waited.count());
   // The length of a stream that may be resumed elsewhere is not known.
-  const bool has_length = head_.length && !route_->is_resumable;
-  caller_->Begin(head_.status, ReturnedFields(head_.fields),
-                 has_length ? head_.length : std::nullopt);
+  const bool has_length = attempt_.head.length && !route_->is_resumable;
+  caller_->Begin(attempt_.head.status, ReturnedFields(attempt_.head.fields),
+                 has_length ? attempt_.head.length : std::nullopt);
 }
 
 bool proxied_call::ContinuesResponse(const endpoint_response_head& head) const {
@@ -62,7 +62,7 @@
   const std::string_view complete = events_.Add(data);
   if (complete.empty()) return;
   if (!response_started_) StartResponse();
-  if (!limits_.software && !is_handed_on_) BeginOrigin();
+  if (!limits_.software && !attempt_.is_handed_on) BeginOrigin();
   RecordResponseBytes();
   caller_->Write(complete);
 }
@@ -72,10 +72,10 @@
 }
 
 bool proxied_call::IsBrokenOff() const {
-  if (is_stream_) return !IsWhole(ForwardedEvents());
-  if (!IsEventStream(head_)) return false;
+  if (attempt_.is_stream) return !IsWhole(ForwardedEvents());
+  if (!IsEventStream(attempt_.head)) return false;
   event_scanner events;
-  events.Read(body_);
+  events.Read(attempt_.body);
   return !IsWhole(events);
 }
 
@@ -104,16 +104,17 @@
   }
   // The endpoint did not confirm that the request has not run, so the status
   // could be wrong and make the caller repeat a request that has run.
-  if (!route_->IsRepeatable() && SignalsNotRun(head_.status)) {
+  if (!route_->IsRepeatable() && SignalsNotRun(attempt_.head.status)) {
     Fail("unconfirmed_refusal");
     return;
   }
-  caller_->Respond(head_.status, ReturnedFields(head_.fields), body_);
+  caller_->Respond(attempt_.head.status, ReturnedFields(attempt_.head.fields),
+                   attempt_.body);
   const std::chrono::duration<double> waited = environment_.clock() - arrived_;
   environment_.metrics->ObserveFirstByte(waited.count());
-  Finish(IsSuccessStatus(head_.status) ? call_outcome::kServed
-                                       : call_outcome::kEndpointFailure,
-         IsSuccessStatus(head_.status) ? "" : "endpoint_failure");
+  Finish(IsSuccessStatus(attempt_.head.status) ? call_outcome::kServed
+                                               : call_outcome::kEndpointFailure,
+         IsSuccessStatus(attempt_.head.status) ? "" : "endpoint_failure");
 }
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call_speed.cc
+++ b/source/request/proxied_call_speed.cc
@@ -18,30 +18,32 @@
 }  // namespace
 
 void proxied_call::RecordPace(std::uint64_t events, steady_time now) {
-  if (!has_event_) {
-    pace_since_ = now;
-    pace_events_ = 0;
+  if (!attempt_.has_event) {
+    attempt_.pace_since = now;
+    attempt_.pace_events = 0;
     // The time that copying a prefix takes is not the endpoint's own.
-    if (fetch_from_.empty()) {
-      RecordWork(work_kind::kFirstEvent, now - sent_at_, now);
+    if (attempt_.fetch_from.empty()) {
+      RecordWork(work_kind::kFirstEvent, now - attempt_.sent_at, now);
     }
     return;
   }
-  pace_events_ += events - counted_events_;
-  if (pace_events_ < kMinPauses) return;
+  attempt_.pace_events += events - counted_events_;
+  if (attempt_.pace_events < kMinPauses) return;
   RecordWork(work_kind::kPause,
-             (now - pace_since_) / static_cast<std::int64_t>(pace_events_),
+             (now - attempt_.pace_since) /
+                 static_cast<std::int64_t>(attempt_.pace_events),
              now);
-  pace_since_ = now;
-  pace_events_ = 0;
+  attempt_.pace_since = now;
+  attempt_.pace_events = 0;
 }
 
 void proxied_call::RecordWork(work_kind kind, std::chrono::microseconds took,
                               steady_time now) {
-  if (is_handed_on_ || IsLinkLost(now)) return;
-  endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  if (attempt_.is_handed_on || IsLinkLost(now)) return;
+  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   if (endpoint == nullptr) return;
-  pool_->RecordWork(*endpoint, {kind, route_->name, took, usual_ms_}, now);
+  pool_->RecordWork(*endpoint, {kind, route_->name, took, attempt_.usual_ms},
+                    now);
 }
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -36,7 +36,7 @@
 }  // namespace
 
 void proxied_call::SendWhenRecorded() {
-  const bool goes_on = limits_.software && !is_handed_on_;
+  const bool goes_on = limits_.software && !attempt_.is_handed_on;
   if (!goes_on) {
     SendIfOpen();
     return;
@@ -46,13 +46,15 @@
 }
 
 void proxied_call::CheckRecord(steady_time now) {
-  const steady_time due = connection_->opened_at() + kRecordWait;
-  if (now < due || is_record_awaited_) return;
-  is_record_awaited_ = true;
+  const steady_time due = attempt_.connection->opened_at() + kRecordWait;
+  if (now < due || attempt_.is_record_awaited) return;
+  attempt_.is_record_awaited = true;
   environment_.await_records(
-      due, [self = weak_from_this(), opened = connection_.get()](bool current) {
+      due, [self = weak_from_this(),
+            opened = attempt_.connection.get()](bool current) {
         const auto call = self.lock();
-        if (call && call->connection_.get() == opened) call->OnRecords(current);
+        if (call && call->attempt_.connection.get() == opened)
+          call->OnRecords(current);
       });
 }
 
@@ -83,7 +85,7 @@
 }
 
 bool proxied_call::HasTargetSoftware(steady_time now) const {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   return endpoint != nullptr && endpoint->HasSoftware(*limits_.software, now);
 }
 
@@ -95,9 +97,9 @@
 }
 
 void proxied_call::BeginOrigin() {
-  origin_endpoint_ = endpoint_;
-  origin_opened_at_ = connection_->opened_at();
-  limits_.software = software_;
+  origin_endpoint_ = attempt_.endpoint;
+  origin_opened_at_ = attempt_.connection->opened_at();
+  limits_.software = attempt_.software;
   limits_.software = OriginSoftware();
   // The record may be about an earlier process than the connection leads to.
   origin_due_ = *origin_opened_at_ + kRecordWait;
@@ -131,19 +133,19 @@
 }
 
 bool proxied_call::IsTargetOpen() const {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   return endpoint == nullptr || endpoint->terms().IsOpen(environment_.clock());
 }
 
 void proxied_call::LeaveConnection() {
-  const endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   if (endpoint != nullptr && endpoint->terms().is_leaving()) {
-    Connections().Drop(endpoint_);
-    connection_->Close();
+    Connections().Drop(attempt_.endpoint);
+    attempt_.connection->Close();
   }
-  Connections().Release(endpoint_, std::move(connection_),
+  Connections().Release(attempt_.endpoint, std::move(attempt_.connection),
                         environment_.clock());
-  connection_.reset();
+  attempt_.connection.reset();
   ReleaseEndpoint();
 }
 
@@ -154,16 +156,17 @@
   const http_field* id =
       FindField(head.fields, environment_.dialect.request_id);
   if (id != nullptr) return id->value == request_id_;
-  const bool may_be_earlier = !is_handed_on_ && connection_->is_reused();
+  const bool may_be_earlier =
+      !attempt_.is_handed_on && attempt_.connection->is_reused();
   return !IsSuccessStatus(head.status) && !may_be_earlier;
 }
 
 void proxied_call::RecordTerms(endpoint_estimate* endpoint, steady_time now) {
-  if (endpoint == nullptr || head_.status == kStatusMisdirected) return;
-  const stated_terms stated =
-      environment_.dialect.read_terms(head_.status, head_.fields);
+  if (endpoint == nullptr || attempt_.head.status == kStatusMisdirected) return;
+  const stated_terms stated = environment_.dialect.read_terms(
+      attempt_.head.status, attempt_.head.fields);
   LogLeaving(*endpoint, stated);
-  endpoint->terms().Record(stated, IsSuccessStatus(head_.status),
+  endpoint->terms().Record(stated, IsSuccessStatus(attempt_.head.status),
                            ReturnSpread(stated, environment_.random), now);
   if (stated.cold_left) endpoint->SetColdFor(*stated.cold_left, now);
   LogPause(stated);
@@ -171,7 +174,7 @@
 
 void proxied_call::OnOtherResponse(const endpoint_response_head& head) {
   LogSkippedResponse(head);
-  endpoint_estimate* endpoint = pool_->Find(endpoint_);
+  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   if (endpoint == nullptr) return;
   const stated_terms stated =
       environment_.dialect.read_terms(head.status, head.fields);
