request: keep a late attempt open until another one answers

What callers saw: a stream whose connection was closed without its end, or 502 for a plain request, although an endpoint was at work on the answer and finished it.

That another endpoint would run the request was an estimate of this VM and a retry of the budget, not the endpoint's word. If it refused the request (503, not run), broke, could not be reached, or no endpoint was left by then, the attempts of the route were used up and the answer was cut off, while the first endpoint went on.

Change: the late attempt stays open beside the other one. The first of them that answers goes on: the other one's success head closes the late one, an event of the late one closes the other. A refusal, a failure or a missing choice returns to the late attempt. Requests are sent to no more endpoints than before, and the load estimate counts both.

Why this works: nothing that may still bring the answer is ended before something else has brought its head.

--- a/source/process/entry/entry_metrics.cc
+++ b/source/process/entry/entry_metrics.cc
@@ -39,6 +39,12 @@
       "Further attempts that the retry budget did not allow");
   connections_ = registry_.AddCounter("marjoramsill_entry_connections_total",
                                       "Connections opened to endpoints");
+  late_attempts_ = registry_.AddCounter(
+      "marjoramsill_entry_late_attempts_total",
+      "Attempts without progress, beside which another one was made");
+  late_attempts_going_on_ = registry_.AddCounter(
+      "marjoramsill_entry_late_attempts_going_on_total",
+      "Late attempts that went on because the other one brought nothing");
   handed_on_ = registry_.AddCounter("marjoramsill_entry_handed_on_total",
                                     "Requests handed on to another entry VM");
   relays_lost_ = registry_.AddCounter(
@@ -135,6 +141,12 @@
   outcomes_[row][static_cast<std::size_t>(outcome)]->Increment();
 }
 
+void entry_metrics::CountLateAttempt() { late_attempts_->Increment(); }
+
+void entry_metrics::CountLateAttemptGoingOn() {
+  late_attempts_going_on_->Increment();
+}
+
 void entry_metrics::CountAttempt() { attempts_->Increment(); }
 
 void entry_metrics::CountRetry(bool allowed) {
--- a/source/process/entry/entry_metrics.h
+++ b/source/process/entry/entry_metrics.h
@@ -36,6 +36,10 @@
   void CountRetry(bool allowed);
   /// A connection to an endpoint was opened.
   void CountConnection();
+  /// An attempt made no progress in time, and another one is made beside it.
+  void CountLateAttempt();
+  /// A late attempt goes on, as the other one brought nothing.
+  void CountLateAttemptGoingOn();
   /// A request was handed on to another entry VM.
   void CountHandedOn();
   /// The other VM gave no answer to a request that had been sent to it.
@@ -94,6 +98,8 @@
   prometheus::Counter* retries_ = nullptr;
   prometheus::Counter* retries_denied_ = nullptr;
   prometheus::Counter* connections_ = nullptr;
+  prometheus::Counter* late_attempts_ = nullptr;
+  prometheus::Counter* late_attempts_going_on_ = nullptr;
   prometheus::Counter* handed_on_ = nullptr;
   prometheus::Counter* relays_lost_ = nullptr;
   prometheus::Counter* relayed_ = nullptr;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -70,7 +70,10 @@
       return_position_(static_cast<double>(environment.random() % 1024) / 1024),
       sent_(terms_ ? terms_->sent : 0) {}
 
-proxied_call::~proxied_call() { DropConnection(); }
+proxied_call::~proxied_call() {
+  for (late_attempt& late : late_attempts_) DropConnection(late.attempt);
+  DropConnection(attempt_);
+}
 
 void proxied_call::Start() {
   caller_->OnCallerDisconnected(
@@ -349,9 +352,10 @@
 void proxied_call::Finish(call_outcome outcome, std::string_view reason) {
   if (is_done()) return;
   if (is_awaiting_place()) pool_->RemoveWaiting();
-  RecordDroppedCall();
+  CloseLateAttempts("call_ended");
+  RecordDroppedCall(attempt_);
   state_ = state::kDone;
-  DropConnection();
+  DropConnection(attempt_);
   environment_.metrics->CountOutcome(Rank(), outcome);
   if (response_started_) {
     const std::chrono::duration<double> gap = longest_gap_;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -2,6 +2,7 @@
 #define MARJORAMSILL_REQUEST_PROXIED_CALL_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -23,6 +24,7 @@
 #include "request/attempt_facts.h"
 #include "request/endpoint_attempt.h"
 #include "request/event_splitter.h"
+#include "request/late_attempt.h"
 #include "request/relay_terms.h"
 #include "types/ids.h"
 #include "types/steady_time.h"
@@ -37,6 +39,7 @@
 class log_fields;
 class routing_table;
 struct call_environment;
+struct endpoint_call_hooks;
 struct full_pool;
 struct load_report;
 struct newer_document;
@@ -81,6 +84,11 @@
   static constexpr std::chrono::milliseconds kConnectTimeout{300};
   /// Smallest factor by which a Retry-After is varied.
   static constexpr double kMinRetryJitter = 0.75;
+  /// Bytes of a response that may be held for the end of its body or event, or
+  /// for the caller to take them. An endpoint may send bytes without end.
+  static constexpr std::size_t kMaxHeldBytes = std::size_t{8} * 1024 * 1024;
+  /// Bytes of a body that is not a stream which count as progress.
+  static constexpr std::uint64_t kMinProgressBytes = 1'024;
 
   enum class state {
     kNew,
@@ -156,20 +164,34 @@
   void ResetAttempt(endpoint_id target);
   void OnConnected(bool connected);
   /// Ends the attempt at its endpoint and keeps the connection for others.
-  void LeaveConnection();
+  void LeaveConnection(endpoint_attempt& attempt);
   void Send();
   std::string RequestBytes() const;
+  /// The hooks of an attempt, which may have become late since it was sent.
+  endpoint_call_hooks CallHooks();
   void OnHead(const endpoint_response_head& head);
+  /// Records what the head says about its endpoint and the request.
+  void RecordHead(endpoint_attempt& attempt,
+                  const endpoint_response_head& head);
+  /// Records that the endpoint has sent something.
+  void RecordActivity(const endpoint_attempt& attempt);
+  /// True if the response with this head and a success status is from the
+  /// endpoint, and goes on with what the caller has.
+  bool IsAnswerStart(const endpoint_response_head& head) const;
   void OnBody(std::string_view data);
   void OnReadEnd();
   void OnCompleteAnswer();
+  /// Records at the endpoint, if it is known, that it refused the request or
+  /// failed it.
+  void RecordUnsuccessfulEnd(const endpoint_attempt& attempt,
+                             endpoint_estimate* endpoint);
   void OnFailure(call_failure failure);
   void AfterAttempt(attempt_end end, std::string_view cause);
-  void ReleaseEndpoint();
-  void DropConnection();
+  void ReleaseEndpoint(endpoint_attempt& attempt);
+  void DropConnection(endpoint_attempt& attempt);
   /// The endpoint may go on with the request of a connection that is closed
   /// before the end of its response.
-  void RecordDroppedCall();
+  void RecordDroppedCall(const endpoint_attempt& attempt);
 
   // proxied_call_progress.cc: attempts that are late.
   void RecordProgress();
@@ -192,6 +214,24 @@
   /// Ends an attempt at another VM that gives no answer.
   void CheckRelayStall(steady_time now);
 
+  // proxied_call_late.cc: late attempts that stay open.
+  using late_iterator = std::vector<late_attempt>::iterator;
+  /// Makes another attempt beside the current one.
+  void ReplaceLateAttempt(steady_time now);
+  late_iterator FindLate(const endpoint_connection* connection);
+  void OnLateHead(late_iterator late, const endpoint_response_head& head);
+  void OnLateBody(late_iterator late, std::string_view data);
+  void OnLateEnd(late_iterator late);
+  void OnLateFailure(late_iterator late, call_failure failure);
+  /// The attempt becomes the current one again; that one is closed.
+  void GoOnWithLate(late_iterator late);
+  /// Goes on with the newest late attempt, if there is one, because the current
+  /// one has failed or cannot be made.
+  bool ReturnToLate();
+  void CloseLateAttempts(std::string_view cause);
+  /// Reports the bytes that all attempts hold for the end of an event or body.
+  void CountHeldBytes();
+
   // proxied_call_terms.cc: what an endpoint says of itself and of its requests.
   /// A stream that goes on waits until the record of the process that its
   /// connection leads to must have arrived.
@@ -215,12 +255,15 @@
   software_digest OriginSoftware() const;
   void SendIfOpen();
   /// True if the response belongs to this request.
-  bool MatchesRequest(const endpoint_response_head& head) const;
+  bool MatchesRequest(const endpoint_attempt& attempt,
+                      const endpoint_response_head& head) const;
   /// Records what the response says about the requests that its endpoint takes.
-  void RecordTerms(endpoint_estimate* endpoint, steady_time now);
+  void RecordTerms(const endpoint_attempt& attempt, endpoint_estimate* endpoint,
+                   steady_time now);
   /// A response on this connection belongs to an earlier request. What it says
   /// of its endpoint counts all the same.
-  void OnOtherResponse(const endpoint_response_head& head);
+  void OnOtherResponse(const endpoint_attempt& attempt,
+                       const endpoint_response_head& head);
 
   // proxied_call_place.cc: requests for which no endpoint has room.
   /// Ends a request for which no endpoint can be chosen.
@@ -260,20 +303,24 @@
   void LogFullPool(const full_pool& full);
   /// Logs that an endpoint reports clearly more load than was estimated when it
   /// was chosen for this request.
-  void LogUnderestimate(const load_report& report) const;
+  void LogUnderestimate(const endpoint_attempt& attempt,
+                        const load_report& report) const;
   /// Logs the first response in which the endpoint says that it leaves.
   void LogLeaving(const endpoint_estimate& endpoint,
                   const stated_terms& stated) const;
   /// Logs that the endpoint asked for a pause, or for one that is unreadable.
-  void LogPause(const stated_terms& stated) const;
+  void LogPause(const endpoint_id& endpoint, const stated_terms& stated) const;
   /// Logs a response that may belong to an earlier request of its connection.
-  void LogSkippedResponse(const endpoint_response_head& head) const;
+  void LogSkippedResponse(const endpoint_attempt& attempt,
+                          const endpoint_response_head& head) const;
   /// Logs a refusal of an endpoint, with what it says of the endpoint and of
   /// the request that it belongs to.
-  void LogRefusal() const;
+  void LogRefusal(const endpoint_attempt& attempt) const;
   /// Logs an answer that an endpoint did not complete, with the prompt, so that
   /// the prompts of several of them can be compared.
-  void LogBrokenAnswer() const;
+  void LogBrokenAnswer(const endpoint_attempt& attempt) const;
+  /// Logs the end of an attempt that was not the current one.
+  void LogLateEnd(const endpoint_attempt& attempt, std::string_view cause);
   /// Logs an answer whose end is that of its connection, so that a whole one
   /// and one that was broken off can be told apart afterwards.
   void LogUnframedAnswer(std::string_view endpoint_state,
@@ -312,9 +359,9 @@
   void CheckDocument(steady_time now);
   /// Decides anew by the document in force. The request has not run.
   void AdmitAgain();
-  void EndRelay();
+  void EndRelay(const endpoint_attempt& attempt);
   /// The connections to which that of the attempt belongs.
-  endpoint_connection_pool& Connections() const;
+  endpoint_connection_pool& Connections(const endpoint_attempt& attempt) const;
 
   // proxied_call_response.cc: the response to the caller.
   void StartResponse();
@@ -357,7 +404,12 @@
   /// Position of this request in the gradual return to own links, 0 to 1.
   const double return_position_;
 
+  /// The current attempt.
   endpoint_attempt attempt_;
+  /// Attempts that were late, the newest last.
+  std::vector<late_attempt> late_attempts_;
+  /// An attempt that was to replace a late one has failed.
+  bool has_failed_replacement_ = false;
 
   // All attempts.
   placement_limits limits_;
--- a/source/request/proxied_call_attempt.cc
+++ b/source/request/proxied_call_attempt.cc
@@ -33,9 +33,6 @@
 /// reach an endpoint that refused or failed here.
 constexpr double kFailedRetryMs = 300;
 constexpr int kMaxEnginePriority = 9;
-/// Bytes of a response that may be held for the end of its body or event, or
-/// for the caller to take them. An endpoint may send bytes without end.
-constexpr std::size_t kMaxHeldBytes = std::size_t{8} * 1024 * 1024;
 
 /// Failures after which a repeatable request may succeed at another endpoint.
 bool IsTransientFailure(int status) {
@@ -159,7 +156,7 @@
   // A response to a request without an id can only be distinguished from
   // one to an earlier request by its connection.
   if (!request_id_.empty()) {
-    attempt_.connection = Connections().TakeIdle(
+    attempt_.connection = Connections(attempt_).TakeIdle(
         attempt_.endpoint, !route_->IsRepeatable(), attempt_.started);
   }
   if (attempt_.connection) {
@@ -168,7 +165,7 @@
   }
   state_ = state::kConnecting;
   environment_.metrics->CountConnection();
-  attempt_.connection = Connections().Open(attempt_.endpoint, address);
+  attempt_.connection = Connections(attempt_).Open(attempt_.endpoint, address);
   attempt_.connection->Connect(
       [self = weak_from_this(),
        opened = attempt_.connection.get()](bool connected) {
@@ -228,6 +225,7 @@
 void proxied_call::Send() {
   state_ = state::kAwaitingHead;
   sent_ += attempt_.granted;
+  has_retry_ = false;
   attempt_.last_progress = environment_.clock();
   attempt_.sent_at = attempt_.last_progress;
   environment_.metrics->CountAttempt();
@@ -235,89 +233,126 @@
     endpoint->prefixes().Record(demand_.parts);
     endpoint->OnRequestSent(attempt_.last_progress);
   }
-  // This call owns the connection, which releases the hooks when it is closed.
-  // The hooks may therefore use `this`.
+  const auto self = shared_from_this();
+  const auto connection = attempt_.connection;
+  connection->Send(attempt_.is_handed_on ? HandedOnBytes() : RequestBytes(),
+                   message_.method == "HEAD", CallHooks());
+}
+
+/// This call owns the connection, which releases the hooks when it is closed.
+/// The hooks may therefore use `this`.
+endpoint_call_hooks proxied_call::CallHooks() {
+  const endpoint_connection* connection = attempt_.connection.get();
   endpoint_call_hooks hooks;
-  hooks.accepts = [this](const endpoint_response_head& head) {
-    const bool matches = MatchesRequest(head);
-    if (!matches) OnOtherResponse(head);
+  hooks.accepts = [this, connection](const endpoint_response_head& head) {
+    const late_iterator late = FindLate(connection);
+    const endpoint_attempt& attempt =
+        late == late_attempts_.end() ? attempt_ : late->attempt;
+    const bool matches = MatchesRequest(attempt, head);
+    if (!matches) OnOtherResponse(attempt, head);
     return matches;
   };
-  hooks.on_head = [this](const endpoint_response_head& head) { OnHead(head); };
-  hooks.on_body = [this](std::string_view data) { OnBody(data); };
+  hooks.on_head = [this, connection](const endpoint_response_head& head) {
+    const late_iterator late = FindLate(connection);
+    late == late_attempts_.end() ? OnHead(head) : OnLateHead(late, head);
+  };
+  hooks.on_body = [this, connection](std::string_view data) {
+    const late_iterator late = FindLate(connection);
+    late == late_attempts_.end() ? OnBody(data) : OnLateBody(late, data);
+  };
   hooks.on_read_end = [this] { OnReadEnd(); };
-  hooks.on_end = [this] { OnEnd(); };
-  hooks.on_failure = [this](call_failure failure) { OnFailure(failure); };
-  const auto self = shared_from_this();
-  const auto connection = attempt_.connection;
-  connection->Send(attempt_.is_handed_on ? HandedOnBytes() : RequestBytes(),
-                   message_.method == "HEAD", std::move(hooks));
+  hooks.on_end = [this, connection] {
+    const late_iterator late = FindLate(connection);
+    late == late_attempts_.end() ? OnEnd() : OnLateEnd(late);
+  };
+  hooks.on_failure = [this, connection](call_failure failure) {
+    const late_iterator late = FindLate(connection);
+    late == late_attempts_.end() ? OnFailure(failure)
+                                 : OnLateFailure(late, failure);
+  };
+  return hooks;
 }
 
 void proxied_call::OnHead(const endpoint_response_head& head) {
-  const steady_time now = environment_.clock();
   state_ = state::kReceiving;
-  if (route_->kind != route_kind::kStreaming) attempt_.last_progress = now;
-  if (!attempt_.is_handed_on) pool_->reach().OnActivity(now);
-  attempt_.head = head;
-  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
+  RecordHead(attempt_, head);
+  if (!IsSuccessStatus(head.status) || attempt_.is_rejected) return;
+  if (!IsAnswerStart(head)) {
+    OnFailure(call_failure::kMalformed);
+    return;
+  }
+  CloseLateAttempts("replaced");
+  attempt_.is_stream = route_->kind == route_kind::kStreaming;
+  if (attempt_.is_stream && !route_->is_resumable) StartResponse();
+}
+
+void proxied_call::RecordHead(endpoint_attempt& attempt,
+                              const endpoint_response_head& head) {
+  const steady_time now = environment_.clock();
+  if (route_->kind != route_kind::kStreaming) attempt.last_progress = now;
+  attempt.head = head;
+  RecordActivity(attempt);
+  endpoint_estimate* endpoint = pool_->Find(attempt.endpoint);
   const auto load = environment_.dialect.read_load(head.fields);
-  if (endpoint != nullptr) endpoint->OnActivity();
   if (endpoint != nullptr && load) {
     endpoint->RecordLoad(*load, now);
-    LogUnderestimate(*load);
+    LogUnderestimate(attempt, *load);
   }
-  RecordTerms(endpoint, now);
-  attempt_.is_rejected =
+  RecordTerms(attempt, endpoint, now);
+  attempt.is_rejected =
       FindField(head.fields, environment_.dialect.not_run) != nullptr ||
-      (!attempt_.is_handed_on && head.status == kStatusMisdirected);
-  const bool is_refusal = attempt_.is_rejected || SignalsNotRun(head.status);
-  if (is_refusal && !attempt_.is_handed_on) LogRefusal();
-  if (!IsSuccessStatus(head.status) || attempt_.is_rejected) return;
+      (!attempt.is_handed_on && head.status == kStatusMisdirected);
+  const bool is_refusal = attempt.is_rejected || SignalsNotRun(head.status);
+  if (is_refusal && !attempt.is_handed_on) LogRefusal(attempt);
+}
+
+void proxied_call::RecordActivity(const endpoint_attempt& attempt) {
+  if (!attempt.is_handed_on) {
+    pool_->reach().OnActivity(environment_.clock());
+  }
+  if (endpoint_estimate* endpoint = pool_->Find(attempt.endpoint)) {
+    endpoint->OnActivity();
+  }
+}
+
+bool proxied_call::IsAnswerStart(const endpoint_response_head& head) const {
   const bool is_proven =
       FindField(head.fields, environment_.dialect.endpoint_proof) != nullptr;
-  if (!is_proven || !ContinuesResponse(head)) {
-    OnFailure(call_failure::kMalformed);
-    return;
-  }
-  attempt_.is_stream = route_->kind == route_kind::kStreaming;
-  if (attempt_.is_stream && !route_->is_resumable) StartResponse();
+  return is_proven && ContinuesResponse(head);
 }
 
 void proxied_call::OnBody(std::string_view data) {
-  if (!attempt_.is_handed_on) pool_->reach().OnActivity(environment_.clock());
+  RecordActivity(attempt_);
   attempt_.received_bytes += data.size();
-  if (endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint)) {
-    endpoint->OnActivity();
-  }
   if (attempt_.is_stream) {
     ForwardStream(data);
   } else if (!attempt_.is_rejected) {
     attempt_.body += data;
   }
   RecordProgress();
+  CountHeldBytes();
   const std::size_t received = attempt_.body.size() + events_.rest().size();
-  caller_->memory().Set(memory_kind::kEndpointResponses, received);
   if (received + caller_->unsent_bytes() > kMaxHeldBytes) {
     OnFailure(call_failure::kMalformed);
   }
 }
 
-void proxied_call::ReleaseEndpoint() {
+void proxied_call::ReleaseEndpoint(endpoint_attempt& attempt) {
   LeaveOrigin();
-  EndRelay();
-  if (!attempt_.is_counted) return;
-  attempt_.is_counted = false;
-  if (endpoint_estimate* target = pool_->Find(attempt_.endpoint)) {
+  EndRelay(attempt);
+  if (!attempt.is_counted) return;
+  attempt.is_counted = false;
+  if (endpoint_estimate* target = pool_->Find(attempt.endpoint)) {
     target->OnCallEnd(environment_.clock());
   }
 }
 
-void proxied_call::RecordDroppedCall() {
-  if (attempt_.is_handed_on || !attempt_.connection ||
-      !attempt_.connection->has_sent())
+void proxied_call::RecordDroppedCall(const endpoint_attempt& attempt) {
+  if (attempt.is_handed_on || !attempt.connection ||
+      !attempt.connection->has_sent()) {
     return;
-  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
+  }
+  endpoint_estimate* endpoint = pool_->Find(attempt.endpoint);
   if (endpoint == nullptr) return;
   const std::chrono::duration<double, std::milli> usual(
       pool_->mean_duration_ms());
@@ -328,35 +363,43 @@
   endpoint->OnCallDropped(std::min(deadline_, now + remaining), now);
 }
 
-void proxied_call::DropConnection() {
-  ReleaseEndpoint();
-  if (!attempt_.connection) return;
-  attempt_.connection->Close();
-  attempt_.connection.reset();
+void proxied_call::DropConnection(endpoint_attempt& attempt) {
+  ReleaseEndpoint(attempt);
+  if (!attempt.connection) return;
+  attempt.connection->Close();
+  attempt.connection.reset();
+}
+
+void proxied_call::RecordUnsuccessfulEnd(const endpoint_attempt& attempt,
+                                         endpoint_estimate* endpoint) {
+  if (endpoint == nullptr) return;
+  if (!attempt.is_rejected) {
+    endpoint->OnResponse(false);
+  } else if (attempt.head.status == kStatusMisdirected) {
+    endpoint->OnMisdirection();
+  } else {
+    endpoint->OnCapacityRefusal(environment_.clock());
+  }
 }
 
 void proxied_call::OnCompleteAnswer() {
   const steady_time now = environment_.clock();
   const auto self = shared_from_this();
   endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
-  LeaveConnection();
+  LeaveConnection(attempt_);
   if (attempt_.is_handed_on && OnRelayRefusal()) return;
   if (attempt_.is_rejected) {
-    if (endpoint != nullptr && attempt_.head.status == kStatusMisdirected) {
-      endpoint->OnMisdirection();
-    } else if (endpoint != nullptr) {
-      endpoint->OnCapacityRefusal(now);
-    }
+    RecordUnsuccessfulEnd(attempt_, endpoint);
     AfterAttempt(attempt_end::kNotRun, "rejected");
     return;
   }
-  if (endpoint != nullptr)
-    endpoint->OnResponse(IsSuccessStatus(attempt_.head.status));
   if (IsSuccessStatus(attempt_.head.status)) {
+    if (endpoint != nullptr) endpoint->OnResponse(true);
     RecordAnswer(endpoint, now);
     pool_->RecordDuration(now - attempt_.started);
-    if (!attempt_.is_stream)
+    if (!attempt_.is_stream) {
       RecordWork(work_kind::kPlain, now - attempt_.sent_at, now);
+    }
     if (attempt_.is_stream) {
       EndStream();
     } else {
@@ -364,11 +407,12 @@
     }
     return;
   }
+  RecordUnsuccessfulEnd(attempt_, endpoint);
   may_have_run_ = true;
   // Another entry VM has made all the attempts that it may.
   if (!attempt_.is_handed_on && IsTransientFailure(attempt_.head.status)) {
     AfterAttempt(attempt_end::kFailed, "endpoint_failure");
-  } else {
+  } else if (!ReturnToLate()) {
     ForwardBuffered();
   }
 }
@@ -399,9 +443,9 @@
   // Other idle connections to the endpoint may be dead as well. Opening a new
   // one reveals this before anything is sent, so that another endpoint can be
   // tried.
-  Connections().Drop(attempt_.endpoint);
-  if (failure != call_failure::kBroken) RecordDroppedCall();
-  DropConnection();
+  Connections(attempt_).Drop(attempt_.endpoint);
+  if (failure != call_failure::kBroken) RecordDroppedCall(attempt_);
+  DropConnection(attempt_);
   if (was_sent) may_have_run_ = true;
   if (was_sent && failure == call_failure::kBroken) {
     OnBrokenAnswer();
@@ -430,12 +474,20 @@
   const attempt_step step = NextStep(facts, [this, now] {
     return std::exchange(has_retry_, false) || TakeRetry(now);
   });
-  LogStep("attempt_ended", log_fields()
-                               .Add("endpoint", attempt_.endpoint.value())
-                               .Add("cause", cause)
-                               .Add("status", attempt_.head.status)
-                               .Add("took_ms", MillisOf(now - attempt_.started))
-                               .Add("next", AttemptStepText(step)));
+  const bool returns_to_late =
+      step != attempt_step::kTryAgain && !late_attempts_.empty();
+  LogStep("attempt_ended",
+          log_fields()
+              .Add("endpoint", attempt_.endpoint.value())
+              .Add("cause", cause)
+              .Add("status", attempt_.head.status)
+              .Add("took_ms", MillisOf(now - attempt_.started))
+              .Add("next",
+                   returns_to_late ? "return_to_late" : AttemptStepText(step)));
+  if (returns_to_late) {
+    ReturnToLate();
+    return;
+  }
   switch (step) {
     case attempt_step::kTryAgain:
       Attempt();
--- a/source/request/proxied_call_end.cc
+++ b/source/request/proxied_call_end.cc
@@ -54,7 +54,7 @@
 /// An endpoint may break off an answer and go on. If it has ended, a further
 /// attempt may carry the cause to the next one.
 void proxied_call::OnBrokenAnswer() {
-  LogBrokenAnswer();
+  LogBrokenAnswer(attempt_);
   const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
   if (endpoint == nullptr) {
     // Another VM that has ended itself sends no head.
--- a/source/request/proxied_call_log.cc
+++ b/source/request/proxied_call_log.cc
@@ -130,20 +130,21 @@
                            .Add("own_places", full.own_places));
 }
 
-void proxied_call::LogUnderestimate(const load_report& report) const {
+void proxied_call::LogUnderestimate(const endpoint_attempt& attempt,
+                                    const load_report& report) const {
   const double reported = static_cast<double>(report.running) + report.waiting;
-  if (reported - 1 <= attempt_.estimated_load + kLoggedUnderestimate) return;
+  if (reported - 1 <= attempt.estimated_load + kLoggedUnderestimate) return;
   environment_.metrics->CountUnderestimate();
   environment_.log->Write(
       "load_underestimated",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", attempt_.endpoint.value())
-          .Add("estimated", attempt_.estimated_load)
-          .Add("load_age_ms", attempt_.estimate_age_ms)
+          .Add("endpoint", attempt.endpoint.value())
+          .Add("estimated", attempt.estimated_load)
+          .Add("load_age_ms", attempt.estimate_age_ms)
           .Add("running", report.running)
           .Add("waiting", report.waiting)
-          .Add("took_ms", MillisOf(environment_.clock() - attempt_.started))
+          .Add("took_ms", MillisOf(environment_.clock() - attempt.started))
           .text(),
       line_class::kFrequent);
 }
@@ -154,66 +155,67 @@
   environment_.log->Write("endpoint_leaving",
                           log_fields()
                               .Add("request", request_id_)
-                              .Add("endpoint", attempt_.endpoint.value())
+                              .Add("endpoint", endpoint.record().id.value())
                               .text());
 }
 
-void proxied_call::LogPause(const stated_terms& stated) const {
+void proxied_call::LogPause(const endpoint_id& endpoint,
+                            const stated_terms& stated) const {
   if (!stated.pause && !stated.is_pause_unreadable) return;
   if (stated.pause) environment_.metrics->CountPause();
   environment_.log->Write(
       stated.pause ? "endpoint_paused" : "pause_ignored",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", attempt_.endpoint.value())
+          .Add("endpoint", endpoint.value())
           .Add("pause_ms", stated.pause ? stated.pause->count() : 0)
           .text(),
       line_class::kFrequent);
 }
 
 void proxied_call::LogSkippedResponse(
-    const endpoint_response_head& head) const {
+    const endpoint_attempt& attempt, const endpoint_response_head& head) const {
   const http_field* id =
       FindField(head.fields, environment_.dialect.request_id);
   environment_.log->Write("response_skipped",
                           log_fields()
                               .Add("request", request_id_)
-                              .Add("endpoint", attempt_.endpoint.value())
+                              .Add("endpoint", attempt.endpoint.value())
                               .Add("status", head.status)
                               .Add("names", ShortValue(id))
                               .text(),
                           line_class::kFrequent);
 }
 
-void proxied_call::LogRefusal() const {
-  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
+void proxied_call::LogRefusal(const endpoint_attempt& attempt) const {
+  const endpoint_estimate* endpoint = pool_->Find(attempt.endpoint);
   const http_field* id =
-      FindField(attempt_.head.fields, environment_.dialect.request_id);
-  const http_field* pause = FindField(attempt_.head.fields, kRetryAfterField);
-  const auto load = environment_.dialect.read_load(attempt_.head.fields);
+      FindField(attempt.head.fields, environment_.dialect.request_id);
+  const http_field* pause = FindField(attempt.head.fields, kRetryAfterField);
+  const auto load = environment_.dialect.read_load(attempt.head.fields);
   environment_.metrics->CountEndpointRefusal();
   environment_.log->Write(
       "endpoint_refused",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", attempt_.endpoint.value())
-          .Add("status", attempt_.head.status)
-          .Add("not_run", attempt_.is_rejected)
+          .Add("endpoint", attempt.endpoint.value())
+          .Add("status", attempt.head.status)
+          .Add("not_run", attempt.is_rejected)
           .Add("names_request", id != nullptr)
           .Add("kept_connection",
-               attempt_.connection && attempt_.connection->is_reused())
+               attempt.connection && attempt.connection->is_reused())
           .Add("retry_after", ShortValue(pause))
           .Add("running", load ? load->running : 0)
           .Add("waiting", load ? load->waiting : 0)
           .Add("slots", endpoint == nullptr ? 0 : endpoint->slots())
           .Add("own_calls", endpoint == nullptr ? 0 : endpoint->in_flight())
-          .Add("took_ms", MillisOf(environment_.clock() - attempt_.started))
+          .Add("took_ms", MillisOf(environment_.clock() - attempt.started))
           .text(),
       line_class::kFrequent);
 }
 
-void proxied_call::LogBrokenAnswer() const {
-  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
+void proxied_call::LogBrokenAnswer(const endpoint_attempt& attempt) const {
+  const endpoint_estimate* endpoint = pool_->Find(attempt.endpoint);
   const http_field* prompt =
       FindField(message_.fields, environment_.dialect.prompt_parts);
   const std::string_view parts =
@@ -222,18 +224,28 @@
       "answer_broken",
       log_fields()
           .Add("request", request_id_)
-          .Add("endpoint", attempt_.endpoint.value())
+          .Add("endpoint", attempt.endpoint.value())
           .Add("born",
                endpoint == nullptr ? 0 : endpoint->record().incarnation.value())
-          .Add("status", attempt_.head.status)
-          .Add("bytes", attempt_.received_bytes)
-          .Add("took_ms", MillisOf(environment_.clock() - attempt_.started))
+          .Add("status", attempt.head.status)
+          .Add("bytes", attempt.received_bytes)
+          .Add("took_ms", MillisOf(environment_.clock() - attempt.started))
           .Add("content", ContentText(Digest()))
           .Add("prompt", parts.substr(0, kMaxLoggedPrompt))
           .text(),
       line_class::kFrequent);
 }
 
+void proxied_call::LogLateEnd(const endpoint_attempt& attempt,
+                              std::string_view cause) {
+  const auto taken = environment_.clock() - attempt.started;
+  LogStep("late_attempt_ended", log_fields()
+                                    .Add("endpoint", attempt.endpoint.value())
+                                    .Add("cause", cause)
+                                    .Add("status", attempt.head.status)
+                                    .Add("took_ms", MillisOf(taken)));
+}
+
 void proxied_call::LogUnframedAnswer(std::string_view endpoint_state,
                                      bool is_broken_off) const {
   environment_.log->Write(
--- a/source/request/proxied_call_place.cc
+++ b/source/request/proxied_call_place.cc
@@ -44,6 +44,7 @@
 }
 
 void proxied_call::EndUnsent(std::string_view reason, double retry_after_ms) {
+  if (ReturnToLate()) return;
   if (may_have_run_ || response_started_) {
     Fail(reason);
   } else {
--- a/source/request/proxied_call_progress.cc
+++ b/source/request/proxied_call_progress.cc
@@ -24,8 +24,6 @@
 /// The timeouts are at least these multiples of the route's latency targets.
 constexpr int kResponseTimeoutFactor = 3;
 constexpr int kEventTimeoutFactor = 3;
-/// Bytes of a body that is not a stream which count as progress.
-constexpr std::uint64_t kMinProgressBytes = 1'024;
 /// Time between two tries to replace a late attempt.
 constexpr milliseconds kReplacementRetryDelay{200};
 /// A late attempt without a first event ends after this multiple of its timeout
@@ -46,6 +44,7 @@
       attempt_.received_bytes < attempt_.counted_bytes + kMinProgressBytes) {
     return;
   }
+  CloseLateAttempts("replaced");
   if (attempt_.is_stream) RecordPace(events, environment_.clock());
   attempt_.has_event = attempt_.is_stream;
   counted_events_ = events;
@@ -88,13 +87,17 @@
     CheckRelayStall(now);
     return;
   }
-  if (!CanTryAnotherEndpoint()) return;
   const milliseconds timeout = ProgressTimeout(now);
   const auto waited = now - attempt_.last_progress;
   if (waited <= timeout) return;
+  const bool can_replace = CanTryAnotherEndpoint();
   const bool may_end =
       !response_started_ && waited > kUnreplacedFactor * timeout;
-  if (may_end || SecuresReplacement(now)) OnFailure(call_failure::kStalled);
+  if (may_end && (can_replace || has_failed_replacement_)) {
+    OnFailure(call_failure::kStalled);
+  } else if (can_replace && SecuresReplacement(now)) {
+    ReplaceLateAttempt(now);
+  }
 }
 
 /// The other VM has all attempts that are left, so nothing replaces this one.
@@ -119,13 +122,13 @@
   return timeout;
 }
 
-/// A late attempt may still succeed, so it is only given up for one that can be
-/// made.
+/// A late attempt may still succeed, and another one costs its endpoint work,
+/// so none is begun that would find no place.
 bool proxied_call::SecuresReplacement(steady_time now) {
   if (now < attempt_.replacement_retry_at) return false;
   attempt_.replacement_retry_at = now + kReplacementRetryDelay;
   if (!IsLinkLost(now) && !pool_->HasPlace(limits_, now)) return false;
-  has_retry_ = TakeRetry(now);
+  has_retry_ = has_retry_ || TakeRetry(now);
   return has_retry_;
 }
 
--- a/source/request/proxied_call_relay.cc
+++ b/source/request/proxied_call_relay.cc
@@ -50,9 +50,10 @@
   return !terms_ && return_position_ >= pool_->reach().DirectShare(now);
 }
 
-endpoint_connection_pool& proxied_call::Connections() const {
-  return attempt_.is_handed_on ? *environment_.relay_connections
-                               : *environment_.connections;
+endpoint_connection_pool& proxied_call::Connections(
+    const endpoint_attempt& attempt) const {
+  return attempt.is_handed_on ? *environment_.relay_connections
+                              : *environment_.connections;
 }
 
 bool proxied_call::HandOn(steady_time now) {
@@ -78,9 +79,9 @@
   return true;
 }
 
-void proxied_call::EndRelay() {
-  if (!attempt_.is_handed_on || !attempt_.is_counted) return;
-  environment_.relays->OnEnd(attempt_.endpoint.value());
+void proxied_call::EndRelay(const endpoint_attempt& attempt) {
+  if (!attempt.is_handed_on || !attempt.is_counted) return;
+  environment_.relays->OnEnd(attempt.endpoint.value());
 }
 
 std::string proxied_call::HandedOnBytes() const {
@@ -106,6 +107,7 @@
 bool proxied_call::HasSent() const { return terms_ && sent_ > terms_->sent; }
 
 void proxied_call::ReturnRelayed(const char* answer, std::string_view reason) {
+  if (ReturnToLate()) return;
   if (response_started_) {
     Fail(reason);
     return;
@@ -142,6 +144,7 @@
     return true;
   }
   // The other VM knows that the request has not run.
+  if (ReturnToLate()) return true;
   if (may_have_run_ || response_started_) {
     Fail("relay_refused");
     return true;
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -63,7 +63,7 @@
 void proxied_call::OnRecords(bool is_current) {
   if (state_ != state::kAwaitingRecord) return;
   if (!is_current) {
-    LeaveConnection();
+    LeaveConnection(attempt_);
     EndUnsent("records_unconfirmed", kUnconfirmedRetryMs);
     return;
   }
@@ -71,7 +71,7 @@
     SendIfOpen();
     return;
   }
-  LeaveConnection();
+  LeaveConnection(attempt_);
   AfterAttempt(attempt_end::kNotSent, "software_changed");
 }
 
@@ -80,7 +80,7 @@
     Send();
     return;
   }
-  LeaveConnection();
+  LeaveConnection(attempt_);
   AfterAttempt(attempt_end::kNotSent, "closed_to_requests");
 }
 
@@ -137,51 +137,55 @@
   return endpoint == nullptr || endpoint->terms().IsOpen(environment_.clock());
 }
 
-void proxied_call::LeaveConnection() {
-  const endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
+void proxied_call::LeaveConnection(endpoint_attempt& attempt) {
+  const endpoint_estimate* endpoint = pool_->Find(attempt.endpoint);
   if (endpoint != nullptr && endpoint->terms().is_leaving()) {
-    Connections().Drop(attempt_.endpoint);
-    attempt_.connection->Close();
+    Connections(attempt).Drop(attempt.endpoint);
+    attempt.connection->Close();
   }
-  Connections().Release(attempt_.endpoint, std::move(attempt_.connection),
-                        environment_.clock());
-  attempt_.connection.reset();
-  ReleaseEndpoint();
+  Connections(attempt).Release(attempt.endpoint, std::move(attempt.connection),
+                               environment_.clock());
+  attempt.connection.reset();
+  ReleaseEndpoint(attempt);
 }
 
 /// Endpoints echo the request id, but may omit it in a refusal or failure. On a
 /// connection that carried another request before, a response without it may
 /// be one to that request, written once more, and proves nothing.
-bool proxied_call::MatchesRequest(const endpoint_response_head& head) const {
+bool proxied_call::MatchesRequest(const endpoint_attempt& attempt,
+                                  const endpoint_response_head& head) const {
   const http_field* id =
       FindField(head.fields, environment_.dialect.request_id);
   if (id != nullptr) return id->value == request_id_;
   const bool may_be_earlier =
-      !attempt_.is_handed_on && attempt_.connection->is_reused();
+      !attempt.is_handed_on && attempt.connection->is_reused();
   return !IsSuccessStatus(head.status) && !may_be_earlier;
 }
 
-void proxied_call::RecordTerms(endpoint_estimate* endpoint, steady_time now) {
-  if (endpoint == nullptr || attempt_.head.status == kStatusMisdirected) return;
-  const stated_terms stated = environment_.dialect.read_terms(
-      attempt_.head.status, attempt_.head.fields);
+void proxied_call::RecordTerms(const endpoint_attempt& attempt,
+                               endpoint_estimate* endpoint, steady_time now) {
+  const endpoint_response_head& head = attempt.head;
+  if (endpoint == nullptr || head.status == kStatusMisdirected) return;
+  const stated_terms stated =
+      environment_.dialect.read_terms(head.status, head.fields);
   LogLeaving(*endpoint, stated);
-  endpoint->terms().Record(stated, IsSuccessStatus(attempt_.head.status),
+  endpoint->terms().Record(stated, IsSuccessStatus(head.status),
                            ReturnSpread(stated, environment_.random), now);
   if (stated.cold_left) endpoint->SetColdFor(*stated.cold_left, now);
-  LogPause(stated);
+  LogPause(attempt.endpoint, stated);
 }
 
-void proxied_call::OnOtherResponse(const endpoint_response_head& head) {
-  LogSkippedResponse(head);
-  endpoint_estimate* endpoint = pool_->Find(attempt_.endpoint);
+void proxied_call::OnOtherResponse(const endpoint_attempt& attempt,
+                                   const endpoint_response_head& head) {
+  LogSkippedResponse(attempt, head);
+  endpoint_estimate* endpoint = pool_->Find(attempt.endpoint);
   if (endpoint == nullptr) return;
   const stated_terms stated =
       environment_.dialect.read_terms(head.status, head.fields);
   LogLeaving(*endpoint, stated);
   endpoint->terms().RecordOwn(stated, ReturnSpread(stated, environment_.random),
                               environment_.clock());
-  LogPause(stated);
+  LogPause(attempt.endpoint, stated);
 }
 
 }  // namespace marjoramsill
