tests: play planned stops beside endpoints that fall silent and refuse

No answer that an endpoint ran may end without its end before its time limit.

The soak learns it too: an endpoint that falls silent does so for 1.6 s instead of 1.2 s, longer than entry processes wait, while the others refuse.

--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -21,7 +21,6 @@
 
 constexpr milliseconds kHeartbeatInterval{300};
 constexpr milliseconds kHeartbeatTimeout{1'000};
-constexpr milliseconds kEventInterval{20};
 /// A leaving endpoint must receive no new requests later than kDrainBound after
 /// its leave was acknowledged, and exits kExitDelay after the acknowledgement.
 constexpr milliseconds kDrainBound{2'000};
@@ -240,18 +239,26 @@
   brittle_refusals_ = refusals;
 }
 
+bool fake_endpoint::IsFull() const {
+  if (is_full_) return true;
+  if (settings_.most_running > 0) {
+    return held_count_ >= settings_.most_running;
+  }
+  const auto brittle_for = std::chrono::steady_clock::now() - brittle_since_;
+  return brittle_refusals_ && brittle_for >= kContactTime &&
+         held_count_ >= settings_.slots;
+}
+
 bool fake_endpoint::RefusesForWantOfRoom(
     const std::shared_ptr<caller_connection>& caller,
     const std::string& request) {
-  const auto now = std::chrono::steady_clock::now();
-  if (!brittle_refusals_ || now - brittle_since_ < kContactTime ||
-      held_count_ < settings_.slots) {
-    return false;
-  }
+  if (!IsFull()) return false;
   http_field_list fields = ResponseFields(caller, request);
   fields.push_back({platform::kNotRun, "1"});
   caller->Respond(kUnavailable, fields, "");
   ++refusal_count_;
+  if (!brittle_refusals_) return true;
+  const auto now = std::chrono::steady_clock::now();
   refused_at_.push_back(now);
   std::erase_if(refused_at_, [now](const auto& at) {
     return now - at > std::chrono::seconds(1);
@@ -339,6 +346,18 @@
   });
 }
 
+milliseconds fake_endpoint::EventDelay(int number) {
+  constexpr int kSilentOfTen = 3;
+  const bool may_be_silent =
+      settings_.silence.count() > 0 && number == kStreamEvents / 2;
+  if (!may_be_silent || random_() % 10 >= kSilentOfTen) {
+    return settings_.event_interval;
+  }
+  const auto half = settings_.silence / 2;
+  return half +
+         milliseconds(random_() % static_cast<std::uint64_t>(half.count()));
+}
+
 void fake_endpoint::SendEvents(const std::shared_ptr<caller_connection>& caller,
                                const std::string& request, int next,
                                const std::shared_ptr<held_request>& held) {
@@ -353,7 +372,7 @@
     caller->Flush();
     ++next;
   }
-  auto timer = std::make_shared<asio::steady_timer>(io_, kEventInterval);
+  auto timer = std::make_shared<asio::steady_timer>(io_, EventDelay(next));
   timer->async_wait([this, start_count = start_count_, caller, request, next,
                      held, timer](std::error_code) {
     if (start_count == start_count_) SendEvents(caller, request, next, held);
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,6 +41,13 @@
   bool reports_load = false;
   /// Requests that it runs at the same time, in its heartbeats and reports.
   int slots = 32;
+  /// Requests beyond this number are refused; 0: none is.
+  int most_running = 0;
+  /// Time between two events of a stream.
+  std::chrono::milliseconds event_interval{20};
+  /// Three streams of ten are silent in their middle, for half of this time to
+  /// all of it.
+  std::chrono::milliseconds silence{0};
   /// After a crash by a prompt part it starts again under another id.
   bool renews_id = false;
   /// Its responses reach the VM with this IP.
@@ -108,6 +116,8 @@
   void SetFailing(bool fails) { fails_ = fails; }
   /// From now on its answers have neither a length nor chunks, or do again.
   void SetUnframed(bool is_unframed) { is_unframed_ = is_unframed; }
+  /// From now on it refuses further requests for want of room, or no more.
+  void SetFull(bool is_full) { is_full_ = is_full; }
   /// From now on it sends nothing, until it goes on.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
   using time_list = std::vector<std::chrono::steady_clock::time_point>;
@@ -134,8 +144,10 @@
   void SendResponse(const std::shared_ptr<caller_connection>& caller,
                     const std::string& request,
                     const std::shared_ptr<held_request>& held);
-  /// True if it refuses the request for want of room. After too many refusals
-  /// in a second it crashes.
+  /// True if it holds as many requests as it runs, and refuses further ones.
+  bool IsFull() const;
+  /// True if it refuses the request for want of room. A brittle one crashes
+  /// after too many refusals in a second.
   bool RefusesForWantOfRoom(const std::shared_ptr<caller_connection>& caller,
                             const std::string& request);
   /// True if it turns the request away and asks for a pause.
@@ -148,6 +160,8 @@
   void CrashBeforeAnswer();
   /// Crashes after kCrashDelay and is back after kRestartDelay.
   void CrashSoon(std::function<void()> on_crash);
+  /// Time from the event with this number to the next one of the stream.
+  std::chrono::milliseconds EventDelay(int number);
   void SendEvents(const std::shared_ptr<caller_connection>& caller,
                   const std::string& request, int next,
                   const std::shared_ptr<held_request>& held);
@@ -169,12 +183,14 @@
   bool fails_ = false;
   bool is_unframed_ = false;
   bool is_silent_ = false;
+  bool is_full_ = false;
   bool finishes_dropped_ = false;
   bool says_that_it_leaves_ = false;
   std::optional<std::string> retry_after_;
   std::string next_heartbeat_pool_;
   std::string last_stream_;
   int held_count_ = 0;
+  std::minstd_rand random_;
   /// Expires before this object: timers with requests may outlive it.
   const std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
   std::optional<double> limit_;
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -22,7 +22,7 @@
 /// Time that an endpoint takes to start again.
 constexpr milliseconds kEndpointRestart{400};
 /// Time for which a sound endpoint may be silent.
-constexpr milliseconds kSilence{1'200};
+constexpr milliseconds kSilence{1'600};
 
 }  // namespace
 
@@ -150,6 +150,20 @@
   });
 }
 
+void soak_faults::FallSilent(fake_endpoint& endpoint) {
+  const auto set_all = [this, &endpoint](bool is_on) {
+    for (const auto& each : fleet_.endpoints()) {
+      if (each.get() == &endpoint) {
+        each->SetSilent(is_on);
+      } else {
+        each->SetFull(is_on);
+      }
+    }
+  };
+  set_all(true);
+  RunAfter(kSilence, [set_all] { set_all(false); });
+}
+
 void soak_faults::InjectEndpointFault(fake_endpoint& endpoint) {
   if (!endpoint.is_running()) return;
   const std::size_t kind = random_() % 8;
@@ -180,8 +194,7 @@
     return;
   }
   if (kind == 4) {
-    endpoint.SetSilent(true);
-    RunAfter(kSilence, [&endpoint] { endpoint.SetSilent(false); });
+    FallSilent(endpoint);
     return;
   }
   if (kind == 0) {
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -25,6 +25,9 @@
   void InjectNodeFault(soak_node& node);
   void InjectLinkFault(link_proxy& link);
   void InjectEndpointFault(fake_endpoint& endpoint);
+  /// The endpoint is silent for longer than an entry process waits, and the
+  /// others refuse what is sent to them instead.
+  void FallSilent(fake_endpoint& endpoint);
   /// Cuts some entry processes off from all endpoints.
   void CutEntries();
   /// Kills all entry processes and starts them again, with other software at
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -118,6 +118,9 @@
   settings.service_time = settings_.service_time;
   settings.reports_load = settings_.reports_load;
   settings.slots = settings_.slots;
+  settings.most_running = settings_.most_running;
+  settings.event_interval = settings_.event_interval;
+  settings.silence = settings_.silence;
   settings.renews_id = settings_.renews_ids && index % 2 == 1;
   settings.domain = DomainOf(index);
   settings.software = settings_.software[static_cast<std::size_t>(index) %
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -41,6 +41,10 @@
   bool reports_load = false;
   /// Requests that an endpoint runs at the same time, in its heartbeats.
   int slots = 32;
+  /// fake_endpoint_settings of the same names.
+  int most_running = 0;
+  std::chrono::milliseconds event_interval{20};
+  std::chrono::milliseconds silence{0};
   /// Time from SIGTERM to the end that an operator would enforce.
   std::chrono::milliseconds grace{4'000};
   /// Every other endpoint that a prompt part has crashed starts under a new id.
