connection, controller: bound the memory of requests to HTTP servers

What callers could do: 16 clients that leave bodies of the control address's legal size unfinished let a control process grow by 262 MB, with chunks of one byte by 1,155 MB; a VM of 256 MB ends it.

Cause: the HTTP library holds each body up to 16 MiB by itself, and nothing bounded the sum over connections; each had 30 s for a request. The same class as in the entry process before (docs/design/memory-budget.md), in the other server.

Change: a socket type for the library counts what each connection receives until the response of the request has ended. Above 40% of memory_mb, a received byte counted as three, a connection that holds 16 KiB or more is closed when it wants to receive; smaller requests are served on. A request has 10 s to arrive at the control address. Closing promises nothing, and no request that was read is refused. Default without memory_mb: 512 MiB.

--- a/source/connection/http_server.cc
+++ b/source/connection/http_server.cc
@@ -10,7 +10,10 @@
 #include <utility>
 #include <vector>
 
+#include "connection/counted_socket.h"
 #include "connection/http_responder.h"
+#include "connection/receive_account.h"
+#include "connection/receive_budget.h"
 #include "connection/status_text.h"
 
 namespace marjoramsill {
@@ -28,7 +31,10 @@
  public:
   restinio_responder(restinio::request_handle_t request,
                      std::shared_ptr<server_state> state)
-      : request_(std::move(request)), state_(std::move(state)) {
+      : request_(std::move(request)),
+        state_(std::move(state)),
+        account_(receive_account::Current()),
+        received_bytes_(account_ ? account_->TakeForRequest() : 0) {
     ++state_->open_requests;
   }
 
@@ -110,12 +116,16 @@
     if (finished_) return;
     finished_ = true;
     disconnect_ = nullptr;
+    if (account_) account_->Release(received_bytes_);
     --state_->open_requests;
   }
 
   std::mutex mutex_;
   restinio::request_handle_t request_;
   std::shared_ptr<server_state> state_;
+  /// Counts the bytes of the request until its response has ended.
+  const std::shared_ptr<receive_account> account_;
+  const std::size_t received_bytes_;
   std::unique_ptr<chunked_builder> chunked_;
   std::function<void()> disconnect_;
   bool finished_ = false;
@@ -199,6 +209,7 @@
   // NOLINTNEXTLINE(readability-identifier-naming): fixed by RESTinio.
   static constexpr bool use_connection_count_limiter = true;
   using connection_state_listener_t = disconnect_listener;
+  using stream_socket_t = counted_socket;
   using logger_t = parser_error_logger;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       const restinio::request_handle_t&)>;
@@ -228,7 +239,13 @@
         state_(std::make_shared<server_state>()),
         listener_(std::make_shared<disconnect_listener>()),
         server_(restinio::external_io_context(io),
-                [this](auto& target) { Configure(target); }) {}
+                [this](auto& target) { Configure(target); }) {
+    if (settings_.max_received_memory == 0) return;
+    asio::use_service<receive_budget>(io).SetLimit(
+        settings_.max_received_memory, [hook = settings_.on_invalid_request] {
+          if (hook) hook("memory for requests exhausted");
+        });
+  }
 
   result<void, listen_error> Listen() {
     try {
--- a/source/connection/http_server_settings.h
+++ b/source/connection/http_server_settings.h
@@ -31,8 +31,12 @@
   /// the classifier's own, lower limit and this one the response is a problem
   /// document.
   std::uint64_t max_body_bytes = 16ULL * 1024 * 1024;
+  /// Memory that the requests of all connections may take, together with those
+  /// of other servers on the same I/O context; 0: no limit. A connection that
+  /// exceeds it is closed.
+  std::size_t max_received_memory = 0;
   /// Called when a connection is closed because its input is not a valid
-  /// request. May be called on any thread of the I/O context.
+  /// request, or exceeds the memory for requests. May be called on any thread of the I/O context.
   std::function<void(std::string_view reason)> on_invalid_request{};
 };
 
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -15,6 +15,7 @@
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
+#include "connection/memory_budget.h"
 #include "connection/peer_transport.h"
 #include "process/controller/controller_metrics.h"
 #include "process/controller/controller_status.h"
@@ -58,6 +59,9 @@
 /// heartbeat. With three, one late or lost heartbeat has no effect.
 constexpr int kSilentIntervals = 3;
 
+/// A caller of the control address gives up a request much sooner.
+constexpr milliseconds kReadTimeout{10'000};
+
 /// For operators. The command `status` reads it.
 constexpr std::string_view kStatusPath = "/v1/status";
 
@@ -124,6 +128,8 @@
                        address);
     http_server_settings http;
     http.listen = *settings_.control;
+    http.read_timeout = kReadTimeout;
+    http.max_received_memory = memory_budget::LimitFor(settings_.memory_mb);
     http.on_invalid_request = [](std::string_view reason) {
       LogEvent(log_level::kWarning, "unreadable_request",
                {{"reason", std::string(reason)}});
--- a/tests/operations/crowd_fixture.h
+++ b/tests/operations/crowd_fixture.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <memory>
 #include <string>
@@ -46,6 +47,7 @@
     CPPUNIT_ASSERT(RunUntil([this] { return crowd_->IsDone(); }));
     RunFor(std::chrono::milliseconds(500));
     const std::int64_t growth = MemoryKb(node, "VmHWM:") - memory;
+    std::cout << " grew by " << growth << " KB ";
     int status = 0;
     CPPUNIT_ASSERT_MESSAGE("ended", !node.process.HasEnded(status));
     CPPUNIT_ASSERT_MESSAGE("grew by " + std::to_string(growth) + " KB",
