connection: bound requests by the machine's memory without a setting

What callers could do: without memory_mb a process held up to 512 MiB of requests whatever its machine has, so that on a small one, or under a limit on the process, 60 clients end it (360 MB were measured with 60).

Cause: a default that does not look at the machine. On machines from 1.3 GB on nothing changes.

A line that the formatter refuses in http_server_settings.h is mended too.

--- a/source/connection/http_server_settings.h
+++ b/source/connection/http_server_settings.h
@@ -36,7 +36,8 @@
   /// exceeds it is closed.
   std::size_t max_received_memory = 0;
   /// Called when a connection is closed because its input is not a valid
-  /// request, or exceeds the memory for requests. May be called on any thread of the I/O context.
+  /// request, or exceeds the memory for requests. May be called on any thread
+  /// of the I/O context.
   std::function<void(std::string_view reason)> on_invalid_request{};
 };
 
--- a/source/connection/memory_budget.cc
+++ b/source/connection/memory_budget.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
-/// Limit of a process that does not know the memory of its VM.
+/// Largest limit of a process whose settings do not name the memory of its VM.
 constexpr std::size_t kDefaultLimit = 512 * kMegabyte;
 /// 64 MB on a VM of 160 MB. The process needs up to 16 MB besides at 90 entry
 /// VMs (docs/CAPACITY.md), and up to 26 MB for 2,600 connections without
@@ -28,6 +28,10 @@
 constexpr std::uint64_t kMinRetryMs = 500;
 constexpr std::uint64_t kRetrySpreadMs = 1'500;
 
+std::size_t ShareOf(std::size_t bytes) {
+  return static_cast<std::size_t>(kLimitShare * static_cast<double>(bytes));
+}
+
 }  // namespace
 
 std::string_view MemoryKindText(memory_kind kind) {
@@ -61,10 +65,11 @@
 memory_budget::memory_budget(std::size_t limit, random_source random)
     : limit_(limit), random_(std::move(random)) {}
 
-std::size_t memory_budget::LimitFor(std::uint32_t memory_mb) {
-  if (memory_mb == 0) return kDefaultLimit;
-  return static_cast<std::size_t>(kLimitShare * static_cast<double>(memory_mb) *
-                                  static_cast<double>(kMegabyte));
+std::size_t memory_budget::LimitFor(std::uint32_t memory_mb,
+                                    std::optional<std::size_t> machine_bytes) {
+  if (memory_mb > 0) return ShareOf(memory_mb * kMegabyte);
+  if (!machine_bytes) return kDefaultLimit;
+  return std::min(kDefaultLimit, ShareOf(*machine_bytes));
 }
 
 void memory_budget::Add(memory_account& account) { accounts_.insert(&account); }
--- a/source/connection/memory_budget.h
+++ b/source/connection/memory_budget.h
@@ -35,8 +35,11 @@
   memory_budget(const memory_budget&) = delete;
   memory_budget& operator=(const memory_budget&) = delete;
 
-  /// Share of the VM's memory that connections may use. 0: memory not known.
-  static std::size_t LimitFor(std::uint32_t memory_mb);
+  /// Share of the VM's memory that connections may use. `memory_mb`: as in the
+  /// settings, 0 if it is not; then `machine_bytes`, as far as it is known,
+  /// bounds the default.
+  static std::size_t LimitFor(std::uint32_t memory_mb,
+                              std::optional<std::size_t> machine_bytes);
 
   /// Called before a connection is closed.
   void OnShortage(shortage_hook hook) { on_shortage_ = std::move(hook); }
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -15,7 +15,7 @@
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
-#include "connection/memory_budget.h"
+#include "connection/machine_memory.h"
 #include "connection/peer_transport.h"
 #include "process/controller/controller_metrics.h"
 #include "process/controller/controller_status.h"
@@ -129,7 +129,7 @@
     http_server_settings http;
     http.listen = *settings_.control;
     http.read_timeout = kReadTimeout;
-    http.max_received_memory = memory_budget::LimitFor(settings_.memory_mb);
+    http.max_received_memory = RequestMemory(settings_.memory_mb);
     http.on_invalid_request = [](std::string_view reason) {
       LogEvent(log_level::kWarning, "unreadable_request",
                {{"reason", std::string(reason)}});
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -16,6 +16,7 @@
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
+#include "connection/machine_memory.h"
 #include "connection/memory_budget.h"
 #include "connection/peer_transport.h"
 #include "process/controller/document_offer.h"
@@ -87,7 +88,7 @@
                  request_dialect requests, control_dialect control)
       : settings_(std::move(settings)),
         stop_(settings_.grace),
-        memory_(memory_budget::LimitFor(settings_.memory_mb), SystemRandom()),
+        memory_(RequestMemory(settings_.memory_mb), SystemRandom()),
         timer_(io_),
         signals_(
             io_, [this] { BeginStop(); }, [this] { settings_watch_.Reload(); }),
--- a/tests/proxy/memory_budget_test.cc
+++ b/tests/proxy/memory_budget_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(account_without_a_budget_is_not_bounded);
   CPPUNIT_TEST(limit_leaves_room_for_single_requests_of_the_largest_size);
   CPPUNIT_TEST(six_largest_requests_with_heads_fit_on_the_smallest_vm);
+  CPPUNIT_TEST(limit_without_a_setting_fits_on_a_small_machine);
   CPPUNIT_TEST(pause_of_the_process_is_no_stall_of_its_callers);
   CPPUNIT_TEST(retry_after_varies_within_its_range);
   CPPUNIT_TEST_SUITE_END();
@@ -230,16 +231,29 @@
   // A body of 4 MiB in progress counts twice.
   void limit_leaves_room_for_single_requests_of_the_largest_size() {
     constexpr std::size_t kRequest = std::size_t{8} * 1024 * 1024;
-    CPPUNIT_ASSERT(memory_budget::LimitFor(160) >= 4 * kRequest);
-    CPPUNIT_ASSERT(memory_budget::LimitFor(160) <= 10 * kRequest);
-    CPPUNIT_ASSERT(memory_budget::LimitFor(0) >= 60 * kRequest);
+    CPPUNIT_ASSERT(memory_budget::LimitFor(160, {}) >= 4 * kRequest);
+    CPPUNIT_ASSERT(memory_budget::LimitFor(160, {}) <= 10 * kRequest);
+    CPPUNIT_ASSERT(memory_budget::LimitFor(0, {}) >= 60 * kRequest);
+  }
+
+  // Guards against a process that may hold more than its machine has, because
+  // its settings do not name the memory.
+  void limit_without_a_setting_fits_on_a_small_machine() {
+    constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
+    CPPUNIT_ASSERT_EQUAL(memory_budget::LimitFor(160, {}),
+                         memory_budget::LimitFor(0, 160 * kMegabyte));
+    CPPUNIT_ASSERT_EQUAL(
+        memory_budget::LimitFor(0, {}),
+        memory_budget::LimitFor(0, std::size_t{64} * 1024 * kMegabyte));
+    CPPUNIT_ASSERT_EQUAL(memory_budget::LimitFor(160, {}),
+                         memory_budget::LimitFor(160, kMegabyte));
   }
 
   // Guards against a smaller number than docs/design/memory-budget.md states.
   void six_largest_requests_with_heads_fit_on_the_smallest_vm() {
     constexpr std::size_t kHead = 500;
     constexpr std::size_t kRequest = std::size_t{4} * 1024 * 1024 + kHead;
-    memory_budget smallest(memory_budget::LimitFor(160), [] { return 0; });
+    memory_budget smallest(memory_budget::LimitFor(160, {}), [] { return 0; });
     memory_account account(&smallest, At(0), [] {});
     account.Set(kHeld, 2 * kRequest * 6);
     CPPUNIT_ASSERT(!smallest.IsExceededFor(kRequest));
