--- a/source/process/daemon/settings.cc
+++ b/source/process/daemon/settings.cc
@@ -122,6 +122,8 @@
       reader.Integer("max_connections", 1, 1'000'000, 10'000);
   parsed.max_body_bytes = reader.Integer("max_body_bytes", 1'024,
                                          16UL * 1024 * 1024, 4UL * 1024 * 1024);
+  parsed.memory_mb =
+      static_cast<std::uint32_t>(reader.Integer("memory_mb", 0, 1'000'000, 0));
   parsed.drain_delay =
       std::chrono::milliseconds(reader.Integer("settle_ms", 0, 60'000, 2'000));
 }
--- a/source/process/daemon/settings.h
+++ b/source/process/daemon/settings.h
@@ -47,6 +47,9 @@
   std::size_t io_threads = 2;
   std::size_t max_connections = 10'000;
   std::size_t max_body_bytes = 4UL * 1024 * 1024;
+  /// Memory of the VM in megabytes; 0: what the machine and the limits of the
+  /// process name.
+  std::uint32_t memory_mb = 0;
   /// Time in a shutdown for the load balancer to notice that the VM is not
   /// ready, before connections are closed.
   std::chrono::milliseconds drain_delay{2'000};
--- a/tests/fleet/test_fleet.cc
+++ b/tests/fleet/test_fleet.cc
@@ -49,7 +49,7 @@
 
 }  // namespace
 
-test_fleet::test_fleet() {
+test_fleet::test_fleet(int memory_mb) : memory_mb_(memory_mb) {
   std::string pattern = std::filesystem::temp_directory_path() / "fleet-XXXXXX";
   folder_ = mkdtemp(pattern.data());
   const secret_key root = FixedKey(1);
@@ -74,6 +74,7 @@
        << "\ncallers: " << Callers(number) << "\ncontrol: " << Control(number)
        << "\npeers: 127.0.0.1:730" << number << "\nroot_key: " << root_key_
        << "\nsettle_ms: 300\n";
+  if (memory_mb_ > 0) text << "memory_mb: " << memory_mb_ << "\n";
   if (number < kVms)
     text << "data_folder: " << folder_ << "/d" << number << "\n";
   text << "fleet:\n";
@@ -187,6 +188,18 @@
   }
 }
 
+std::int64_t test_fleet::MemoryKb(const std::string& name,
+                                  const std::string& field) {
+  std::ifstream status("/proc/" + std::to_string(processes_.at(name)) +
+                       "/status");
+  std::string word;
+  while (status >> word) {
+    std::int64_t kilobytes = 0;
+    if (word == field && status >> kilobytes) return kilobytes;
+  }
+  return 0;
+}
+
 void test_fleet::Kill(const std::string& name) {
   const auto found = processes_.find(name);
   if (found == processes_.end()) return;
--- a/tests/fleet/test_fleet.h
+++ b/tests/fleet/test_fleet.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -22,7 +23,8 @@
  public:
   static constexpr int kVms = 6;
 
-  test_fleet();
+  /// `memory_mb`: memory of each VM; 0: not in the settings.
+  explicit test_fleet(int memory_mb = 0);
   ~test_fleet();
   test_fleet(const test_fleet&) = delete;
   test_fleet& operator=(const test_fleet&) = delete;
@@ -66,6 +68,8 @@
   /// Number of the VM that leads the control group according to `vm`; 0 if
   /// there is none.
   int Leader(int vm);
+  /// A field of the process's status, in kilobytes.
+  std::int64_t MemoryKb(const std::string& name, const std::string& field);
   /// How often each idempotency key ran on all booking endpoints together.
   std::map<std::string, int> Runs();
 
@@ -74,6 +78,7 @@
   void Spawn(const std::string& name, const std::vector<std::string>& command,
              const std::string& output_file);
 
+  const int memory_mb_;
   std::string folder_;
   std::string root_key_;
   std::map<std::string, pid_t> processes_;
