daemon: bound the memory of requests to serve

What callers could do: 16 clients that leave bodies of 16 MiB unfinished let a process of serve grow by 259 MB, with chunks of one byte by 1,210 MB. Nothing bounded the sum over up to 10,000 connections.

Cause and change: the HTTP servers of serve have the limit of the control address now, 40% of memory_mb, or of what the machine and the limits of the process name, at most 512 MiB. Where memory_mb is set, serve and the control process return released buffers to the system, as the entry process does; without this serve grew by 80 MB with one-byte chunks, in heaps of its two threads. Connections that are closed for it are logged once a second; serve has no other line about closed connections, since their number is not bounded.

--- a/source/connection/http_server.cc
+++ b/source/connection/http_server.cc
@@ -242,9 +242,7 @@
                 [this](auto& target) { Configure(target); }) {
     if (settings_.max_received_memory == 0) return;
     asio::use_service<receive_budget>(io).SetLimit(
-        settings_.max_received_memory, [hook = settings_.on_invalid_request] {
-          if (hook) hook("memory for requests exhausted");
-        });
+        settings_.max_received_memory, settings_.on_memory_exhausted);
   }
 
   result<void, listen_error> Listen() {
--- a/source/connection/http_server_settings.h
+++ b/source/connection/http_server_settings.h
@@ -35,9 +35,11 @@
   /// of other servers on the same I/O context; 0: no limit. A connection that
   /// exceeds it is closed.
   std::size_t max_received_memory = 0;
+  /// Called at most once a second when connections are closed because of it, on
+  /// any thread of the I/O context.
+  std::function<void()> on_memory_exhausted{};
   /// Called when a connection is closed because its input is not a valid
-  /// request, or exceeds the memory for requests. May be called on any thread
-  /// of the I/O context.
+  /// request. May be called on any thread of the I/O context.
   std::function<void(std::string_view reason)> on_invalid_request{};
 };
 
--- a/source/connection/receive_account.h
+++ b/source/connection/receive_account.h
@@ -32,7 +32,7 @@
     budget_.Remove(bytes);
   }
   bool MayReceive() const { return budget_.MayReceive(held_); }
-  void Refuse() const { budget_.Refuse(); }
+  void Refuse() { budget_.Refuse(); }
 
   /// The account of the connection whose bytes this thread is parsing; null
   /// outside. The HTTP library does not pass its sockets to handlers.
--- a/source/connection/receive_budget.cc
+++ b/source/connection/receive_budget.cc
@@ -1,5 +1,6 @@
 #include "connection/receive_budget.h"
 
+#include <chrono>
 #include <utility>
 
 namespace marjoramsill {
@@ -26,8 +27,11 @@
   return max_bytes_ == 0 || held < kSmallRequestBytes || total_ <= max_bytes_;
 }
 
-void receive_budget::Refuse() const {
-  if (on_refused_) on_refused_();
+void receive_budget::Refuse() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  const std::int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(now).count();
+  if (refused_second_.exchange(second) != second && on_refused_) on_refused_();
 }
 
 }  // namespace marjoramsill
--- a/source/connection/receive_budget.h
+++ b/source/connection/receive_budget.h
@@ -4,6 +4,7 @@
 #include <asio/execution_context.hpp>
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 
 namespace marjoramsill {
@@ -20,7 +21,8 @@
   explicit receive_budget(asio::execution_context& context);
 
   /// `memory_bytes`: memory that received requests may take; 0: no limit.
-  /// `on_refused` is called when a connection is closed because of it.
+  /// `on_refused` is called, at most once a second, when a connection is closed
+  /// because of it.
   void SetLimit(std::size_t memory_bytes, std::function<void()> on_refused);
   void Add(std::size_t bytes) { total_ += bytes; }
   void Remove(std::size_t bytes) { total_ -= bytes; }
@@ -28,7 +30,7 @@
   /// One that holds little always may, so that small requests are served beside
   /// large ones.
   bool MayReceive(std::size_t held) const;
-  void Refuse() const;
+  void Refuse();
   std::size_t total() const { return total_; }
 
  private:
@@ -37,6 +39,8 @@
   std::size_t max_bytes_ = 0;
   std::function<void()> on_refused_;
   std::atomic<std::size_t> total_{0};
+  /// Second of the steady clock in which `on_refused_` was called last.
+  std::atomic<std::int64_t> refused_second_{-1};
 };
 
 }  // namespace marjoramsill
--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "connection/heap_settings.h"
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
@@ -118,6 +119,7 @@
   }
 
   result<void, start_error> Start() {
+    if (settings_.memory_mb > 0) ReturnReleasedBuffers();
     if (auto opened = OpenStores(); !opened) return opened;
     documents_.emplace(
         dialect_, *store_, watcher_, settings_.link_mbps,
@@ -130,6 +132,9 @@
     http.listen = *settings_.control;
     http.read_timeout = kReadTimeout;
     http.max_received_memory = RequestMemory(settings_.memory_mb);
+    http.on_memory_exhausted = [] {
+      LogEvent(log_level::kWarning, "closed_for_memory", {});
+    };
     http.on_invalid_request = [](std::string_view reason) {
       LogEvent(log_level::kWarning, "unreadable_request",
                {{"reason", std::string(reason)}});
--- a/source/process/daemon/router_process.cc
+++ b/source/process/daemon/router_process.cc
@@ -15,8 +15,10 @@
 #include <vector>
 
 #include "connection/endpoint_client.h"
+#include "connection/heap_settings.h"
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
+#include "connection/machine_memory.h"
 #include "connection/peer_transport.h"
 #include "process/claims/claim_shard.h"
 #include "process/daemon/call_services.h"
@@ -63,6 +65,10 @@
   to.listen = listen;
   to.max_connections = from.max_connections;
   to.handle_timeout = kMaxShutdownTime;
+  to.max_received_memory = RequestMemory(from.memory_mb);
+  to.on_memory_exhausted = [] {
+    LogEvent(log_level::kWarning, "closed_for_memory", {});
+  };
   return to;
 }
 
@@ -109,6 +115,7 @@
               control_service_.Handle(request, responder);
             }) {
     AddControlPaths();
+    if (settings_.memory_mb > 0) ReturnReleasedBuffers();
   }
 
   ~implementation() { StopThreads(); }
