--- a/source/connection/machine_memory.cc
+++ b/source/connection/machine_memory.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <fstream>
 #include <string>
 
@@ -16,8 +17,8 @@
 constexpr const char* kGroupLimitFile = "/sys/fs/cgroup/memory.max";
 
 std::optional<std::size_t> PhysicalMemory() {
-  const long pages = ::sysconf(_SC_PHYS_PAGES);
-  const long page_bytes = ::sysconf(_SC_PAGESIZE);
+  const std::int64_t pages = ::sysconf(_SC_PHYS_PAGES);
+  const std::int64_t page_bytes = ::sysconf(_SC_PAGESIZE);
   if (pages <= 0 || page_bytes <= 0) return std::nullopt;
   return static_cast<std::size_t>(pages) * static_cast<std::size_t>(page_bytes);
 }
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -53,8 +53,9 @@
       due, [self = weak_from_this(),
             opened = attempt_.connection.get()](bool current) {
         const auto call = self.lock();
-        if (call && call->attempt_.connection.get() == opened)
+        if (call && call->attempt_.connection.get() == opened) {
           call->OnRecords(current);
+        }
       });
 }
 
