request: release the bodies of a request when it ends

What callers could do: 16 clients that ask for answers of 6 MiB and do not read them let an entry process with memory_mb 48 grow by 41 MB, 32 may be.

Cause: a connection that is closed for memory gave its bytes back to the budget at once, while the ended call kept the body of the response, and that of the request, until it was removed up to 25 ms later. Meanwhile the budget allowed as much again. The account was given back before the memory.

Failing before: crowd_of_unread_answers (test_body_crowds), growth 41,484 and 39,976 KB in 2 of 2 runs, bound 32,768. Now 26,720, 26,392, 27,096 and 27,168 KB in 4 of 4. The other six crowds: 128 to 23,080 KB.

--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -7,6 +7,7 @@
 
 #include "connection/caller_connection.h"
 #include "connection/endpoint_connection.h"
+#include "connection/large_buffer.h"
 #include "process/daemon/event_log.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/content_breaker.h"
@@ -356,6 +357,9 @@
   RecordDroppedCall(attempt_);
   state_ = state::kDone;
   DropConnection(attempt_);
+  // The call is removed a tick later only.
+  ReleaseBuffer(attempt_.body);
+  ReleaseBuffer(message_.body);
   environment_.metrics->CountOutcome(Rank(), outcome);
   if (response_started_) {
     const std::chrono::duration<double> gap = longest_gap_;
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -382,7 +382,7 @@
 
   const call_environment& environment_;
   std::shared_ptr<caller_connection> caller_;
-  const caller_message message_;
+  caller_message message_;
   state state_ = state::kNew;
 
   std::shared_ptr<const routing_table> table_;
--- a/tests/operations/body_crowd.cc
+++ b/tests/operations/body_crowd.cc
@@ -13,7 +13,7 @@
 
 namespace marjoramsill {
 
-/// One connection. Responses are read and discarded.
+/// One connection. Responses are discarded, or not read.
 class body_crowd::client : public std::enable_shared_from_this<client> {
  public:
   client(asio::io_context& io, std::shared_ptr<const part> sent)
@@ -28,7 +28,7 @@
                               self->Close();
                               return;
                             }
-                            self->Read();
+                            if (self->part_->reads_answers) self->Read();
                             self->Write(self->part_->head);
                           });
   }
--- a/tests/operations/body_crowd.h
+++ b/tests/operations/body_crowd.h
@@ -23,6 +23,7 @@
     std::string block;
     std::size_t bytes = 0;
     std::chrono::milliseconds pause{0};
+    bool reads_answers = true;
   };
 
   body_crowd(asio::io_context& io, const socket_address& to, int clients,
--- a/tests/operations/body_crowd_test.cc
+++ b/tests/operations/body_crowd_test.cc
@@ -7,6 +7,7 @@
 
 #include "body_crowd.h"
 #include "crowd_fixture.h"
+#include "raw_endpoint.h"
 
 namespace marjoramsill {
 
@@ -22,12 +23,17 @@
   CPPUNIT_TEST(small_chunks_leave_memory_free);
   CPPUNIT_TEST(chunks_over_limit_leave_memory_free);
   CPPUNIT_TEST(announced_over_limit_leave_memory_free);
+  CPPUNIT_TEST(unread_answers_leave_memory_free);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint16_t kPort = 17'400;
   /// `max_body_bytes` of the document.
   static constexpr std::size_t kLimit = std::size_t{4} * 1024 * 1024;
 
+  /// Exceeds what the kernel holds for one connection.
+  static constexpr std::size_t kLongAnswer = std::size_t{6} * 1024 * 1024;
+  int number_ = 0;
+
   static std::string Head(const std::string& framing) {
     return "POST /look/crowd HTTP/1.1\r\nHost: crowd\r\n" + framing +
            "\r\n\r\n";
@@ -83,6 +89,29 @@
     Check({ChunkedHead(), chunk, 10 * kLimit / kBlock * chunk.size()});
   }
 
+  // Guards against an entry process that runs out of memory because many
+  // clients do not read their answers.
+  void unread_answers_leave_memory_free() {
+    raw_endpoint endpoint(io_, {"127.0.2.9", kPort + 9}, [this] {
+      return fleet_->ControlNodes()[0]->control;
+    });
+    endpoint.SetAnswer(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
+         "Server-Signature: raw\r\nContent-Length: " +
+             std::to_string(kLongAnswer) + "\r\n\r\n" +
+             std::string(kLongAnswer, 'a'),
+         "", raw_end::kKeep});
+    CPPUNIT_ASSERT(RunUntil([this] {
+      return Status(0, "/raw-ask/", "long" + std::to_string(++number_)) == 200;
+    }));
+    const int before = endpoint.request_count();
+    body_crowd::part part;
+    part.head = "GET /raw-ask/crowd HTTP/1.1\r\nHost: soak.example\r\n\r\n";
+    part.reads_answers = false;
+    Check(part);
+    CPPUNIT_ASSERT_EQUAL(before + kClients, endpoint.request_count());
+  }
+
   void announced_over_limit_leave_memory_free() {
     Check({LengthHead(512 * kLimit), std::string(kBlock, 'a'), 2 * kLimit});
   }
