--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -16,8 +16,8 @@
 #include "connection/http_responder.h"
 #include "connection/http_server.h"
 #include "connection/http_server_settings.h"
-#include "connection/machine_memory.h"
 #include "connection/peer_transport.h"
+#include "process/controller/control_server_settings.h"
 #include "process/controller/controller_metrics.h"
 #include "process/controller/controller_status.h"
 #include "process/controller/document_service.h"
@@ -60,9 +60,6 @@
 /// heartbeat. With three, one late or lost heartbeat has no effect.
 constexpr int kSilentIntervals = 3;
 
-/// A caller of the control address gives up a request much sooner.
-constexpr milliseconds kReadTimeout{10'000};
-
 /// For operators. The command `status` reads it.
 constexpr std::string_view kStatusPath = "/v1/status";
 
@@ -128,18 +125,7 @@
     const std::string address = FormatSocketAddress(*settings_.control);
     endpoints_.emplace(dialect_, hub_, directory_, watcher_, *endings_,
                        address);
-    http_server_settings http;
-    http.listen = *settings_.control;
-    http.read_timeout = kReadTimeout;
-    http.max_received_memory = RequestMemory(settings_.memory_mb);
-    http.on_memory_exhausted = [] {
-      LogEvent(log_level::kWarning, "closed_for_memory", {});
-    };
-    http.on_invalid_request = [](std::string_view reason) {
-      LogEvent(log_level::kWarning, "unreadable_request",
-               {{"reason", std::string(reason)}});
-    };
-    server_.emplace(io_, http,
+    server_.emplace(io_, ControlServerSettings(settings_),
                     [this](const http_request& request,
                            const std::shared_ptr<http_responder>& responder) {
                       OnRequest(request, responder);
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -156,19 +156,11 @@
   static constexpr std::string_view kStartingReason = "no_document";
   static constexpr double kStartingRetryMs = 800;
 
-  // proxied_call_attempt.cc: attempts at endpoints.
+  // proxied_call_attempt.cc: attempts at endpoints, from the choice to what
+  // follows.
   void Attempt();
-  void OpenConnection(const placement_choice& choice);
-  /// Sends the request on an idle connection or opens a new one.
-  void Connect(const std::string& address);
-  void ResetAttempt(endpoint_id target);
-  void OnConnected(bool connected);
   /// Ends the attempt at its endpoint and keeps the connection for others.
   void LeaveConnection(endpoint_attempt& attempt);
-  void Send();
-  std::string RequestBytes() const;
-  /// The hooks of an attempt, which may have become late since it was sent.
-  endpoint_call_hooks CallHooks();
   void OnHead(const endpoint_response_head& head);
   /// Records what the head says about its endpoint and the request.
   void RecordHead(endpoint_attempt& attempt,
@@ -193,6 +185,17 @@
   /// before the end of its response.
   void RecordDroppedCall(const endpoint_attempt& attempt);
 
+  // proxied_call_send.cc: the start of an attempt.
+  void OpenConnection(const placement_choice& choice);
+  /// Sends the request on an idle connection or opens a new one.
+  void Connect(const std::string& address);
+  void ResetAttempt(endpoint_id target);
+  void OnConnected(bool connected);
+  void Send();
+  std::string RequestBytes() const;
+  /// The hooks of an attempt, which may have become late since it was sent.
+  endpoint_call_hooks CallHooks();
+
   // proxied_call_progress.cc: attempts that are late.
   void RecordProgress();
   /// Records the pace of the events that have arrived since `last_progress_` as
--- a/tests/daemon/caller_connection_test.cc
+++ b/tests/daemon/caller_connection_test.cc
@@ -33,7 +33,7 @@
   CPPUNIT_TEST(kept_connection_with_a_large_send_buffer_is_not_idle);
   CPPUNIT_TEST(response_left_at_the_end_of_the_process_goes_to_the_kernel);
   CPPUNIT_TEST(caller_dropped_for_unsent_bytes_is_reported);
-  CPPUNIT_TEST(caller_that_closes_is_told_apart_from_one_that_is_closed);
+  CPPUNIT_TEST(close_by_the_caller_has_its_own_cause);
   CPPUNIT_TEST(connection_with_an_unacknowledged_response_is_busy);
   CPPUNIT_TEST(last_response_in_the_send_buffer_is_awaited);
   CPPUNIT_TEST_SUITE_END();
@@ -219,7 +219,7 @@
 
   // Guards against a request that is cut off by this process and logged as left
   // by its caller.
-  void caller_that_closes_is_told_apart_from_one_that_is_closed() {
+  void close_by_the_caller_has_its_own_cause() {
     std::optional<disconnect_cause> cause;
     Connect(kBufferBytes);
     SendRequest();
