--- a/tests/daemon/caller_connection_test.cc
+++ b/tests/daemon/caller_connection_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(kept_connection_with_a_large_send_buffer_is_not_idle);
   CPPUNIT_TEST(response_left_at_the_end_of_the_process_goes_to_the_kernel);
   CPPUNIT_TEST(caller_dropped_for_unsent_bytes_is_reported);
+  CPPUNIT_TEST(close_for_unsent_bytes_has_its_own_cause);
   CPPUNIT_TEST(close_by_the_caller_has_its_own_cause);
   CPPUNIT_TEST(connection_with_an_unacknowledged_response_is_busy);
   CPPUNIT_TEST(last_response_in_the_send_buffer_is_awaited);
@@ -198,6 +199,22 @@
   // Guards against a response that is cut without a trace because its caller
   // took too little of it.
   void caller_dropped_for_unsent_bytes_is_reported() {
+    constexpr std::size_t kTooMuch = std::size_t{5} * 1024 * 1024;
+    std::size_t reported = 0;
+    hooks_.on_unreceived = [&reported](std::string_view, std::size_t unsent,
+                                       std::size_t) { reported = unsent; };
+    Connect(kBufferBytes);
+    SendRequest();
+    connection_->Begin(200, {}, std::nullopt);
+    connection_->Write(std::string(kBodyBytes, 'x'));
+    connection_->Flush();
+    connection_->Write(std::string(kTooMuch, 'x'));
+    connection_->End();
+    CPPUNIT_ASSERT(has_ended_);
+    CPPUNIT_ASSERT(reported > kTooMuch);
+  }
+
+  void close_for_unsent_bytes_has_its_own_cause() {
     constexpr std::size_t kTooMuch = std::size_t{5} * 1024 * 1024;
     std::size_t reported = 0;
     std::optional<disconnect_cause> cause;
