--- a/review/6/case_6.cc
+++ b/review/6/case_6.cc
@@ -19,12 +19,6 @@
 /// More mixed streams than the rule excuses.
 constexpr int kExcused = 2;
 
-struct outcome {
-  std::vector<std::string> first;
-  http_answer second;
-  bool is_taken_up = false;
-};
-
 class play {
  public:
   explicit play(run_record& record)
@@ -83,88 +77,39 @@
     fleet_.Signal(fleet_.EntryIp(0), signal);
   }
 
-  void Client(int number) {
-    const std::string request = "c" + std::to_string(number);
-    const http_answer first =
-        Call(fleet_.Entry(OtherEntry(number)), "POST", "/chat/" + request,
-             StreamFields(request, number), "prompt", kPatience);
-    outcome result;
-    result.first = EventData(first.body);
-    record_.Write("client " + request + " gets " +
-                  std::to_string(first.status) + " with " +
-                  std::to_string(result.first.size()) + " events of " +
-                  Versions(result.first) +
-                  (first.is_complete ? ", complete" : ", broken off"));
-    if (first.status == 200 && !first.is_complete && !result.first.empty()) {
-      TakeUp(number, request, result);
-    }
-    const std::lock_guard lock(mutex_);
-    outcomes_.push_back(result);
-  }
-
   /// One of the entry processes that never stand still.
   static int OtherEntry(int number) { return 1 + number % (kEntries - 1); }
 
-  void TakeUp(int number, const std::string& request, outcome& result) {
-    const std::string again = "again-" + request;
-    field_map fields = StreamFields(again, number);
-    fields["Resumes"] = request;
-    fields["Last-Event-Id"] = std::to_string(result.first.size());
-    result.is_taken_up = true;
-    const int turn = next_turn_++;
-    const int entry = turn % 2 == 0 ? 0 : OtherEntry(turn);
-    result.second = Call(fleet_.Entry(entry), "POST", "/chat/" + request,
-                         fields, "prompt", kPatience);
-    const auto events = EventData(result.second.body);
-    record_.Write("client " + request + " takes its stream up as " + again +
-                  " at entry " + fleet_.EntryIp(entry) + ", gets " +
-                  std::to_string(result.second.status) + " with " +
-                  std::to_string(events.size()) + " events of " +
-                  Versions(events));
-  }
-
-  /// The software versions that the events name.
-  static std::string Versions(const std::vector<std::string>& events) {
-    std::set<std::string> versions;
-    for (const std::string& each : events) {
-      versions.insert(each.substr(0, each.find('/')));
-    }
-    std::string text;
-    for (const std::string& each : versions) {
-      text += (text.empty() ? "" : "+") + each;
-    }
-    return text.empty() ? "none" : text;
+  void Client(int number) {
+    const stream_outcome result =
+        PlayStream(record_, number, fleet_.Entry(OtherEntry(number)), [this] {
+          const int turn = next_turn_++;
+          return fleet_.Entry(turn % 2 == 0 ? 0 : OtherEntry(turn));
+        });
+    const std::lock_guard lock(mutex_);
+    taken_up_ += result.is_taken_up ? 1 : 0;
+    mixed_ += result.IsMixed() ? 1 : 0;
   }
 
   int Judge() {
-    int taken_up = 0;
-    int mixed = 0;
-    for (const outcome& each : outcomes_) {
-      std::vector<std::string> all = each.first;
-      const auto more = EventData(each.second.body);
-      all.insert(all.end(), more.begin(), more.end());
-      taken_up += each.is_taken_up ? 1 : 0;
-      mixed += Versions(all).find('+') != std::string::npos ? 1 : 0;
-    }
     const bool all_run = fleet_.AllRun();
-    record_.Write(std::to_string(taken_up) + " streams were taken up, " +
-                  std::to_string(mixed) +
+    record_.Write(std::to_string(taken_up_) + " streams were taken up, " +
+                  std::to_string(mixed_) +
                   " streams hold events of two software versions");
-    if (taken_up <= kExcused || !all_run) {
+    if (taken_up_ <= kExcused || !all_run) {
       return Fail("too few streams were broken off");
     }
-    std::cout << "streams with events of two versions: " << mixed << " of "
-              << taken_up << " that were taken up" << std::endl;
-    return mixed > kExcused ? 1 : 0;
+    std::cout << "streams with events of two versions: " << mixed_ << " of "
+              << taken_up_ << " that were taken up" << std::endl;
+    return mixed_ > kExcused ? 1 : 0;
   }
 
-  static constexpr milliseconds kPatience{15'000};
-
   run_record& record_;
   fleet fleet_;
   std::atomic<int> next_turn_{0};
   std::mutex mutex_;
-  std::vector<outcome> outcomes_;
+  int taken_up_ = 0;
+  int mixed_ = 0;
 };
 
 }  // namespace
--- a/review/standins-2/stand_in.cc
+++ b/review/standins-2/stand_in.cc
@@ -499,6 +499,51 @@
           {"Credential", "key1"}};
 }
 
+std::string stream_outcome::Versions() const {
+  std::set<std::string> versions;
+  for (const auto* events : {&first, &second}) {
+    for (const std::string& each : *events) {
+      versions.insert(each.substr(0, each.find('/')));
+    }
+  }
+  std::string text;
+  for (const std::string& each : versions) {
+    text += (text.empty() ? "" : "+") + each;
+  }
+  return text.empty() ? "none" : text;
+}
+
+stream_outcome PlayStream(run_record& record, int number, const address& first,
+                          const std::function<address()>& second) {
+  constexpr milliseconds kPatience{15'000};
+  const std::string request = "c" + std::to_string(number);
+  const std::string path = "/chat/" + request;
+  const http_answer begun = Call(
+      first, "POST", path, StreamFields(request, number), "prompt", kPatience);
+  stream_outcome outcome;
+  outcome.first = EventData(begun.body);
+  record.Write("client gets " + std::to_string(begun.status) + " to " +
+               request + " with " + std::to_string(outcome.first.size()) +
+               " events of " + outcome.Versions() +
+               (begun.is_complete ? ", complete" : ", broken off"));
+  if (begun.status != 200 || begun.is_complete || outcome.first.empty()) {
+    return outcome;
+  }
+  const std::string again = "again-" + request;
+  field_map fields = StreamFields(again, number);
+  fields["Resumes"] = request;
+  fields["Last-Event-Id"] = std::to_string(outcome.first.size());
+  outcome.is_taken_up = true;
+  const address to = second();
+  const http_answer more = Call(to, "POST", path, fields, "prompt", kPatience);
+  outcome.second = EventData(more.body);
+  record.Write("client gets " + std::to_string(more.status) + " to " + again +
+               " at " + to.Text() + " with " +
+               std::to_string(outcome.second.size()) +
+               " further events, all in all of " + outcome.Versions());
+  return outcome;
+}
+
 bool HasTrouble() {
   const char* trouble = std::getenv("TROUBLE");
   return trouble == nullptr || std::string(trouble) != "0";
--- a/review/standins-2/stand_in.h
+++ b/review/standins-2/stand_in.h
@@ -159,6 +159,21 @@
 /// What a client sends with a request on that route.
 field_map StreamFields(const std::string& request, int number);
 
+/// What a client got of one stream, over both of its tries.
+struct stream_outcome {
+  std::vector<std::string> first;
+  std::vector<std::string> second;
+  bool is_taken_up = false;
+  /// The software versions that the events name, joined by +.
+  std::string Versions() const;
+  bool IsMixed() const { return Versions().find('+') != std::string::npos; }
+};
+
+/// Sends a request for a stream to `first`, and takes the stream up once, at
+/// the address that `second` returns, if it is broken off.
+stream_outcome PlayStream(run_record& record, int number, const address& first,
+                          const std::function<address()>& second);
+
 /// False if TROUBLE=0 is set: the case runs without its disruption.
 bool HasTrouble();
 
