--- a/review/standins-2/stand_in.cc
+++ b/review/standins-2/stand_in.cc
@@ -340,6 +340,10 @@
   return entries_[static_cast<std::size_t>(index)];
 }
 
+const std::string& fleet::ControlIp(int index) const {
+  return controllers_[static_cast<std::size_t>(index)];
+}
+
 address fleet::Server(int index) const {
   return {net_ + "3." + std::to_string(index),
           static_cast<std::uint16_t>(port_ + kServer)};
@@ -378,11 +382,14 @@
 }
 
 void stream_server::Beat() {
-  int next = 0;
+  int next = settings_.first_control;
   while (runs_) {
     bool is_taken = !beats_;
     for (int i = 0; i < 3 && !is_taken; ++i) {
       const std::string body = Heartbeat(settings_.version, ++sequence_);
+      record_.Write("server " + settings_.id + " sends heartbeat " +
+                    std::to_string(sequence_) + " to control process " +
+                    processes_.Control(next).ip);
       is_taken = Call(processes_.Control(next), "PUT",
                       "/instances/" + settings_.id, {}, body, kHeartbeatTimeout)
                      .status == 200;
--- a/review/standins-2/stand_in.h
+++ b/review/standins-2/stand_in.h
@@ -82,6 +82,7 @@
   address Control(int index) const;
   address Entry(int index) const;
   const std::string& EntryIp(int index) const;
+  const std::string& ControlIp(int index) const;
   /// A loopback address for a server.
   address Server(int index) const;
 
@@ -114,6 +115,8 @@
     std::string version;
     int events = 30;
     milliseconds interval{250};
+    /// The control process that gets its first heartbeat.
+    int first_control = 0;
   };
   stream_server(fleet& processes, run_record& record, const address& listen,
                 settings with);
