directory, controller: send the software of endpoints that have ended

Cause: a watch response names an ended endpoint without its pool and software. A VM that knows the endpoint completes the record; one that has missed the endpoint's whole life keeps an end without a pool, and OnlySoftware skipped it, so the pool seemed to have had a single version. No transfer is special: changes after a gap, differences after a restart and an id that was used again lose the software alike.

Streams are mixed only if the endpoint signs off within the gap.

The record of an end now carries pool and software. Where neither is known (no control process knew the endpoint, or it is of an earlier build) the pool may have had any version, and the control processes are asked for the origin.

--- a/source/process/controller/watch_hub_records.cc
+++ b/source/process/controller/watch_hub_records.cc
@@ -16,13 +16,16 @@
 /// so that a directory that fills up is sent in few responses.
 constexpr milliseconds kRecordInterval{100};
 
-/// A watcher that knows the endpoint has the other fields. It merges them again
-/// with what identifies the end.
+/// Leaves out fields that only a watcher needs which knows the endpoint; it has
+/// them. A watcher that never had the record needs the software all the same:
+/// it must not take another version for the only one that has served.
 void ShortenEnded(std::vector<endpoint_record>& records) {
   for (endpoint_record& record : records) {
     if (record.phase != endpoint_phase::kEnded) continue;
     endpoint_record ended;
     ended.id = record.id;
+    ended.pool = record.pool;
+    ended.software = record.software;
     ended.incarnation = record.incarnation;
     ended.sequence = record.sequence;
     ended.phase = record.phase;
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -33,10 +33,11 @@
          IsLeavingOrEnded(record.phase) && record.phase > known.phase;
 }
 
-/// A record of an end may name only what identifies it.
+/// A record of an end may lack the fields that are not needed for one. Those of
+/// earlier builds lack the pool and the software too.
 void Complete(endpoint_record& record, const endpoint_record& known) {
   const bool is_short =
-      record.phase == endpoint_phase::kEnded && record.pool.empty();
+      record.phase == endpoint_phase::kEnded && record.address.empty();
   if (!is_short || record.incarnation != known.incarnation) return;
   record.pool = known.pool;
   record.address = known.address;
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -167,6 +167,8 @@
   if (!history_since_ || now - *history_since_ < period) return std::nullopt;
   std::optional<software_digest> only;
   for (const endpoint_record& record : directory_.ChangesAfter(0)) {
+    // An endpoint of which only the end is known may have been of any pool.
+    if (record.pool.empty()) return std::nullopt;
     if (record.pool != pool) continue;
     const software_digest software = DigestOfSoftware(record);
     if (only && *only != software) return std::nullopt;
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -64,7 +64,7 @@
   /// All endpoints that a control process has known since then are known here.
   void SetHistory(steady_time since);
   /// The software of a pool's endpoints, if all that were present within the
-  /// last `period`, ended ones included, have the same.
+  /// last `period`, ended ones included, are known to have the same.
   std::optional<software_digest> OnlySoftware(const model_id& pool,
                                               std::chrono::milliseconds period,
                                               steady_time now) const;
