directory: keep that an endpoint of unknown software has ended

Cause: an endpoint that signs off before a restarted control process has heard of it leaves an end without pool and software. endpoint_directory left such ends out of the former software, the only thing that a first transfer has of ended endpoints.

They are now part of it, as software of the empty pool; OnlySoftware then names no version for any pool, and the control processes are asked for the origin.

software_history_test: end_of_an_unknown_endpoint_reaches_a_restarted_entry_ process fails before. test_directory passes.

--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -116,8 +116,7 @@
   // The process that received the heartbeats so far must not mark the endpoint
   // as silent, so it has to receive this record.
   const bool takes_over = !added && received_here && !known.received_here;
-  if (!added && !HasSameSoftware(record, known.record) &&
-      !known.record.pool.empty()) {
+  if (!added && !HasSameSoftware(record, known.record)) {
     former_software_.Record(known.record, now);
   }
   if (!added) digest_.Toggle(known.record);
@@ -215,9 +214,7 @@
       changed = true;
     }
     if (IsExpired(known, now)) {
-      if (!known.record.pool.empty()) {
-        former_software_.Record(known.record, known.received_at);
-      }
+      former_software_.Record(known.record, known.received_at);
       digest_.Toggle(known.record);
       changes_.erase(known.change);
       it = entries_.erase(it);
@@ -304,8 +301,7 @@
     steady_time now) const {
   software_history all = former_software_;
   for (const auto& [id, known] : entries_) {
-    const bool has_ended = known.record.phase == endpoint_phase::kEnded;
-    if (has_ended && !known.record.pool.empty()) {
+    if (known.record.phase == endpoint_phase::kEnded) {
       all.Record(known.record, known.received_at);
     }
   }
--- a/source/process/directory/software_presence.h
+++ b/source/process/directory/software_presence.h
@@ -10,6 +10,8 @@
 
 /// An endpoint of a pool had this software, and has another one or none now.
 struct software_presence {
+  /// That of the empty id if nothing but the end of the endpoint was known, so
+  /// that it may have been of any pool.
   pool_digest pool;
   software_digest software;
   /// Time since it was last known to have it.
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -175,8 +175,11 @@
     only = software;
   }
   const pool_digest digest = DigestOf(pool);
+  const pool_digest any_pool = DigestOf(model_id());
   for (const software_presence& each : directory_.former_software().All(now)) {
-    if (each.pool != digest || each.age > period) continue;
+    if (each.age > period) continue;
+    if (each.pool == any_pool) return std::nullopt;
+    if (each.pool != digest) continue;
     if (only && *only != each.software) return std::nullopt;
     only = each.software;
   }
--- a/tests/directory/software_history_test.cc
+++ b/tests/directory/software_history_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(endpoint_that_came_and_ended_in_a_gap_leaves_its_software);
   CPPUNIT_TEST(id_that_was_used_again_in_a_gap_leaves_its_software);
   CPPUNIT_TEST(end_of_an_unknown_endpoint_leaves_the_software_open);
+  CPPUNIT_TEST(end_of_an_unknown_endpoint_reaches_a_restarted_entry_process);
   CPPUNIT_TEST(pool_without_other_software_has_one);
   CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +64,18 @@
     CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
   }
 
+  // Guards against the same at an entry VM that has just started, which gets no
+  // records of ended endpoints.
+  void end_of_an_unknown_endpoint_reaches_a_restarted_entry_process() {
+    software_watch_model model;
+    model.Start("e0", "v0");
+    model.RunFor(seconds(20));
+    model.SignOff("unheard");
+    model.RestartEntry();
+    model.RunFor(seconds(2));
+    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
+  }
+
   // Guards against streams that are refused although they are safe.
   void pool_without_other_software_has_one() {
     software_watch_model model;
