entry: know a period without gaps before naming an only version

Cause: pool_table kept the earliest start of any statement about complete records for good. Statements of two runs of the control processes do not meet, and a run that has just begun has not heard of all endpoints.

software_history_test compares OnlySoftware with the whole history of a pool in generated schedules of starts, ends, crashes, gaps, and restarts of both sides.

--- a/source/process/directory/control_watcher.cc
+++ b/source/process/directory/control_watcher.cc
@@ -223,7 +223,9 @@
   // Only a response with all records up to its last change names a history.
   if (response.history.count() > 0) {
     // The response left the member after the request was sent.
-    if (hooks_.on_history) hooks_.on_history(now - response.history);
+    if (hooks_.on_history) {
+      hooks_.on_history(now - response.history, member.request_sent);
+    }
     records_.OnRecords(vm, {response.epoch, response.last_change},
                        member.request_sent);
   }
--- a/source/process/directory/control_watcher.h
+++ b/source/process/directory/control_watcher.h
@@ -65,9 +65,10 @@
     std::function<std::vector<pool_progress>()> take_progress;
     /// Called with what a member reported to be in progress.
     std::function<void(const vm_id&, const fleet_progress&)> on_progress;
-    /// This process has the records of all endpoints that a member has known
-    /// since then. Null for a control member.
-    std::function<void(steady_time since)> on_history;
+    /// This process has all records of a member that has received heartbeats
+    /// since `started`, as they were at `as_of` or later. Null for a control
+    /// member.
+    std::function<void(steady_time started, steady_time as_of)> on_history;
     /// Returns the streams that began here after the origin with this number,
     /// and moves the number to the last of them. Null for a control member.
     std::function<std::vector<stream_origin>(std::uint64_t&)> take_origins;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -347,7 +347,9 @@
     };
     hooks.known_endpoints = [this] { return pools_.CountPresent(); };
     hooks.known_digests = [this] { return pools_.Digests(); };
-    hooks.on_history = [this](steady_time since) { pools_.SetHistory(since); };
+    hooks.on_history = [this](steady_time started, steady_time as_of) {
+      pools_.AddHistory(started, as_of);
+    };
     hooks.take_origins = [this](std::uint64_t& number) {
       return origins_.TakeAfter(number);
     };
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -157,14 +157,10 @@
   if (endpoint != nullptr) endpoint->OnIdleConnectionLost(now);
 }
 
-void pool_table::SetHistory(steady_time since) {
-  history_since_ = std::min(history_since_.value_or(since), since);
-}
-
 std::optional<software_digest> pool_table::OnlySoftware(
     const model_id& pool, std::chrono::milliseconds period,
     steady_time now) const {
-  if (!history_since_ || now - *history_since_ < period) return std::nullopt;
+  if (!coverage_.ReachesBackTo(now - period)) return std::nullopt;
   std::optional<software_digest> only;
   for (const endpoint_record& record : directory_.ChangesAfter(0)) {
     // An endpoint of which only the end is known may have been of any pool.
--- a/source/process/entry/pool_table.h
+++ b/source/process/entry/pool_table.h
@@ -13,6 +13,7 @@
 
 #include "process/directory/endpoint_directory.h"
 #include "process/directory/fleet_progress.h"
+#include "process/directory/record_coverage.h"
 #include "process/directory/shared_load.h"
 #include "process/directory/stream_origin_store.h"
 #include "process/placement/endpoint_pool.h"
@@ -61,8 +62,11 @@
   endpoint_pool* Pool(const model_id& id);
   /// The retry budget of a pool, which is created if needed; never null.
   retry_window* Retries(const model_id& id);
-  /// All endpoints that a control process has known since then are known here.
-  void SetHistory(steady_time since);
+  /// A control process has received heartbeats since `started`, and all records
+  /// that it had at `as_of` or later are here.
+  void AddHistory(steady_time started, steady_time as_of) {
+    coverage_.Add(started, as_of);
+  }
   /// The software of a pool's endpoints, if all that were present within the
   /// last `period`, ended ones included, are known to have the same.
   std::optional<software_digest> OnlySoftware(const model_id& pool,
@@ -124,8 +128,7 @@
   /// Evacuated failure domains, sorted, and the time of the last change.
   std::vector<failure_domain_id> evacuated_;
   steady_time evacuations_set_at_;
-  /// Endpoints that were present since then are known.
-  std::optional<steady_time> history_since_;
+  record_coverage coverage_;
   std::map<endpoint_id, model_id> pool_by_endpoint_;
   std::map<endpoint_digest, endpoint_id> endpoint_by_digest_;
   const std::shared_ptr<endpoint_terms_table> terms_ =
--- a/tests/directory/software_watch_model.cc
+++ b/tests/directory/software_watch_model.cc
@@ -62,22 +62,22 @@
   const bool begins = is_connected && !is_connected_;
   is_connected_ = is_connected;
   if (!begins) return;
-  // Answers to requests from before the gap are lost.
-  answer_.reset();
+  Disconnect();
   Watch();
 }
 
 void software_watch_model::RestartEntry() {
   pools_ = NewPools();
-  answer_.reset();
+  Disconnect();
   known_epoch_ = 0;
+  confirmed_epoch_ = 0;
   applied_change_ = 0;
   applied_ending_ = 0;
 }
 
 void software_watch_model::RestartControl() {
   ++epoch_;
-  answer_.reset();
+  Disconnect();
   directory_ = std::make_unique<endpoint_directory>();
   watch_hub::sources sources;
   sources.directory = directory_.get();
@@ -86,6 +86,12 @@
   hub_ = std::make_unique<watch_hub>(std::move(sources), epoch_);
 }
 
+void software_watch_model::Disconnect() {
+  ++connection_;
+  has_request_ = false;
+  answer_.reset();
+}
+
 void software_watch_model::Heartbeat(endpoint_record& record) {
   ++record.sequence;
   next_heartbeat_[record.id.value()] = now_ + kHeartbeatInterval;
@@ -115,18 +121,18 @@
 }
 
 void software_watch_model::Watch() {
-  bool has_answer = true;
-  while (has_answer) {
+  while (answer_ || !has_request_) {
     if (answer_) OnResponse(*answer_);
     answer_.reset();
+    has_request_ = true;
+    request_sent_ = now_;
     hub_->OnWatch(
         Request(),
-        [this](const std::string& bytes) {
+        [this, connection = connection_](const std::string& bytes) {
           const auto response = DecodeWatchResponse(bytes);
-          if (response) answer_ = *response;
+          if (response && connection == connection_) answer_ = *response;
         },
         now_);
-    has_answer = answer_.has_value();
   }
 }
 
@@ -156,12 +162,14 @@
   applied_ending_ = std::max(response.last_change, response.last_ending);
   pools_->MergeFormerSoftware(response.former_software, now_);
   pools_->Merge(response.records, now_);
-  if (response.history.count() > 0) pools_->SetHistory(now_ - response.history);
+  if (response.history.count() == 0) return;
+  confirmed_epoch_ = response.epoch;
+  pools_->AddHistory(now_ - response.history, request_sent_);
 }
 
 std::optional<software_digest> software_watch_model::OnlySoftware() const {
   // record_barrier holds back what needs current records.
-  const bool is_current = is_connected_ && known_epoch_ == epoch_ &&
+  const bool is_current = is_connected_ && confirmed_epoch_ == epoch_ &&
                           applied_change_ == directory_->last_change();
   if (!is_current) return std::nullopt;
   return pools_->OnlySoftware(kPool, kPeriod, now_);
--- a/tests/directory/software_watch_model.h
+++ b/tests/directory/software_watch_model.h
@@ -53,6 +53,8 @@
   bool IsOnlySoftwareTrue() const;
 
  private:
+  /// Requests that are open get no answer.
+  void Disconnect();
   void Heartbeat(endpoint_record& record);
   void Watch();
   watch_request Request() const;
@@ -66,10 +68,16 @@
   std::unique_ptr<watch_hub> hub_;
   std::unique_ptr<pool_table> pools_;
   bool is_connected_ = true;
+  /// A response to a request of an earlier connection is lost.
+  std::uint64_t connection_ = 0;
+  bool has_request_ = false;
+  steady_time request_sent_;
   /// Response that has arrived and is not applied yet.
   std::optional<watch_response> answer_;
   /// State of the watch, as control_watcher keeps it.
   std::uint64_t known_epoch_ = 0;
+  /// Run of the control process that has said for how long it knows endpoints.
+  std::uint64_t confirmed_epoch_ = 0;
   std::uint64_t applied_change_ = 0;
   std::uint64_t applied_ending_ = 0;
   /// Endpoints that run, with their last heartbeats.
