platform, placement: take no heartbeat without a software version

Cause: the decoder read a missing or mistyped version as the empty one. It replaced the sound record of the endpoint, and the digests of two empty versions of a pool are equal.

Such a heartbeat is refused now like one without a service. Where a record without a version still comes from a control process of an earlier build, its endpoint resumes no stream, and its pool has no only version.

Four tests fail before: two of platform_decoder_test, endpoint_pool_test: begun_stream_is_not_placed_at_unknown_software, software_history_test: endpoints_that_announce_no_software_have_no_only_one.

--- a/source/process/directory/endpoint_record.h
+++ b/source/process/directory/endpoint_record.h
@@ -16,8 +16,8 @@
   /// IP:PORT.
   std::string address;
   failure_domain_id domain;
-  /// Version of the endpoint's software; empty if not announced. Not the
-  /// version of a model.
+  /// Version of the endpoint's software; empty if unknown: two records without
+  /// one need not be of the same version. Not the version of a model.
   std::string software;
   /// Requests that the endpoint runs at the same time; 0 if not announced.
   std::uint32_t slots = 0;
--- a/source/process/entry/pool_table.cc
+++ b/source/process/entry/pool_table.cc
@@ -166,6 +166,7 @@
     // An endpoint of which only the end is known may have been of any pool.
     if (record.pool.empty()) return std::nullopt;
     if (record.pool != pool) continue;
+    if (record.software.empty()) return std::nullopt;
     const software_digest software = DigestOfSoftware(record);
     if (only && *only != software) return std::nullopt;
     only = software;
--- a/source/process/placement/endpoint_estimate.h
+++ b/source/process/placement/endpoint_estimate.h
@@ -78,10 +78,11 @@
   /// A connection was lost so short a time ago that the endpoint may have
   /// started again, with other software, without its record showing it yet.
   bool MayHaveRestarted(steady_time now) const;
-  /// The endpoint runs this software, and nothing says that it may run another
-  /// one by now.
+  /// The endpoint is known to run this software, and nothing says that it may
+  /// run another one by now.
   bool HasSoftware(software_digest software, steady_time now) const {
-    return DigestOfSoftware(record_) == software && !MayHaveRestarted(now);
+    return !record_.software.empty() && DigestOfSoftware(record_) == software &&
+           !MayHaveRestarted(now);
   }
   /// The failures came from lost links of this VM, not from the endpoint.
   void ForgetFailures();
--- a/tests/directory/software_history_test.cc
+++ b/tests/directory/software_history_test.cc
@@ -105,6 +105,7 @@
   CPPUNIT_TEST(id_that_was_used_again_in_a_gap_leaves_its_software);
   CPPUNIT_TEST(end_of_an_unknown_endpoint_leaves_the_software_open);
   CPPUNIT_TEST(end_of_an_unknown_endpoint_reaches_a_restarted_entry_process);
+  CPPUNIT_TEST(endpoints_that_announce_no_software_have_no_only_one);
   CPPUNIT_TEST(pool_without_other_software_has_one);
   CPPUNIT_TEST(software_of_a_gap_in_which_control_restarted_is_open);
   CPPUNIT_TEST(random_histories_never_hide_a_second_software);
@@ -167,6 +168,15 @@
     CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
   }
 
+  // Guards against endpoints that announce no version counting as one version.
+  void endpoints_that_announce_no_software_have_no_only_one() {
+    software_watch_model model;
+    model.Start("e0", "");
+    model.Start("e1", "");
+    model.RunFor(seconds(20));
+    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
+  }
+
   // Guards against streams that are refused although they are safe.
   void pool_without_other_software_has_one() {
     software_watch_model model;
--- a/tests/operations/odd_entry_test.cc
+++ b/tests/operations/odd_entry_test.cc
@@ -173,13 +173,14 @@
   // logs.
   void entry_with_an_unusable_text_disturbs_no_sound_endpoint() {
     const std::string long_text = Quoted(std::string(kLongText, 'a'));
-    CheckSound({Entry("odd", "zone", long_text),
-                Entry("odd", "service", long_text),
-                Entry("odd", "version", long_text),
-                Entry("odd", "zone", Quoted("a\\nevent=stopped")),
-                Entry("odd", "service", Quoted("a\\u0000b")),
-                Entry("odd", "service", Quoted("")),
-                Entry(std::string(5'000, 'o'), "slots", "32")});
+    CheckSound(
+        {Entry("odd", "zone", long_text), Entry("odd", "service", long_text),
+         Entry("odd", "version", long_text), Entry("odd", "version", "7"),
+         Entry("odd", "version", Quoted("")),
+         Entry("odd", "zone", Quoted("a\\nevent=stopped")),
+         Entry("odd", "service", Quoted("a\\u0000b")),
+         Entry("odd", "service", Quoted("")),
+         Entry(std::string(5'000, 'o'), "slots", "32")});
   }
 
   void entry_that_cannot_be_read_disturbs_no_sound_endpoint() {
--- a/tests/placement/endpoint_pool_test.cc
+++ b/tests/placement/endpoint_pool_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(endpoint_with_cached_prefix_copies_nothing);
   CPPUNIT_TEST(restart_of_an_endpoint_clears_its_cached_prefixes);
   CPPUNIT_TEST(begun_stream_is_placed_at_its_software_version_only);
+  CPPUNIT_TEST(begun_stream_is_not_placed_at_unknown_software);
   CPPUNIT_TEST(begun_stream_is_not_placed_where_software_may_have_changed);
   CPPUNIT_TEST(ended_endpoint_stays_until_its_calls_have_ended);
   CPPUNIT_TEST(limited_endpoints_are_used_up_to_their_limit);
@@ -55,6 +56,7 @@
     record.pool = model_id("chat");
     record.address = "10.0.0." + std::to_string(number + 1) + ":8080";
     record.domain = failure_domain_id("d" + std::to_string(number % 3));
+    record.software = "v1";
     record.slots = 16;
     record.incarnation = incarnation_number(1);
     record.sequence = 1;
@@ -299,6 +301,18 @@
     CPPUNIT_ASSERT(pool.CanServe({}, now_));
   }
 
+  // Guards against endpoints of unknown software counting as one version.
+  void begun_stream_is_not_placed_at_unknown_software() {
+    endpoint_pool pool({}, [] { return std::uint64_t{1}; });
+    endpoint_record record = MakeRecord(0);
+    record.software.clear();
+    pool.Apply(record);
+    placement_limits limits;
+    limits.software = DigestOfSoftware(record);
+    CPPUNIT_ASSERT(!pool.Choose({}, limits, now_));
+    CPPUNIT_ASSERT(pool.Choose({}, {}, now_));
+  }
+
   // Guards against a stream that goes on at an endpoint which has started again
   // with other software, before its record shows it.
   void begun_stream_is_not_placed_where_software_may_have_changed() {
--- a/tests/placement/evacuated_pool_test.cc
+++ b/tests/placement/evacuated_pool_test.cc
@@ -32,6 +32,7 @@
     record.pool = model_id("chat");
     record.address = "10.0.0." + std::to_string(number + 1) + ":8080";
     record.domain = failure_domain_id("d" + std::to_string(number % 3));
+    record.software = "v1";
     record.slots = 16;
     record.incarnation = incarnation_number(1);
     record.sequence = 1;
--- a/tests/platform/platform_decoder_test.cc
+++ b/tests/platform/platform_decoder_test.cc
@@ -157,8 +157,10 @@
   }
 
   void heartbeat_without_a_valid_required_field_is_malformed() {
-    for (const char* field :
-         {"service", "address", "zone", "slots", "state", "sequence", "born"}) {
+    // Without its version an endpoint would count as one of another version, or
+    // as one of the same version as every other such endpoint.
+    for (const char* field : {"service", "address", "zone", "version", "slots",
+                              "state", "sequence", "born"}) {
       json missing = Heartbeat();
       missing.erase(field);
       CPPUNIT_ASSERT_MESSAGE(field, !IsValidHeartbeat(missing));
@@ -188,6 +190,7 @@
         {"zone", long_text},
         {"zone", "a\nb"},
         {"version", long_text},
+        {"version", ""},
         {"service", ""},
         {"service", std::string("a\0b", 3)},
         {"address", "10.0.0.1:65536"},
