request: wait for a first heartbeat that is repeated after a second

Cause: a resumed stream waits for records as of 450 ms after its connection was opened. An endpoint whose first heartbeat gets no answer calls the next control process after a second, so that its record came 1.03 s after its start. The log shows the record at all entry VMs then, and the streams placed at the old one.

The wait covers one unanswered heartbeat now (1.45 s). It holds as well for the endpoint that began the stream: neither is its version recorded as the origin from earlier records, nor does a stream that broke at once go on before. Older connections wait for nothing.

--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -20,7 +21,14 @@
 /// The record of an endpoint that has started again takes some 50 to 100 ms
 /// from its first heartbeat to the entry VMs, and 300 ms more to one that has
 /// just started itself.
-constexpr milliseconds kRecordWait{450};
+constexpr milliseconds kRecordDelivery{450};
+/// An endpoint sends a heartbeat to the next control process if one does not
+/// answer within this time.
+constexpr milliseconds kHeartbeatTimeout{1'000};
+/// From the start of an endpoint until its record is at the entry VMs, while
+/// one control process does not answer. A connection may lead to an endpoint
+/// that has just started.
+constexpr milliseconds kRecordWait = kRecordDelivery + kHeartbeatTimeout;
 /// Retry-After while the records of endpoints cannot be confirmed. Another
 /// entry VM may be able to.
 constexpr double kUnconfirmedRetryMs = 300;
@@ -46,7 +54,9 @@
 }
 
 void proxied_call::CheckRecord(steady_time now) {
-  const steady_time due = attempt_.connection->opened_at() + kRecordWait;
+  steady_time due = attempt_.connection->opened_at() + kRecordWait;
+  // The endpoint that began the stream may have been as new.
+  if (IsOriginAssumed()) due = std::max(due, *origin_opened_at_ + kRecordWait);
   if (now < due || attempt_.is_record_awaited) return;
   attempt_.is_record_awaited = true;
   environment_.await_records(
@@ -93,8 +103,11 @@
 /// False if the stream was begun by other software than was assumed without a
 /// current record, as far as is known.
 bool proxied_call::HasOriginSoftware() const {
-  const bool is_assumed = origin_opened_at_ && !is_origin_confirmed_;
-  return !is_assumed || OriginSoftware() == *limits_.software;
+  return !IsOriginAssumed() || OriginSoftware() == *limits_.software;
+}
+
+bool proxied_call::IsOriginAssumed() const {
+  return origin_opened_at_ && !is_origin_confirmed_;
 }
 
 void proxied_call::BeginOrigin() {
@@ -112,7 +125,7 @@
 /// then refuse to go on with the stream.
 void proxied_call::RecordOrigin() {
   const auto as_of = environment_.records_as_of();
-  if (!as_of || *as_of < *origin_opened_at_) return;
+  if (!as_of || *as_of < *origin_due_) return;
   origin_due_.reset();
   is_origin_confirmed_ = true;
   limits_.software = OriginSoftware();
@@ -124,7 +137,8 @@
   RecordOrigin();
   if (!std::exchange(origin_due_, std::nullopt)) return;
   environment_.record_origin_later({request_id_, pool_id_, origin_endpoint_,
-                                    *limits_.software, *origin_opened_at_});
+                                    *limits_.software,
+                                    *origin_opened_at_ + kRecordWait});
 }
 
 software_digest proxied_call::OriginSoftware() const {
--- a/tests/soak/fake_endpoint.cc
+++ b/tests/soak/fake_endpoint.cc
@@ -21,6 +21,8 @@
 
 constexpr milliseconds kHeartbeatInterval{300};
 constexpr milliseconds kHeartbeatTimeout{1'000};
+/// Delay before the next control process is called after one did not answer.
+constexpr milliseconds kHeartbeatRetry{20};
 /// A leaving endpoint must receive no new requests later than kDrainBound after
 /// its leave was acknowledged, and exits kExitDelay after the acknowledgement.
 constexpr milliseconds kDrainBound{2'000};
@@ -101,8 +103,8 @@
   SendHeartbeat();
 }
 
-void fake_endpoint::ScheduleHeartbeat() {
-  heartbeat_.expires_after(kHeartbeatInterval);
+void fake_endpoint::ScheduleHeartbeat(milliseconds delay) {
+  heartbeat_.expires_after(delay);
   heartbeat_.async_wait(
       [this, start_count = start_count_](std::error_code error) {
         if (!error && start_count == start_count_) SendHeartbeat();
@@ -126,7 +128,10 @@
                             {"coldRemainingMs", cold_ms},
                             {"sequence", ++sequence_},
                             {"born", incarnation_number_}};
-  Call(io_, settings_.control(),
+  const socket_address control =
+      next_control_ ? *std::exchange(next_control_, std::nullopt)
+                    : settings_.control();
+  Call(io_, control,
        RequestText("PUT", "/instances/" + settings_.id, {}, body.dump()),
        kHeartbeatTimeout,
        [this, start_count = start_count_,
@@ -142,7 +147,7 @@
            Crash();
            return;
          }
-         ScheduleHeartbeat();
+         ScheduleHeartbeat(response ? kHeartbeatInterval : kHeartbeatRetry);
        });
 }
 
--- a/tests/soak/fake_endpoint.h
+++ b/tests/soak/fake_endpoint.h
@@ -79,6 +79,10 @@
   void AnnounceOnceInPool(const std::string& pool) {
     next_heartbeat_pool_ = pool;
   }
+  /// Its next heartbeat goes to this control process first.
+  void SetNextControl(const socket_address& control) {
+    next_control_ = control;
+  }
   /// Announces that it leaves, and exits some time after the acknowledgement.
   void Leave();
   /// From now on its responses name the request rate, per second, that it takes
@@ -134,7 +138,7 @@
   }
 
  private:
-  void ScheduleHeartbeat();
+  void ScheduleHeartbeat(std::chrono::milliseconds delay);
   void SendHeartbeat();
   void OnRequest(const std::shared_ptr<caller_connection>& caller,
                  const caller_message& message);
@@ -188,6 +192,7 @@
   bool says_that_it_leaves_ = false;
   std::optional<std::string> retry_after_;
   std::string next_heartbeat_pool_;
+  std::optional<socket_address> next_control_;
   std::string last_stream_;
   int held_count_ = 0;
   std::minstd_rand random_;
