--- a/source/process/entry/stream_origin_finder.cc
+++ b/source/process/entry/stream_origin_finder.cc
@@ -70,8 +70,8 @@
 void stream_origin_finder::RecordConfirmed(steady_time now) {
   const auto as_of = members_.records().latest_as_of();
   std::erase_if(unconfirmed_, [&](const unconfirmed_origin& each) {
-    if (!as_of || *as_of < each.due) {
-      return now - each.due > kConfirmTime;
+    if (!as_of || *as_of < each.opened_at) {
+      return now - each.opened_at > kConfirmTime;
     }
     if (software_of_(each.pool, each.endpoint) == each.software) {
       Record(each.request, each.software, true);
--- a/source/process/entry/unconfirmed_origin.h
+++ b/source/process/entry/unconfirmed_origin.h
@@ -17,9 +17,9 @@
   endpoint_id endpoint;
   /// By the record at that time.
   software_digest software;
-  /// Records of then or later are about the process that began the stream, or
-  /// about one that replaced it.
-  steady_time due;
+  /// Opening of the connection to the endpoint. Records of then or later are
+  /// about the process that began the stream, or about one that replaced it.
+  steady_time opened_at;
 };
 
 }  // namespace marjoramsill
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -116,7 +116,7 @@
   limits_.software = attempt_.software;
   limits_.software = OriginSoftware();
   // The record may be about an earlier process than the connection leads to.
-  origin_due_ = *origin_opened_at_ + kRecordWait;
+  origin_due_ = *origin_opened_at_ + kRecordDelivery;
   if (environment_.clock() >= *origin_due_) RecordOrigin();
 }
 
@@ -125,7 +125,7 @@
 /// then refuse to go on with the stream.
 void proxied_call::RecordOrigin() {
   const auto as_of = environment_.records_as_of();
-  if (!as_of || *as_of < *origin_due_) return;
+  if (!as_of || *as_of < *origin_opened_at_) return;
   origin_due_.reset();
   is_origin_confirmed_ = true;
   limits_.software = OriginSoftware();
@@ -137,8 +137,7 @@
   RecordOrigin();
   if (!std::exchange(origin_due_, std::nullopt)) return;
   environment_.record_origin_later({request_id_, pool_id_, origin_endpoint_,
-                                    *limits_.software,
-                                    *origin_opened_at_ + kRecordWait});
+                                    *limits_.software, *origin_opened_at_});
 }
 
 software_digest proxied_call::OriginSoftware() const {
