tests: share the steady load of two tests of bounded rates

cold_endpoints and endpoint_limits each had their own load, count of requests in a window, and series of restarts. request_rate_fixture has them once; seeds, intervals, bounds and checks are the same.

--- a/tests/operations/cold_endpoint_test.cc
+++ b/tests/operations/cold_endpoint_test.cc
@@ -1,32 +1,24 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <iostream>
-#include <memory>
-#include <random>
-#include <string>
 
-#include "fleet_fixture.h"
+#include "request_rate_fixture.h"
 
 namespace marjoramsill {
 
 using std::chrono::milliseconds;
-using clock_time = std::chrono::steady_clock::time_point;
 
 /// Entry processes in front of endpoints of which some turn cold, in a pool
 /// that limits requests to cold endpoints.
-class cold_endpoint_test : public fleet_fixture {
+class cold_endpoint_test : public request_rate_fixture {
   CPPUNIT_TEST_SUITE(cold_endpoint_test);
   CPPUNIT_TEST(endpoint_that_turns_cold_by_itself_gets_no_more_than_it_takes);
   CPPUNIT_TEST(cold_endpoints_while_processes_restart_get_no_more);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint16_t kPort = 33'500;
-  static constexpr std::size_t kEntries = 6;
-  static constexpr std::size_t kEndpoints = 4;
-  static constexpr std::size_t kCold = 2;
   static constexpr double kRate = 4;
   static constexpr milliseconds kColdTime{20'000};
   static constexpr milliseconds kInterval{12};
@@ -38,74 +30,25 @@
   static constexpr milliseconds kSpreadTime{1'500};
   static constexpr milliseconds kWindow{1'000};
 
-  struct counts {
-    int sent = 0;
-    int served = 0;
-  };
-
-  std::mt19937_64 random_{20261207};
-  int number_ = 0;
-
-  counts Play(milliseconds duration) {
-    const auto played = std::make_shared<counts>();
-    const auto start = std::chrono::steady_clock::now();
-    auto next = start;
-    RunUntil([&] {
-      const auto now = std::chrono::steady_clock::now();
-      if (now >= next) {
-        ++played->sent;
-        Send(random_() % kEntries, "/look/", "c" + std::to_string(++number_),
-             {}, [played](int status) { played->served += status == 200; });
-        next += kInterval;
-      }
-      return now - start >= duration;
-    });
-    RunFor(milliseconds(300));
-    return *played;
-  }
-
   void SetCold() {
-    for (std::size_t i = 0; i < kCold; ++i) {
+    for (std::size_t i = 0; i < kBounded; ++i) {
       fleet_->endpoints()[i]->SetColdFor(kColdTime);
     }
   }
 
-  /// Most requests that a cold endpoint got in a second after `from`.
-  std::size_t MostInWindow(clock_time from) const {
-    std::size_t most = 0;
-    for (std::size_t i = 0; i < kCold; ++i) {
-      const auto& arrivals = fleet_->endpoints()[i]->arrivals();
-      auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-      for (auto last = first; last != arrivals.end(); ++last) {
-        while (*last - *first > kWindow) ++first;
-        most = std::max(most, static_cast<std::size_t>(last - first + 1));
-      }
-    }
-    return most;
-  }
-
   void CheckBound(clock_time cold_at) const {
-    const std::size_t most = MostInWindow(cold_at + kSpreadTime);
+    const std::size_t most = MostInWindow(kWindow, cold_at + kSpreadTime);
     std::cout << " most in a second " << most << std::endl;
     CPPUNIT_ASSERT(static_cast<double>(most) <= kFactor * kRate + kAllowance);
     // Cold endpoints warm up under load.
     CPPUNIT_ASSERT(most > 0);
   }
 
-  void Restart(soak::soak_node& node) {
-    node.is_end_expected = true;
-    fleet_->KillNode(node, false);
-    RunFor(milliseconds(100));
-    fleet_->StartNode(node);
-  }
-
  public:
+  cold_endpoint_test() : request_rate_fixture(kInterval, 20261207) {}
+
   void setUp() override {
-    soak::soak_settings settings;
-    settings.port = kPort;
-    settings.entry_processes = kEntries;
-    settings.endpoints = kEndpoints;
-    settings.software = {"v1"};
+    soak::soak_settings settings = Settings(kPort);
     settings.cold_per_s = kRate;
     StartFleet(settings, MARJORAMSILL_BINARY, MARJORAMSILL_FOLDER);
     Play(milliseconds(1'000));
@@ -129,11 +72,7 @@
     SetCold();
     const auto cold_at = std::chrono::steady_clock::now();
     Play(milliseconds(2'000));
-    for (std::size_t i = 0; i < 3; ++i) {
-      Restart(*fleet_->ControlNodes()[i]);
-      Restart(*fleet_->EntryNodes()[i]);
-      Play(milliseconds(2'000));
-    }
+    PlayRestarts();
     CheckBound(cold_at);
   }
 };
