--- a/tests/directory/software_history_test.cc
+++ b/tests/directory/software_history_test.cc
@@ -111,104 +111,95 @@
   CPPUNIT_TEST(random_histories_never_hide_a_second_software);
   CPPUNIT_TEST_SUITE_END();
 
+  software_watch_model model_;
+
  public:
+  // The pool has had one version for longer than the period.
+  void setUp() override {
+    model_.Start("e0", "v0");
+    model_.RunFor(seconds(20));
+  }
+
   // Guards against a stream that goes on at another version because an entry VM
   // that stood still never had the record of the endpoint that began it.
   void endpoint_that_came_and_ended_in_a_gap_leaves_its_software() {
-    software_watch_model model;
-    model.Start("e0", "v0");
-    model.RunFor(seconds(20));
-    model.SetConnected(false);
-    model.Start("e1", "v1");
-    model.RunFor(seconds(1));
-    model.SignOff("e1");
-    model.SetConnected(true);
-    model.RunFor(seconds(1));
-    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
+    model_.SetConnected(false);
+    model_.Start("e1", "v1");
+    model_.RunFor(seconds(1));
+    model_.SignOff("e1");
+    model_.SetConnected(true);
+    model_.RunFor(seconds(1));
+    CPPUNIT_ASSERT(!model_.OnlySoftware().has_value());
   }
 
   // Guards against the software of a later start under the same id being lost
   // with its short record.
   void id_that_was_used_again_in_a_gap_leaves_its_software() {
-    software_watch_model model;
-    model.Start("e0", "v0");
-    model.Start("e1", "v0");
-    model.RunFor(seconds(20));
-    model.SetConnected(false);
-    model.Crash("e1");
-    model.RunFor(seconds(1));
-    model.Start("e1", "v1");
-    model.RunFor(seconds(1));
-    model.SignOff("e1");
-    model.SetConnected(true);
-    model.RunFor(seconds(1));
-    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
+    model_.Start("e1", "v0");
+    model_.RunFor(seconds(1));
+    model_.SetConnected(false);
+    model_.Crash("e1");
+    model_.RunFor(seconds(1));
+    model_.Start("e1", "v1");
+    model_.RunFor(seconds(1));
+    model_.SignOff("e1");
+    model_.SetConnected(true);
+    model_.RunFor(seconds(1));
+    CPPUNIT_ASSERT(!model_.OnlySoftware().has_value());
   }
 
   // Guards against an endpoint whose software no process knows counting as one
   // of the known software.
   void end_of_an_unknown_endpoint_leaves_the_software_open() {
-    software_watch_model model;
-    model.Start("e0", "v0");
-    model.RunFor(seconds(20));
-    model.SignOff("unheard");
-    model.RunFor(seconds(1));
-    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
+    model_.SignOff("unheard");
+    model_.RunFor(seconds(1));
+    CPPUNIT_ASSERT(!model_.OnlySoftware().has_value());
   }
 
   // Guards against the same at an entry VM that has just started, which gets no
   // records of ended endpoints.
   void end_of_an_unknown_endpoint_reaches_a_restarted_entry_process() {
-    software_watch_model model;
-    model.Start("e0", "v0");
-    model.RunFor(seconds(20));
-    model.SignOff("unheard");
-    model.RestartEntry();
-    model.RunFor(seconds(2));
-    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
+    model_.SignOff("unheard");
+    model_.RestartEntry();
+    model_.RunFor(seconds(2));
+    CPPUNIT_ASSERT(!model_.OnlySoftware().has_value());
   }
 
   // Guards against endpoints that announce no version counting as one version.
   void endpoints_that_announce_no_software_have_no_only_one() {
-    software_watch_model model;
-    model.Start("e0", "");
-    model.Start("e1", "");
-    model.RunFor(seconds(20));
-    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
+    model_.Start("e0", "");
+    model_.Start("e1", "");
+    model_.RunFor(seconds(20));
+    CPPUNIT_ASSERT(!model_.OnlySoftware().has_value());
   }
 
   // Guards against streams that are refused although they are safe.
   void pool_without_other_software_has_one() {
-    software_watch_model model;
-    model.Start("e0", "v0");
-    model.Start("e1", "v0");
-    model.RunFor(seconds(20));
-    model.SetConnected(false);
-    model.Start("e2", "v0");
-    model.RunFor(seconds(1));
-    model.SignOff("e2");
-    model.SetConnected(true);
-    model.RunFor(seconds(1));
-    CPPUNIT_ASSERT(model.OnlySoftware().has_value());
+    model_.Start("e1", "v0");
+    model_.RunFor(seconds(1));
+    model_.SetConnected(false);
+    model_.Start("e2", "v0");
+    model_.RunFor(seconds(1));
+    model_.SignOff("e2");
+    model_.SetConnected(true);
+    model_.RunFor(seconds(1));
+    CPPUNIT_ASSERT(model_.OnlySoftware().has_value());
   }
 
   // Guards against a version that only a control process knew which lost all
   // that it knew, while an entry VM was out of touch.
   void software_of_a_gap_in_which_control_restarted_is_open() {
-    software_watch_model model;
-    model.Start("e0", "v0");
-    model.RunFor(seconds(20));
-    model.SetConnected(false);
-    model.Start("e1", "v1");
-    model.RunFor(seconds(1));
-    model.Crash("e1");
-    model.RestartControl();
-    model.RunFor(seconds(2));
-    model.SetConnected(true);
-    model.RunFor(seconds(3));
-    CPPUNIT_ASSERT(!model.OnlySoftware().has_value());
-    model.RunFor(software_watch_model::kPeriod + seconds(3));
-    CPPUNIT_ASSERT(model.OnlySoftware().has_value());
+    model_.SetConnected(false);
+    model_.Start("e1", "v1");
+    model_.RunFor(seconds(1));
+    model_.Crash("e1");
+    model_.RestartControl();
+    model_.RunFor(seconds(2));
+    model_.SetConnected(true);
+    model_.RunFor(seconds(3));
+    CPPUNIT_ASSERT(!model_.OnlySoftware().has_value());
+    model_.RunFor(software_watch_model::kPeriod + seconds(3));
+    CPPUNIT_ASSERT(model_.OnlySoftware().has_value());
   }
 
   // Guards against any other way to miss that a second version has served:
