--- a/source/process/controller/watch_hub_records.cc
+++ b/source/process/controller/watch_hub_records.cc
@@ -16,9 +16,9 @@
 /// so that a directory that fills up is sent in few responses.
 constexpr milliseconds kRecordInterval{100};
 
-/// Leaves out fields that only a watcher needs which knows the endpoint; it has
-/// them. A watcher that never had the record needs the software all the same:
-/// it must not take another version for the only one that has served.
+/// Leaves out fields that a watcher which knows the endpoint already has. Pool
+/// and software stay: a watcher that has missed the endpoint must not take
+/// another version for the only one that has served.
 void ShortenEnded(std::vector<endpoint_record>& records) {
   for (endpoint_record& record : records) {
     if (record.phase != endpoint_phase::kEnded) continue;
--- a/tests/directory/software_watch_model.cc
+++ b/tests/directory/software_watch_model.cc
@@ -43,18 +43,18 @@
   record.incarnation = incarnation_number(++starts_);
   running_[id] = record;
   Heartbeat(running_[id]);
-  SeeAll();
+  RecordRunning();
 }
 
 void software_watch_model::SignOff(const std::string& id) {
-  SeeAll();
+  RecordRunning();
   running_.erase(id);
   directory_->End(endpoint_id(id), incarnation_number(++starts_), now_);
   hub_->Notify(now_);
 }
 
 void software_watch_model::Crash(const std::string& id) {
-  SeeAll();
+  RecordRunning();
   running_.erase(id);
 }
 
@@ -103,7 +103,7 @@
   const steady_time end = now_ + duration;
   while (now_ < end) {
     now_ += kTick;
-    SeeAll();
+    RecordRunning();
     for (auto& [id, record] : running_) {
       if (next_heartbeat_[id] <= now_) Heartbeat(record);
     }
@@ -114,7 +114,7 @@
   }
 }
 
-void software_watch_model::SeeAll() {
+void software_watch_model::RecordRunning() {
   for (const auto& [id, record] : running_) {
     last_run_[DigestOfSoftware(record)] = now_;
   }
--- a/tests/directory/software_watch_model.h
+++ b/tests/directory/software_watch_model.h
@@ -59,7 +59,8 @@
   void Watch();
   watch_request Request() const;
   void OnResponse(const watch_response& response);
-  void SeeAll();
+  /// Notes the software of the endpoints that run now.
+  void RecordRunning();
 
   steady_time now_{std::chrono::seconds(1)};
   std::uint64_t epoch_ = 0;
