request: do not hold back a stream that goes on within its response

Callers of a stalled stream lost it: 1.3 s of silence and the wait of 1.45 s for the first heartbeat of the next endpoint are more than they wait for.

Cause: made every resumption wait for a heartbeat that one control process does not answer, those within a response too.

--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -254,8 +254,6 @@
   /// The attempt that began the stream has ended.
   void LeaveOrigin();
   bool HasOriginSoftware() const;
-  /// The stream began here, and the record of its endpoint is not confirmed.
-  bool IsOriginAssumed() const;
   /// By the current record of the endpoint that began the stream.
   software_digest OriginSoftware() const;
   void SendIfOpen();
--- a/source/request/proxied_call_terms.cc
+++ b/source/request/proxied_call_terms.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -54,9 +53,10 @@
 }
 
 void proxied_call::CheckRecord(steady_time now) {
-  steady_time due = attempt_.connection->opened_at() + kRecordWait;
-  // The endpoint that began the stream may have been as new.
-  if (IsOriginAssumed()) due = std::max(due, *origin_opened_at_ + kRecordWait);
+  // A caller that reads its stream already gives up after two seconds or so, of
+  // which the endpoint before was silent for more than one.
+  const milliseconds wait = response_started_ ? kRecordDelivery : kRecordWait;
+  const steady_time due = attempt_.connection->opened_at() + wait;
   if (now < due || attempt_.is_record_awaited) return;
   attempt_.is_record_awaited = true;
   environment_.await_records(
@@ -103,11 +103,8 @@
 /// False if the stream was begun by other software than was assumed without a
 /// current record, as far as is known.
 bool proxied_call::HasOriginSoftware() const {
-  return !IsOriginAssumed() || OriginSoftware() == *limits_.software;
-}
-
-bool proxied_call::IsOriginAssumed() const {
-  return origin_opened_at_ && !is_origin_confirmed_;
+  const bool is_assumed = origin_opened_at_ && !is_origin_confirmed_;
+  return !is_assumed || OriginSoftware() == *limits_.software;
 }
 
 void proxied_call::BeginOrigin() {
