--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -531,12 +531,16 @@
   const std::string& service() const { return service_; }
   std::int64_t born() const { return born_; }
   void SetState(const std::string& state) { state_ = state; }
+  /// Software version from the next start on.
+  void SetVersion(const std::string& version) { version_ = version; }
+  const std::string& version() const { return version_; }
 
   std::string BeatText(const std::string& service,
                        std::int64_t sequence) const {
     return "{\"service\":\"" + service + "\",\"address\":\"" + at_.Text() +
            "\",\"zone\":\"z" + std::to_string(index_ % 3) +
-           "\",\"version\":\"v1\",\"slots\":16,\"state\":\"" + state_ +
+           "\",\"version\":\"" + version_ + "\",\"slots\":16,\"state\":\"" +
+           state_ +
            "\",\"coldRemainingMs\":0,\"born\":" + std::to_string(born_) +
            ",\"sequence\":" + std::to_string(sequence) + "}";
   }
@@ -635,6 +639,7 @@
   std::int64_t born_ = 0;
   std::int64_t sequence_ = 0;
   std::string state_;
+  std::string version_ = "v1";
   std::mutex mutex_;
   std::set<int> open_;
   std::thread accepter_;
