--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -654,6 +654,7 @@
   int attempts = 2;
   bool is_resumable = false;
   bool is_sticky = false;
+  int timeout_ms = 3000;
 };
 
 inline std::string Config(int version, const std::vector<route>& routes,
@@ -666,7 +667,8 @@
         std::string(i > 0 ? "," : "") + "{\"name\":\"r" + std::to_string(i) +
         "\",\"host\":\"desk.example\",\"pathPrefix\":\"" + each.path +
         "\",\"routeType\":\"" + each.kind +
-        "\",\"timeoutMs\":3000,\"targetLatencyMs\":300,\"priority\":1,"
+        "\",\"timeoutMs\":" + std::to_string(each.timeout_ms) +
+        ",\"targetLatencyMs\":300,\"priority\":1,"
         "\"service\":\"" +
         each.service + "\",\"maxAttempts\":" + std::to_string(each.attempts) +
         ",\"public\":false,\"sticky\":" + (each.is_sticky ? "true" : "false") +
