--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -530,7 +530,11 @@
   const address& at() const { return at_; }
   const std::string& service() const { return service_; }
   std::int64_t born() const { return born_; }
-  void SetState(const std::string& state) { state_ = state; }
+  /// Says at once that it leaves.
+  void Leave() {
+    state_ = "draining";
+    beats_now_ = true;
+  }
   /// Software version from the next start on.
   void SetVersion(const std::string& version) { version_ = version; }
   const std::string& version() const { return version_; }
@@ -560,7 +564,7 @@
     std::size_t turn = static_cast<std::size_t>(index_);
     std::int64_t next = NowMs();
     while (is_up_) {
-      if (NowMs() < next) {
+      if (NowMs() < next && !beats_now_.exchange(false)) {
         SleepMs(10);
         continue;
       }
@@ -640,6 +644,7 @@
   std::int64_t sequence_ = 0;
   std::string state_;
   std::string version_ = "v1";
+  std::atomic<bool> beats_now_{false};
   std::mutex mutex_;
   std::set<int> open_;
   std::thread accepter_;
