entry: log which ends of refused content other refused content explains

Hypotheses: (a) the first part carries the same ends as the part at fault, and nothing tells them apart; (b) it has ends of its own, from crashes for another reason; (c) the refusal comes from the request's digest. The log named the content and its ends, but not whether other content has the same ends.

`content_refused` now says how many of the ends did not also end under other refused content which the request lacks.

--- a/source/process/directory/content_fault_store.cc
+++ b/source/process/directory/content_fault_store.cc
@@ -88,6 +88,19 @@
   return found == entries_.end() ? nullptr : &found->second.fault;
 }
 
+bool content_fault_store::HasEndUnderOthers(
+    endpoint_run_digest run, std::size_t least_ends,
+    const std::vector<content_digest>& excluded) const {
+  for (const auto& [content, known] : entries_) {
+    const std::vector<endpoint_run_digest>& ends = known.fault.ends;
+    if (ends.size() < least_ends) continue;
+    if (!std::binary_search(ends.begin(), ends.end(), run)) continue;
+    const auto at = std::find(excluded.begin(), excluded.end(), content);
+    if (at == excluded.end()) return true;
+  }
+  return false;
+}
+
 content_fault_store::entry& content_fault_store::Insert(
     content_digest content) {
   if (entries_.size() >= kMaxParts) DropLeastSuspected();
--- a/source/process/directory/content_fault_store.h
+++ b/source/process/directory/content_fault_store.h
@@ -38,6 +38,10 @@
   void Refresh(content_digest content, steady_time now);
   /// The record of some content, or null.
   const content_fault* Find(content_digest content) const;
+  /// True if a record with at least `least_ends` ends, of none of the
+  /// `excluded` contents, has this end as well.
+  bool HasEndUnderOthers(endpoint_run_digest run, std::size_t least_ends,
+                         const std::vector<content_digest>& excluded) const;
 
   /// A bounded number of the records that changed after `number`, oldest
   /// change first; `number` becomes that of the last one.
--- a/source/process/entry/content_breaker.cc
+++ b/source/process/entry/content_breaker.cc
@@ -1,5 +1,6 @@
 #include "process/entry/content_breaker.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -30,6 +31,13 @@
 /// Memory for answered content, about 2 MB.
 constexpr std::size_t kMaxAnswered = 30'000;
 
+/// The shared parts, and the request itself.
+std::vector<content_digest> ContentsOf(const request_content& request) {
+  std::vector<content_digest> contents = request.parts;
+  contents.push_back(request.request);
+  return contents;
+}
+
 }  // namespace
 
 content_breaker::content_breaker(random_source random)
@@ -42,17 +50,26 @@
   return found != answered_.end() && now - found->second <= within;
 }
 
-std::optional<content_fault> content_breaker::Admit(
+std::optional<content_refusal> content_breaker::Admit(
     const request_content& content, std::uint32_t entry_count,
     steady_time now) {
   if (!HasFaults()) return std::nullopt;
-  for (const content_digest part : content.parts) {
-    if (const content_fault* fault = FindOpen(part, entry_count, now)) {
-      return *fault;
-    }
+  for (const content_digest each : ContentsOf(content)) {
+    const content_fault* fault = FindOpen(each, entry_count, now);
+    if (fault == nullptr) continue;
+    return content_refusal{*fault, CountUnexplained(*fault, content)};
   }
-  const content_fault* fault = FindOpen(content.request, entry_count, now);
-  return fault == nullptr ? std::nullopt : std::optional(*fault);
+  return std::nullopt;
+}
+
+std::size_t content_breaker::CountUnexplained(
+    const content_fault& fault, const request_content& request) const {
+  const std::vector<content_digest> present = ContentsOf(request);
+  const auto is_unexplained = [&](endpoint_run_digest run) {
+    return !faults_.HasEndUnderOthers(run, kOpenEnds, present);
+  };
+  return static_cast<std::size_t>(
+      std::count_if(fault.ends.begin(), fault.ends.end(), is_unexplained));
 }
 
 const content_fault* content_breaker::FindOpen(content_digest content,
--- a/source/process/entry/content_breaker.h
+++ b/source/process/entry/content_breaker.h
@@ -9,6 +9,7 @@
 
 #include "process/directory/content_fault.h"
 #include "process/directory/content_fault_store.h"
+#include "process/entry/content_refusal.h"
 #include "process/entry/request_content.h"
 #include "types/random_source.h"
 #include "types/steady_time.h"
@@ -29,12 +30,12 @@
 
   /// True if anything is known against any content.
   bool HasFaults() const { return faults_.size() > 0; }
-  /// Decides whether a new request may be sent. Returns what is known against
-  /// its content if it must be refused. May let a request pass as a trial.
+  /// Decides whether a new request may be sent. Returns why if it must be
+  /// refused. May let a request pass as a trial.
   /// `entry_count`: entry VMs that make trials independently.
-  std::optional<content_fault> Admit(const request_content& content,
-                                     std::uint32_t entry_count,
-                                     steady_time now);
+  std::optional<content_refusal> Admit(const request_content& content,
+                                       std::uint32_t entry_count,
+                                       steady_time now);
   /// Whether a request may be sent to another endpoint. `endpoint_ended`: an
   /// endpoint has ended, as far as is known, before its answer was complete.
   /// Then an earlier answer has to show that the request is sound: one on each
@@ -76,6 +77,10 @@
   /// What is known against it, if it must be refused now.
   const content_fault* FindOpen(content_digest content,
                                 std::uint32_t entry_count, steady_time now);
+  /// Ends that no other refused content explains, other than what the request
+  /// has as well.
+  std::size_t CountUnexplained(const content_fault& fault,
+                               const request_content& request) const;
   /// True if endpoints kept ending under it, without an answer lately.
   bool IsSuspected(content_digest content, steady_time now) const;
   void RecordAnswerOn(content_digest content, steady_time now);
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -182,13 +182,15 @@
 
 bool proxied_call::RefuseCrashingContent() {
   if (!environment_.contents->HasFaults()) return false;
-  const auto fault = environment_.contents->Admit(
+  const auto refusal = environment_.contents->Admit(
       Content(), environment_.entry_count(), arrived_);
-  if (!fault) return false;
-  const bool is_request = fault->content == Digest();
+  if (!refusal) return false;
+  const content_fault& fault = refusal->fault;
+  const bool is_request = fault.content == Digest();
   LogStep("content_refused", log_fields()
-                                 .Add("content", ContentText(fault->content))
-                                 .Add("runs", RunsText(fault->ends)));
+                                 .Add("content", ContentText(fault.content))
+                                 .Add("runs", RunsText(fault.ends))
+                                 .Add("unexplained", refusal->unexplained));
   Refuse(is_request ? "crashing_request" : "crashing_part", kMaxRetryAfterMs);
   return true;
 }
