entry: send a trial with content whose ends other content explains

Cause: a crash counts in full against each part of the request that has no recent answer. From five ends on nothing with such a part is sent, so no answer can clear it: what is not known is treated as at fault.

Evidence: `content_refused` of the sound requests has unexplained=0 with seven ends, each of which the bad part has too.

Change: an end that other suspected content has as well, which the request lacks, does not count. If at most one end is left, the request is sent as a trial; its answer clears the content, a crash adds an end that nothing explains. Leases of most control processes (content_trial_leases) make trials single in the whole fleet, and two at most while the content is not cleared, so that content at fault reaches two endpoints more. Records hold 64 ends, so that two can be compared; one message holds about as many bytes as before.

Why it works: the request of the trial is the one experiment that tells the two parts apart, whatever a VM remembers of earlier answers.

Tests, before: content_trial_test 6 of 6 cases fail, 36 of 36 sound requests refused; crashing_parts, part_unused_while_another_crashes_endpoints_is_served, 0 of 40 served (with the check of the unexplained ends switched off).

The model's check links_reset_refuse_content_if_every_refusal_counts asked for refused requests; a trial now clears that content before one is refused. It counts trials as well, and the checks that nothing is refused count them too, so that they ask for more than before.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -37,6 +37,8 @@
 #include "process/daemon/event_log.h"
 #include "process/daemon/peer_kinds.h"
 #include "process/daemon/steady_clock.h"
+#include "process/directory/content_trial_leases.h"
+#include "process/directory/content_trial_request.h"
 #include "process/directory/control_watcher.h"
 #include "process/directory/directory_position.h"
 #include "process/directory/document_holder.h"
@@ -294,6 +296,7 @@
     endpoints_->Tick(now);
     endings_->Tick(now);
     hub_.Tick(now);
+    trial_leases_.Expire(now);
     documents_->Tick();
     settings_watch_.Tick(now);
     traffic_.Tick(peers_.sent_bytes(), hub_.sent(), hub_.held_back(), now);
@@ -358,6 +361,8 @@
       const auto faults = DecodeContentFaults(message.body);
       if (faults) hub_.RecordFaults(*faults, SteadyNow());
       respond("");
+    } else if (message.kind == kContentTrialKind) {
+      respond(OnContentTrial(vm_id(message.from), message.body));
     } else if (message.kind == kStreamOriginKind) {
       const auto stream = DecodeStreamDigest(message.body);
       const auto software = stream ? hub_.FindOrigin(*stream) : std::nullopt;
@@ -380,6 +385,18 @@
     }
   }
 
+  std::string OnContentTrial(const vm_id& vm, std::string_view body) {
+    const auto request = DecodeContentTrials(body);
+    if (!request) return {};
+    const steady_time now = SteadyNow();
+    if (request->action == content_trial_action::kRelease) {
+      trial_leases_.Release(vm, *request, now);
+      return {};
+    }
+    const bool is_granted = trial_leases_.Acquire(vm, *request, now);
+    return is_granted ? std::string(kTrialGranted) : std::string();
+  }
+
   void OnRequest(const http_request& request,
                  const std::shared_ptr<http_responder>& responder) {
     const std::string_view prefix = dialect_.endpoint_prefix;
@@ -460,6 +477,7 @@
   peer_transport peers_;
   endpoint_directory directory_;
   watch_hub hub_;
+  content_trial_leases trial_leases_{SteadyNow()};
   control_watcher watcher_;
   settings_watch settings_watch_;
   std::unique_ptr<data_folder> folder_;
--- a/source/process/daemon/peer_kinds.h
+++ b/source/process/daemon/peer_kinds.h
@@ -21,6 +21,7 @@
 inline constexpr std::string_view kStreamsBegunKind = "stream/begun";
 inline constexpr std::string_view kStreamOriginKind = "stream/origin";
 inline constexpr std::string_view kContentFaultsKind = "part/faults";
+inline constexpr std::string_view kContentTrialKind = "part/trial";
 inline constexpr std::string_view kHeartbeatStatesKind = "heartbeat/states";
 inline constexpr std::string_view kRelayListKind = "relay/list";
 inline constexpr std::string_view kReadDocumentKind = "document/read";
--- a/source/process/directory/content_fault_store.cc
+++ b/source/process/directory/content_fault_store.cc
@@ -9,12 +9,12 @@
 
 using std::chrono::seconds;
 
-/// About 1 MB with their indexes.
+/// About 2 MB with their indexes.
 constexpr std::size_t kMaxParts = 4'096;
-/// More ends under the same content change no decision.
-constexpr std::size_t kMaxEnds = 8;
-/// Largest number of records in one message, at most about 3 KB.
+/// Largest number of records in one message, and of the ends in them after
+/// which no further record is added, about 4 KB in all.
 constexpr std::size_t kMaxTaken = 64;
+constexpr std::size_t kMaxTakenEnds = 512;
 /// A single end is forgotten after this time. Requests that crash
 /// endpoints arrive more often than that.
 constexpr seconds kSingleEndLifetime{30};
@@ -33,7 +33,7 @@
   for (const endpoint_run_digest run : added) {
     const auto at = std::lower_bound(ends.begin(), ends.end(), run);
     if (at != ends.end() && *at == run) continue;
-    if (ends.size() == kMaxEnds) return changed;
+    if (ends.size() == kMaxContentEnds) return changed;
     ends.insert(at, run);
     changed = true;
   }
@@ -134,11 +134,15 @@
 std::vector<content_fault> content_fault_store::Take(std::uint64_t& number,
                                                      bool shared_only) const {
   std::vector<content_fault> taken;
+  std::size_t ends = 0;
   auto it = changes_.upper_bound(number);
-  for (; it != changes_.end() && taken.size() < kMaxTaken; ++it) {
+  for (; it != changes_.end(); ++it) {
+    if (taken.size() == kMaxTaken || ends >= kMaxTakenEnds) break;
     const content_fault& fault = entries_.find(it->second)->second.fault;
-    if (!shared_only || IsShared(fault)) taken.push_back(fault);
     number = it->first;
+    if (shared_only && !IsShared(fault)) continue;
+    taken.push_back(fault);
+    ends += fault.ends.size();
   }
   return taken;
 }
--- a/source/process/directory/content_fault_store.h
+++ b/source/process/directory/content_fault_store.h
@@ -17,6 +17,9 @@
 inline constexpr std::size_t kSharedEnds = 2;
 /// Ends from which on they have to know of it at once.
 inline constexpr std::size_t kUrgentEnds = 3;
+/// Ends that a record holds. One that holds as many may lack some, so that it
+/// cannot be compared with others.
+inline constexpr std::size_t kMaxContentEnds = 64;
 
 /// The prompt parts and requests that one process knows something against.
 /// Changes are numbered, so that a receiver can go on after the last one that
--- a/source/process/entry/call_environment.h
+++ b/source/process/entry/call_environment.h
@@ -28,6 +28,8 @@
 class stop_sequence;
 struct endpoint_record;
 struct origin_finding;
+struct content_trial;
+struct content_trial_request;
 struct request_content;
 struct prompt_part;
 struct route_rule;
@@ -71,6 +73,15 @@
   /// Returns the retry budget of a pool; never null.
   std::function<retry_window*(const model_id&)> retries;
   content_breaker* contents = nullptr;
+  /// Asks for leases on refused contents, and calls the hook, now or later,
+  /// with what is granted: one request may be sent with the contents now.
+  /// Nothing if it may not.
+  std::function<void(
+      const std::vector<content_trial>&,
+      std::function<void(const std::optional<content_trial_request>&)>)>
+      request_trial;
+  /// Gives back leases of a request that was not sent.
+  std::function<void(const content_trial_request&)> release_trial;
   /// Finds out whether an endpoint has ended whose connection broke under a
   /// request with this content, and records it against the content. The hook,
   /// which may be null, receives the finding later.
--- a/source/process/entry/content_breaker.cc
+++ b/source/process/entry/content_breaker.cc
@@ -16,6 +16,12 @@
 constexpr std::size_t kOpenEnds = kUrgentEnds;
 /// From this number on no trial is made for kLongOpenTime.
 constexpr std::size_t kNoTrialEnds = 5;
+/// Other content explains an end if it has as many ends: each request has many
+/// parts that happened to be under a single one.
+constexpr std::size_t kExplainingEnds = kSharedEnds;
+/// Endpoints that may have ended by themselves under content whose other ends
+/// are explained.
+constexpr std::size_t kMaxUnexplainedEnds = 1;
 constexpr seconds kOpenTime{10};
 constexpr seconds kLongOpenTime{600};
 /// The trials of all entry VMs are spread over this time for each of them, so
@@ -54,19 +60,25 @@
     const request_content& content, std::uint32_t entry_count,
     steady_time now) {
   if (!HasFaults()) return std::nullopt;
+  std::optional<content_refusal> refusal;
   for (const content_digest each : ContentsOf(content)) {
     const content_fault* fault = FindOpen(each, entry_count, now);
     if (fault == nullptr) continue;
-    return content_refusal{*fault, CountUnexplained(*fault, content)};
+    const std::size_t unexplained = CountUnexplained(*fault, content);
+    const bool may_be_sound = unexplained <= kMaxUnexplainedEnds &&
+                              fault->ends.size() < kMaxContentEnds;
+    if (!may_be_sound) return content_refusal{*fault, unexplained, {}};
+    if (!refusal) refusal = content_refusal{*fault, unexplained, {}};
+    refusal->trials.push_back({each, fault->clearances});
   }
-  return std::nullopt;
+  return refusal;
 }
 
 std::size_t content_breaker::CountUnexplained(
     const content_fault& fault, const request_content& request) const {
   const std::vector<content_digest> present = ContentsOf(request);
   const auto is_unexplained = [&](endpoint_run_digest run) {
-    return !faults_.HasEndUnderOthers(run, kOpenEnds, present);
+    return !faults_.HasEndUnderOthers(run, kExplainingEnds, present);
   };
   return static_cast<std::size_t>(
       std::count_if(fault.ends.begin(), fault.ends.end(), is_unexplained));
--- a/source/process/entry/content_breaker.h
+++ b/source/process/entry/content_breaker.h
@@ -77,7 +77,7 @@
   /// What is known against it, if it must be refused now.
   const content_fault* FindOpen(content_digest content,
                                 std::uint32_t entry_count, steady_time now);
-  /// Ends that no other refused content explains, other than what the request
+  /// Ends that no other suspected content explains, apart from what the request
   /// has as well.
   std::size_t CountUnexplained(const content_fault& fault,
                                const request_content& request) const;
--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -33,6 +33,7 @@
 #include "process/entry/call_set.h"
 #include "process/entry/content_breaker.h"
 #include "process/entry/content_fault_reporter.h"
+#include "process/entry/content_trial_requester.h"
 #include "process/entry/crash_finder.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetcher.h"
@@ -120,6 +121,7 @@
             SteadyNow),
         contents_(SystemRandom()),
         content_reporter_(watcher_, contents_),
+        trials_(TrialHooks()),
         end_check_(io_, connections_,
                    [this](const endpoint_record& endpoint,
                           const std::vector<content_digest>& suspects) {
@@ -226,6 +228,13 @@
       return pools_.Retries(id);
     };
     environment_.contents = &contents_;
+    environment_.request_trial =
+        [this](const std::vector<content_trial>& trials, const auto& done) {
+          trials_.Request(trials, done);
+        };
+    environment_.release_trial = [this](const content_trial_request& granted) {
+      trials_.Release(granted);
+    };
     environment_.check_end = [this](const endpoint_record& endpoint,
                                     const request_content& content,
                                     endpoint_end_check::finding_hook done) {
@@ -391,6 +400,21 @@
     return hooks;
   }
 
+  content_trial_requester::hooks TrialHooks() {
+    content_trial_requester::hooks hooks;
+    hooks.members = [this](steady_time now) { return watcher_.Reachable(now); };
+    hooks.group_size = [this] { return watcher_.members().size(); };
+    hooks.entry_count = [this] { return watcher_.position().entry_count; };
+    hooks.request = [this](const vm_id& vm, std::string body,
+                           milliseconds timeout,
+                           content_trial_requester::response_hook done) {
+      watcher_.Request(vm, std::string(kContentTrialKind), std::move(body),
+                       timeout, std::move(done));
+    };
+    hooks.clock = SteadyNow;
+    return hooks;
+  }
+
   void OnEvacuations(const evacuation_set& set) {
     pools_.SetEvacuated(set.domains, SteadyNow());
     metrics_.SetEvacuated(set.domains.size());
@@ -635,6 +659,7 @@
   stream_origin_finder origins_;
   content_breaker contents_;
   content_fault_reporter content_reporter_;
+  content_trial_requester trials_;
   endpoint_end_check end_check_;
   crash_finder crashes_;
   reach_prober prober_;
--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -9,6 +9,7 @@
 #include "connection/endpoint_connection.h"
 #include "connection/large_buffer.h"
 #include "process/daemon/event_log.h"
+#include "process/directory/content_trial.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/content_breaker.h"
 #include "process/entry/decision_log.h"
@@ -164,7 +165,18 @@
 }
 
 void proxied_call::BeginAttempts() {
-  if (RefuseCrashingContent()) return;
+  const auto refusal = environment_.contents->Admit(
+      Content(), environment_.entry_count(), arrived_);
+  if (!refusal) {
+    MakeFirstAttempt();
+  } else if (refusal->trials.empty()) {
+    RefuseContent(*refusal);
+  } else {
+    RequestTrial(*refusal);
+  }
+}
+
+void proxied_call::MakeFirstAttempt() {
   PickPool();
   Attempt();
   // Recorded after the endpoint was chosen, since the choice depends on whether
@@ -180,19 +192,46 @@
   environment_.retries(pool_id_)->RecordRequest(environment_.clock());
 }
 
-bool proxied_call::RefuseCrashingContent() {
-  if (!environment_.contents->HasFaults()) return false;
-  const auto refusal = environment_.contents->Admit(
-      Content(), environment_.entry_count(), arrived_);
-  if (!refusal) return false;
-  const content_fault& fault = refusal->fault;
+void proxied_call::RefuseContent(const content_refusal& refusal) {
+  const content_fault& fault = refusal.fault;
   const bool is_request = fault.content == Digest();
   LogStep("content_refused", log_fields()
                                  .Add("content", ContentText(fault.content))
                                  .Add("runs", RunsText(fault.ends))
-                                 .Add("unexplained", refusal->unexplained));
+                                 .Add("unexplained", refusal.unexplained)
+                                 .Add("trials", refusal.trials.size()));
   Refuse(is_request ? "crashing_request" : "crashing_part", kMaxRetryAfterMs);
-  return true;
+}
+
+void proxied_call::RequestTrial(const content_refusal& refusal) {
+  state_ = state::kAwaitingTrial;
+  environment_.request_trial(
+      refusal.trials, [self = weak_from_this(), refusal](
+                          const std::optional<content_trial_request>& granted) {
+        const auto call = self.lock();
+        if (call) call->OnTrialDecision(refusal, granted);
+      });
+}
+
+void proxied_call::OnTrialDecision(
+    const content_refusal& refusal,
+    const std::optional<content_trial_request>& granted) {
+  if (state_ != state::kAwaitingTrial) {
+    if (granted) environment_.release_trial(*granted);
+    return;
+  }
+  state_ = state::kNew;
+  if (!granted) {
+    RefuseContent(refusal);
+    return;
+  }
+  trial_ = granted;
+  for (const content_trial& each : refusal.trials) {
+    LogStep("content_trial", log_fields()
+                                 .Add("content", ContentText(each.content))
+                                 .Add("clearances", each.clearances));
+  }
+  MakeFirstAttempt();
 }
 
 bool proxied_call::FindRoute() {
@@ -357,6 +396,7 @@
   if (is_awaiting_place()) pool_->RemoveWaiting();
   CloseLateAttempts("call_ended");
   RecordDroppedCall(attempt_);
+  if (trial_ && sent_ == 0) environment_.release_trial(*trial_);
   state_ = state::kDone;
   DropConnection(attempt_);
   // The call is removed a tick later only.
--- a/source/request/proxied_call.h
+++ b/source/request/proxied_call.h
@@ -15,6 +15,7 @@
 #include "connection/disconnect_cause.h"
 #include "connection/endpoint_response_head.h"
 #include "process/directory/content_fault.h"
+#include "process/directory/content_trial_request.h"
 #include "process/entry/call_outcome.h"
 #include "process/entry/endpoint_end_finding.h"
 #include "process/entry/line_class.h"
@@ -39,6 +40,7 @@
 class log_fields;
 class routing_table;
 struct call_environment;
+struct content_refusal;
 struct endpoint_call_hooks;
 struct full_pool;
 struct load_report;
@@ -92,6 +94,8 @@
 
   enum class state {
     kNew,
+    /// Waits for leases to be sent with refused content.
+    kAwaitingTrial,
     /// Waits for the software version that began the stream.
     kFindingOrigin,
     /// Waits until an endpoint of a full pool has finished a request.
@@ -126,10 +130,16 @@
   bool ResumesStream() const;
   void FindOrigin();
   void OnOrigin(const origin_finding& finding);
-  /// Picks the pool and makes the first attempt.
+  /// Makes the first attempt, unless the request has refused content.
   void BeginAttempts();
+  /// Picks the pool and makes the first attempt.
+  void MakeFirstAttempt();
   /// Refuses a request that crashes endpoints, or a part of its prompt does.
-  bool RefuseCrashingContent();
+  void RefuseContent(const content_refusal& refusal);
+  /// Asks whether a request with refused content may be sent as a trial.
+  void RequestTrial(const content_refusal& refusal);
+  void OnTrialDecision(const content_refusal& refusal,
+                       const std::optional<content_trial_request>& granted);
   void PickPool();
   /// Counts the request towards the retry budget, unless it is counted already.
   void CountRequest();
@@ -404,6 +414,8 @@
 
   /// Set if another entry VM has handed the request on.
   const std::optional<relay_terms> terms_;
+  /// Leases for the refused content that the request is sent with.
+  std::optional<content_trial_request> trial_;
   /// Position of this request in the gradual return to own links, 0 to 1.
   const double return_position_;
 
--- a/source/request/proxied_call_progress.cc
+++ b/source/request/proxied_call_progress.cc
@@ -80,8 +80,9 @@
     return;
   }
   const bool is_waiting =
-      state_ == state::kFindingOrigin || state_ == state::kAwaitingPlace ||
-      state_ == state::kConfirmingEnd || state_ == state::kCheckingEndpoint;
+      state_ == state::kFindingOrigin || state_ == state::kAwaitingTrial ||
+      state_ == state::kAwaitingPlace || state_ == state::kConfirmingEnd ||
+      state_ == state::kCheckingEndpoint;
   if (is_waiting) return;
   if (attempt_.is_handed_on) {
     CheckRelayStall(now);
--- a/tests/operations/crashing_part_test.cc
+++ b/tests/operations/crashing_part_test.cc
@@ -17,6 +17,7 @@
 namespace marjoramsill {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// Entry processes in front of endpoints that crash when they begin to answer a
 /// request with a certain prompt part.
@@ -25,6 +26,8 @@
   CPPUNIT_TEST(crashing_part_at_every_entry_vm_stops_reaching_endpoints);
   CPPUNIT_TEST(crashing_parts_while_processes_restart_stay_refused);
   CPPUNIT_TEST(parts_of_endpoints_that_crash_by_themselves_are_served);
+  CPPUNIT_TEST(part_unused_while_another_crashes_endpoints_is_served);
+  CPPUNIT_TEST(crashing_part_with_other_companions_later_stays_refused);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint16_t kPort = 25'000;
@@ -35,6 +38,8 @@
   static constexpr milliseconds kContactTime{3'000};
   static constexpr std::size_t kCountedCrashes = 5;
   static constexpr std::size_t kMaxRequestsAfter = 3;
+  /// Sound requests that are sent beside crashing ones.
+  static constexpr int kSoundBeside = 40;
   /// Sound requests of the second half must be served at least this often.
   static constexpr double kMinServedShare = 0.5;
 
@@ -183,7 +188,67 @@
     CPPUNIT_ASSERT_EQUAL(sound.sent, sound.served);
   }
 
+  // Guards against a sound part that is refused for ten minutes, because nobody
+  // used it while another part of the same requests crashed endpoints.
+  void part_unused_while_another_crashes_endpoints_is_served() {
+    ledger_.AddCrashingPart("bad1");
+    PlayCrashing("a1:400,bad1:300,", 2 * kContactTime + seconds(3));
+    CPPUNIT_ASSERT(ledger_.part_crashes().size() >= kCountedCrashes);
+    const sound_counts sound = PlaySoundBeside("a1:400,bad1:300,", "a1:400,");
+    PrintCounts(sound);
+    CPPUNIT_ASSERT(RequestsAfterFifthCrash() <= kMaxRequestsAfter);
+    CPPUNIT_ASSERT(sound.served >= kMinServedShare * sound.sent);
+  }
+
+  // Guards against trials that let a part at fault crash endpoint after
+  // endpoint, because it comes with other parts than before.
+  void crashing_part_with_other_companions_later_stays_refused() {
+    ledger_.AddCrashingPart("bad1");
+    PlayCrashing("bad1:300,a1:400,", 2 * kContactTime);
+    for (int i = 0; i < 20; ++i) {
+      PlayCrashing("bad1:300,c" + std::to_string(i) + ":400,",
+                   milliseconds(600));
+    }
+    const sound_counts sound = PlaySoundBeside("bad1:300,d1:400,", "a1:400,");
+    PrintCounts(sound);
+    CPPUNIT_ASSERT(RequestsAfterFifthCrash() <= kMaxRequestsAfter);
+    CPPUNIT_ASSERT(sound.served >= kMinServedShare * sound.sent);
+  }
+
  private:
+  /// Sends a request with these parts and a last one of its own.
+  void SendWithParts(const std::string& parts,
+                     const std::function<void(int)>& done) {
+    const std::string number = std::to_string(++number_);
+    Send(random_() % kEntries, AnyPath(random_()), "parts-" + number,
+         Prompt(parts + number + "f:50"), done);
+  }
+
+  void PlayCrashing(const std::string& parts, milliseconds duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    while (std::chrono::steady_clock::now() < end) {
+      SendWithParts(parts, [](int /*status*/) {});
+      RunFor(kCrashingInterval);
+    }
+  }
+
+  /// Sound requests with some parts, beside requests with others.
+  sound_counts PlaySoundBeside(const std::string& crashing,
+                               const std::string& sound) {
+    const auto counts = std::make_shared<sound_counts>();
+    for (int i = 0; i < kSoundBeside; ++i) {
+      SendWithParts(crashing, [](int /*status*/) {});
+      ++counts->sent;
+      SendWithParts(sound, [counts](int status) {
+        if (status == 200) ++counts->served;
+        if (status == 503) ++counts->refused;
+      });
+      RunFor(kCrashingInterval);
+    }
+    RunFor(milliseconds(500));
+    return *counts;
+  }
+
   void RunAfter(milliseconds delay, std::function<void()> action) {
     auto timer = std::make_shared<asio::steady_timer>(io_, delay);
     timer->async_wait(
