--- a/tests/platform/platform_decoder_test.cc
+++ b/tests/platform/platform_decoder_test.cc
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
 #include <chrono>
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -29,6 +31,8 @@
   CPPUNIT_TEST(heartbeat_is_decoded);
   CPPUNIT_TEST(heartbeat_without_a_valid_required_field_is_malformed);
   CPPUNIT_TEST(heartbeat_with_a_field_out_of_range_is_refused);
+  CPPUNIT_TEST(heartbeat_of_any_shape_takes_little_memory);
+  CPPUNIT_TEST(document_of_any_shape_takes_little_memory);
   CPPUNIT_TEST(demand_is_decoded_with_its_parts);
   CPPUNIT_TEST(prefixes_of_different_models_have_different_hashes);
   CPPUNIT_TEST(malformed_load_is_ignored);
@@ -41,6 +45,9 @@
   CPPUNIT_TEST(warm_up_bound_is_read_from_the_settings);
   CPPUNIT_TEST_SUITE_END();
 
+  /// An eighth of the memory of the smallest VM, 256 MB.
+  static constexpr long kMaxParsedMegabytes = 32;
+
   static json Document() {
     return json::parse(R"({"version":7,"routes":[
       {"name":"a","host":"F.example:80","pathPrefix":"/p/",
@@ -179,6 +186,47 @@
 
   // Guards against numbers that wrap or outlive all others, and texts that fill
   // links and logs.
+  /// Texts of 4 MB that hold as many values as possible.
+  static std::vector<std::string> LargeTexts() {
+    constexpr std::size_t kBytes = 4'000'000;
+    std::vector<std::string> texts;
+    for (const std::string each : {"[", "{\"a\":", "[],", "{},", "1,"}) {
+      std::string text = each.back() == ',' ? "[" : "";
+      while (text.size() < kBytes) text += each;
+      if (each.back() == ',') text += "1]";
+      texts.push_back(std::move(text));
+    }
+    texts.push_back("{\"service\":" + texts.back() + "}");
+    return texts;
+  }
+
+  static long PeakMegabytes() {
+    constexpr long kKilobytes = 1'024;
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss / kKilobytes;
+  }
+
+  // Guards against a control process that runs out of memory while it parses a
+  // heartbeat of another writer.
+  void heartbeat_of_any_shape_takes_little_memory() {
+    const std::vector<std::string> texts = LargeTexts();
+    const long before = PeakMegabytes();
+    for (const std::string& text : texts) {
+      CPPUNIT_ASSERT(!DecodeHeartbeat(endpoint_id("i-1"), text));
+      CPPUNIT_ASSERT(PeakMegabytes() - before < kMaxParsedMegabytes);
+    }
+  }
+
+  void document_of_any_shape_takes_little_memory() {
+    const std::vector<std::string> texts = LargeTexts();
+    const long before = PeakMegabytes();
+    for (const std::string& text : texts) {
+      CPPUNIT_ASSERT(!DecodeDocument(text));
+      CPPUNIT_ASSERT(PeakMegabytes() - before < kMaxParsedMegabytes);
+    }
+  }
+
   void heartbeat_with_a_field_out_of_range_is_refused() {
     const std::string long_text(257, 'a');
     const std::vector<std::pair<const char*, json>> fields = {
