entry: move what concerns crashes out of entry_process

entry_process wired the breaker, the reporter, the end check, the crash finder and the trials by itself. content_fault_monitor now owns them and gives calls what they use of them. No change of behaviour but that records of crashes are reported in the tick that decides them, not in the next one.

--- a/source/process/entry/entry_process.cc
+++ b/source/process/entry/entry_process.cc
@@ -31,14 +31,10 @@
 #include "process/directory/control_watcher.h"
 #include "process/entry/call_environment.h"
 #include "process/entry/call_set.h"
-#include "process/entry/content_breaker.h"
-#include "process/entry/content_fault_reporter.h"
-#include "process/entry/content_trial_requester.h"
-#include "process/entry/crash_finder.h"
+#include "process/entry/content_fault_monitor.h"
 #include "process/entry/decision_log.h"
 #include "process/entry/document_fetcher.h"
 #include "process/entry/document_in_force.h"
-#include "process/entry/endpoint_end_check.h"
 #include "process/entry/entry_events.h"
 #include "process/entry/entry_limits.h"
 #include "process/entry/entry_metrics.h"
@@ -119,17 +115,10 @@
               return SoftwareOf(pool, id);
             },
             SteadyNow),
-        contents_(SystemRandom()),
-        content_reporter_(watcher_, contents_),
-        trials_(TrialHooks()),
-        end_check_(io_, connections_,
-                   [this](const endpoint_record& endpoint,
-                          const std::vector<content_digest>& suspects) {
-                     crashes_.evidence().OnRefused(endpoint, suspects,
-                                                   SteadyNow());
-                   }),
-        crashes_(io_, connections_, watcher_,
-                 [this](const crash_decision& each) { OnCrashDecision(each); }),
+        faults_(io_, connections_, watcher_, log_,
+                [this](const endpoint_record& endpoint) {
+                  ForgetFailures(endpoint);
+                }),
         prober_(io_, connections_, pools_,
                 [this](const model_id& pool, link_state state,
                        std::size_t reached, std::size_t failed) {
@@ -227,24 +216,7 @@
     environment_.retries = [this](const model_id& id) {
       return pools_.Retries(id);
     };
-    environment_.contents = &contents_;
-    environment_.request_trial =
-        [this](const std::vector<content_trial>& trials, const auto& done) {
-          trials_.Request(trials, done);
-        };
-    environment_.release_trial = [this](const content_trial_request& granted) {
-      trials_.Release(granted);
-    };
-    environment_.check_end = [this](const endpoint_record& endpoint,
-                                    const request_content& content,
-                                    endpoint_end_check::finding_hook done) {
-      end_check_.Start(endpoint, contents_.Suspects(content, SteadyNow()),
-                       std::move(done));
-    };
-    environment_.find_end = [this](const endpoint_record& endpoint,
-                                   endpoint_end_check::finding_hook done) {
-      end_check_.Start(endpoint, {}, std::move(done));
-    };
+    faults_.Provide(environment_);
     environment_.entry_count = [this] {
       return watcher_.position().entry_count;
     };
@@ -329,9 +301,7 @@
     hooks.on_loads = [this](const std::vector<shared_load>& loads) {
       const steady_time now = SteadyNow();
       pools_.MergeLoads(loads, now);
-      for (const shared_load& each : loads) {
-        crashes_.evidence().OnReport(each.endpoint, now - each.age);
-      }
+      faults_.OnLoads(loads, now);
     };
     hooks.take_loads = [this] { return pools_.TakeLoads(SteadyNow()); };
     hooks.take_progress = [this] { return pools_.Progress(SteadyNow()); };
@@ -363,10 +333,10 @@
       return origins_.TakeAfter(number);
     };
     hooks.on_faults = [this](const std::vector<content_fault>& faults) {
-      contents_.Merge(faults, SteadyNow());
+      faults_.contents().Merge(faults, SteadyNow());
     };
     hooks.take_faults = [this](std::uint64_t& number) {
-      return contents_.faults().TakeAfter(number);
+      return faults_.contents().faults().TakeAfter(number);
     };
     hooks.relay = [this] { return RelayState(); };
     hooks.document = [this] {
@@ -400,21 +370,6 @@
     return hooks;
   }
 
-  content_trial_requester::hooks TrialHooks() {
-    content_trial_requester::hooks hooks;
-    hooks.members = [this](steady_time now) { return watcher_.Reachable(now); };
-    hooks.group_size = [this] { return watcher_.members().size(); };
-    hooks.entry_count = [this] { return watcher_.position().entry_count; };
-    hooks.request = [this](const vm_id& vm, std::string body,
-                           milliseconds timeout,
-                           content_trial_requester::response_hook done) {
-      watcher_.Request(vm, std::string(kContentTrialKind), std::move(body),
-                       timeout, std::move(done));
-    };
-    hooks.clock = SteadyNow;
-    return hooks;
-  }
-
   void OnEvacuations(const evacuation_set& set) {
     pools_.SetEvacuated(set.domains, SteadyNow());
     metrics_.SetEvacuated(set.domains.size());
@@ -423,24 +378,14 @@
 
   void OnEndpointChange(const endpoint_record& changed) {
     LogEndpoint(log_, changed);
-    crashes_.evidence().OnRecord(changed);
+    faults_.OnRecord(changed);
     if (IsLeavingOrEnded(changed.phase)) connections_.Drop(changed.id);
   }
 
-  void OnCrashDecision(const crash_decision& each) {
-    LogCrashDecision(log_, each);
-    const endpoint_record& endpoint = each.endpoint;
-    if (!IsCrash(each.finding)) {
-      // The failures came from the links.
-      if (auto* known = pools_.Pool(endpoint.pool)->Find(endpoint.id)) {
-        known->ForgetFailures();
-      }
-      return;
-    }
-    const auto suspects =
-        contents_.UnansweredSince(each.refused_at, each.suspects);
-    contents_.RecordEnd(DigestOfRun(endpoint), suspects, SteadyNow());
-    LogSuspects(log_, endpoint, suspects);
+  /// The failures came from the links.
+  void ForgetFailures(const endpoint_record& endpoint) {
+    auto* known = pools_.Pool(endpoint.pool)->Find(endpoint.id);
+    if (known != nullptr) known->ForgetFailures();
   }
 
   /// Runs on the transport's thread. Other entry processes request the routing
@@ -584,12 +529,11 @@
     pools_.SetInContact(!watcher_.Reachable(now).empty());
     evacuations_.MayServe(now);
     prober_.Tick(now);
-    crashes_.Tick(now);
+    faults_.Tick(now);
     relay_finder_.Tick(HasLostLinks() || relays_.IsShort(now), now);
     fetcher_.Tick(now);
     relay_.Tick(document_.stored(), now);
     origins_.Tick(now);
-    content_reporter_.Tick(now);
     if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
     if (ContinueStop(now)) return;
     timer_.expires_after(kTick);
@@ -605,7 +549,7 @@
     connections_.Expire(now);
     relay_connections_.Expire(now);
     pools_.Tick(now);
-    contents_.Expire(now);
+    faults_.Expire(now);
     settings_watch_.Tick(now);
     const auto phases = pools_.CountPhases();
     metrics_.SetEndpoints(phases.ready, phases.silent, phases.leaving);
@@ -657,11 +601,7 @@
   relay_table relays_;
   relay_finder relay_finder_;
   stream_origin_finder origins_;
-  content_breaker contents_;
-  content_fault_reporter content_reporter_;
-  content_trial_requester trials_;
-  endpoint_end_check end_check_;
-  crash_finder crashes_;
+  content_fault_monitor faults_;
   reach_prober prober_;
   caller_listener listener_;
   caller_listener relay_listener_;
