controller: leave the address of an endpoint to its named pool

Cause: the endpoint that started last at an address ends the others, whatever its pool.

Change: a control process refuses a start of an endpoint of a pool that no document names at the address of a ready endpoint of a named pool; one of a named pool ends such an entry that came before it. The document is decoded only when two pools meet at an address.

The limit of a document's text stood twice; it is in stored_document.h now.

--- a/source/process/controller/controller_process.cc
+++ b/source/process/controller/controller_process.cc
@@ -27,6 +27,7 @@
 #include "process/controller/evacuation_log.h"
 #include "process/controller/evacuation_service.h"
 #include "process/controller/link_traffic.h"
+#include "process/controller/named_pools.h"
 #include "process/controller/node_start.h"
 #include "process/controller/order_status.h"
 #include "process/controller/process_signals.h"
@@ -103,6 +104,11 @@
               .pack = PackText,
               .evacuations = [this] { return store_->Evacuations(); }},
              SystemRandom()() | 1U),
+        pools_(
+            dialect_, [this] { return store_->Held(); },
+            [](const std::string& packed) {
+              return UnpackText(packed, kMaxDocumentBytes);
+            }),
         watcher_(io_, peers_, settings_.vm, false, WatcherHooks()),
         settings_watch_(
             std::move(settings_file),
@@ -125,8 +131,9 @@
         [this](std::size_t bytes) { hub_.YieldLink(bytes, SteadyNow()); });
     evacuations_.emplace(*store_, watcher_);
     const std::string address = FormatSocketAddress(*settings_.control);
-    endpoints_.emplace(dialect_, hub_, directory_, watcher_, *endings_,
-                       address);
+    endpoints_.emplace(
+        dialect_, hub_, directory_, watcher_, *endings_, address,
+        [this](const model_id& pool) { return pools_.Contains(pool); });
     server_.emplace(io_, ControlServerSettings(settings_),
                     [this](const http_request& request,
                            const std::shared_ptr<http_responder>& responder) {
@@ -478,6 +485,7 @@
   endpoint_directory directory_;
   watch_hub hub_;
   content_trial_leases trial_leases_{SteadyNow()};
+  named_pools pools_;
   control_watcher watcher_;
   settings_watch settings_watch_;
   std::unique_ptr<data_folder> folder_;
--- a/source/process/controller/document_service.cc
+++ b/source/process/controller/document_service.cc
@@ -18,7 +18,6 @@
 
 /// Shorter than the time after which operators try another control process.
 constexpr std::chrono::milliseconds kLeaderTimeout{900};
-constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
 constexpr const char* kAcceptedText = "accepted";
 
 /// Logs the response to a read: the process that had the document, and the time
--- a/source/process/controller/endpoint_service.cc
+++ b/source/process/controller/endpoint_service.cc
@@ -46,13 +46,14 @@
                                    endpoint_directory& directory,
                                    const control_watcher& members,
                                    ending_store& endings,
-                                   std::string own_address)
+                                   std::string own_address, named_hook is_named)
     : dialect_(dialect),
       hub_(hub),
       directory_(directory),
       members_(members),
       endings_(endings),
-      own_address_(std::move(own_address)) {}
+      own_address_(std::move(own_address)),
+      is_named_(std::move(is_named)) {}
 
 void endpoint_service::Log(const endpoint_record& record) const {
   LogEvent(log_level::kInfo, "endpoint",
@@ -87,6 +88,10 @@
     Refuse(id, "start", done);
     return;
   }
+  if (!TakeAddress(record, now)) {
+    Refuse(id, "pool", done);
+    return;
+  }
   if (directory_.ReceiveHeartbeat(record, now)) {
     Log(record);
     if (IsLeavingOrEnded(record.phase)) endings_.Record(record);
@@ -105,14 +110,36 @@
     Refuse(id, "id", done);
     return;
   }
-  if (directory_.End(id, WallTime(), now)) {
-    Log(*directory_.Find(id));
-    endings_.Record(*directory_.Find(id));
-    hub_.Notify(now);
-  }
+  EndEndpoint(id, now);
   AcknowledgeEnd(id, done, now);
 }
 
+void endpoint_service::EndEndpoint(const endpoint_id& id, steady_time now) {
+  if (!directory_.End(id, WallTime(), now)) return;
+  Log(*directory_.Find(id));
+  endings_.Record(*directory_.Find(id));
+  hub_.Notify(now);
+}
+
+bool endpoint_service::TakeAddress(const endpoint_record& record,
+                                   steady_time now) {
+  if (record.phase != endpoint_phase::kReady) return true;
+  const endpoint_record* known = directory_.Find(record.id);
+  const bool is_same_start = known != nullptr &&
+                             known->incarnation == record.incarnation &&
+                             known->address == record.address;
+  if (is_same_start) return true;
+  const std::vector<endpoint_record> others = directory_.OtherPoolsAt(record);
+  if (others.empty()) return true;
+  const bool is_named = is_named_(record.pool);
+  for (const endpoint_record& other : others) {
+    const bool is_other_named = is_named_(other.pool);
+    if (!is_named && is_other_named) return false;
+    if (is_named && !is_other_named) EndEndpoint(other.id, now);
+  }
+  return true;
+}
+
 void endpoint_service::AcknowledgeEnd(const endpoint_id& id,
                                       const response_hook& done,
                                       steady_time now) {
--- a/source/process/controller/endpoint_service.h
+++ b/source/process/controller/endpoint_service.h
@@ -27,10 +27,13 @@
   /// Receives the HTTP status and the body of the response.
   using response_hook = std::function<void(int status, std::string body)>;
 
+  /// Whether the document in force names a pool; true without a document.
+  using named_hook = std::function<bool(const model_id&)>;
+
   endpoint_service(const control_dialect& dialect, watch_hub& hub,
                    endpoint_directory& directory,
                    const control_watcher& members, ending_store& endings,
-                   std::string own_address);
+                   std::string own_address, named_hook is_named);
 
   void OnHeartbeat(const endpoint_id& id, const std::string& body,
                    const response_hook& done, steady_time now);
@@ -51,6 +54,11 @@
   /// recently.
   bool IsInMajority(steady_time now) const;
   void Log(const endpoint_record& record) const;
+  /// Decides about the address of a new start of an endpoint: one of a pool
+  /// that no document names takes it from no endpoint of a named pool, and
+  /// leaves it to such an endpoint.
+  bool TakeAddress(const endpoint_record& record, steady_time now);
+  void EndEndpoint(const endpoint_id& id, steady_time now);
   /// Responds 400 to a heartbeat that describes no usable endpoint.
   void Refuse(const endpoint_id& id, const std::string& field,
               const response_hook& done) const;
@@ -61,6 +69,7 @@
   const control_watcher& members_;
   ending_store& endings_;
   const std::string own_address_;
+  const named_hook is_named_;
 };
 
 }  // namespace marjoramsill
--- a/source/process/controller/stored_document.h
+++ b/source/process/controller/stored_document.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMSILL_PROCESS_CONTROLLER_STORED_DOCUMENT_H_
 #define MARJORAMSILL_PROCESS_CONTROLLER_STORED_DOCUMENT_H_
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,9 @@
 
 namespace marjoramsill {
 
+/// Largest text of a routing document.
+inline constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
+
 /// A routing document as it is replicated and distributed: the compressed bytes
 /// that the operator submitted, and their version.
 struct stored_document {
--- a/source/process/directory/endpoint_directory.cc
+++ b/source/process/directory/endpoint_directory.cc
@@ -164,6 +164,19 @@
   }
 }
 
+std::vector<endpoint_record> endpoint_directory::OtherPoolsAt(
+    const endpoint_record& record) const {
+  std::vector<endpoint_record> found;
+  for (const auto& [id, other] : entries_) {
+    const bool is_other = id != record.id && other.record.pool != record.pool;
+    const bool is_ready = other.record.phase == endpoint_phase::kReady;
+    if (is_other && is_ready && other.record.address == record.address) {
+      found.push_back(other.record);
+    }
+  }
+  return found;
+}
+
 heartbeat_state endpoint_directory::HeartbeatsSince(
     const endpoint_id& id, incarnation_number incarnation,
     steady_time moment) const {
--- a/source/process/directory/endpoint_directory.h
+++ b/source/process/directory/endpoint_directory.h
@@ -76,6 +76,9 @@
   heartbeat_state HeartbeatsSince(const endpoint_id& id,
                                   incarnation_number incarnation,
                                   steady_time moment) const;
+  /// Endpoints of other pools that are ready at the address of `record`.
+  std::vector<endpoint_record> OtherPoolsAt(
+      const endpoint_record& record) const;
   /// The record of an endpoint, or null.
   const endpoint_record* Find(const endpoint_id& id) const;
   std::size_t size() const { return entries_.size(); }
--- a/source/process/entry/document_in_force.cc
+++ b/source/process/entry/document_in_force.cc
@@ -9,8 +9,6 @@
 namespace marjoramsill {
 namespace {
 
-/// Limit for an uncompressed routing document.
-constexpr std::size_t kMaxDocumentBytes = std::size_t{16} * 1024 * 1024;
 /// A process that starts waits this long for the proof that its first document
 /// is current. It then serves with what it has, since its failure domain may be
 /// cut off.
--- a/tests/operations/odd_entry_test.cc
+++ b/tests/operations/odd_entry_test.cc
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(entry_with_an_unusable_address_disturbs_no_sound_endpoint);
   CPPUNIT_TEST(entry_with_an_unusable_text_disturbs_no_sound_endpoint);
   CPPUNIT_TEST(entry_that_cannot_be_read_disturbs_no_sound_endpoint);
+  CPPUNIT_TEST(entry_of_an_unnamed_pool_takes_no_address_of_a_named_one);
+  CPPUNIT_TEST(entry_of_an_unnamed_pool_leaves_its_address_to_a_named_one);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint16_t kPort = 18'000;
@@ -31,6 +33,8 @@
   static constexpr std::size_t kEndpoints = 4;
   static constexpr milliseconds kInterval{10};
   static constexpr milliseconds kAnswerTimeout{3'000};
+  /// After this time an endpoint that sends no heartbeats counts as silent.
+  static constexpr milliseconds kSilentTime{5'000};
   static constexpr std::size_t kLongText = 1'000'000;
   static constexpr int kNesting = 200'000;
 
@@ -75,23 +79,43 @@
     return "\"" + text + "\"";
   }
 
+  /// Sends the entry to a control process. Returns the status of the answer, or
+  /// 0.
+  int Deliver(const soak::soak_node& node, const odd_entry& entry) {
+    std::optional<int> status;
+    soak::Call(
+        io_, node.control,
+        soak::RequestText("PUT", "/instances/" + entry.id, {}, entry.body),
+        kAnswerTimeout,
+        [&status](const std::optional<soak::http_response>& response) {
+          status = response ? response->head.status : 0;
+        });
+    CPPUNIT_ASSERT(RunUntil([&status] { return status.has_value(); }));
+    return *status;
+  }
+
   /// Sends the entry to every control process. None may accept it.
   void Leave(const odd_entry& entry) {
     for (const soak::soak_node* node : fleet_->ControlNodes()) {
-      auto status = std::make_shared<std::optional<int>>();
-      soak::Call(
-          io_, node->control,
-          soak::RequestText("PUT", "/instances/" + entry.id, {}, entry.body),
-          kAnswerTimeout,
-          [status](const std::optional<soak::http_response>& response) {
-            *status = response ? response->head.status : 0;
-          });
-      CPPUNIT_ASSERT(RunUntil([&] { return status->has_value(); }));
+      const int status = Deliver(*node, entry);
       const std::string text = entry.body.substr(0, 200);
-      CPPUNIT_ASSERT_MESSAGE(text, **status >= 400 || **status == 0);
+      CPPUNIT_ASSERT_MESSAGE(text, status >= 400 || status == 0);
     }
   }
 
+  /// A heartbeat of a pool that no document names, at this address, of an
+  /// endpoint that starts later than all others.
+  static odd_entry UnnamedPoolAt(const std::string& address) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch() +
+                     std::chrono::minutes(10);
+    const auto born = std::chrono::duration_cast<milliseconds>(now).count();
+    return {"odd", R"({"service":"printer","address":")" + address +
+                       R"(","zone":"d0","version":"v1","slots":32,)"
+                       R"("state":"ready","coldRemainingMs":0,)"
+                       R"("sequence":1,"born":)" +
+                       std::to_string(born) + "}"};
+  }
+
   void SendOne() {
     ++sent_;
     const int number = ++number_;
@@ -183,6 +207,25 @@
          Entry(std::string(5'000, 'o'), "slots", "32")});
   }
 
+  // Guards against a sound endpoint that is out of use for good, because an
+  // entry of another writer names its address.
+  void entry_of_an_unnamed_pool_takes_no_address_of_a_named_one() {
+    CheckSound({UnnamedPoolAt(fleet_->endpoints()[0]->announced()),
+                UnnamedPoolAt(fleet_->endpoints()[1]->announced())});
+  }
+
+  void entry_of_an_unnamed_pool_leaves_its_address_to_a_named_one() {
+    // The last endpoint has crashed; CheckSound() starts it.
+    const odd_entry entry =
+        UnnamedPoolAt(fleet_->endpoints().back()->announced());
+    RunFor(kSilentTime);
+    for (const soak::soak_node* node : fleet_->ControlNodes()) {
+      Deliver(*node, entry);
+    }
+    RunFor(milliseconds(500));
+    CheckSound({});
+  }
+
   void entry_that_cannot_be_read_disturbs_no_sound_endpoint() {
     CheckSound({Entry("odd", "zone",
                       Repeated("[", kNesting) + Repeated("]", kNesting)),
