entry: read the records once to find which ends are explained

Each end of refused content looked through all records (4,096 at most); one pass now collects the ends of the others. A repeated release of a lease no longer counts twice.

--- a/source/process/directory/content_fault_store.cc
+++ b/source/process/directory/content_fault_store.cc
@@ -88,17 +88,16 @@
   return found == entries_.end() ? nullptr : &found->second.fault;
 }
 
-bool content_fault_store::HasEndUnderOthers(
-    endpoint_run_digest run, std::size_t least_ends,
-    const std::vector<content_digest>& excluded) const {
+std::unordered_set<endpoint_run_digest> content_fault_store::EndsOfOthers(
+    std::size_t least_ends, const std::vector<content_digest>& excluded) const {
+  std::unordered_set<endpoint_run_digest> found;
   for (const auto& [content, known] : entries_) {
     const std::vector<endpoint_run_digest>& ends = known.fault.ends;
     if (ends.size() < least_ends) continue;
-    if (!std::binary_search(ends.begin(), ends.end(), run)) continue;
     const auto at = std::find(excluded.begin(), excluded.end(), content);
-    if (at == excluded.end()) return true;
+    if (at == excluded.end()) found.insert(ends.begin(), ends.end());
   }
-  return false;
+  return found;
 }
 
 content_fault_store::entry& content_fault_store::Insert(
--- a/source/process/directory/content_fault_store.h
+++ b/source/process/directory/content_fault_store.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "process/directory/content_fault.h"
@@ -41,10 +42,11 @@
   void Refresh(content_digest content, steady_time now);
   /// The record of some content, or null.
   const content_fault* Find(content_digest content) const;
-  /// True if a record with at least `least_ends` ends, of none of the
-  /// `excluded` contents, has this end as well.
-  bool HasEndUnderOthers(endpoint_run_digest run, std::size_t least_ends,
-                         const std::vector<content_digest>& excluded) const;
+  /// All ends of the records that have at least `least_ends` of them, without
+  /// those of the `excluded` contents.
+  std::unordered_set<endpoint_run_digest> EndsOfOthers(
+      std::size_t least_ends,
+      const std::vector<content_digest>& excluded) const;
 
   /// A bounded number of the records that changed after `number`, oldest
   /// change first; `number` becomes that of the last one.
--- a/source/process/directory/content_trial.h
+++ b/source/process/directory/content_trial.h
@@ -7,7 +7,7 @@
 
 namespace marjoramsill {
 
-/// Refused content that one request is to be sent with, because other refused
+/// Refused content that one request is to be sent with, because other suspected
 /// content explains the endpoints that ended under it.
 struct content_trial {
   content_digest content;
--- a/source/process/directory/content_trial_leases.cc
+++ b/source/process/directory/content_trial_leases.cc
@@ -63,6 +63,8 @@
     if (found == leases_.end()) continue;
     lease& held = found->second;
     if (held.holder != vm || held.number != request.number) continue;
+    // A repeated release finds nothing.
+    held.holder = vm_id();
     --held.trials;
     held.until = now;
   }
--- a/source/process/entry/content_breaker.cc
+++ b/source/process/entry/content_breaker.cc
@@ -16,8 +16,8 @@
 constexpr std::size_t kOpenEnds = kUrgentEnds;
 /// From this number on no trial is made for kLongOpenTime.
 constexpr std::size_t kNoTrialEnds = 5;
-/// Other content explains an end if it has as many ends: each request has many
-/// parts that happened to be under a single one.
+/// Ends that other content must have to explain one of them. A single end shows
+/// little, since each request brings content of its own.
 constexpr std::size_t kExplainingEnds = kSharedEnds;
 /// Endpoints that may have ended by themselves under content whose other ends
 /// are explained.
@@ -76,9 +76,10 @@
 
 std::size_t content_breaker::CountUnexplained(
     const content_fault& fault, const request_content& request) const {
-  const std::vector<content_digest> present = ContentsOf(request);
-  const auto is_unexplained = [&](endpoint_run_digest run) {
-    return !faults_.HasEndUnderOthers(run, kExplainingEnds, present);
+  const auto explained =
+      faults_.EndsOfOthers(kExplainingEnds, ContentsOf(request));
+  const auto is_unexplained = [&explained](endpoint_run_digest run) {
+    return !explained.contains(run);
   };
   return static_cast<std::size_t>(
       std::count_if(fault.ends.begin(), fault.ends.end(), is_unexplained));
--- a/tests/directory/content_trial_leases_test.cc
+++ b/tests/directory/content_trial_leases_test.cc
@@ -68,6 +68,7 @@
     for (int i = 0; i < 10; ++i) {
       CPPUNIT_ASSERT(leases_.Acquire(first_, Request(i, {7, 8}), now_));
       leases_.Release(first_, Request(i, {7, 8}), now_);
+      leases_.Release(first_, Request(i, {7, 8}), now_);
     }
     CPPUNIT_ASSERT(leases_.Acquire(second_, Request(1, {7}), now_));
   }
