--- a/source/request/proxied_call.cc
+++ b/source/request/proxied_call.cc
@@ -165,6 +165,10 @@
 }
 
 void proxied_call::BeginAttempts() {
+  if (!environment_.contents->HasFaults()) {
+    MakeFirstAttempt();
+    return;
+  }
   const auto refusal = environment_.contents->Admit(
       Content(), environment_.entry_count(), arrived_);
   if (!refusal) {
