tests: name the start of an odd entry as the rest of the code does

The local variable bore the platform's name of the field. No check changes; the test builds, and was not run again after the rename.

--- a/tests/operations/odd_entry_test.cc
+++ b/tests/operations/odd_entry_test.cc
@@ -108,12 +108,12 @@
   static odd_entry UnnamedPoolAt(const std::string& address) {
     const auto now = std::chrono::system_clock::now().time_since_epoch() +
                      std::chrono::minutes(10);
-    const auto born = std::chrono::duration_cast<milliseconds>(now).count();
+    const auto start = std::chrono::duration_cast<milliseconds>(now).count();
     return {"odd", R"({"service":"printer","address":")" + address +
                        R"(","zone":"d0","version":"v1","slots":32,)"
                        R"("state":"ready","coldRemainingMs":0,)"
                        R"("sequence":1,"born":)" +
-                       std::to_string(born) + "}"};
+                       std::to_string(start) + "}"};
   }
 
   void SendOne() {
